Relay typed requests between the callers and targets of a platform

Cause: nothing of the product could speak with the users' platform. A new package, relay, takes typed requests to targets and passes answers through; platform/ holds names, formats and calls.

--- a/packages/kv/src/index.ts
+++ b/packages/kv/src/index.ts
@@ -4,3 +4,5 @@
 export type * from "./kv-entry.js";
 export type * from "./kv-event.js";
 export type * from "./kv-txn.js";
+export * from "./breaker-kv-client.js";
+export * from "./kv-health.js";
--- /dev/null
+++ b/packages/relay/src/admission.ts
@@ -0,0 +1,53 @@
+import type { RelayRoute } from "./document/relay-document.js";
+import type { RouteTable } from "./document/route-table.js";
+import { pickShare } from "./policy/pick-share.js";
+import type { RelayRefusal } from "./relay-refusal.js";
+import type { RelayRequest } from "./relay-request.js";
+
+/** What the desired state says of one request. */
+export interface Admission {
+    readonly route: RelayRoute;
+    readonly service: string;
+    readonly team: string | undefined;
+    /** Whether the team pays from a budget. */
+    readonly isPrepaid: boolean;
+    /** 0 is the most urgent. */
+    readonly priority: number;
+    /** Version of the desired state that decided. */
+    readonly version: number;
+}
+
+/** Whether a request may run more than once. */
+export const isRepeatable = (route: RelayRoute): boolean =>
+    route.kind === "idempotent" || (route.kind === "streaming" && route.isResumable);
+
+/** Looks a request up in the desired state. */
+export const admit = (
+    table: RouteTable | undefined,
+    req: RelayRequest,
+    random: () => number,
+): Admission | RelayRefusal => {
+    if (table === undefined) {
+        return { reason: "notReady", retryAfterS: NOT_READY_RETRY_S };
+    }
+    const path = req.path.split("?", 1)[0] ?? req.path;
+    const route = table.findRoute(req.host, path);
+    if (route === undefined) {
+        return { reason: "noSuchRoute" };
+    }
+    const team = req.teamKey === undefined ? undefined : table.findTeamByKey(req.teamKey);
+    if (table.document.teams !== undefined && !route.isPublic && team === undefined) {
+        return { reason: "unknownKey" };
+    }
+    return {
+        route,
+        service: pickShare(route.shares, random()),
+        team: team?.name,
+        isPrepaid: team?.prepaidTokens !== undefined,
+        priority: team?.priority ?? route.priority,
+        version: table.document.version,
+    };
+};
+
+/** Time in which a starting instance usually has read the desired state, in seconds. */
+const NOT_READY_RETRY_S = 0.5;
--- /dev/null
+++ b/packages/relay/src/document/route-table.ts
@@ -0,0 +1,44 @@
+import type { RelayDocument, RelayRoute, RelayService, RelayTeam } from "./relay-document.js";
+
+/** A desired state, indexed for look-ups by request. */
+export class RouteTable {
+    private readonly routesByHost: ReadonlyMap<string, readonly RelayRoute[]>;
+    private readonly teamsByKey: ReadonlyMap<string, RelayTeam>;
+    private readonly servicesByName: ReadonlyMap<string, RelayService>;
+    private readonly teamsByName: ReadonlyMap<string, RelayTeam>;
+
+    constructor(readonly document: RelayDocument) {
+        const byHost = new Map<string, RelayRoute[]>();
+        for (const route of document.routes) {
+            const routes = byHost.get(route.host) ?? [];
+            byHost.set(route.host, routes);
+            routes.push(route);
+        }
+        byHost.forEach(routes => routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length));
+        this.routesByHost = byHost;
+        const teams = document.teams ?? [];
+        this.teamsByKey = new Map(teams.flatMap(team => team.keys.map(key => [key, team] as const)));
+        this.teamsByName = new Map(teams.map(team => [team.name, team]));
+        this.servicesByName = new Map(document.services.map(service => [service.name, service]));
+    }
+
+    /** The route with the longest path prefix; undefined where none matches. */
+    findRoute(host: string, path: string): RelayRoute | undefined {
+        return this.routesByHost.get(host)?.find(route => path.startsWith(route.pathPrefix));
+    }
+
+    /** The team that holds a key. */
+    findTeamByKey(key: string): RelayTeam | undefined {
+        return this.teamsByKey.get(key);
+    }
+
+    /** The team of a name. */
+    findTeam(name: string): RelayTeam | undefined {
+        return this.teamsByName.get(name);
+    }
+
+    /** The service of a name. */
+    findService(name: string): RelayService | undefined {
+        return this.servicesByName.get(name);
+    }
+}
--- /dev/null
+++ b/packages/relay/src/http/http-target-port.ts
@@ -0,0 +1,76 @@
+import { Pool } from "undici";
+import { type TargetCall, type TargetOutcome, TargetPort } from "../targets/target-port.js";
+import type { Target } from "../targets/target.js";
+import { TargetCallHandler } from "./target-call-handler.js";
+import { createTargetConnector } from "./target-connector.js";
+import type { TargetProtocol } from "./target-protocol.js";
+
+/** Time for which a connection without requests is kept, in milliseconds, where the target does not tell. */
+const KEEP_ALIVE_MS = 4_000;
+
+/** How much sooner than the target a connection is closed, in milliseconds, so that no request crosses its close. */
+const KEEP_ALIVE_MARGIN_MS = 1_000;
+
+const getTargetKey = (target: Target): string =>
+    `${target.id} ${target.startedAtMs ?? ""} ${target.host}:${target.port}`;
+
+/** Sends requests over HTTP/1.1, one at a time on each connection. */
+export class HttpTargetPort extends TargetPort {
+    private readonly pools = new Map<string, Pool>();
+
+    constructor(private readonly protocol: TargetProtocol) {
+        super();
+    }
+
+    override send(call: TargetCall): Promise<TargetOutcome> {
+        return new Promise(resolve => {
+            const { req, signal } = call;
+            const handler = new TargetCallHandler(call, this.protocol, resolve);
+            const abort = (): void => handler.abort(new Error("the request's time has ended"));
+            if (signal.aborted) {
+                resolve({ kind: "not_sent", cause: "the request's time has ended" });
+                return;
+            }
+            signal.addEventListener("abort", abort, { once: true });
+            this.getPool(call.target).dispatch({
+                path: req.path,
+                method: req.method as "GET",
+                headers: this.protocol.encode(call).flat(),
+                body: req.body.length === 0 ? null : req.body,
+                headersTimeout: 0,
+                bodyTimeout: 0,
+            }, handler);
+        });
+    }
+
+    override keepOnly(targets: readonly Target[]): void {
+        const kept = new Set(targets.map(getTargetKey));
+        for (const [key, pool] of this.pools) {
+            if (!kept.has(key)) {
+                this.pools.delete(key);
+                // Requests in flight end first.
+                void pool.close();
+            }
+        }
+    }
+
+    override async close(): Promise<void> {
+        await Promise.all([...this.pools.values()].map(pool => pool.destroy()));
+    }
+
+    private getPool(target: Target): Pool {
+        const key = getTargetKey(target);
+        const known = this.pools.get(key);
+        if (known !== undefined) {
+            return known;
+        }
+        const pool = new Pool(`http://${target.host}:${target.port}`, {
+            pipelining: 1,
+            connect: createTargetConnector(),
+            keepAliveTimeout: KEEP_ALIVE_MS,
+            keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
+        });
+        this.pools.set(key, pool);
+        return pool;
+    }
+}
--- /dev/null
+++ b/packages/relay/src/http/target-call-handler.ts
@@ -0,0 +1,91 @@
+import type { Dispatcher } from "undici";
+import type { TargetCall, TargetOutcome } from "../targets/target-port.js";
+import { AnswerBody } from "./answer-body.js";
+import { toPairs } from "./header-list.js";
+import type { TargetProtocol } from "./target-protocol.js";
+
+/** Largest whole or streamed answer that is read, in bytes; a bound on memory. */
+const MAX_ANSWER_BYTES = 16 * 1_024 * 1_024;
+
+const HTTP_FINAL_FROM = 200;
+
+/** Follows one exchange with a target. */
+export class TargetCallHandler implements Dispatcher.DispatchHandler {
+    private readonly body = new AnswerBody();
+    private controller: Dispatcher.DispatchController | undefined;
+    private sent = false;
+    private settled = false;
+    private bytes = 0;
+    private aborted: Error | undefined;
+
+    constructor(
+        private readonly call: TargetCall,
+        private readonly protocol: TargetProtocol,
+        private readonly resolve: (outcome: TargetOutcome) => void,
+    ) {}
+
+    /** Breaks the exchange off together with its connection. */
+    abort(err: Error): void {
+        this.aborted ??= err;
+        this.controller?.abort(err);
+        this.settle(this.failed(err));
+        this.body.fail(err);
+    }
+
+    onRequestStart(controller: Dispatcher.DispatchController): void {
+        this.controller = controller;
+        if (this.aborted !== undefined) {
+            controller.abort(this.aborted);
+            return;
+        }
+        this.sent = true;
+    }
+
+    onResponseStart(controller: Dispatcher.DispatchController, status: number): void {
+        if (status < HTTP_FINAL_FROM) {
+            return;
+        }
+        const raw = (controller.rawHeaders ?? []) as readonly (Buffer | string)[];
+        const headers = toPairs(raw.map(value => value.toString("latin1")));
+        const decoded = this.protocol.decode(this.call, status, headers);
+        switch (decoded.kind) {
+            case "answer":
+                this.settle({ kind: "answer", head: decoded.head, body: this.body });
+                break;
+            case "not_run":
+                this.settle({ kind: "not_run", reason: decoded.reason });
+                break;
+            case "invalid":
+                this.abort(new Error(decoded.cause));
+        }
+    }
+
+    onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
+        this.bytes += chunk.length;
+        if (this.bytes > MAX_ANSWER_BYTES) {
+            this.abort(new Error("the answer is too large"));
+            return;
+        }
+        this.body.push(chunk);
+    }
+
+    onResponseEnd(): void {
+        this.body.end();
+    }
+
+    onResponseError(_controller: Dispatcher.DispatchController, err: Error): void {
+        this.settle(this.failed(err));
+        this.body.fail(err);
+    }
+
+    private failed(err: Error): TargetOutcome {
+        return this.sent ? { kind: "failed", cause: err.message } : { kind: "not_sent", cause: err.message };
+    }
+
+    private settle(outcome: TargetOutcome): void {
+        if (!this.settled) {
+            this.settled = true;
+            this.resolve(outcome);
+        }
+    }
+}
--- /dev/null
+++ b/packages/relay/src/instance/bounded-log.ts
@@ -0,0 +1,42 @@
+import { createLog, type Log } from "@ospreyreel/telemetry";
+import { type LogFields, RelayLog } from "../relay-log.js";
+
+/** Lines a second that are written at most; more are counted. About 30 KB a second, far below a pipe's speed. */
+const MAX_LINES_PER_S = 150;
+
+const SECOND_MS = 1_000;
+
+/** Writes lines up to a rate, and says how many it dropped. */
+export class BoundedLog extends RelayLog {
+    private readonly log: Log;
+    private left = MAX_LINES_PER_S;
+    private dropped = 0;
+    private windowEndsAtMs = 0;
+
+    constructor(part: string, private readonly now: () => number = () => performance.now()) {
+        super();
+        this.log = createLog(part);
+    }
+
+    override write(event: string, fields: LogFields): void {
+        const nowMs = this.now();
+        if (nowMs >= this.windowEndsAtMs) {
+            this.startWindow(nowMs);
+        }
+        if (this.left === 0) {
+            this.dropped += 1;
+            return;
+        }
+        this.left -= 1;
+        this.log.info(fields, event);
+    }
+
+    private startWindow(nowMs: number): void {
+        this.windowEndsAtMs = nowMs + SECOND_MS;
+        this.left = MAX_LINES_PER_S;
+        if (this.dropped > 0) {
+            this.log.warn({ lines: this.dropped }, "lines dropped");
+            this.dropped = 0;
+        }
+    }
+}
--- /dev/null
+++ b/packages/relay/src/instance/relay-instance.ts
@@ -0,0 +1,249 @@
+import { BreakerKvClient, KvHealth } from "@ospreyreel/kv";
+import { createTcpPeerHub, type TcpPeerHub } from "@ospreyreel/peer";
+import { Counters } from "@ospreyreel/telemetry";
+import type { Address } from "@ospreyreel/types";
+import { randomUUID } from "node:crypto";
+import { type BudgetGate, OpenBudgetGate } from "../budget-gate.js";
+import { DocumentFollower } from "../document/document-follower.js";
+import { DocumentHolder } from "../document/document-holder.js";
+import { HttpCallerPort } from "../http/http-caller-port.js";
+import { HttpTargetPort } from "../http/http-target-port.js";
+import { QuestionPort } from "../http/question-port.js";
+import { AffinityPlacement } from "../policy/affinity-placement.js";
+import { RetryAllowance } from "../policy/retry-allowance.js";
+import { Relay } from "../relay.js";
+import { TargetDirectory } from "../targets/target-directory.js";
+import { TargetFollower } from "../targets/target-follower.js";
+import { TargetSelector } from "../targets/target-selector.js";
+import { BoundedLog } from "./bounded-log.js";
+import type { InstanceView, RelayAdapter } from "./relay-adapter.js";
+import { RelayMetrics } from "./relay-metrics.js";
+import type { RelaySettings } from "./relay-settings.js";
+
+/** Time between two heartbeats to peers, in milliseconds. */
+const HEARTBEAT_MS = 400;
+
+/** Silence after which a peer counts as lost, in milliseconds; three heartbeats and a late timer. */
+const PEER_TIMEOUT_MS = 1_500;
+
+/** Time after an outage in which targets announce themselves again, in milliseconds; they need about two seconds. */
+const TARGET_RETURN_MS = 2_500;
+
+/** Most addresses in one answer to a caller. */
+const MAX_ADDRESSES = 64;
+
+/** Share of a target's connections that this fleet takes, since the others' counts are known late. */
+const CONNECTION_SHARE = 0.8;
+
+/** Connections to one target that an instance may always have. */
+const MIN_CONNECTIONS = 2;
+
+const MS_PER_S = 1_000;
+const STOP_POLL_MS = 50;
+
+/** Part of the time to stop after which requests that still run are cut, so that the process ends in order. */
+const STOP_SHARE = 0.94;
+
+const formatAddress = (address: Address): string => `${address.host}:${address.port}`;
+
+const parseAddress = (text: string): Address => {
+    const at = text.lastIndexOf(":");
+    return { host: text.slice(0, at), port: Number(text.slice(at + 1)) };
+};
+
+/** One entry instance that relays between the callers and the targets of a platform. */
+export class RelayInstance {
+    readonly metrics = new RelayMetrics();
+    private readonly log = new BoundedLog("relay");
+    private readonly documents = new DocumentHolder();
+    private readonly directory = new TargetDirectory();
+    private readonly health = new KvHealth();
+    private readonly retries = new Map<string, RetryAllowance>();
+    private readonly kv: BreakerKvClient;
+    private readonly targetPort: HttpTargetPort;
+    private readonly callerPort: HttpCallerPort;
+    private readonly questionPorts: readonly QuestionPort[];
+    private readonly follower: TargetFollower;
+    private readonly relay: Relay;
+    private stopping: Promise<void> | undefined;
+
+    private constructor(
+        private readonly cfg: RelaySettings,
+        private readonly adapter: RelayAdapter,
+        private readonly hub: TcpPeerHub,
+    ) {
+        this.kv = new BreakerKvClient(adapter.createKvClient(cfg.kv.address, cfg.kv.deadlineMs), this.health);
+        this.targetPort = new HttpTargetPort(adapter.sends);
+        this.relay = new Relay({
+            documents: this.documents,
+            selector: new TargetSelector({
+                directory: this.directory,
+                placement: new AffinityPlacement(),
+                availabilityZone: cfg.availabilityZone,
+                getConnectionLimit: service => this.getConnectionLimit(service),
+            }),
+            port: this.targetPort,
+            budgets: this.createBudgets(),
+            getRetries: service => this.getRetries(service),
+            log: this.log,
+            meter: this.metrics,
+            random: Math.random,
+        });
+        this.callerPort = new HttpCallerPort({
+            ...parseAddress(cfg.callers),
+            protocol: adapter.callers,
+            getBounds: () => this.documents.current()?.document.bounds,
+            serve: (req, caller) => this.relay.serve(req, caller),
+        });
+        this.follower = new TargetFollower({
+            kv: this.kv,
+            health: this.health,
+            hub,
+            codec: adapter.targets,
+            directory: this.directory,
+            log: this.log,
+            returnMs: TARGET_RETURN_MS,
+        });
+        this.questionPorts = this.createQuestionPorts();
+    }
+
+    /** Starts an instance; resolves when its ports listen. Throws where one can't be listened on. */
+    static async start(cfg: RelaySettings, adapter: RelayAdapter): Promise<RelayInstance> {
+        const hub = await createTcpPeerHub({
+            self: {
+                instance: cfg.instance,
+                incarnation: randomUUID(),
+                availabilityZone: cfg.availabilityZone,
+                region: cfg.region,
+                caller: parseAddress(cfg.callers),
+                peer: parseAddress(cfg.peer),
+                state: "leaving",
+                configRevision: 0,
+            },
+            listen: parseAddress(cfg.peer),
+            sharedKey: cfg.sharedKey,
+            heartbeatMs: HEARTBEAT_MS,
+            peerTimeoutMs: PEER_TIMEOUT_MS,
+            counters: new Counters(),
+        });
+        const instance = new RelayInstance(cfg, adapter, hub);
+        await instance.open();
+        return instance;
+    }
+
+    /** What the platform and callers may know of this instance. */
+    get view(): InstanceView {
+        const live = this.hub.peers().filter(peer => peer.state === "live").map(peer => formatAddress(peer.caller));
+        const own = this.isReady ? [this.cfg.callers] : [];
+        const addresses = [...own, ...live].slice(0, MAX_ADDRESSES);
+        return { isReady: this.isReady, addresses, addressTtlS: this.cfg.addressTtlS };
+    }
+
+    /** Takes changed settings; only the addresses of other instances may change while it runs. */
+    updateSettings(cfg: RelaySettings): void {
+        this.hub.setPeerAddresses(cfg.seeds.map(parseAddress));
+        this.log.write("settings reloaded", { seeds: cfg.seeds.join(" ") });
+    }
+
+    /** Graceful stop: tells of leaving at once, ends what runs, then resolves. */
+    async stop(): Promise<void> {
+        this.stopping ??= this.stopOnce();
+        await this.stopping;
+    }
+
+    private get isReady(): boolean {
+        return this.stopping === undefined && this.documents.current() !== undefined && this.follower.isSynced;
+    }
+
+    private createBudgets(): BudgetGate {
+        return new OpenBudgetGate();
+    }
+
+    private createQuestionPorts(): readonly QuestionPort[] {
+        const { cfg, adapter } = this;
+        return [
+            new QuestionPort({
+                ...parseAddress(cfg.readiness),
+                answer: (method, url) => adapter.answerReadiness(method, url, this.view),
+            }),
+            new QuestionPort({
+                ...parseAddress(cfg.directory),
+                answer: (method, url) => adapter.answerDirectory(method, url, this.view),
+            }),
+            new QuestionPort({
+                ...parseAddress(cfg.metrics),
+                answer: async () => ({ status: 200, body: await this.metrics.getText() }),
+            }),
+        ];
+    }
+
+    private async open(): Promise<void> {
+        const { cfg, documents, hub, log } = this;
+        documents.onChange(() => this.callerPort.updateBounds());
+        this.directory.onChange(() => this.targetPort.keepOnly(this.directory.list().map(state => state.target)));
+        this.health.onChange(available =>
+            log.write(available ? "KV service regained" : "KV service lost", { silentMs: this.health.silentMs })
+        );
+        new DocumentFollower({ kv: this.kv, hub, codec: this.adapter.documents, holder: documents, log }).start();
+        this.follower.start();
+        hub.setPeerAddresses(cfg.seeds.map(parseAddress));
+        await Promise.all([this.callerPort, ...this.questionPorts].map(port => port.start()));
+        log.write("instance started", { instance: cfg.instance, incarnation: hub.self().incarnation });
+        this.announceReady();
+    }
+
+    private announceReady(): void {
+        const timer = setInterval(() => {
+            if (this.isReady) {
+                clearInterval(timer);
+                this.hub.updateSelf({ state: "live" });
+                this.log.write("instance ready", { document: this.documents.version });
+            }
+        }, STOP_POLL_MS);
+    }
+
+    private getRetries(service: string): RetryAllowance {
+        const known = this.retries.get(service);
+        if (known !== undefined) {
+            return known;
+        }
+        const { ratio, windowS, slack } = this.cfg.retries;
+        const allowance = new RetryAllowance({
+            ratio,
+            slack,
+            windowMs: windowS * MS_PER_S,
+            getInstances: () => this.hub.peers().length + 1,
+        });
+        this.retries.set(service, allowance);
+        return allowance;
+    }
+
+    private getConnectionLimit(service: string): number {
+        const most = this.documents.current()?.findService(service)?.maxConnections ?? Number.POSITIVE_INFINITY;
+        return Math.max(MIN_CONNECTIONS, Math.floor(most * CONNECTION_SHARE / (this.hub.peers().length + 1)));
+    }
+
+    private async stopOnce(): Promise<void> {
+        const { cfg, log } = this;
+        const endsAtMs = performance.now() + cfg.stopWithinS * MS_PER_S * STOP_SHARE;
+        // Some callers keep addresses for three times the time that they are told.
+        const addressesEndAtMs = performance.now() + 3 * cfg.addressTtlS * MS_PER_S;
+        log.write("instance leaving", { openRequests: this.relay.openRequests });
+        this.hub.updateSelf({ state: "leaving" });
+        this.callerPort.drain();
+        await new Promise<void>(resolve => {
+            const timer = setInterval(() => {
+                const nowMs = performance.now();
+                const idle = this.relay.openRequests === 0 && nowMs >= addressesEndAtMs;
+                if (idle || nowMs >= endsAtMs) {
+                    clearInterval(timer);
+                    resolve();
+                }
+            }, STOP_POLL_MS);
+        });
+        log.write("instance stopped", { openRequests: this.relay.openRequests });
+        this.callerPort.close();
+        this.questionPorts.forEach(port => port.close());
+        await Promise.race([this.hub.close(), new Promise(resolve => setTimeout(resolve, STOP_POLL_MS))]);
+    }
+}
--- /dev/null
+++ b/packages/relay/src/instance/run-relay.ts
@@ -0,0 +1,54 @@
+import { toOspreyError } from "@ospreyreel/errors";
+import { stat } from "node:fs/promises";
+import type { RelayAdapter } from "./relay-adapter.js";
+import { RelayInstance } from "./relay-instance.js";
+import { readRelaySettings } from "./relay-settings.js";
+
+const EXIT_INVALID = 2;
+const EXIT_FAULT = 1;
+
+/** Time between looks at the settings file, which may change without a signal; in milliseconds. */
+const SETTINGS_CHECK_MS = 2_000;
+
+const fail = (thrown: unknown): never => {
+    const err = toOspreyError(thrown);
+    process.stderr.write(`${err.result.code} ${err.result.name}: ${err.message}\n`);
+    err.details.forEach(detail => process.stderr.write(`  ${detail}\n`));
+    process.exit(err.result.name === "invalid_settings" ? EXIT_INVALID : EXIT_FAULT);
+};
+
+const reload = async (instance: RelayInstance, file: string): Promise<void> => {
+    try {
+        instance.updateSettings(await readRelaySettings(file));
+    }
+    catch (err) {
+        // The settings in force stay until the file is valid.
+        process.stderr.write(`settings not reloaded: ${toOspreyError(err).message}\n`);
+    }
+};
+
+const followSettings = (instance: RelayInstance, file: string): void => {
+    process.on("SIGHUP", () => void reload(instance, file));
+    let seenMs: number | undefined;
+    setInterval(() => {
+        stat(file).then(({ mtimeMs }) => {
+            if (seenMs !== undefined && seenMs !== mtimeMs) {
+                void reload(instance, file);
+            }
+            seenMs = mtimeMs;
+        }, (err: unknown) => process.stderr.write(`settings file not readable: ${String(err)}\n`));
+    }, SETTINGS_CHECK_MS);
+};
+
+/** Runs one relaying instance in this process until it is told to stop. */
+export const runRelay = async (file: string, adapter: RelayAdapter): Promise<void> => {
+    try {
+        const instance = await RelayInstance.start(await readRelaySettings(file), adapter);
+        process.on("SIGTERM", () => void instance.stop().then(() => process.exit(0), fail));
+        process.on("SIGINT", () => process.exit(EXIT_FAULT));
+        followSettings(instance, file);
+    }
+    catch (err) {
+        fail(err);
+    }
+};
--- /dev/null
+++ b/packages/relay/src/relay.ts
@@ -0,0 +1,132 @@
+import { admit, type Admission, isRepeatable } from "./admission.js";
+import type { BudgetGate, BudgetHold } from "./budget-gate.js";
+import type { CallerExchange } from "./caller-exchange.js";
+import type { DocumentHolder } from "./document/document-holder.js";
+import { RelayAttempts } from "./relay-attempts.js";
+import type { RelayLog } from "./relay-log.js";
+import type { RefusalReason, RelayRefusal } from "./relay-refusal.js";
+import type { RelayRequest } from "./relay-request.js";
+import { RequestClock } from "./request-clock.js";
+import type { RetryAllowance } from "./policy/retry-allowance.js";
+import type { TargetPort } from "./targets/target-port.js";
+import type { TargetSelector } from "./targets/target-selector.js";
+
+/** What counts requests. */
+export interface RelayMeter {
+    /** Counts a request's end and its time in milliseconds. */
+    noteEnd(result: string, service: string, ms: number): void;
+    /** Counts a send to a target and what became of it. */
+    noteSend(outcome: string, service: string): void;
+}
+
+/** What a relay needs. */
+export interface RelayOptions {
+    readonly documents: DocumentHolder;
+    readonly selector: TargetSelector;
+    readonly port: TargetPort;
+    readonly budgets: BudgetGate;
+    readonly getRetries: (service: string) => RetryAllowance;
+    readonly log: RelayLog;
+    readonly meter: RelayMeter;
+    /** A number from 0 up to but without 1. */
+    readonly random: () => number;
+}
+
+const isRefusal = (admitted: Admission | RelayRefusal): admitted is RelayRefusal => "reason" in admitted;
+
+/** A request with all that was decided before its first send. */
+export interface AdmittedRequest {
+    readonly req: RelayRequest;
+    readonly admission: Admission;
+    readonly caller: CallerExchange;
+    readonly clock: RequestClock;
+    readonly hold: BudgetHold | undefined;
+    readonly repeatable: boolean;
+}
+
+/** Takes each request to a target of its route and its answer back, or refuses it at once. */
+export class Relay {
+    private open = 0;
+
+    constructor(private readonly opts: RelayOptions) {}
+
+    /** Requests that are not answered yet. */
+    get openRequests(): number {
+        return this.open;
+    }
+
+    /** Serves one request; does not throw. */
+    async serve(req: RelayRequest, caller: CallerExchange): Promise<void> {
+        this.open += 1;
+        try {
+            await this.serveAdmitted(req, caller);
+        }
+        finally {
+            this.open -= 1;
+        }
+    }
+
+    private async serveAdmitted(req: RelayRequest, caller: CallerExchange): Promise<void> {
+        const { documents, random } = this.opts;
+        const admission = admit(documents.current(), req, random);
+        if (isRefusal(admission)) {
+            this.refuse(req, caller, "", admission);
+            return;
+        }
+        const { route, service } = admission;
+        this.opts.getRetries(service).noteRequest();
+        const waitsMs = Math.min(route.timeoutMs, req.waitsMs ?? route.timeoutMs);
+        const clock = new RequestClock(req.arrivedAtMs + waitsMs, caller.gone);
+        try {
+            const held = await this.holdBudget(req, admission);
+            if (held !== undefined && "reason" in held) {
+                this.refuse(req, caller, service, held);
+                return;
+            }
+            const request = { req, admission, caller, clock, hold: held, repeatable: isRepeatable(route) };
+            const result = await new RelayAttempts(this.opts, request).run();
+            if (typeof result !== "string") {
+                this.refuse(req, caller, service, result);
+                return;
+            }
+            this.opts.meter.noteEnd(result, service, performance.now() - req.arrivedAtMs);
+        }
+        finally {
+            clock.stop();
+        }
+    }
+
+    private async holdBudget(
+        req: RelayRequest,
+        admission: Admission,
+    ): Promise<BudgetHold | RelayRefusal | undefined> {
+        const { generation } = req;
+        if (generation === undefined || admission.team === undefined || !admission.isPrepaid) {
+            return undefined;
+        }
+        const tokens = generation.promptTokens + generation.maxOutputTokens;
+        const decision = await this.opts.budgets.hold(admission.team, tokens);
+        switch (decision.kind) {
+            case "held":
+                return decision.hold;
+            case "exhausted":
+                return { reason: "budgetExhausted" };
+            case "unavailable":
+                return { reason: "budgetUnavailable", retryAfterS: decision.retryAfterS };
+        }
+    }
+
+    private refuse(req: RelayRequest, caller: CallerExchange, service: string, refusal: RelayRefusal): void {
+        caller.refuse(refusal);
+        const ms = performance.now() - req.arrivedAtMs;
+        this.opts.meter.noteEnd(refusal.reason satisfies RefusalReason, service, ms);
+        this.opts.log.write("request refused", {
+            request: req.id,
+            reason: refusal.reason,
+            service,
+            document: this.opts.documents.version,
+            ms: Math.round(ms),
+            retryAfterS: refusal.retryAfterS ?? 0,
+        });
+    }
+}
--- /dev/null
+++ b/packages/relay/src/targets/target-directory.ts
@@ -0,0 +1,88 @@
+import { NameScores } from "@ospreyreel/peer";
+import { TargetState } from "./target-state.js";
+import type { Target } from "./target.js";
+
+/** Targets of one service that may get new requests, with their rendezvous scores. */
+export interface ServiceTargets {
+    readonly states: readonly TargetState[];
+    /** Scores of the targets' ids, in the order of `states`. */
+    readonly scores: NameScores;
+}
+
+const NO_TARGETS: ServiceTargets = { states: [], scores: new NameScores([]) };
+
+/** The targets that announced themselves, by id and by service. */
+export class TargetDirectory {
+    private readonly states = new Map<string, TargetState>();
+    private readonly listeners: (() => void)[] = [];
+    private byService: ReadonlyMap<string, ServiceTargets> = new Map();
+
+    /** All targets, leaving ones included. */
+    list(): readonly TargetState[] {
+        return [...this.states.values()];
+    }
+
+    /** Targets of a service that may get new requests. */
+    getServing(service: string): ServiceTargets {
+        return this.byService.get(service) ?? NO_TARGETS;
+    }
+
+    /** Calls back after each change. */
+    onChange(listener: () => void): void {
+        this.listeners.push(listener);
+    }
+
+    /** Takes what a target says of itself; returns what changed. */
+    put(target: Target): "added" | "restarted" | "leaving" | "updated" {
+        const known = this.states.get(target.id);
+        const same = known !== undefined && known.target.startedAtMs === target.startedAtMs;
+        if (same) {
+            const leaves = target.leaving && !known.target.leaving;
+            // One that said it leaves does not come back under the same start.
+            known.target = { ...target, leaving: target.leaving || known.target.leaving };
+            this.changed();
+            return leaves ? "leaving" : "updated";
+        }
+        this.states.set(target.id, new TargetState(target));
+        this.changed();
+        return known === undefined ? "added" : "restarted";
+    }
+
+    /** Forgets a target; returns whether it was known. */
+    remove(id: string): boolean {
+        const removed = this.states.delete(id);
+        if (removed) {
+            this.changed();
+        }
+        return removed;
+    }
+
+    /** Marks a target as leaving; returns whether that is news. */
+    markLeaving(id: string): boolean {
+        const state = this.states.get(id);
+        if (state === undefined || state.target.leaving) {
+            return false;
+        }
+        state.target = { ...state.target, leaving: true };
+        this.changed();
+        return true;
+    }
+
+    private changed(): void {
+        const groups = new Map<string, TargetState[]>();
+        for (const state of this.states.values()) {
+            if (!state.target.leaving) {
+                const group = groups.get(state.target.service) ?? [];
+                groups.set(state.target.service, group);
+                group.push(state);
+            }
+        }
+        this.byService = new Map(
+            [...groups].map(([service, states]) => [service, {
+                states,
+                scores: new NameScores(states.map(state => state.target.id)),
+            }]),
+        );
+        this.listeners.forEach(listener => listener());
+    }
+}
--- a/packages/types/src/peer-requests.ts
+++ b/packages/types/src/peer-requests.ts
@@ -95,6 +95,11 @@
         readonly req: Record<string, never>;
         readonly res: { readonly document: VersionedDocument | undefined; };
     };
+    /** Asks for the relay's desired state in force, as operators wrote it. */
+    readonly "relay.document": {
+        readonly req: Record<string, never>;
+        readonly res: { readonly encoded: Uint8Array | undefined; };
+    };
     /** Tells of targets that are leaving; the answer is empty. */
     readonly "targets.leaving": {
         readonly req: { readonly targets: readonly string[]; };
