--- /dev/null
+++ b/packages/budgets/src/budget-owner.ts
@@ -0,0 +1,233 @@
+import type { KvClient, KvHealth } from "@ospreyreel/kv";
+import type { PeerHub } from "@ospreyreel/peer";
+import type { BudgetDrawAnswer, BudgetDrawRequest, BudgetNote, InstanceInfo } from "@ospreyreel/types";
+import type { BudgetLog } from "./budget-log.js";
+import { getShard, orderOwners } from "./budget-shards.js";
+import type { OwnedBudget } from "./owned-budget.js";
+import type { OwnedShard } from "./owned-shard.js";
+import { ShardClaimer } from "./shard-claimer.js";
+import { ShardWriter } from "./shard-writer.js";
+import { WindowPolicy } from "./window-policy.js";
+
+/** What an owner needs. */
+export interface BudgetOwnerOptions {
+    readonly kv: KvClient;
+    readonly health: KvHealth;
+    readonly hub: PeerHub;
+    /** Tokens that a team has paid for; 0 where it has no budget. */
+    readonly getPrepaid: (budget: string) => number;
+    readonly policy?: WindowPolicy;
+    readonly log?: BudgetLog;
+}
+
+/** Witnesses of one shard; a note waits for all, and one that lives is enough for a later owner. */
+const WITNESSES = 2;
+
+/** Longest wait of a draw for the KV service, in milliseconds; ten of its usual answers. */
+const WRITE_WAIT_MS = 40;
+
+/** Longest wait of a draw for a claim, in milliseconds; the claim goes on. Two usual answers and a seal. */
+const CLAIM_WAIT_MS = 100;
+
+/** Longest wait for a witness, in milliseconds; some round trips within a region. */
+const NOTE_TIMEOUT_MS = 100;
+
+/** Rest of a budget, in seconds of use, below which borrowers should keep nothing. */
+const PLENTY_S = 4;
+
+/** Time for which a live owner elsewhere is not looked up again, in milliseconds. */
+const ELSEWHERE_MS = 500;
+
+interface Elsewhere {
+    readonly owner: string;
+    readonly untilMs: number;
+}
+
+/** Owns shards of budgets and hands their tokens out to borrowers, within bounds that are written ahead. */
+export class BudgetOwner {
+    private readonly shards = new Map<number, OwnedShard>();
+    private readonly claims = new Map<number, Promise<OwnedShard | BudgetDrawAnswer>>();
+    private readonly elsewhere = new Map<number, Elsewhere>();
+    private readonly policy: WindowPolicy;
+    private readonly log: BudgetLog;
+    private readonly claimer: ShardClaimer;
+    private readonly writer: ShardWriter;
+    private leaving = false;
+
+    constructor(private readonly opts: BudgetOwnerOptions) {
+        this.policy = opts.policy ?? new WindowPolicy();
+        this.log = opts.log ?? (() => undefined);
+        const chooseWitnesses = (shard: number): readonly string[] => this.chooseWitnesses(shard);
+        this.claimer = new ShardClaimer({ kv: opts.kv, hub: opts.hub, chooseWitnesses, log: this.log });
+        this.writer = new ShardWriter({
+            kv: opts.kv,
+            policy: this.policy,
+            getPrepaid: opts.getPrepaid,
+            chooseWitnesses: owned => this.keepWitnesses(owned),
+            drop: owned => this.drop(owned),
+        });
+    }
+
+    /** Answers draws of other instances. */
+    serve(): void {
+        this.opts.hub.handle("budget.draw", (req, from) => this.draw(req, from));
+    }
+
+    /** Shards owned now, for the state dump. */
+    list(): readonly OwnedShard[] {
+        return [...this.shards.values()];
+    }
+
+    /** Takes a borrower's account and hands out what it wants, if that is covered; does not throw. */
+    async draw(req: BudgetDrawRequest, from: InstanceInfo): Promise<BudgetDrawAnswer> {
+        const found = await this.findShard(getShard(req.budget));
+        if ("kind" in found) {
+            return found;
+        }
+        const budget = found.getBudget(req.budget);
+        if (!budget.reconcile(from.incarnation, req, found.epoch)) {
+            return { kind: "unavailable", cause: "a later draw was taken already" };
+        }
+        const { epoch } = found;
+        if (req.want === 0) {
+            return { kind: "granted", epoch, tokens: 0, plenty: this.hasPlenty(budget) };
+        }
+        const tokens = Math.min(req.want, this.opts.getPrepaid(req.budget) - budget.spent);
+        if (tokens < req.least) {
+            return { kind: "exhausted", epoch };
+        }
+        budget.reserve(tokens);
+        if (!await this.cover(found, budget) || this.shards.get(found.shard) !== found) {
+            budget.release(tokens);
+            return { kind: "unavailable", cause: "neither the KV service nor the witnesses took a bound" };
+        }
+        budget.hand(from.incarnation, tokens);
+        return { kind: "granted", epoch, tokens, plenty: this.hasPlenty(budget) };
+    }
+
+    /** Hands all shards back with exact bounds; for a graceful stop. */
+    async handBack(): Promise<void> {
+        this.leaving = true;
+        const owned = [...this.shards.values()];
+        this.shards.clear();
+        await this.writer.handBack(owned);
+    }
+
+    private async findShard(shard: number): Promise<OwnedShard | BudgetDrawAnswer> {
+        const owned = this.shards.get(shard);
+        if (owned !== undefined) {
+            return owned;
+        }
+        const known = this.elsewhere.get(shard);
+        if (known !== undefined && performance.now() < known.untilMs && this.isLive(known.owner)) {
+            return { kind: "elsewhere", owner: known.owner };
+        }
+        if (this.leaving) {
+            return { kind: "elsewhere", owner: undefined };
+        }
+        const claim = this.claims.get(shard) ?? this.claim(shard).finally(() => this.claims.delete(shard));
+        this.claims.set(shard, claim);
+        const tooLate: BudgetDrawAnswer = { kind: "unavailable", cause: "the claim takes too long" };
+        return await Promise.race([claim, sleep(CLAIM_WAIT_MS).then(() => tooLate)]);
+    }
+
+    private async claim(shard: number): Promise<OwnedShard | BudgetDrawAnswer> {
+        const claimed = await this.claimer.claim(shard);
+        switch (claimed.kind) {
+            case "owned":
+                this.shards.set(shard, claimed.shard);
+                return claimed.shard;
+            case "elsewhere":
+                this.elsewhere.set(shard, { owner: claimed.owner, untilMs: performance.now() + ELSEWHERE_MS });
+                return claimed;
+            case "unavailable":
+                return claimed;
+        }
+    }
+
+    private isLive(incarnation: string): boolean {
+        return this.opts.hub.peers().some(peer => peer.incarnation === incarnation);
+    }
+
+    /** Whether all that is handed out of a budget is within its bounds, after a write or a note if need be. */
+    private async cover(owned: OwnedShard, budget: OwnedBudget): Promise<boolean> {
+        const { health, getPrepaid } = this.opts;
+        if (budget.spent <= budget.usable) {
+            if (this.policy.isWideningDue(owned.getNumbers(budget, getPrepaid(budget.name)))) {
+                void this.widen(owned, budget);
+            }
+            return true;
+        }
+        // While the KV service is known to be away, the write is only a trial that shows whether it is back.
+        const written = this.writer.write(owned);
+        if (health.isAvailable) {
+            await Promise.race([written, sleep(WRITE_WAIT_MS)]);
+        }
+        return budget.spent <= budget.usable || await this.note(owned, budget);
+    }
+
+    private async widen(owned: OwnedShard, budget: OwnedBudget): Promise<void> {
+        const written = this.writer.write(owned);
+        await (this.opts.health.isAvailable ? written : this.note(owned, budget));
+    }
+
+    /** Has all witnesses keep a bound beyond the window; true where the use is covered by it. */
+    private async note(owned: OwnedShard, budget: OwnedBudget): Promise<boolean> {
+        const { hub, getPrepaid } = this.opts;
+        const numbers = owned.getNumbers(budget, getPrepaid(budget.name));
+        const upTo = this.policy.getNote(numbers, budget.limitCap);
+        if (upTo === undefined || !owned.mayNote) {
+            this.log("bound not noted", {
+                budget: budget.name,
+                ...numbers,
+                limit: budget.limitCap,
+                witnesses: owned.record.witnesses.length,
+                mayNote: owned.mayNote,
+            });
+            return false;
+        }
+        const note: BudgetNote = { shard: owned.shard, epoch: owned.epoch, budget: budget.name, upTo };
+        const { witnesses } = owned.record;
+        const answers = await Promise.allSettled(
+            witnesses.map(witness => hub.request(witness, "budget.note", { notes: [note] }, NOTE_TIMEOUT_MS)),
+        );
+        const taken = answers.filter(answer => answer.status === "fulfilled" && answer.value.taken).length;
+        if (taken === witnesses.length && owned.record.witnesses === witnesses) {
+            budget.noted = Math.max(budget.noted, upTo);
+        }
+        else {
+            this.log("bound not taken by all witnesses", { budget: budget.name, upTo, taken });
+        }
+        return budget.spent <= budget.usable;
+    }
+
+    private drop(owned: OwnedShard): void {
+        if (this.shards.get(owned.shard) === owned) {
+            this.shards.delete(owned.shard);
+            this.log("budgets lost to another owner", { shard: owned.shard, epoch: owned.epoch });
+        }
+    }
+
+    private hasPlenty(budget: OwnedBudget): boolean {
+        return this.opts.getPrepaid(budget.name) - budget.spent > budget.meter.ratePerS * PLENTY_S;
+    }
+
+    /** The witnesses in force as long as all live, since a change of them stops notes for a while. */
+    private keepWitnesses(owned: OwnedShard): readonly string[] {
+        const { witnesses } = owned.record;
+        const keeps = witnesses.length === WITNESSES && witnesses.every(witness => this.isLive(witness));
+        return keeps ? witnesses : this.chooseWitnesses(owned.shard);
+    }
+
+    /** Live peers, other availability zones first. */
+    private chooseWitnesses(shard: number): readonly string[] {
+        const { hub } = this.opts;
+        const { availabilityZone } = hub.self();
+        const peers = orderOwners(shard, hub.peers().filter(peer => peer.state === "live"));
+        const far = peers.filter(peer => peer.availabilityZone !== availabilityZone);
+        const near = peers.filter(peer => peer.availabilityZone === availabilityZone);
+        return [...far, ...near].slice(0, WITNESSES).map(peer => peer.incarnation);
+    }
+}
+
+const sleep = (ms: number): Promise<void> => new Promise(resolve => setTimeout(resolve, ms));
--- /dev/null
+++ b/packages/budgets/src/budget-shards.ts
@@ -0,0 +1,10 @@
+import { hash32, rendezvousOrder } from "@ospreyreel/peer";
+import type { InstanceInfo } from "@ospreyreel/types";
+import { SHARD_COUNT } from "./shard-record.js";
+
+/** The shard of a budget. */
+export const getShard = (budget: string): number => hash32(budget) % SHARD_COUNT;
+
+/** Instances in the order in which they should own a shard. */
+export const orderOwners = (shard: number, instances: readonly InstanceInfo[]): readonly InstanceInfo[] =>
+    rendezvousOrder(`budgets/${shard}`, instances, info => info.instance);
--- /dev/null
+++ b/packages/budgets/src/budget-witness.ts
@@ -0,0 +1,55 @@
+import type { PeerHub } from "@ospreyreel/peer";
+import type { BudgetNoteRequest, BudgetSealAnswer, BudgetSealRequest } from "@ospreyreel/types";
+
+interface NotedShard {
+    epoch: number;
+    sealed: boolean;
+    readonly upTo: Map<string, number>;
+}
+
+/** Keeps the bounds of other owners in memory while the KV service is away, until a later owner seals them. */
+export class BudgetWitness {
+    private readonly shards = new Map<number, NotedShard>();
+
+    /** Answers owners and those that take over from them. */
+    serve(hub: PeerHub): void {
+        hub.handle("budget.note", req => Promise.resolve({ taken: this.note(req) }));
+        hub.handle("budget.seal", req => Promise.resolve(this.seal(req)));
+    }
+
+    /** Keeps all notes of a request, or none. */
+    note({ notes }: BudgetNoteRequest): boolean {
+        const refused = notes.some(({ shard, epoch }) => {
+            const known = this.shards.get(shard);
+            return known !== undefined && (known.epoch > epoch || (known.epoch === epoch && known.sealed));
+        });
+        if (refused) {
+            return false;
+        }
+        for (const { shard, epoch, budget, upTo } of notes) {
+            const { upTo: noted } = this.getShard(shard, epoch);
+            noted.set(budget, Math.max(noted.get(budget) ?? 0, upTo));
+        }
+        return true;
+    }
+
+    /** Takes no more notes up to the epoch, and tells those of it. */
+    seal({ shard, epoch }: BudgetSealRequest): BudgetSealAnswer {
+        const known = this.getShard(shard, epoch);
+        if (known.epoch === epoch) {
+            known.sealed = true;
+        }
+        return { upTo: known.epoch === epoch ? Object.fromEntries(known.upTo) : {} };
+    }
+
+    /** The notes of an epoch or of a later one; those of earlier ones are forgotten. */
+    private getShard(shard: number, epoch: number): NotedShard {
+        const known = this.shards.get(shard);
+        if (known !== undefined && known.epoch >= epoch) {
+            return known;
+        }
+        const fresh = { epoch, sealed: false, upTo: new Map<string, number>() };
+        this.shards.set(shard, fresh);
+        return fresh;
+    }
+}
--- /dev/null
+++ b/packages/budgets/src/fleet-budgets.ts
@@ -0,0 +1,71 @@
+import type { PeerHub } from "@ospreyreel/peer";
+import { BorrowedBudget, type LoanResult } from "./borrowed-budget.js";
+import { BudgetOwner, type BudgetOwnerOptions } from "./budget-owner.js";
+import { BudgetWitness } from "./budget-witness.js";
+import { OwnerFinder } from "./owner-finder.js";
+
+/** A budget in the state dump. */
+export interface BudgetView {
+    readonly budget: string;
+    readonly epoch: number;
+    readonly spent: number;
+    readonly window: number;
+    readonly limit: number;
+    readonly noted: number;
+}
+
+/** All parts that one instance plays for prepaid budgets: owner, witness and borrower. */
+export class FleetBudgets {
+    private readonly owner: BudgetOwner;
+    private readonly witness = new BudgetWitness();
+    private readonly finder: OwnerFinder;
+    private readonly borrowed = new Map<string, BorrowedBudget>();
+    private readonly hub: PeerHub;
+
+    constructor(opts: BudgetOwnerOptions) {
+        this.hub = opts.hub;
+        this.owner = new BudgetOwner(opts);
+        this.finder = new OwnerFinder({ hub: opts.hub, owner: this.owner });
+    }
+
+    /** Starts to answer peers. */
+    serve(): void {
+        this.owner.serve();
+        this.witness.serve(this.hub);
+    }
+
+    /** Sets tokens of a budget aside. */
+    async hold(budget: string, tokens: number): Promise<LoanResult> {
+        return await this.getBorrowed(budget).hold(tokens);
+    }
+
+    /** Gives tokens back that were set aside and not used. */
+    release(budget: string, tokens: number): void {
+        this.getBorrowed(budget).release(tokens);
+    }
+
+    /** Hands the owned budgets back; for a graceful stop. */
+    async handBack(): Promise<void> {
+        await this.owner.handBack();
+    }
+
+    /** The budgets owned here. */
+    list(): readonly BudgetView[] {
+        return this.owner.list().flatMap(({ epoch, budgets }) =>
+            [...budgets.values()].map(({ name, spent, confirmed, noted }) => ({
+                budget: name,
+                epoch,
+                spent,
+                window: confirmed.window,
+                limit: confirmed.limit,
+                noted,
+            }))
+        );
+    }
+
+    private getBorrowed(budget: string): BorrowedBudget {
+        const known = this.borrowed.get(budget) ?? new BorrowedBudget(budget, req => this.finder.draw(req));
+        this.borrowed.set(budget, known);
+        return known;
+    }
+}
--- /dev/null
+++ b/packages/budgets/src/shard-claimer.ts
@@ -0,0 +1,132 @@
+import { hasResult } from "@ospreyreel/errors";
+import type { KvClient, KvEntry } from "@ospreyreel/kv";
+import type { PeerHub } from "@ospreyreel/peer";
+import type { BudgetSealAnswer } from "@ospreyreel/types";
+import type { BudgetLog } from "./budget-log.js";
+import { type BudgetBounds, decodeShardRecord, encodeShardRecord, getShardKey, type ShardRecord } from "./shard-record.js";
+import { OwnedShard } from "./owned-shard.js";
+
+/** What a claim came to. */
+export type ClaimResult =
+    | { readonly kind: "owned"; readonly shard: OwnedShard; }
+    /** A live instance owns it. */
+    | { readonly kind: "elsewhere"; readonly owner: string; }
+    | { readonly kind: "unavailable"; readonly cause: string; };
+
+/** What a claimer needs. */
+export interface ShardClaimerOptions {
+    readonly kv: KvClient;
+    readonly hub: PeerHub;
+    readonly chooseWitnesses: (shard: number) => readonly string[];
+    readonly log: BudgetLog;
+}
+
+/** Longest wait for a witness of an earlier owner, in milliseconds; some round trips. */
+const SEAL_TIMEOUT_MS = 250;
+
+/** Makes this instance the owner of shards whose owner is gone. */
+export class ShardClaimer {
+    constructor(private readonly opts: ShardClaimerOptions) {}
+
+    /** Claims a shard, unless a live instance owns it; does not throw. */
+    async claim(shard: number): Promise<ClaimResult> {
+        try {
+            const entry = await this.opts.kv.get(getShardKey(shard));
+            const record = entry === undefined ? undefined : decodeShardRecord(entry.value);
+            const living = this.findLivingOwner(record);
+            if (living !== undefined) {
+                return { kind: "elsewhere", owner: living };
+            }
+            const budgets = record === undefined ? {} : await this.closeEarlierOwner(shard, record);
+            return await this.write(shard, entry, record, budgets);
+        }
+        catch (err) {
+            return { kind: "unavailable", cause: err instanceof Error ? err.message : String(err) };
+        }
+    }
+
+    /** The owner's incarnation if it may still run; an earlier one of this very instance certainly does not. */
+    private findLivingOwner(record: ShardRecord | undefined): string | undefined {
+        const { hub } = this.opts;
+        const owner = record?.owner;
+        if (owner === undefined || owner.instance === hub.self().instance) {
+            return undefined;
+        }
+        return hub.peers().some(peer => peer.incarnation === owner.incarnation) ? owner.incarnation : undefined;
+    }
+
+    /** Bounds on what the earlier owner used: by its window, by its sealed notes, or else by its limits. */
+    private async closeEarlierOwner(
+        shard: number,
+        record: ShardRecord,
+    ): Promise<Readonly<Record<string, BudgetBounds>>> {
+        const seals = record.owner === undefined ? [] : await this.sealWitnesses(shard, record);
+        const mayHaveNoted = record.owner !== undefined && record.witnesses.length > 0;
+        const getUsed = (name: string, { window, limit }: BudgetBounds): number => {
+            if (!mayHaveNoted) {
+                return window;
+            }
+            // A note counts only once all witnesses have taken it, so the lowest of their words bounds the use.
+            const notes = seals.map(seal => seal.upTo[name] ?? 0);
+            return seals.length === 0 ? limit : Math.max(window, Math.min(...notes));
+        };
+        const closed = Object.entries(record.budgets).map(([name, bounds]): [string, BudgetBounds] => {
+            const used = getUsed(name, bounds);
+            return [name, { window: used, limit: used }];
+        });
+        this.opts.log("budgets taken over", {
+            shard,
+            epoch: record.epoch + 1,
+            from: record.owner?.instance ?? "nobody",
+            witnesses: record.witnesses.length,
+            seals: seals.length,
+            lost: closed.reduce((sum, [name, { window }]) => sum + window - (record.budgets[name]?.window ?? 0), 0),
+        });
+        return Object.fromEntries(closed);
+    }
+
+    private async sealWitnesses(shard: number, record: ShardRecord): Promise<readonly BudgetSealAnswer[]> {
+        const { hub } = this.opts;
+        const req = { shard, epoch: record.epoch };
+        const answers = await Promise.allSettled(
+            record.witnesses.map(witness => hub.request(witness, "budget.seal", req, SEAL_TIMEOUT_MS)),
+        );
+        return answers.filter(answer => answer.status === "fulfilled").map(answer => answer.value);
+    }
+
+    private async write(
+        shard: number,
+        entry: KvEntry | undefined,
+        earlier: ShardRecord | undefined,
+        budgets: Readonly<Record<string, BudgetBounds>>,
+    ): Promise<ClaimResult> {
+        const { kv, hub, chooseWitnesses } = this.opts;
+        const { instance, incarnation } = hub.self();
+        const record: ShardRecord = {
+            epoch: (earlier?.epoch ?? 0) + 1,
+            owner: { instance, incarnation },
+            witnesses: chooseWitnesses(shard),
+            budgets,
+        };
+        const key = getShardKey(shard);
+        const value = encodeShardRecord(record);
+        try {
+            const result = await kv.txn({
+                compares: [{ key, modRevision: entry?.modRevision ?? 0 }],
+                puts: [{ key, value }],
+            });
+            return result.succeeded
+                ? { kind: "owned", shard: new OwnedShard(shard, record, result.revision) }
+                : { kind: "unavailable", cause: "another instance claimed the shard" };
+        }
+        catch (err) {
+            if (!hasResult(err, "kvOutcomeUnknown")) {
+                throw err;
+            }
+            const now = await kv.get(key);
+            return now !== undefined && Buffer.from(now.value).equals(Buffer.from(value))
+                ? { kind: "owned", shard: new OwnedShard(shard, record, now.modRevision) }
+                : { kind: "unavailable", cause: "the claim's outcome is not known" };
+        }
+    }
+}
--- /dev/null
+++ b/packages/budgets/src/shard-writer.ts
@@ -0,0 +1,131 @@
+import { hasResult } from "@ospreyreel/errors";
+import type { KvClient } from "@ospreyreel/kv";
+import type { OwnedShard } from "./owned-shard.js";
+import { decodeShardRecord, encodeShardRecord, getShardKey, type ShardRecord } from "./shard-record.js";
+import type { WindowPolicy } from "./window-policy.js";
+
+/** What a writer needs. */
+export interface ShardWriterOptions {
+    readonly kv: KvClient;
+    readonly policy: WindowPolicy;
+    readonly getPrepaid: (budget: string) => number;
+    readonly chooseWitnesses: (owned: OwnedShard) => readonly string[];
+    /** Takes word of a shard that another instance owns. */
+    readonly drop: (owned: OwnedShard) => void;
+}
+
+/** Shards of one write; the platform takes 32 keys with their conditions. */
+const MAX_SHARDS_PER_WRITE = 16;
+
+interface Write {
+    readonly owned: OwnedShard;
+    readonly record: ShardRecord;
+}
+
+/** Writes records of owned shards, many in one call, one call at a time. */
+export class ShardWriter {
+    private readonly queued = new Set<OwnedShard>();
+    private next: Promise<void> | undefined;
+    private running: Promise<void> = Promise.resolve();
+
+    constructor(private readonly opts: ShardWriterOptions) {}
+
+    /** Writes a shard's next bounds together with others that wait; does not throw. */
+    write(owned: OwnedShard): Promise<void> {
+        this.queued.add(owned);
+        this.next ??= this.running.then(() => {
+            this.next = undefined;
+            this.running = this.writeQueued();
+            return this.running;
+        });
+        return this.next;
+    }
+
+    /** Writes that nobody owns the shards, with exact bounds. */
+    async handBack(shards: readonly OwnedShard[]): Promise<void> {
+        await this.running;
+        const writes = shards.filter(owned => !owned.isDoubtful).map((owned): Write => {
+            const budgets = [...owned.budgets.values()].map(({ name, spent }) => [name, { window: spent, limit: spent }]);
+            const record = { ...owned.record, owner: undefined, witnesses: [], budgets: Object.fromEntries(budgets) };
+            return { owned, record };
+        });
+        for (let at = 0; at < writes.length; at += MAX_SHARDS_PER_WRITE) {
+            const batch = writes.slice(at, at + MAX_SHARDS_PER_WRITE);
+            // What is not handed back is taken over later, with the bounds that stand in the KV service.
+            await this.send(batch).catch(() => undefined);
+        }
+    }
+
+    private async writeQueued(): Promise<void> {
+        const batch = [...this.queued].slice(0, MAX_SHARDS_PER_WRITE);
+        batch.forEach(owned => this.queued.delete(owned));
+        const doubtful = batch.filter(owned => owned.isDoubtful);
+        await Promise.all(doubtful.map(owned => this.reread(owned)));
+        const writes = batch.filter(owned => !owned.isDoubtful).map((owned): Write => ({
+            owned,
+            record: owned.prepare(this.opts.policy, this.opts.getPrepaid, this.opts.chooseWitnesses(owned)),
+        }));
+        if (writes.length > 0) {
+            await this.apply(writes);
+        }
+        if (this.queued.size > 0 && this.next === undefined) {
+            const [first] = this.queued;
+            if (first !== undefined) {
+                void this.write(first);
+            }
+        }
+    }
+
+    private async apply(writes: readonly Write[]): Promise<void> {
+        try {
+            const result = await this.send(writes);
+            if (result.succeeded) {
+                writes.forEach(({ owned, record }) => owned.confirm(record, result.revision));
+                return;
+            }
+            writes.forEach(({ owned }) => owned.discardPending());
+            await Promise.all(writes.map(({ owned }) => this.reread(owned)));
+        }
+        catch (err) {
+            if (hasResult(err, "kvOutcomeUnknown")) {
+                writes.forEach(({ owned }) => owned.doubt());
+                return;
+            }
+            writes.forEach(({ owned }) => owned.discardPending());
+        }
+    }
+
+    private send(writes: readonly Write[]) {
+        return this.opts.kv.txn({
+            compares: writes.map(({ owned }) => ({ key: getShardKey(owned.shard), modRevision: owned.revision })),
+            puts: writes.map(({ owned, record }) => ({
+                key: getShardKey(owned.shard),
+                value: encodeShardRecord(record),
+            })),
+        });
+    }
+
+    /** Finds out what the KV service holds of a shard; drops the shard where another instance owns it. */
+    private async reread(owned: OwnedShard): Promise<void> {
+        try {
+            const entry = await this.opts.kv.get(getShardKey(owned.shard));
+            const record = entry === undefined ? undefined : decodeShardRecord(entry.value);
+            const isOwn = record !== undefined && record.epoch === owned.epoch
+                && record.owner?.incarnation === owned.record.owner?.incarnation;
+            if (entry === undefined || !isOwn) {
+                this.opts.drop(owned);
+                return;
+            }
+            if (entry.modRevision === owned.revision) {
+                // A write that has not taken effect may still do so; the next write settles which one holds.
+                owned.isDoubtful = false;
+                return;
+            }
+            owned.confirm(record, entry.modRevision);
+        }
+        catch {
+            // The KV service is away; the shard stays in doubt and is read again before its next write.
+            owned.isDoubtful = true;
+        }
+    }
+}
--- /dev/null
+++ b/packages/relay/src/instance/fleet-budget-gate.ts
@@ -0,0 +1,36 @@
+import type { FleetBudgets } from "@ospreyreel/budgets";
+import { type BudgetDecision, BudgetGate, type BudgetHold } from "../budget-gate.js";
+
+/** When a budget whose owner cannot be reached usually has another one, in seconds; a lost peer is noticed by then. */
+const UNAVAILABLE_RETRY_S = 1;
+
+/** Sets tokens aside at the fleet's budgets. */
+export class FleetBudgetGate extends BudgetGate {
+    constructor(private readonly budgets: FleetBudgets) {
+        super();
+    }
+
+    override async hold(team: string, tokens: number): Promise<BudgetDecision> {
+        const result = await this.budgets.hold(team, tokens);
+        switch (result.kind) {
+            case "held":
+                return { kind: "held", hold: this.createHold(team, tokens) };
+            case "exhausted":
+                return { kind: "exhausted" };
+            case "unavailable":
+                return { kind: "unavailable", retryAfterS: UNAVAILABLE_RETRY_S, cause: result.cause };
+        }
+    }
+
+    private createHold(team: string, tokens: number): BudgetHold {
+        let settled = false;
+        return {
+            settle: usedTokens => {
+                if (!settled) {
+                    settled = true;
+                    this.budgets.release(team, Math.max(0, tokens - usedTokens));
+                }
+            },
+        };
+    }
+}
--- a/packages/relay/src/instance/relay-instance.ts
+++ b/packages/relay/src/instance/relay-instance.ts
@@ -1,9 +1,9 @@
+import { FleetBudgets } from "@ospreyreel/budgets";
 import { BreakerKvClient, KvHealth } from "@ospreyreel/kv";
 import { createTcpPeerHub, type TcpPeerHub } from "@ospreyreel/peer";
 import { Counters } from "@ospreyreel/telemetry";
 import type { Address } from "@ospreyreel/types";
 import { randomUUID } from "node:crypto";
-import { type BudgetGate, OpenBudgetGate } from "../budget-gate.js";
 import { DocumentFollower } from "../document/document-follower.js";
 import { DocumentHolder } from "../document/document-holder.js";
 import { HttpCallerPort } from "../http/http-caller-port.js";
@@ -16,6 +16,7 @@
 import { TargetFollower } from "../targets/target-follower.js";
 import { TargetSelector } from "../targets/target-selector.js";
 import { BoundedLog } from "./bounded-log.js";
+import { FleetBudgetGate } from "./fleet-budget-gate.js";
 import type { InstanceView, RelayAdapter } from "./relay-adapter.js";
 import { RelayMetrics } from "./relay-metrics.js";
 import type { RelaySettings } from "./relay-settings.js";
@@ -65,6 +66,7 @@
     private readonly questionPorts: readonly QuestionPort[];
     private readonly follower: TargetFollower;
     private readonly relay: Relay;
+    private readonly budgets: FleetBudgets;
     private stopping: Promise<void> | undefined;
 
     private constructor(
@@ -74,6 +76,13 @@
     ) {
         this.kv = new BreakerKvClient(adapter.createKvClient(cfg.kv.address, cfg.kv.deadlineMs), this.health);
         this.targetPort = new HttpTargetPort(adapter.sends);
+        this.budgets = new FleetBudgets({
+            kv: this.kv,
+            health: this.health,
+            hub,
+            getPrepaid: team => this.documents.current()?.findTeam(team)?.prepaidTokens ?? 0,
+            log: (event, fields) => this.log.write(event, fields),
+        });
         this.relay = new Relay({
             documents: this.documents,
             selector: new TargetSelector({
@@ -83,7 +92,7 @@
                 getConnectionLimit: service => this.getConnectionLimit(service),
             }),
             port: this.targetPort,
-            budgets: this.createBudgets(),
+            budgets: new FleetBudgetGate(this.budgets),
             getRetries: service => this.getRetries(service),
             log: this.log,
             meter: this.metrics,
@@ -155,10 +164,6 @@
         return this.stopping === undefined && this.documents.current() !== undefined && this.follower.isSynced;
     }
 
-    private createBudgets(): BudgetGate {
-        return new OpenBudgetGate();
-    }
-
     private createQuestionPorts(): readonly QuestionPort[] {
         const { cfg, adapter } = this;
         return [
@@ -186,6 +191,7 @@
         );
         new DocumentFollower({ kv: this.kv, hub, codec: this.adapter.documents, holder: documents, log }).start();
         this.follower.start();
+        this.budgets.serve();
         hub.setPeerAddresses(cfg.seeds.map(parseAddress));
         await Promise.all([this.callerPort, ...this.questionPorts].map(port => port.start()));
         log.write("instance started", { instance: cfg.instance, incarnation: hub.self().incarnation });
@@ -231,6 +237,7 @@
         log.write("instance leaving", { openRequests: this.relay.openRequests });
         this.hub.updateSelf({ state: "leaving" });
         this.callerPort.drain();
+        void this.budgets.handBack();
         await new Promise<void>(resolve => {
             const timer = setInterval(() => {
                 const nowMs = performance.now();
--- a/packages/relay/src/instance/relay-settings.ts
+++ b/packages/relay/src/instance/relay-settings.ts
@@ -24,7 +24,7 @@
             description: "Longest wait for one call, in milliseconds.",
             minimum: 10,
             maximum: HOUR_MS,
-            default: 1_000,
+            default: 600,
         }),
     }, { additionalProperties: false }),
     retries: Type.Object({
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -112,6 +112,7 @@
             case "exhausted":
                 return { reason: "budgetExhausted" };
             case "unavailable":
+                this.opts.log.write("budget not available", { request: req.id, team: admission.team, cause: decision.cause });
                 return { reason: "budgetUnavailable", retryAfterS: decision.retryAfterS };
         }
     }
--- a/packages/types/src/peer-requests.ts
+++ b/packages/types/src/peer-requests.ts
@@ -80,6 +80,63 @@
     readonly earlier: readonly string[];
 }
 
+/** Asks the owner of a budget for tokens, and accounts for those it gave before. Counts are of one epoch. */
+export interface BudgetDrawRequest {
+    readonly budget: string;
+    /** Grows with each exchange of this borrower and budget; an earlier one that comes late is refused. */
+    readonly seq: number;
+    /** Epoch of the ownership in which the counts were made; 0 before the first answer. */
+    readonly epoch: number;
+    /** Tokens that arrived here in that epoch. */
+    readonly received: number;
+    /** Tokens given back in that epoch. */
+    readonly returned: number;
+    /** Tokens wanted now. */
+    readonly want: number;
+    /** Fewest tokens that are of use; 0 to 1 `want`. */
+    readonly least: number;
+}
+
+/** Answer to a draw. */
+export type BudgetDrawAnswer =
+    | {
+        readonly kind: "granted";
+        readonly epoch: number;
+        readonly tokens: number;
+        /** Whether so much is left that some may be kept for later. */
+        readonly plenty: boolean;
+    }
+    /** Less than `least` is left. */
+    | { readonly kind: "exhausted"; readonly epoch: number; }
+    /** Another incarnation owns the budget; undefined where it is not known which. */
+    | { readonly kind: "elsewhere"; readonly owner: string | undefined; }
+    | { readonly kind: "unavailable"; readonly cause: string; };
+
+/** Bound on the use of one budget beyond the window in the KV service. */
+export interface BudgetNote {
+    readonly shard: number;
+    readonly epoch: number;
+    readonly budget: string;
+    /** Total use that the owner will not exceed. */
+    readonly upTo: number;
+}
+
+/** Asks a witness to keep bounds; it refuses those of a sealed epoch. */
+export interface BudgetNoteRequest {
+    readonly notes: readonly BudgetNote[];
+}
+
+/** Asks a witness to take no more notes of a shard up to an epoch, and to tell the ones it has. */
+export interface BudgetSealRequest {
+    readonly shard: number;
+    readonly epoch: number;
+}
+
+/** Highest notes of the sealed epoch by budget. */
+export interface BudgetSealAnswer {
+    readonly upTo: Readonly<Record<string, number>>;
+}
+
 /** Requests between instances by kind, with the shapes of request and answer. */
 export interface PeerRequests {
     readonly "copy.open": { readonly req: CopyOpenRequest; readonly res: CopyAnswer; };
@@ -95,6 +152,10 @@
         readonly req: Record<string, never>;
         readonly res: { readonly document: VersionedDocument | undefined; };
     };
+    readonly "budget.draw": { readonly req: BudgetDrawRequest; readonly res: BudgetDrawAnswer; };
+    /** Keeps bounds at a witness; all or none are taken. */
+    readonly "budget.note": { readonly req: BudgetNoteRequest; readonly res: { readonly taken: boolean; }; };
+    readonly "budget.seal": { readonly req: BudgetSealRequest; readonly res: BudgetSealAnswer; };
     /** Asks for the relay's desired state in force, as operators wrote it. */
     readonly "relay.document": {
         readonly req: Record<string, never>;
