Write through peers while the KV service turns an instance away

Now peers make the calls, two of three witnesses suffice, an owner is taken over only when certainly gone, and tokens of earlier epochs are given back.

--- a/packages/budgets/src/borrowed-budget.ts
+++ b/packages/budgets/src/borrowed-budget.ts
@@ -14,7 +14,7 @@
 }
 
 /** What a borrower keeps of a plentiful budget, in seconds of its own use; its requests then need no exchange. */
-const KEEP_S = 0.5;
+const KEEP_S = 0.25;
 
 /** Time after which unused tokens go back, in milliseconds: while there is plenty, and near the end. */
 const RETURN_AFTER_MS = 1_000;
@@ -102,7 +102,7 @@
             return answer;
         }
         if (answer.epoch !== this.epoch) {
-            // What is left of an earlier epoch was counted as spent by its end; it can be used but not given back.
+            // What is left of an earlier epoch counts as spent in this one too, so that it is given back here.
             this.epoch = answer.epoch;
             this.received = 0;
             this.returned = 0;
@@ -142,7 +142,7 @@
             return;
         }
         const keep = this.plenty ? Math.ceil(this.meter.ratePerS * KEEP_S) : 0;
-        const tokens = Math.min(this.free - keep, this.received - this.returned);
+        const tokens = this.free - keep;
         if (tokens <= 0) {
             return;
         }
@@ -151,10 +151,6 @@
         this.exchanging = true;
         await this.exchange(0, 0);
         this.exchanging = false;
-        this.exchangeWhileNeededByWaiters();
-    }
-
-    private exchangeWhileNeededByWaiters(): void {
         if (this.waiters.length > 0) {
             this.exchangeWhileNeeded();
         }
@@ -168,7 +164,7 @@
         case "exhausted":
             return { kind: "exhausted" };
         case "elsewhere":
-            return { kind: "unavailable", cause: "no owner" };
+            return { kind: "unavailable", cause: "no owner is known" };
         case "unavailable":
             return answer;
     }
--- a/packages/budgets/src/budget-owner.ts
+++ b/packages/budgets/src/budget-owner.ts
@@ -1,18 +1,19 @@
-import type { KvClient, KvHealth } from "@ospreyreel/kv";
+import type { KvClient } from "@ospreyreel/kv";
 import type { PeerHub } from "@ospreyreel/peer";
 import type { BudgetDrawAnswer, BudgetDrawRequest, BudgetNote, InstanceInfo } from "@ospreyreel/types";
 import type { BudgetLog } from "./budget-log.js";
 import { getShard, orderOwners } from "./budget-shards.js";
 import type { OwnedBudget } from "./owned-budget.js";
 import type { OwnedShard } from "./owned-shard.js";
-import { ShardClaimer } from "./shard-claimer.js";
+import { getNoteQuorum, ShardClaimer } from "./shard-claimer.js";
 import { ShardWriter } from "./shard-writer.js";
 import { WindowPolicy } from "./window-policy.js";
 
 /** What an owner needs. */
 export interface BudgetOwnerOptions {
     readonly kv: KvClient;
-    readonly health: KvHealth;
+    /** Whether the KV service answers, so that a draw may wait for a write. */
+    readonly isKvAvailable: () => boolean;
     readonly hub: PeerHub;
     /** Tokens that a team has paid for; 0 where it has no budget. */
     readonly getPrepaid: (budget: string) => number;
@@ -20,8 +21,11 @@
     readonly log?: BudgetLog;
 }
 
-/** Witnesses of one shard; a note waits for all, and one that lives is enough for a later owner. */
-const WITNESSES = 2;
+/** Witnesses of one shard; a note needs two of them, and so does a later owner. */
+const WITNESSES = 3;
+
+/** Time after the start in which all that live are heard of, in milliseconds: the silence after which a peer is lost. */
+const SETTLED_AFTER_MS = 2_000;
 
 /** Longest wait of a draw for the KV service, in milliseconds; ten of its usual answers. */
 const WRITE_WAIT_MS = 40;
@@ -58,7 +62,14 @@
         this.policy = opts.policy ?? new WindowPolicy();
         this.log = opts.log ?? (() => undefined);
         const chooseWitnesses = (shard: number): readonly string[] => this.chooseWitnesses(shard);
-        this.claimer = new ShardClaimer({ kv: opts.kv, hub: opts.hub, chooseWitnesses, log: this.log });
+        const startedAtMs = performance.now();
+        this.claimer = new ShardClaimer({
+            kv: opts.kv,
+            hub: opts.hub,
+            chooseWitnesses,
+            isSettled: () => performance.now() - startedAtMs > SETTLED_AFTER_MS,
+            log: this.log,
+        });
         this.writer = new ShardWriter({
             kv: opts.kv,
             policy: this.policy,
@@ -86,7 +97,7 @@
         }
         const budget = found.getBudget(req.budget);
         if (!budget.reconcile(from.incarnation, req, found.epoch)) {
-            return { kind: "unavailable", cause: "a later draw was taken already" };
+            return { kind: "unavailable", cause: "a later draw was taken already", isOwner: true };
         }
         const { epoch } = found;
         if (req.want === 0) {
@@ -99,7 +110,7 @@
         budget.reserve(tokens);
         if (!await this.cover(found, budget) || this.shards.get(found.shard) !== found) {
             budget.release(tokens);
-            return { kind: "unavailable", cause: "neither the KV service nor the witnesses took a bound" };
+            return { kind: "unavailable", cause: "no bound could be written or noted", isOwner: true };
         }
         budget.hand(from.incarnation, tokens);
         return { kind: "granted", epoch, tokens, plenty: this.hasPlenty(budget) };
@@ -127,7 +138,7 @@
         }
         const claim = this.claims.get(shard) ?? this.claim(shard).finally(() => this.claims.delete(shard));
         this.claims.set(shard, claim);
-        const tooLate: BudgetDrawAnswer = { kind: "unavailable", cause: "the claim takes too long" };
+        const tooLate = { kind: "unavailable", cause: "the claim takes too long", isOwner: false } as const;
         return await Promise.race([claim, sleep(CLAIM_WAIT_MS).then(() => tooLate)]);
     }
 
@@ -141,7 +152,7 @@
                 this.elsewhere.set(shard, { owner: claimed.owner, untilMs: performance.now() + ELSEWHERE_MS });
                 return claimed;
             case "unavailable":
-                return claimed;
+                return { ...claimed, isOwner: false };
         }
     }
 
@@ -151,7 +162,7 @@
 
     /** Whether all that is handed out of a budget is within its bounds, after a write or a note if need be. */
     private async cover(owned: OwnedShard, budget: OwnedBudget): Promise<boolean> {
-        const { health, getPrepaid } = this.opts;
+        const { isKvAvailable, getPrepaid } = this.opts;
         if (budget.spent <= budget.usable) {
             if (this.policy.isWideningDue(owned.getNumbers(budget, getPrepaid(budget.name)))) {
                 void this.widen(owned, budget);
@@ -160,7 +171,7 @@
         }
         // While the KV service is known to be away, the write is only a trial that shows whether it is back.
         const written = this.writer.write(owned);
-        if (health.isAvailable) {
+        if (isKvAvailable()) {
             await Promise.race([written, sleep(WRITE_WAIT_MS)]);
         }
         return budget.spent <= budget.usable || await this.note(owned, budget);
@@ -168,10 +179,10 @@
 
     private async widen(owned: OwnedShard, budget: OwnedBudget): Promise<void> {
         const written = this.writer.write(owned);
-        await (this.opts.health.isAvailable ? written : this.note(owned, budget));
+        await (this.opts.isKvAvailable() ? written : this.note(owned, budget));
     }
 
-    /** Has all witnesses keep a bound beyond the window; true where the use is covered by it. */
+    /** Has the witnesses keep a bound beyond the window; true where the use is covered by it. */
     private async note(owned: OwnedShard, budget: OwnedBudget): Promise<boolean> {
         const { hub, getPrepaid } = this.opts;
         const numbers = owned.getNumbers(budget, getPrepaid(budget.name));
@@ -192,11 +203,11 @@
             witnesses.map(witness => hub.request(witness, "budget.note", { notes: [note] }, NOTE_TIMEOUT_MS)),
         );
         const taken = answers.filter(answer => answer.status === "fulfilled" && answer.value.taken).length;
-        if (taken === witnesses.length && owned.record.witnesses === witnesses) {
+        if (taken >= getNoteQuorum(witnesses.length) && owned.record.witnesses === witnesses) {
             budget.noted = Math.max(budget.noted, upTo);
         }
         else {
-            this.log("bound not taken by all witnesses", { budget: budget.name, upTo, taken });
+            this.log("bound not taken by enough witnesses", { budget: budget.name, upTo, taken });
         }
         return budget.spent <= budget.usable;
     }
--- a/packages/budgets/src/owned-shard.ts
+++ b/packages/budgets/src/owned-shard.ts
@@ -40,6 +40,7 @@
             prepaid,
             spent: budget.spent,
             ratePerS: budget.meter.ratePerS,
+            usualRatePerS: budget.meter.usualRatePerS,
             window: budget.confirmed.window,
             noted: budget.noted,
         };
--- a/packages/budgets/src/owner-finder.ts
+++ b/packages/budgets/src/owner-finder.ts
@@ -40,6 +40,9 @@
                 this.owners.set(shard, next);
                 return answer;
             }
+            if (answer.kind === "unavailable" && answer.isOwner) {
+                return answer;
+            }
             this.owners.delete(shard);
             if (answer.kind === "unavailable") {
                 cause = answer.cause;
@@ -47,7 +50,7 @@
             const named = answer.kind === "elsewhere" ? answer.owner : undefined;
             next = named !== undefined && !asked.has(named) ? named : this.getPreferred(shard, asked);
         }
-        return { kind: "unavailable", cause };
+        return { kind: "unavailable", cause, isOwner: false };
     }
 
     private async ask(incarnation: string, req: BudgetDrawRequest): Promise<BudgetDrawAnswer> {
@@ -57,14 +60,14 @@
             return await owner.draw(req, self);
         }
         if (performance.now() < (this.silentUntilMs.get(incarnation) ?? 0)) {
-            return { kind: "unavailable", cause: "the owner did not answer a moment ago" };
+            return { kind: "unavailable", cause: "the owner did not answer a moment ago", isOwner: false };
         }
         try {
             return await hub.request(incarnation, "budget.draw", req, DRAW_TIMEOUT_MS);
         }
         catch (err) {
             this.silentUntilMs.set(incarnation, performance.now() + SILENT_FOR_MS);
-            return { kind: "unavailable", cause: err instanceof Error ? err.message : String(err) };
+            return { kind: "unavailable", cause: err instanceof Error ? err.message : String(err), isOwner: false };
         }
     }
 
--- a/packages/budgets/src/shard-claimer.ts
+++ b/packages/budgets/src/shard-claimer.ts
@@ -18,9 +18,17 @@
     readonly kv: KvClient;
     readonly hub: PeerHub;
     readonly chooseWitnesses: (shard: number) => readonly string[];
+    /** Whether this instance has run long enough to have heard of all that live. */
+    readonly isSettled: () => boolean;
     readonly log: BudgetLog;
 }
 
+/** Witnesses that must take a note before it counts. */
+export const getNoteQuorum = (witnesses: number): number => Math.floor(witnesses / 2) + 1;
+
+/** Witnesses that must be sealed so that no note can count any more, and all that did are known. */
+export const getSealQuorum = (witnesses: number): number => witnesses - getNoteQuorum(witnesses) + 1;
+
 /** Longest wait for a witness of an earlier owner, in milliseconds; some round trips. */
 const SEAL_TIMEOUT_MS = 250;
 
@@ -33,9 +41,11 @@
         try {
             const entry = await this.opts.kv.get(getShardKey(shard));
             const record = entry === undefined ? undefined : decodeShardRecord(entry.value);
-            const living = this.findLivingOwner(record);
-            if (living !== undefined) {
-                return { kind: "elsewhere", owner: living };
+            const fate = this.judgeOwner(record);
+            if (fate !== "gone") {
+                return fate === "unknown"
+                    ? { kind: "unavailable", cause: "the owner has not been heard of yet" }
+                    : { kind: "elsewhere", owner: fate.living };
             }
             const budgets = record === undefined ? {} : await this.closeEarlierOwner(shard, record);
             return await this.write(shard, entry, record, budgets);
@@ -45,14 +55,19 @@
         }
     }
 
-    /** The owner's incarnation if it may still run; an earlier one of this very instance certainly does not. */
-    private findLivingOwner(record: ShardRecord | undefined): string | undefined {
-        const { hub } = this.opts;
+    /** Whether the owner lives, is certainly gone, or counts as gone after its silence. */
+    private judgeOwner(record: ShardRecord | undefined): "gone" | "unknown" | { readonly living: string; } {
+        const { hub, isSettled } = this.opts;
         const owner = record?.owner;
+        // An earlier incarnation of this instance ended before this one began.
         if (owner === undefined || owner.instance === hub.self().instance) {
-            return undefined;
+            return "gone";
+        }
+        const namesake = hub.peers().find(peer => peer.instance === owner.instance);
+        if (namesake !== undefined) {
+            return namesake.incarnation === owner.incarnation ? { living: owner.incarnation } : "gone";
         }
-        return hub.peers().some(peer => peer.incarnation === owner.incarnation) ? owner.incarnation : undefined;
+        return isSettled() ? "gone" : "unknown";
     }
 
     /** Bounds on what the earlier owner used: by its window, by its sealed notes, or else by its limits. */
@@ -62,13 +77,14 @@
     ): Promise<Readonly<Record<string, BudgetBounds>>> {
         const seals = record.owner === undefined ? [] : await this.sealWitnesses(shard, record);
         const mayHaveNoted = record.owner !== undefined && record.witnesses.length > 0;
+        const isKnown = seals.length >= getSealQuorum(record.witnesses.length);
         const getUsed = (name: string, { window, limit }: BudgetBounds): number => {
             if (!mayHaveNoted) {
                 return window;
             }
-            // A note counts only once all witnesses have taken it, so the lowest of their words bounds the use.
+            // Enough witnesses are sealed that at least one of them has taken each note that counted.
             const notes = seals.map(seal => seal.upTo[name] ?? 0);
-            return seals.length === 0 ? limit : Math.max(window, Math.min(...notes));
+            return isKnown ? Math.max(window, ...notes) : limit;
         };
         const closed = Object.entries(record.budgets).map(([name, bounds]): [string, BudgetBounds] => {
             const used = getUsed(name, bounds);
--- a/packages/budgets/src/usage-meter.ts
+++ b/packages/budgets/src/usage-meter.ts
@@ -1,32 +1,45 @@
-/** Time over which the rate is averaged, in milliseconds; some seconds, so that a hot team is seen soon. */
-const AVERAGED_MS = 2_000;
+/** Time over which the present rate is averaged, in milliseconds; some seconds, so that a hot team is seen soon. */
+const PRESENT_MS = 2_000;
+
+/** Time over which the usual rate is averaged, in milliseconds; small teams pause for seconds. */
+const USUAL_MS = 8_000;
 
 const MS_PER_S = 1_000;
 
-/** Rate of use, as an exponentially weighted mean. */
+/** Rate of use, as the higher of two exponentially weighted means. */
 export class UsageMeter {
-    private perS = 0;
+    private presentPerS = 0;
+    private usualPerS = 0;
     private lastMs: number;
 
     constructor(private readonly now: () => number = () => performance.now()) {
         this.lastMs = now();
     }
 
-    /** Tokens a second. */
+    /** Tokens a second now. */
     get ratePerS(): number {
         this.decay();
-        return this.perS;
+        return this.presentPerS;
+    }
+
+    /** Tokens a second over a longer time, or now if that is more. */
+    get usualRatePerS(): number {
+        this.decay();
+        return Math.max(this.presentPerS, this.usualPerS);
     }
 
     /** Notes use. */
     note(tokens: number): void {
         this.decay();
-        this.perS += tokens * MS_PER_S / AVERAGED_MS;
+        this.presentPerS += tokens * MS_PER_S / PRESENT_MS;
+        this.usualPerS += tokens * MS_PER_S / USUAL_MS;
     }
 
     private decay(): void {
         const nowMs = this.now();
-        this.perS *= Math.exp(-(nowMs - this.lastMs) / AVERAGED_MS);
+        const elapsedMs = nowMs - this.lastMs;
+        this.presentPerS *= Math.exp(-elapsedMs / PRESENT_MS);
+        this.usualPerS *= Math.exp(-elapsedMs / USUAL_MS);
         this.lastMs = nowMs;
     }
 }
--- a/packages/budgets/src/window-policy.ts
+++ b/packages/budgets/src/window-policy.ts
@@ -5,7 +5,10 @@
     readonly prepaid: number;
     /** Tokens handed out and not given back. */
     readonly spent: number;
+    /** Tokens a second now. */
     readonly ratePerS: number;
+    /** Tokens a second over a longer time, or now if that is more. */
+    readonly usualRatePerS: number;
     /** Bounds in force or on their way. */
     readonly window: number;
     /** Highest note that all witnesses keep; 0 without one. */
@@ -46,11 +49,11 @@
     }
 
     /** Bounds to write now. A window never shrinks, since the use may already be up to it. */
-    getBounds({ prepaid, spent, ratePerS, window, noted }: BudgetNumbers): BudgetBounds {
+    getBounds({ prepaid, spent, ratePerS, usualRatePerS, window, noted }: BudgetNumbers): BudgetBounds {
         const ahead = spent + Math.ceil(ratePerS * this.cfg.windowS);
         const nextWindow = Math.max(window, noted, Math.min(prepaid, ahead));
         const rest = Math.max(0, prepaid - nextWindow);
-        const extension = Math.min(ratePerS * this.cfg.extensionS, rest * this.cfg.extensionShare);
+        const extension = Math.min(usualRatePerS * this.cfg.extensionS, rest * this.cfg.extensionShare);
         return { window: nextWindow, limit: nextWindow + Math.ceil(extension) };
     }
 
--- a/packages/relay/src/instance/relay-instance.ts
+++ b/packages/relay/src/instance/relay-instance.ts
@@ -17,6 +17,7 @@
 import { TargetSelector } from "../targets/target-selector.js";
 import { BoundedLog } from "./bounded-log.js";
 import { FleetBudgetGate } from "./fleet-budget-gate.js";
+import { PeerKvClient } from "./peer-kv-client.js";
 import type { InstanceView, RelayAdapter } from "./relay-adapter.js";
 import { RelayMetrics } from "./relay-metrics.js";
 import type { RelaySettings } from "./relay-settings.js";
@@ -76,9 +77,11 @@
     ) {
         this.kv = new BreakerKvClient(adapter.createKvClient(cfg.kv.address, cfg.kv.deadlineMs), this.health);
         this.targetPort = new HttpTargetPort(adapter.sends);
+        const fleetKv = new PeerKvClient({ own: this.kv, hub });
+        fleetKv.serve();
         this.budgets = new FleetBudgets({
-            kv: this.kv,
-            health: this.health,
+            kv: fleetKv,
+            isKvAvailable: () => this.health.isAvailable || fleetKv.hasHelper,
             hub,
             getPrepaid: team => this.documents.current()?.findTeam(team)?.prepaidTokens ?? 0,
             log: (event, fields) => this.log.write(event, fields),
--- a/packages/types/src/peer-requests.ts
+++ b/packages/types/src/peer-requests.ts
@@ -89,7 +89,7 @@
     readonly epoch: number;
     /** Tokens that arrived here in that epoch. */
     readonly received: number;
-    /** Tokens given back in that epoch. */
+    /** Tokens given back in that epoch, those included that were received in earlier ones. */
     readonly returned: number;
     /** Tokens wanted now. */
     readonly want: number;
@@ -110,7 +110,12 @@
     | { readonly kind: "exhausted"; readonly epoch: number; }
     /** Another incarnation owns the budget; undefined where it is not known which. */
     | { readonly kind: "elsewhere"; readonly owner: string | undefined; }
-    | { readonly kind: "unavailable"; readonly cause: string; };
+    | {
+        readonly kind: "unavailable";
+        readonly cause: string;
+        /** Whether the asked instance is the owner, so that no other one can help. */
+        readonly isOwner: boolean;
+    };
 
 /** Bound on the use of one budget beyond the window in the KV service. */
 export interface BudgetNote {
@@ -137,6 +142,22 @@
     readonly upTo: Readonly<Record<string, number>>;
 }
 
+/** One entry of the KV service, as a peer read it. */
+export interface PeerKvEntry {
+    readonly key: string;
+    readonly value: Uint8Array;
+    readonly modRevision: number;
+}
+
+/** A conditional write that a peer makes for an instance which the KV service does not serve. */
+export interface PeerKvTxnRequest {
+    readonly compares: readonly { readonly key: string; readonly modRevision: number; }[];
+    readonly puts: readonly { readonly key: string; readonly value: Uint8Array; }[];
+}
+
+/** Outcome of a peer's call; "unavailable" promises that it had no effect. */
+export type PeerKvOutcome = "done" | "unavailable" | "unknown";
+
 /** Requests between instances by kind, with the shapes of request and answer. */
 export interface PeerRequests {
     readonly "copy.open": { readonly req: CopyOpenRequest; readonly res: CopyAnswer; };
@@ -156,6 +177,15 @@
     /** Keeps bounds at a witness; all or none are taken. */
     readonly "budget.note": { readonly req: BudgetNoteRequest; readonly res: { readonly taken: boolean; }; };
     readonly "budget.seal": { readonly req: BudgetSealRequest; readonly res: BudgetSealAnswer; };
+    /** Reads a key of the KV service for an instance that it does not serve. */
+    readonly "kv.get": {
+        readonly req: { readonly key: string; };
+        readonly res: { readonly outcome: PeerKvOutcome; readonly entry: PeerKvEntry | undefined; };
+    };
+    readonly "kv.txn": {
+        readonly req: PeerKvTxnRequest;
+        readonly res: { readonly outcome: PeerKvOutcome; readonly succeeded: boolean; readonly revision: number; };
+    };
     /** Asks for the relay's desired state in force, as operators wrote it. */
     readonly "relay.document": {
         readonly req: Record<string, never>;
