--- a/packages/budgets/src/budget-owner.ts
+++ b/packages/budgets/src/budget-owner.ts
@@ -7,7 +7,7 @@
 import type { OwnedShard } from "./owned-shard.js";
 import { getNoteQuorum, ShardClaimer } from "./shard-claimer.js";
 import { ShardWriter } from "./shard-writer.js";
-import { WindowPolicy } from "./window-policy.js";
+import { SCARCE_SHARE, WindowPolicy } from "./window-policy.js";
 
 /** What an owner needs. */
 export interface BudgetOwnerOptions {
@@ -220,7 +220,8 @@
     }
 
     private hasPlenty(budget: OwnedBudget): boolean {
-        return this.opts.getPrepaid(budget.name) - budget.spent > budget.meter.ratePerS * PLENTY_S;
+        const prepaid = this.opts.getPrepaid(budget.name);
+        return prepaid - budget.spent > Math.max(budget.meter.ratePerS * PLENTY_S, prepaid * SCARCE_SHARE);
     }
 
     /** The witnesses in force as long as all live, since a change of them stops notes for a while. */
--- /dev/null
+++ b/packages/relay/src/http/http-target-port.test.ts
@@ -0,0 +1,103 @@
+import test, { type ExecutionContext } from "ava";
+import type { Socket } from "node:net";
+import { setTimeout as sleep } from "node:timers/promises";
+import { createCall, createRequest, PlainTargetProtocol } from "../fixtures/plain-protocol.js";
+import { createRawTarget, type RawTarget } from "../fixtures/raw-target.js";
+import type { TargetOutcome } from "../targets/target-port.js";
+import { HttpTargetPort } from "./http-target-port.js";
+
+const open = async (
+    t: ExecutionContext,
+    answer: (socket: Socket, request: string) => void,
+): Promise<RawTarget & { readonly port: HttpTargetPort; }> => {
+    const raw = await createRawTarget(answer);
+    const port = new HttpTargetPort(new PlainTargetProtocol());
+    t.teardown(async () => {
+        await port.close();
+        raw.server.close();
+    });
+    return { ...raw, port };
+};
+
+const readBody = async (outcome: TargetOutcome): Promise<string> => {
+    if (outcome.kind !== "answer") {
+        throw new Error(`no answer but ${outcome.kind}`);
+    }
+    const chunks: Buffer[] = [];
+    for await (const chunk of outcome.body) {
+        chunks.push(chunk);
+    }
+    return Buffer.concat(chunks).toString("latin1");
+};
+
+const HEAD = "HTTP/1.1 200 OK\r\nid: request-1\r\n";
+
+test("an answer without a length ends with its connection", async t => {
+    const { port, target } = await open(t, socket => socket.end(`${HEAD}\r\nwhole`));
+    t.is(await readBody(await port.send(createCall(target))), "whole");
+});
+
+test("an answer without a length whose connection is reset is cut, not whole", async t => {
+    const { port, target } = await open(t, socket => {
+        socket.write(`${HEAD}\r\npart`, () => setTimeout(() => socket.resetAndDestroy(), 30));
+    });
+    const outcome = await port.send(createCall(target));
+    await t.throwsAsync(readBody(outcome));
+});
+
+test("an answer shorter than its length is cut", async t => {
+    const { port, target } = await open(t, socket => socket.end(`${HEAD}content-length: 9\r\n\r\npart`));
+    const outcome = await port.send(createCall(target));
+    await t.throwsAsync(readBody(outcome));
+});
+
+test("an answer to another request is no answer, and its connection is not used again", async t => {
+    const used: Socket[] = [];
+    const { port, target } = await open(t, socket => {
+        used.push(socket);
+        socket.write("HTTP/1.1 200 OK\r\nid: other\r\ncontent-length: 1\r\n\r\nx");
+    });
+    t.is((await port.send(createCall(target))).kind, "failed");
+    t.is((await port.send(createCall(target))).kind, "failed");
+    t.is(used.length, 2);
+    t.not(used[0], used[1]);
+});
+
+test("bytes after a whole answer reach no later request", async t => {
+    let answers = 0;
+    const { port, target } = await open(t, socket => {
+        answers += 1;
+        const extra = answers === 1 ? "HTTP/1.1 200 OK\r\nid: request-2\r\ncontent-length: 5\r\n\r\nwrong" : "";
+        const id = `request-${answers}`;
+        socket.write(`HTTP/1.1 200 OK\r\nid: ${id}\r\ncontent-length: 5\r\n\r\nright${extra}`);
+    });
+    t.is(await readBody(await port.send(createCall(target))), "right");
+    await sleep(20);
+    const second = await port.send(createCall(target, { req: createRequest({ id: "request-2" }) }));
+    t.is(await readBody(second), "right");
+});
+
+test("nobody listening means that the request was not sent", async t => {
+    const { port, target, server } = await open(t, () => undefined);
+    server.close();
+    t.is((await port.send(createCall(target))).kind, "not_sent");
+});
+
+test("a target that says it did not run the request is believed", async t => {
+    const { port, target } = await open(t, socket => {
+        socket.write("HTTP/1.1 503 Full\r\nid: request-1\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n");
+    });
+    t.deepEqual(await port.send(createCall(target)), { kind: "not_run", reason: "full" });
+});
+
+test("a call that ends breaks its connection off", async t => {
+    const closed = new Promise<void>(resolve => {
+        void open(t, socket => socket.once("close", () => resolve())).then(async ({ port, target }) => {
+            const leaving = new AbortController();
+            const sending = port.send(createCall(target, { signal: leaving.signal }));
+            setTimeout(() => leaving.abort(), 50);
+            t.is((await sending).kind, "failed");
+        });
+    });
+    await closed;
+});
--- a/packages/relay/src/http/target-connector.ts
+++ b/packages/relay/src/http/target-connector.ts
@@ -7,11 +7,26 @@
 /** Silence after which the system probes an idle connection, in milliseconds. */
 const KEEP_ALIVE_PROBE_MS = 1_000;
 
+/** Code under which a reset is passed on. */
+const CUT_CODE = "ERR_CONNECTION_CUT";
+
+/**
+ * Renames resets before the HTTP client sees them. It takes a reset for the end of an answer that has no length, which
+ * would make a cut answer look whole.
+ */
+const renameReset = (err: NodeJS.ErrnoException): void => {
+    if (err.code === "ECONNRESET") {
+        err.code = CUT_CODE;
+    }
+};
+
 /** Opens connections to targets with a short time limit. */
 export const createTargetConnector = (timeoutMs = CONNECT_TIMEOUT_MS): buildConnector.connector => (opts, callback) => {
     const socket: Socket = connectTcp({ host: opts.hostname, port: Number(opts.port) });
     socket.setNoDelay(true);
     socket.setKeepAlive(true, KEEP_ALIVE_PROBE_MS);
+    // Registered first, so that it runs before the client's own listener.
+    socket.on("error", renameReset);
     const timer = setTimeout(() => socket.destroy(new Error("no connection within the time limit")), timeoutMs);
     let settled = false;
     const settle = (err: Error | null): void => {
