Pass answers without a length on without one; prove budgets under random faults

Ruled out: a reset taken for an end (the trace shows an end in order). Tests: budgets under random kills, cuts, lost and late writes; witness, window policy.

--- /dev/null
+++ b/packages/budgets/src/fleet-budgets.test.ts
@@ -0,0 +1,120 @@
+import test from "ava";
+import { setTimeout as sleep } from "node:timers/promises";
+import { type BudgetFleet, type BudgetInstance, createFleet, kill, startInstance } from "./fixtures/budget-fleet.js";
+
+const ZONES = ["zone-a", "zone-b", "zone-c"];
+
+const startAll = (fleet: BudgetFleet, count: number): BudgetInstance[] =>
+    [...Array(count).keys()].map(i => startInstance(fleet, `instance-${i}`, ZONES[i % ZONES.length] ?? ""));
+
+const restart = (fleet: BudgetFleet, instances: readonly BudgetInstance[]): BudgetInstance[] =>
+    instances.map(({ hub }) => startInstance(fleet, hub.self().instance, hub.self().availabilityZone));
+
+/** Holds tokens until one is refused; returns what was held in all. */
+const holdAll = async (instance: BudgetInstance, tokens: number): Promise<number> => {
+    let held = 0;
+    for (;;) {
+        const result = await instance.budgets.hold("team", tokens);
+        if (result.kind !== "held") {
+            return held;
+        }
+        held += tokens;
+    }
+};
+
+test("all of a budget can be used, and nothing beyond it, over several instances", async t => {
+    const fleet = createFleet(1_000);
+    const [a, b] = startAll(fleet, 3);
+    if (a === undefined || b === undefined) {
+        return t.fail();
+    }
+    t.is((await a.budgets.hold("team", 600)).kind, "held");
+    t.is(await holdAll(b, 100), 400);
+    t.deepEqual(await a.budgets.hold("team", 1), { kind: "exhausted" });
+});
+
+test("tokens given back at one instance serve another", async t => {
+    const fleet = createFleet(1_000);
+    const [a, b] = startAll(fleet, 3);
+    await a?.budgets.hold("team", 1_000);
+    a?.budgets.release("team", 400);
+    await sleep(150);
+    t.is((await b?.budgets.hold("team", 400))?.kind, "held");
+});
+
+test("without the KV service the owner goes on within its notes", async t => {
+    const fleet = createFleet(100_000);
+    const instances = startAll(fleet, 4);
+    for (const instance of instances) {
+        await instance.budgets.hold("team", 500);
+    }
+    instances.forEach(({ kv }) => kv.disconnect());
+    const held = await Promise.all(instances.map(({ budgets }) => budgets.hold("team", 500)));
+    t.deepEqual(held.map(result => result.kind), ["held", "held", "held", "held"]);
+});
+
+test("what an owner handed out before it died counts, and the rest is spendable after the restart of all", async t => {
+    const fleet = createFleet(100_000);
+    const first = startAll(fleet, 4);
+    let used = 0;
+    for (const instance of first) {
+        used += (await instance.budgets.hold("team", 500)).kind === "held" ? 500 : 0;
+    }
+    first.forEach(kill);
+    const second = restart(fleet, first);
+    const [one] = second;
+    const held = one === undefined ? 0 : await holdAll(one, 500);
+    t.true(used + held <= 100_000);
+    t.true(held >= 40_000, `only ${held} of ${100_000 - used} could be used`);
+});
+
+test("a frozen owner that thaws after a take-over hands nothing out beyond its window", async t => {
+    const fleet = createFleet(10_000);
+    const instances = startAll(fleet, 4);
+    const [first] = instances;
+    await first?.budgets.hold("team", 100);
+    const owner = instances.find(({ budgets }) => budgets.list().length > 0);
+    if (owner === undefined) {
+        return t.fail();
+    }
+    fleet.network.isolate(owner.hub);
+    owner.kv.disconnect();
+    await sleep(2_100);
+    const others = instances.filter(instance => instance !== owner);
+    const held = await Promise.all(others.map(instance => holdAll(instance, 100)));
+    fleet.network.reconnect(owner.hub);
+    const late = await holdAll(owner, 100);
+    t.true(100 + held.reduce((sum, tokens) => sum + tokens, 0) + late <= 10_000);
+    t.true(held.some(tokens => tokens > 0), "nobody took the budget over");
+});
+
+test("a hand-over at a graceful stop strands nothing", async t => {
+    const fleet = createFleet(1_000);
+    const instances = startAll(fleet, 3);
+    const [a] = instances;
+    await a?.budgets.hold("team", 100);
+    const owner = instances.find(({ budgets }) => budgets.list().length > 0);
+    owner?.hub.updateSelf({ state: "leaving" });
+    await owner?.budgets.handBack();
+    const other = instances.find(instance => instance !== owner);
+    t.is(other === undefined ? 0 : await holdAll(other, 100), 900);
+});
+
+test("a lost reply to a write is settled by reading the record", async t => {
+    const fleet = createFleet(10_000);
+    const instances = startAll(fleet, 3);
+    let writes = 0;
+    instances.forEach(({ kv }) => {
+        kv.pickFate = call => {
+            writes += call === "write" ? 1 : 0;
+            return call === "write" && writes % 2 === 0 ? "lostReply" : "ok";
+        };
+    });
+    let held = 0;
+    for (let i = 0; i < 60; i++) {
+        const instance = instances[i % instances.length];
+        held += (await instance?.budgets.hold("team", 100))?.kind === "held" ? 100 : 0;
+    }
+    t.true(held >= 5_000, `only ${held} were held`);
+    t.true(held <= 10_000);
+});
--- /dev/null
+++ b/packages/budgets/src/window-policy.test.ts
@@ -0,0 +1,58 @@
+import test from "ava";
+import fc from "fast-check";
+import { WindowPolicy } from "./window-policy.js";
+
+const anyNumbers = fc.record({
+    prepaid: fc.nat(1_000_000),
+    spent: fc.nat(1_000_000),
+    ratePerS: fc.nat(100_000),
+    usualRatePerS: fc.nat(100_000),
+    window: fc.nat(1_000_000),
+    noted: fc.nat(1_000_000),
+}).filter(({ prepaid, spent, window, noted }) => spent <= prepaid && window <= prepaid && noted <= prepaid);
+
+test("bounds never shrink below what may be in use, and never pass what is prepaid", t => {
+    const policy = new WindowPolicy();
+    fc.assert(fc.property(anyNumbers, numbers => {
+        const { window, limit } = policy.getBounds(numbers);
+        return window >= Math.max(numbers.window, numbers.noted) && window <= numbers.prepaid
+            && limit >= window && limit <= numbers.prepaid + 1;
+    }));
+    t.pass();
+});
+
+test("a note covers the use and never passes the limit", t => {
+    const policy = new WindowPolicy();
+    fc.assert(fc.property(anyNumbers, fc.nat(1_000_000), (numbers, limit) => {
+        const upTo = policy.getNote(numbers, limit);
+        return upTo === undefined ? limit < numbers.spent : upTo >= numbers.spent && upTo <= limit;
+    }));
+    t.pass();
+});
+
+test("the loss of all instances strands at most three hundredths of a budget of which a fifth is left", t => {
+    const policy = new WindowPolicy();
+    const prepaid = 44_000;
+    const { limit } = policy.getBounds({
+        prepaid,
+        spent: 35_200,
+        ratePerS: 1_000,
+        usualRatePerS: 1_000,
+        window: 0,
+        noted: 0,
+    });
+    t.true(limit - 35_200 <= prepaid * 0.03);
+});
+
+test("nine seconds of use can be noted of a budget that is half left", t => {
+    const policy = new WindowPolicy();
+    const { limit } = policy.getBounds({
+        prepaid: 44_000,
+        spent: 22_000,
+        ratePerS: 1_000,
+        usualRatePerS: 1_000,
+        window: 0,
+        noted: 0,
+    });
+    t.true(limit >= 22_000 + 9_000);
+});
--- a/packages/config/src/store/edit-races.test.ts
+++ b/packages/config/src/store/edit-races.test.ts
@@ -3,7 +3,7 @@
 import type { VersionedDocument } from "@ospreyreel/types";
 import test, { type ExecutionContext } from "ava";
 import { parseDocument } from "../document/parse-document.js";
-import { MemoryKvService } from "../fixtures/memory-kv.js";
+import { MemoryKvService } from "@ospreyreel/kv/fixtures";
 import {
     createPick,
     disturb,
--- a/packages/config/src/store/first-document.test.ts
+++ b/packages/config/src/store/first-document.test.ts
@@ -4,7 +4,7 @@
 import { never, type Stream } from "most";
 import { setTimeout as sleep } from "node:timers/promises";
 import { createToppedUpText } from "../fixtures/documents.js";
-import { MemoryKvService } from "../fixtures/memory-kv.js";
+import { MemoryKvService } from "@ospreyreel/kv/fixtures";
 import { createEdit, createInstance, createVersioned, type TestInstance, waitForRevision } from "../fixtures/stores.js";
 
 interface Fixture {
--- a/packages/kv/src/kv-health.ts
+++ b/packages/kv/src/kv-health.ts
@@ -7,7 +7,7 @@
 /** What recent calls say of the KV service, shared by all who call it; the circuit breaker's state. */
 export class KvHealth {
     private failuresInRow = 0;
-    private lastFailureAtMs = Number.NEGATIVE_INFINITY;
+    private lastAwayAtMs = Number.NEGATIVE_INFINITY;
     private nextTrialAtMs = 0;
     private lastSuccessAtMs = Number.NEGATIVE_INFINITY;
     private readonly listeners: ((available: boolean) => void)[] = [];
@@ -19,9 +19,9 @@
         return this.failuresInRow < FAILURES_TO_OPEN;
     }
 
-    /** Whether a call failed within the last time given, in milliseconds. */
-    failedWithin(ms: number): boolean {
-        return this.now() - this.lastFailureAtMs < ms;
+    /** Whether the service is away, or was within the last time given, in milliseconds. */
+    wasAwayWithin(ms: number): boolean {
+        return !this.isAvailable || this.now() - this.lastAwayAtMs < ms;
     }
 
     /** Time since the last call that was answered, in milliseconds. */
@@ -44,12 +44,14 @@
     /** Notes an answered call. */
     noteSuccess(): void {
         this.lastSuccessAtMs = this.now();
+        if (!this.isAvailable) {
+            this.lastAwayAtMs = this.now();
+        }
         this.change(0);
     }
 
     /** Notes a call without an answer, or one that was turned away. */
     noteFailure(): void {
-        this.lastFailureAtMs = this.now();
         this.nextTrialAtMs = this.now() + TRIAL_EVERY_MS;
         this.change(this.failuresInRow + 1);
     }
--- a/packages/relay/src/caller-exchange.ts
+++ b/packages/relay/src/caller-exchange.ts
@@ -4,6 +4,11 @@
 export interface AnswerHead {
     readonly status: number;
     readonly headers: readonly (readonly [string, string])[];
+    /**
+     * Whether the answer itself tells where it ends. One that ends with its connection may be cut without a sign, so it
+     * is passed on in the same way and never with a length.
+     */
+    readonly isFramed: boolean;
 }
 
 /** One caller that waits for the answer to its request. */
--- a/packages/relay/src/http/http-caller-exchange.ts
+++ b/packages/relay/src/http/http-caller-exchange.ts
@@ -33,18 +33,14 @@
     }
 
     override sendWhole(head: AnswerHead, body: Buffer): void {
-        const length = ["Content-Length", String(body.length)];
-        this.opts.res.writeHead(head.status, [...head.headers.flat(), ...length, ...this.getCloseHeader()]);
+        const framing = head.isFramed ? ["Content-Length", String(body.length)] : this.endWithConnection();
+        this.opts.res.writeHead(head.status, [...head.headers.flat(), ...framing, ...this.getCloseHeader()]);
         this.opts.res.end(body);
     }
 
     override startStream(head: AnswerHead): void {
-        this.opts.res.writeHead(head.status, [
-            ...head.headers.flat(),
-            "Transfer-Encoding",
-            "chunked",
-            ...this.getCloseHeader(),
-        ]);
+        const framing = head.isFramed ? ["Transfer-Encoding", "chunked"] : this.endWithConnection();
+        this.opts.res.writeHead(head.status, [...head.headers.flat(), ...framing, ...this.getCloseHeader()]);
     }
 
     override sendEvents(events: Buffer): void {
@@ -77,6 +73,13 @@
         res.end(body);
     }
 
+    /** Lets the answer end with its connection; returns the headers for it. */
+    private endWithConnection(): readonly string[] {
+        this.opts.res.useChunkedEncodingByDefault = false;
+        this.opts.res.shouldKeepAlive = false;
+        return this.opts.closesAfter() ? [] : ["Connection", "close"];
+    }
+
     private getCloseHeader(): readonly string[] {
         return this.opts.closesAfter() ? ["Connection", "close"] : [];
     }
--- a/packages/relay/src/http/target-call-handler.ts
+++ b/packages/relay/src/http/target-call-handler.ts
@@ -1,13 +1,19 @@
 import type { Dispatcher } from "undici";
 import type { TargetCall, TargetOutcome } from "../targets/target-port.js";
 import { AnswerBody } from "./answer-body.js";
-import { toPairs } from "./header-list.js";
+import { countHeader, toPairs } from "./header-list.js";
 import type { TargetProtocol } from "./target-protocol.js";
 
 /** Largest whole or streamed answer that is read, in bytes; a bound on memory. */
 const MAX_ANSWER_BYTES = 16 * 1_024 * 1_024;
 
 const HTTP_FINAL_FROM = 200;
+const HTTP_NO_CONTENT = 204;
+const HTTP_NOT_MODIFIED = 304;
+
+const isFramed = (status: number, headers: readonly (readonly [string, string])[]): boolean =>
+    status === HTTP_NO_CONTENT || status === HTTP_NOT_MODIFIED
+    || countHeader(headers, "content-length") > 0 || countHeader(headers, "transfer-encoding") > 0;
 
 /** Follows one exchange with a target. */
 export class TargetCallHandler implements Dispatcher.DispatchHandler {
@@ -50,7 +56,11 @@
         const decoded = this.protocol.decode(this.call, status, headers);
         switch (decoded.kind) {
             case "answer":
-                this.settle({ kind: "answer", head: decoded.head, body: this.body });
+                this.settle({
+                    kind: "answer",
+                    head: { status, headers: decoded.headers, isFramed: isFramed(status, headers) },
+                    body: this.body,
+                });
                 break;
             case "not_run":
                 this.settle({ kind: "not_run", reason: decoded.reason });
--- a/packages/relay/src/http/target-protocol.ts
+++ b/packages/relay/src/http/target-protocol.ts
@@ -1,9 +1,9 @@
-import type { AnswerHead } from "../caller-exchange.js";
 import type { TargetCall } from "../targets/target-port.js";
 
 /** What the head of a target's answer says. */
 export type TargetHead =
-    | { readonly kind: "answer"; readonly head: AnswerHead; }
+    /** Its headers without those that concern the connection. */
+    | { readonly kind: "answer"; readonly headers: readonly (readonly [string, string])[]; }
     | { readonly kind: "not_run"; readonly reason: "full" | "other_target"; }
     /** It is not the answer to this request, or no answer in the protocol. */
     | { readonly kind: "invalid"; readonly cause: string; };
--- a/packages/relay/src/instance/relay-instance.ts
+++ b/packages/relay/src/instance/relay-instance.ts
@@ -28,8 +28,11 @@
 /** Silence after which a peer counts as lost, in milliseconds; three heartbeats and a late timer. */
 const PEER_TIMEOUT_MS = 1_500;
 
-/** Time after an outage in which targets announce themselves again, in milliseconds; they need about two seconds. */
-const TARGET_RETURN_MS = 2_500;
+/**
+ * Time after an outage in which targets announce themselves again, in milliseconds. They need up to two seconds; one
+ * that is gone must get nothing after two seconds, so that the wait ends sooner.
+ */
+const TARGET_RETURN_MS = 1_700;
 
 /** Most addresses in one answer to a caller. */
 const MAX_ADDRESSES = 64;
@@ -46,6 +49,9 @@
 /** Part of the time to stop after which requests that still run are cut, so that the process ends in order. */
 const STOP_SHARE = 0.94;
 
+const shuffle = <T>(items: readonly T[]): readonly T[] =>
+    items.map(item => ({ item, at: Math.random() })).toSorted((a, b) => a.at - b.at).map(({ item }) => item);
+
 const formatAddress = (address: Address): string => `${address.host}:${address.port}`;
 
 const parseAddress = (text: string): Address => {
@@ -75,7 +81,7 @@
         private readonly adapter: RelayAdapter,
         private readonly hub: TcpPeerHub,
     ) {
-        this.kv = new BreakerKvClient(adapter.createKvClient(cfg.kv.address, cfg.kv.deadlineMs), this.health);
+        this.kv = new BreakerKvClient(adapter.createKvClient(cfg.kv.address, cfg.kv.deadlineMs, this.health), this.health);
         this.targetPort = new HttpTargetPort(adapter.sends);
         const fleetKv = new PeerKvClient({ own: this.kv, hub });
         fleetKv.serve();
@@ -147,7 +153,8 @@
     get view(): InstanceView {
         const live = this.hub.peers().filter(peer => peer.state === "live").map(peer => formatAddress(peer.caller));
         const own = this.isReady ? [this.cfg.callers] : [];
-        const addresses = [...own, ...live].slice(0, MAX_ADDRESSES);
+        // Each answer of a large fleet names other instances, so that all get their share of callers.
+        const addresses = shuffle([...own, ...live]).slice(0, MAX_ADDRESSES);
         return { isReady: this.isReady, addresses, addressTtlS: this.cfg.addressTtlS };
     }
 
--- a/packages/relay/src/stream/stream-pass.ts
+++ b/packages/relay/src/stream/stream-pass.ts
@@ -12,6 +12,7 @@
 /** Passes the events of one request's stream to its caller, from one target or from several after each other. */
 export class StreamPass {
     private started = false;
+    private isFramed = false;
     private lastId: number | undefined;
     private events = 0;
 
@@ -57,6 +58,9 @@
         if (splitter.pendingBytes > 0) {
             return { kind: "cut", cause: "the stream ends within an event" };
         }
+        if (this.started && this.isFramed && !head.isFramed) {
+            return { kind: "cut", cause: "the end of a stream without a length cannot be told from a cut" };
+        }
         this.start(head);
         return { kind: "complete" };
     }
@@ -64,6 +68,7 @@
     private start(head: AnswerHead): void {
         if (!this.started) {
             this.started = true;
+            this.isFramed = head.isFramed;
             this.caller.startStream(head);
         }
     }
--- a/packages/relay/src/targets/target-follower.ts
+++ b/packages/relay/src/targets/target-follower.ts
@@ -94,7 +94,7 @@
         if (id === undefined || this.missing.has(id)) {
             return;
         }
-        if (!health.failedWithin(returnMs)) {
+        if (!health.wasAwayWithin(returnMs)) {
             this.drop(id);
             return;
         }
