--- /dev/null
+++ b/packages/bench/src/platform/platform-fleet.ts
@@ -0,0 +1,178 @@
+import { PlatformStoreStandIn, PlatformTargetStandIn, type RunRequest } from "@ospreyreel/stand-ins";
+import { mkdtemp, writeFile } from "node:fs/promises";
+import { createRequire } from "node:module";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { Agent, request } from "undici";
+import { getFreePorts } from "../rig/free-ports.js";
+import { type RigProcess, startProcess as startRigProcess } from "../rig/rig-process.js";
+
+const MAIN = createRequire(import.meta.url).resolve("@ospreyreel/platform/main");
+
+const PORTS_EACH = 5;
+const PREPAID = 100_000;
+
+/** Settings of one instance on the platform. */
+type RelaySettingsJson = Readonly<Record<string, unknown>>;
+
+/** One instance that runs as a process of its own. */
+export interface PlatformInstance {
+    readonly name: string;
+    readonly settingsFile: string;
+    readonly callers: string;
+    readonly readiness: string;
+    readonly directory: string;
+    process: RigProcess;
+}
+
+/** An answer to a caller. */
+export interface CallerAnswer {
+    readonly status: number;
+    readonly body: string;
+    readonly retryAfterS: number | undefined;
+}
+
+/** A desired state of the platform with a plain, a model and a public route. */
+export const createPlatformDocument = (version: number, prepaid = PREPAID): unknown => {
+    const route = { host: "users.example", timeoutMs: 4_000, targetLatencyMs: 300, maxAttempts: 2 };
+    const stream = { kind: "streaming", resumable: true, sticky: true, gapAimMs: 300 };
+    return {
+        version,
+        routes: [
+            { ...route, name: "plain", prefix: "/plain/", kind: "idempotent", service: "plain" },
+            { ...route, name: "once", prefix: "/once/", kind: "non_idempotent", service: "plain" },
+            { ...route, ...stream, name: "model", prefix: "/model/", service: "model" },
+            ...(version > 1 ? [{ ...route, name: "new", prefix: "/new/", kind: "idempotent", service: "plain" }] : []),
+        ],
+        services: [
+            { name: "plain", healthPath: "/health", maxConns: 100 },
+            { name: "model", healthPath: "/health", maxConns: 100, engine: { stride: 5 } },
+        ],
+        limits: { maxHeaderBytes: 16_384, maxBodyBytes: 1_000_000, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
+        tenants: [{ name: "team-1", apiKeys: ["key-1"], priority: 1, prepaid }],
+    };
+};
+
+/** Instances, targets and the store of a platform, on loopback. */
+export class PlatformFleet {
+    readonly store = new PlatformStoreStandIn();
+    readonly plain = new PlatformTargetStandIn({ id: "plain-1", service: "plain" });
+    readonly models = [1, 2].map(at =>
+        new PlatformTargetStandIn({ id: `model-${at}`, service: "model", events: 6, stepMs: 5 })
+    );
+    readonly instances: PlatformInstance[] = [];
+    private readonly agent = new Agent({ pipelining: 1 });
+    private requests = 0;
+
+    /** Starts everything and resolves once all instances take requests. */
+    static async start(count = 3): Promise<PlatformFleet> {
+        const fleet = new PlatformFleet();
+        const store = await fleet.store.start();
+        for (const target of [fleet.plain, ...fleet.models]) {
+            await target.start();
+            fleet.store.put(...target.getEntry());
+        }
+        fleet.store.put("op/config", createPlatformDocument(1));
+        const ports = await getFreePorts(count * PORTS_EACH);
+        const addresses = ports.map(port => `127.0.0.1:${port}`);
+        const folder = await mkdtemp(join(tmpdir(), "ospreyreel-platform-"));
+        const seeds = [...Array(count).keys()].map(at => addresses[at * PORTS_EACH + 3] ?? "");
+        fleet.instances.push(
+            ...await Promise.all([...Array(count).keys()].map(async at => {
+                const own = addresses.slice(at * PORTS_EACH, (at + 1) * PORTS_EACH);
+                return await startInstance(folder, `instance-${at}`, `zone-${at}`, own, seeds, store);
+            })),
+        );
+        return fleet;
+    }
+
+    /** Requests that the targets ran. */
+    get ran(): readonly RunRequest[] {
+        return [this.plain, ...this.models].flatMap(target => target.ran);
+    }
+
+    /** Sends a caller's request to an instance; status 0 where the connection broke. */
+    async call(instance: PlatformInstance, path: string, headers: Record<string, string> = {}): Promise<CallerAnswer> {
+        this.requests += 1;
+        try {
+            const res = await request(`http://${instance.callers}${path}`, {
+                method: "POST",
+                dispatcher: this.agent,
+                body: "question",
+                headers: {
+                    "host": "users.example",
+                    "attempt-id": `attempt-${this.requests}`,
+                    "deadline-ms": "4000",
+                    "authorization": "Bearer key-1",
+                    ...headers,
+                },
+            });
+            const retryAfter = res.headers["retry-after"];
+            return {
+                status: res.statusCode,
+                body: await res.body.text(),
+                retryAfterS: retryAfter === undefined ? undefined : Number(retryAfter),
+            };
+        }
+        catch (err) {
+            return { status: 0, body: String(err), retryAfterS: undefined };
+        }
+    }
+
+    /** Asks a model for an answer to a prompt of so many tokens. */
+    async ask(instance: PlatformInstance, promptTokens: number): Promise<CallerAnswer> {
+        return await this.call(instance, "/model/x", { "token-counts": `${promptTokens},30`, "model": "m" });
+    }
+
+    /** Addresses that an instance tells callers; empty where it tells none. */
+    async resolve(instance: PlatformInstance): Promise<readonly string[]> {
+        const url = `http://${instance.directory}/ospreyreel/resolve?name=users.example&region=r&zone=z`;
+        const res = await request(url, { dispatcher: this.agent });
+        const body = await res.body.text();
+        return res.statusCode === 200 ? (JSON.parse(body) as { readonly addresses: string[]; }).addresses : [];
+    }
+
+    /** Starts an instance again with the same settings. */
+    async restart(instance: PlatformInstance): Promise<void> {
+        instance.process = await startProcess(instance.settingsFile);
+    }
+
+    /** Ends everything that was started. */
+    async close(): Promise<void> {
+        await Promise.all(this.instances.map(instance => instance.process.kill("SIGKILL")));
+        await this.agent.destroy();
+        await Promise.all([this.plain, ...this.models, this.store].map(part => part.close()));
+    }
+}
+
+const startProcess = (settingsFile: string): Promise<RigProcess> =>
+    startRigProcess({ script: MAIN, env: { OSPREYREEL_SETTINGS: settingsFile } });
+
+const startInstance = async (
+    folder: string,
+    name: string,
+    zone: string,
+    [callers = "", readiness = "", directory = "", peer = "", metrics = ""]: readonly string[],
+    seeds: readonly string[],
+    store: string,
+): Promise<PlatformInstance> => {
+    const settings: RelaySettingsJson = {
+        instance: name,
+        availabilityZone: zone,
+        region: "region-1",
+        callers,
+        readiness,
+        directory,
+        peer,
+        metrics,
+        sharedKey: "platform-fleet",
+        seeds,
+        kv: { address: store },
+        retries: { ratio: 0.2, windowS: 10, slack: 50 },
+        stopWithinS: 8,
+        addressTtlS: 0.5,
+    };
+    const settingsFile = join(folder, `${name}.jsonc`);
+    await writeFile(settingsFile, `// ${name}\n${JSON.stringify(settings)}`);
+    return { name, settingsFile, callers, readiness, directory, process: await startProcess(settingsFile) };
+};
--- a/packages/relay/src/instance/relay-instance.ts
+++ b/packages/relay/src/instance/relay-instance.ts
@@ -74,6 +74,9 @@
     private readonly follower: TargetFollower;
     private readonly relay: Relay;
     private readonly budgets: FleetBudgets;
+    /** Resolves once requests are taken. */
+    readonly ready: Promise<void>;
+    private tellReady: () => void = () => undefined;
     private stopping: Promise<void> | undefined;
 
     private constructor(
@@ -81,6 +84,9 @@
         private readonly adapter: RelayAdapter,
         private readonly hub: TcpPeerHub,
     ) {
+        this.ready = new Promise(resolve => {
+            this.tellReady = resolve;
+        });
         this.kv = new BreakerKvClient(adapter.createKvClient(cfg.kv.address, cfg.kv.deadlineMs, this.health), this.health);
         this.targetPort = new HttpTargetPort(adapter.sends);
         const fleetKv = new PeerKvClient({ own: this.kv, hub });
@@ -213,6 +219,7 @@
             if (this.isReady) {
                 clearInterval(timer);
                 this.hub.updateSelf({ state: "live" });
+                this.tellReady();
                 this.log.write("instance ready", { document: this.documents.version });
             }
         }, STOP_POLL_MS);
--- a/packages/relay/src/instance/run-relay.ts
+++ b/packages/relay/src/instance/run-relay.ts
@@ -43,10 +43,14 @@
 /** Runs one relaying instance in this process until it is told to stop. */
 export const runRelay = async (file: string, adapter: RelayAdapter): Promise<void> => {
     try {
-        const instance = await RelayInstance.start(await readRelaySettings(file), adapter);
+        const cfg = await readRelaySettings(file);
+        const instance = await RelayInstance.start(cfg, adapter);
         process.on("SIGTERM", () => void instance.stop().then(() => process.exit(0), fail));
         process.on("SIGINT", () => process.exit(EXIT_FAULT));
         followSettings(instance, file);
+        await instance.ready;
+        const ready = { ready: true, role: "relay", instance: cfg.instance, callers: cfg.callers, pid: process.pid };
+        process.stdout.write(`${JSON.stringify(ready)}\n`);
     }
     catch (err) {
         fail(err);
--- /dev/null
+++ b/packages/relay/src/relay.test.ts
@@ -0,0 +1,223 @@
+import test from "ava";
+import { type BudgetDecision, BudgetGate, OpenBudgetGate } from "./budget-gate.js";
+import type { RelayRoute } from "./document/relay-document.js";
+import { DocumentHolder } from "./document/document-holder.js";
+import { createDocument, createRoute } from "./fixtures/documents.js";
+import { FakeExchange } from "./fixtures/fake-exchange.js";
+import { FakeTargetPort } from "./fixtures/fake-target-port.js";
+import { createRequest } from "./fixtures/plain-protocol.js";
+import { AffinityPlacement } from "./policy/affinity-placement.js";
+import { RetryAllowance } from "./policy/retry-allowance.js";
+import { SilentRelayLog } from "./relay-log.js";
+import type { RelayRequest } from "./relay-request.js";
+import { Relay } from "./relay.js";
+import { TargetDirectory } from "./targets/target-directory.js";
+import type { TargetCall, TargetOutcome } from "./targets/target-port.js";
+import { TargetSelector } from "./targets/target-selector.js";
+
+type Outcome = (call: TargetCall) => TargetOutcome | Promise<TargetOutcome>;
+
+const HEAD = { status: 200, headers: [], isFramed: true };
+
+/** A body of chunks, cut off at the end where asked for. */
+const createBody = async function*(chunks: readonly string[], cut = false): AsyncGenerator<Buffer> {
+    for (const chunk of chunks) {
+        await Promise.resolve();
+        yield Buffer.from(chunk);
+    }
+    if (cut) {
+        throw new Error("cut off");
+    }
+};
+
+const answer = (chunks: readonly string[], cut = false, status = 200): Outcome => () => ({
+    kind: "answer",
+    head: { ...HEAD, status },
+    body: createBody(chunks, cut),
+});
+
+const full: Outcome = () => ({ kind: "not_run", reason: "full" });
+const lost: Outcome = () => ({ kind: "failed", cause: "reset" });
+const unreachable: Outcome = () => ({ kind: "not_sent", cause: "refused" });
+
+const silent: Outcome = call =>
+    new Promise(resolve => {
+        call.signal.addEventListener("abort", () => resolve({ kind: "failed", cause: "aborted" }));
+    });
+
+const serve = async (
+    outcomes: readonly Outcome[],
+    route: Partial<RelayRoute> = {},
+    req: Partial<RelayRequest> = {},
+    budgets: BudgetGate = new OpenBudgetGate(),
+    leavesAfterMs?: number,
+) => {
+    const documents = new DocumentHolder();
+    const teams = [{ name: "team-1", keys: ["key-1"], priority: undefined, prepaidTokens: 1_000 }];
+    documents.offer(
+        createDocument({
+            routes: [createRoute(route)],
+            teams,
+            services: [{ name: "service-1", maxConnections: 100, tokensPerEvent: 5 }],
+        }),
+        Buffer.alloc(0),
+    );
+    const directory = new TargetDirectory();
+    for (const id of ["t1", "t2", "t3"]) {
+        const rest = { service: "service-1", host: "127.0.0.1", port: 1, availabilityZone: "a", slots: 4 };
+        directory.put({ id, ...rest, leaving: false, startedAtMs: undefined });
+    }
+    const port = new FakeTargetPort(outcomes);
+    const allowance = new RetryAllowance({ ratio: 1, slack: 10, windowMs: 10_000, getInstances: () => 1 });
+    const relay = new Relay({
+        documents,
+        selector: new TargetSelector({
+            directory,
+            placement: new AffinityPlacement(),
+            availabilityZone: "a",
+            getConnectionLimit: () => 10,
+        }),
+        port,
+        budgets,
+        getRetries: () => allowance,
+        log: new SilentRelayLog(),
+        meter: { noteEnd: () => undefined, noteSend: () => undefined },
+        random: () => 0,
+    });
+    const caller = new FakeExchange();
+    if (leavesAfterMs !== undefined) {
+        setTimeout(() => caller.leaving.abort(), leavesAfterMs);
+    }
+    await relay.serve(createRequest({ teamKey: "key-1", ...req }), caller);
+    return { caller, port };
+};
+
+test("an idempotent request whose answer is lost is sent to another target", async t => {
+    const { caller, port } = await serve([lost, answer(["whole"])]);
+    t.is(caller.whole?.body, "whole");
+    t.is(new Set(port.calls.map(call => call.target.id)).size, 2);
+});
+
+test("a non-idempotent request whose answer is lost is not repeated, and nothing is promised", async t => {
+    const { caller, port } = await serve([lost, answer(["whole"])], { kind: "non_idempotent" });
+    t.is(port.calls.length, 1);
+    t.is(caller.refusal?.reason, "targetFailed");
+});
+
+test("a non-idempotent request that no target ran is refused as not run, with when to come back", async t => {
+    const { caller } = await serve([full], { kind: "non_idempotent", maxAttempts: 1 });
+    t.is(caller.refusal?.reason, "overloaded");
+    t.true((caller.refusal?.retryAfterS ?? 0) > 0);
+});
+
+test("a request that was refused by one target and lost at another is not promised as not run", async t => {
+    const { caller } = await serve([full, lost], { kind: "non_idempotent", maxAttempts: 2 });
+    t.is(caller.refusal?.reason, "targetFailed");
+});
+
+test("a target that cannot be reached counts as no attempt", async t => {
+    const { caller, port } = await serve([unreachable, answer(["whole"])], {
+        kind: "non_idempotent",
+        maxAttempts: 1,
+    });
+    t.is(caller.whole?.body, "whole");
+    t.is(port.calls.length, 2);
+});
+
+test("no request is sent to more targets than its route allows", async t => {
+    const { caller, port } = await serve([lost], { maxAttempts: 2 });
+    t.is(port.calls.length, 2);
+    t.is(caller.refusal?.reason, "targetFailed");
+});
+
+test("a cut answer never looks complete", async t => {
+    const { caller } = await serve([answer(["par"], true)], { kind: "non_idempotent" });
+    t.is(caller.whole, undefined);
+    t.is(caller.refusal?.reason, "targetFailed");
+});
+
+test("a stream that breaks off goes on at another target after the last whole event", async t => {
+    const { caller, port } = await serve(
+        [answer(["id: 1\n\nid: 2\n\nid: 3"], true), answer(["id: 3\n\nid: 4\n\n"])],
+        { kind: "streaming", isResumable: true },
+    );
+    t.is(caller.events, "id: 1\n\nid: 2\n\nid: 3\n\nid: 4\n\n");
+    t.is(port.calls[1]?.afterEvent, 2);
+    t.is(caller.ended, "complete");
+});
+
+test("a stream that may not be resumed is broken off", async t => {
+    const { caller, port } = await serve([answer(["id: 1\n\n"], true)], { kind: "streaming" });
+    t.is(port.calls.length, 1);
+    t.is(caller.ended, "broken");
+});
+
+test("a resumed stream that does not go on after the last event is broken off", async t => {
+    const { caller } = await serve(
+        [answer(["id: 1\n\nid: 2\n\n"], true), answer(["id: 1\n\n"])],
+        { kind: "streaming", isResumable: true },
+    );
+    t.is(caller.events, "id: 1\n\nid: 2\n\n");
+    t.is(caller.ended, "broken");
+});
+
+test("at the route's time-out the caller is answered, and a request that was sent promises nothing", async t => {
+    const startedAtMs = performance.now();
+    const { caller } = await serve([silent], { timeoutMs: 80 });
+    t.is(caller.refusal?.reason, "timedOut");
+    t.true(performance.now() - startedAtMs < 300);
+});
+
+test("a caller that leaves ends the call at the target", async t => {
+    const { caller, port } = await serve([silent], {}, {}, new OpenBudgetGate(), 30);
+    t.true(port.calls[0]?.signal.aborted);
+    t.is(caller.refusal, undefined);
+});
+
+class NotingGate extends BudgetGate {
+    readonly settled: number[] = [];
+
+    override hold(): Promise<BudgetDecision> {
+        return Promise.resolve({ kind: "held", hold: { settle: used => this.settled.push(used) } });
+    }
+}
+
+const GENERATION = { generation: { promptTokens: 100, maxOutputTokens: 50, parts: [] } };
+
+test("a budget is charged for the prompt and the events that were passed on", async t => {
+    const gate = new NotingGate();
+    await serve([answer(["id: 1\n\nid: 2\n\n"])], { kind: "streaming" }, GENERATION, gate);
+    t.deepEqual(gate.settled, [110]);
+});
+
+test("a prompt is charged once where a stream was resumed", async t => {
+    const gate = new NotingGate();
+    const outcomes = [answer(["id: 1\n\n"], true), answer(["id: 2\n\n"])];
+    await serve(outcomes, { kind: "streaming", isResumable: true }, GENERATION, gate);
+    t.deepEqual(gate.settled, [110]);
+});
+
+test("nothing is charged for a request that did not run", async t => {
+    const gate = new NotingGate();
+    await serve([full], { kind: "streaming", maxAttempts: 1 }, GENERATION, gate);
+    t.deepEqual(gate.settled, [0]);
+});
+
+class RefusingGate extends BudgetGate {
+    constructor(private readonly decision: BudgetDecision) {
+        super();
+    }
+
+    override hold(): Promise<BudgetDecision> {
+        return Promise.resolve(this.decision);
+    }
+}
+
+test("a budget that does not cover a request is told apart from one that cannot be asked", async t => {
+    const exhausted = await serve([full], {}, GENERATION, new RefusingGate({ kind: "exhausted" }));
+    t.is(exhausted.caller.refusal?.reason, "budgetExhausted");
+    const away = { kind: "unavailable", retryAfterS: 1, cause: "away" } as const;
+    const unavailable = await serve([full], {}, GENERATION, new RefusingGate(away));
+    t.deepEqual(unavailable.caller.refusal, { reason: "budgetUnavailable", retryAfterS: 1 });
+    t.is(unavailable.port.calls.length, 0);
+});
--- /dev/null
+++ b/packages/relay/src/stream/event-splitter.test.ts
@@ -0,0 +1,31 @@
+import test from "ava";
+import fc from "fast-check";
+import { EventSplitter } from "./event-splitter.js";
+
+const EVENTS = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nversion: 3\nid: 3\ndata: c\n\n";
+
+test("events come out whole however their bytes are cut", t => {
+    fc.assert(fc.property(fc.array(fc.integer({ min: 1, max: 20 }), { maxLength: 40 }), sizes => {
+        const splitter = new EventSplitter();
+        const bytes = Buffer.from(EVENTS);
+        const ids: number[] = [];
+        const out: Buffer[] = [];
+        let at = 0;
+        for (const size of [...sizes, bytes.length]) {
+            const split = splitter.push(bytes.subarray(at, Math.min(bytes.length, at + size)));
+            at = Math.min(bytes.length, at + size);
+            ids.push(...split.ids);
+            out.push(split.bytes);
+        }
+        return Buffer.concat(out).toString() === EVENTS && ids.join() === "1,2,3" && splitter.pendingBytes === 0;
+    }));
+    t.pass();
+});
+
+test("an event without its end is kept back", t => {
+    const splitter = new EventSplitter();
+    t.is(splitter.push(Buffer.from("id: 1\ndata: a\n")).count, 0);
+    t.true(splitter.pendingBytes > 0);
+    t.is(splitter.push(Buffer.from("\nid: 2")).count, 1);
+    t.is(splitter.pendingBytes, 5);
+});
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -22,3 +22,6 @@
     type WeightStoreRecord,
     type WeightStoreStandIn,
 } from "./weight-store/weight-store-stand-in.js";
+export * from "./platform/platform-store-stand-in.js";
+export * from "./platform/platform-target-stand-in.js";
+export type * from "./platform/store-items.js";
