--- a/eslint.config.js
+++ b/eslint.config.js
@@ -4,7 +4,7 @@
 const ERROR_TYPES = [{ from: "package", name: "SpecificErrorInstance", package: "modern-errors" }];
 
 export default tseslint.config(
-    { ignores: ["**/dist/**", "**/node_modules/**", "bench-results/**"] },
+    { ignores: ["**/dist/**", "**/node_modules/**", "bench-results/**", "target/**"] },
     ...tseslint.configs.recommendedTypeChecked,
     {
         languageOptions: { parserOptions: { projectService: { allowDefaultProject: ["*.js", "*.mjs"] } } },
--- a/packages/bench/src/platform/platform-fleet.ts
+++ b/packages/bench/src/platform/platform-fleet.ts
@@ -139,7 +139,7 @@
 
     /** Ends everything that was started. */
     async close(): Promise<void> {
-        await Promise.all(this.instances.map(instance => instance.process.kill("SIGKILL")));
+        this.instances.forEach(instance => instance.process.kill("SIGKILL"));
         await this.agent.destroy();
         await Promise.all([this.plain, ...this.models, this.store].map(part => part.close()));
     }
--- a/packages/budgets/src/random-faults.test.ts
+++ b/packages/budgets/src/random-faults.test.ts
@@ -1,7 +1,7 @@
 import test from "ava";
-import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
-import { uniformInt } from "pure-rand/distribution/uniformInt";
 import { setTimeout as sleep } from "node:timers/promises";
+import { uniformInt } from "pure-rand/distribution/uniformInt";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { type BudgetFleet, type BudgetInstance, createFleet, kill, startInstance } from "./fixtures/budget-fleet.js";
 
 const INSTANCES = 5;
@@ -40,7 +40,8 @@
         at => {
             const kv = instances[at]?.kv;
             if (kv !== undefined) {
-                kv.pickFate = call => call === "write" ? (["lostReply", "late", "lostRequest"] as const)[next(3)] ?? "ok" : "ok";
+                kv.pickFate = call =>
+                    call === "write" ? (["lostReply", "late", "lostRequest"] as const)[next(3)] ?? "ok" : "ok";
             }
         },
         at => instances[at] === undefined ? undefined : fleet.network.isolate(instances[at].hub),
--- a/packages/budgets/src/shard-claimer.ts
+++ b/packages/budgets/src/shard-claimer.ts
@@ -3,8 +3,14 @@
 import type { PeerHub } from "@ospreyreel/peer";
 import type { BudgetSealAnswer } from "@ospreyreel/types";
 import type { BudgetLog } from "./budget-log.js";
-import { type BudgetBounds, decodeShardRecord, encodeShardRecord, getShardKey, type ShardRecord } from "./shard-record.js";
 import { OwnedShard } from "./owned-shard.js";
+import {
+    type BudgetBounds,
+    decodeShardRecord,
+    encodeShardRecord,
+    getShardKey,
+    type ShardRecord,
+} from "./shard-record.js";
 
 /** What a claim came to. */
 export type ClaimResult =
--- a/packages/budgets/src/shard-writer.ts
+++ b/packages/budgets/src/shard-writer.ts
@@ -1,7 +1,13 @@
 import { hasResult } from "@ospreyreel/errors";
 import type { KvClient } from "@ospreyreel/kv";
 import type { OwnedShard } from "./owned-shard.js";
-import { decodeShardRecord, encodeShardRecord, getShardKey, type ShardRecord } from "./shard-record.js";
+import {
+    type BudgetBounds,
+    decodeShardRecord,
+    encodeShardRecord,
+    getShardKey,
+    type ShardRecord,
+} from "./shard-record.js";
 import type { WindowPolicy } from "./window-policy.js";
 
 /** What a writer needs. */
@@ -45,7 +51,9 @@
     async handBack(shards: readonly OwnedShard[]): Promise<void> {
         await this.running;
         const writes = shards.filter(owned => !owned.isDoubtful).map((owned): Write => {
-            const budgets = [...owned.budgets.values()].map(({ name, spent }) => [name, { window: spent, limit: spent }]);
+            const budgets = [...owned.budgets.values()].map((
+                { name, spent },
+            ): [string, BudgetBounds] => [name, { window: spent, limit: spent }]);
             const record = { ...owned.record, owner: undefined, witnesses: [], budgets: Object.fromEntries(budgets) };
             return { owned, record };
         });
--- a/packages/config/src/settings/parse-settings.ts
+++ b/packages/config/src/settings/parse-settings.ts
@@ -1,5 +1,5 @@
-import type { Fault } from "../json/fault.js";
 import { parseCheckedJson, readSettingsText } from "../json/checked-json.js";
+import type { Fault } from "../json/fault.js";
 import { createShapeCheck } from "../json/shape.js";
 import { settingsSchema } from "./settings-schema.js";
 import type { Settings } from "./settings.js";
--- a/packages/config/src/store/document-spread.test.ts
+++ b/packages/config/src/store/document-spread.test.ts
@@ -1,8 +1,8 @@
+import { MemoryKvService } from "@ospreyreel/kv/fixtures";
 import { MemoryNetwork } from "@ospreyreel/peer/fixtures";
 import type { VersionedDocument } from "@ospreyreel/types";
 import test, { type ExecutionContext } from "ava";
 import { createToppedUpText } from "../fixtures/documents.js";
-import { MemoryKvService } from "@ospreyreel/kv/fixtures";
 import { createEdit, createInstance, createVersioned, type TestInstance, waitForRevision } from "../fixtures/stores.js";
 import { getPushTargets } from "./push-order.js";
 
--- a/packages/config/src/store/edit-races.test.ts
+++ b/packages/config/src/store/edit-races.test.ts
@@ -1,9 +1,9 @@
 import { hasResult } from "@ospreyreel/errors";
+import { MemoryKvService } from "@ospreyreel/kv/fixtures";
 import { MemoryNetwork } from "@ospreyreel/peer/fixtures";
 import type { VersionedDocument } from "@ospreyreel/types";
 import test, { type ExecutionContext } from "ava";
 import { parseDocument } from "../document/parse-document.js";
-import { MemoryKvService } from "@ospreyreel/kv/fixtures";
 import {
     createPick,
     disturb,
--- a/packages/config/src/store/first-document.test.ts
+++ b/packages/config/src/store/first-document.test.ts
@@ -1,10 +1,10 @@
 import type { KvEvent } from "@ospreyreel/kv";
+import { MemoryKvService } from "@ospreyreel/kv/fixtures";
 import { type MemoryHub, MemoryNetwork } from "@ospreyreel/peer/fixtures";
 import test, { type ExecutionContext } from "ava";
 import { never, type Stream } from "most";
 import { setTimeout as sleep } from "node:timers/promises";
 import { createToppedUpText } from "../fixtures/documents.js";
-import { MemoryKvService } from "@ospreyreel/kv/fixtures";
 import { createEdit, createInstance, createVersioned, type TestInstance, waitForRevision } from "../fixtures/stores.js";
 
 interface Fixture {
--- a/packages/kv/src/index.ts
+++ b/packages/kv/src/index.ts
@@ -1,8 +1,8 @@
 /** Client of the platform's key-value service. */
+export * from "./breaker-kv-client.js";
 export * from "./etcd-kv-client.js";
 export * from "./kv-client.js";
 export type * from "./kv-entry.js";
 export type * from "./kv-event.js";
-export type * from "./kv-txn.js";
-export * from "./breaker-kv-client.js";
 export * from "./kv-health.js";
+export type * from "./kv-txn.js";
--- a/packages/relay/src/document/document-holder.ts
+++ b/packages/relay/src/document/document-holder.ts
@@ -1,6 +1,6 @@
 import { EventEmitter } from "node:events";
-import { RouteTable } from "./route-table.js";
 import type { RelayDocument } from "./relay-document.js";
+import { RouteTable } from "./route-table.js";
 
 /** The newest desired state that this process has seen; it never goes back to an older one. */
 export class DocumentHolder {
--- a/packages/relay/src/http/http-caller-port.ts
+++ b/packages/relay/src/http/http-caller-port.ts
@@ -1,8 +1,8 @@
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { once } from "node:events";
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { CallerExchange } from "../caller-exchange.js";
 import type { CallerBounds } from "../document/relay-document.js";
 import type { RelayRequest } from "../relay-request.js";
-import type { CallerExchange } from "../caller-exchange.js";
 import type { CallerProtocol, DecodedHead } from "./caller-protocol.js";
 import { HttpCallerExchange } from "./http-caller-exchange.js";
 
@@ -82,7 +82,12 @@
         res.sendDate = false;
         const { protocol } = this.opts;
         const refused = { closes: false };
-        const caller = new HttpCallerExchange({ req, res, protocol, closesAfter: () => this.closing || refused.closes });
+        const caller = new HttpCallerExchange({
+            req,
+            res,
+            protocol,
+            closesAfter: () => this.closing || refused.closes,
+        });
         req.on("error", () => undefined);
         res.on("error", () => undefined);
         const { method = "", url = "", rawHeaders } = req;
--- a/packages/relay/src/http/http-target-port.ts
+++ b/packages/relay/src/http/http-target-port.ts
@@ -34,7 +34,7 @@
             signal.addEventListener("abort", abort, { once: true });
             this.getPool(call.target).dispatch({
                 path: req.path,
-                method: req.method as "GET",
+                method: req.method,
                 headers: this.protocol.encode(call).flat(),
                 body: req.body.length === 0 ? null : req.body,
                 headersTimeout: 0,
--- a/packages/relay/src/instance/relay-instance.ts
+++ b/packages/relay/src/instance/relay-instance.ts
@@ -87,7 +87,10 @@
         this.ready = new Promise(resolve => {
             this.tellReady = resolve;
         });
-        this.kv = new BreakerKvClient(adapter.createKvClient(cfg.kv.address, cfg.kv.deadlineMs, this.health), this.health);
+        this.kv = new BreakerKvClient(
+            adapter.createKvClient(cfg.kv.address, cfg.kv.deadlineMs, this.health),
+            this.health,
+        );
         this.targetPort = new HttpTargetPort(adapter.sends);
         const fleetKv = new PeerKvClient({ own: this.kv, hub });
         fleetKv.serve();
--- a/packages/relay/src/policy/affinity-placement.test.ts
+++ b/packages/relay/src/policy/affinity-placement.test.ts
@@ -13,7 +13,11 @@
 });
 
 /** Replays requests that arrive faster than they end; returns how many each target got. */
-const replay = (requests: number, targets: readonly PlacementNumbers[], affinities: (at: number) => readonly number[]) => {
+const replay = (
+    requests: number,
+    targets: readonly PlacementNumbers[],
+    affinities: (at: number) => readonly number[],
+) => {
     const policy = new AffinityPlacement();
     const load = targets.map(() => 0);
     for (let at = 0; at < requests; at++) {
@@ -50,7 +54,13 @@
 test("without affinity a target that answers with errors or slowly gets less", t => {
     const policy = new AffinityPlacement();
     t.is(policy.choose([createNumbers({ errorShare: 0.5, inFlight: 1 }), createNumbers({ inFlight: 2 })]), 1);
-    t.is(policy.choose([createNumbers({ slowness: 6, inFlight: 1, slots: 6 }), createNumbers({ inFlight: 3, slots: 6 })]), 1);
+    t.is(
+        policy.choose([
+            createNumbers({ slowness: 6, inFlight: 1, slots: 6 }),
+            createNumbers({ inFlight: 3, slots: 6 }),
+        ]),
+        1,
+    );
 });
 
 test("among equals the near target is taken", t => {
--- a/packages/relay/src/policy/affinity-placement.ts
+++ b/packages/relay/src/policy/affinity-placement.ts
@@ -37,7 +37,9 @@
     }
 
     override choose(candidates: readonly PlacementNumbers[]): number {
-        const byAffinity = candidates.some(target => target.affinity > 0) ? this.chooseByAffinity(candidates) : undefined;
+        const byAffinity = candidates.some(target => target.affinity > 0)
+            ? this.chooseByAffinity(candidates)
+            : undefined;
         return byAffinity ?? this.chooseLeastLoaded(candidates);
     }
 
--- a/packages/relay/src/relay.test.ts
+++ b/packages/relay/src/relay.test.ts
@@ -1,7 +1,7 @@
 import test from "ava";
 import { type BudgetDecision, BudgetGate, OpenBudgetGate } from "./budget-gate.js";
-import type { RelayRoute } from "./document/relay-document.js";
 import { DocumentHolder } from "./document/document-holder.js";
+import type { RelayRoute } from "./document/relay-document.js";
 import { createDocument, createRoute } from "./fixtures/documents.js";
 import { FakeExchange } from "./fixtures/fake-exchange.js";
 import { FakeTargetPort } from "./fixtures/fake-target-port.js";
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -1,13 +1,13 @@
-import { admit, type Admission, isRepeatable } from "./admission.js";
+import { type Admission, admit, isRepeatable } from "./admission.js";
 import type { BudgetGate, BudgetHold } from "./budget-gate.js";
 import type { CallerExchange } from "./caller-exchange.js";
 import type { DocumentHolder } from "./document/document-holder.js";
+import type { RetryAllowance } from "./policy/retry-allowance.js";
 import { RelayAttempts } from "./relay-attempts.js";
 import type { RelayLog } from "./relay-log.js";
 import type { RefusalReason, RelayRefusal } from "./relay-refusal.js";
 import type { RelayRequest } from "./relay-request.js";
 import { RequestClock } from "./request-clock.js";
-import type { RetryAllowance } from "./policy/retry-allowance.js";
 import type { TargetPort } from "./targets/target-port.js";
 import type { TargetSelector } from "./targets/target-selector.js";
 
@@ -112,7 +112,11 @@
             case "exhausted":
                 return { reason: "budgetExhausted" };
             case "unavailable":
-                this.opts.log.write("budget not available", { request: req.id, team: admission.team, cause: decision.cause });
+                this.opts.log.write("budget not available", {
+                    request: req.id,
+                    team: admission.team,
+                    cause: decision.cause,
+                });
                 return { reason: "budgetUnavailable", retryAfterS: decision.retryAfterS };
         }
     }
--- a/packages/relay/src/targets/target-selector.ts
+++ b/packages/relay/src/targets/target-selector.ts
@@ -40,7 +40,9 @@
         const nowMs = this.now();
         const limit = this.opts.getConnectionLimit(service);
         const allowed = states.map((state, index) => ({ state, index }))
-            .filter(({ state }) => !tried.has(state.target.id) && state.inFlight < limit && state.health.isUsable(nowMs));
+            .filter(({ state }) =>
+                !tried.has(state.target.id) && state.inFlight < limit && state.health.isUsable(nowMs)
+            );
         const withRoom = allowed.filter(({ state }) => !state.health.isFull(nowMs));
         const candidates = withRoom.length > 0 ? withRoom : allowed;
         if (candidates.length === 0) {
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -9,6 +9,9 @@
 export * from "./fault-proxy/fault-proxy.js";
 export type * from "./fault-proxy/proxy-faults.js";
 export * from "./instance-list/instance-list-stand-in.js";
+export * from "./platform/platform-store-stand-in.js";
+export * from "./platform/platform-target-stand-in.js";
+export type * from "./platform/store-items.js";
 export {
     type ServiceFaults,
     type ServiceOptions,
@@ -22,6 +25,3 @@
     type WeightStoreRecord,
     type WeightStoreStandIn,
 } from "./weight-store/weight-store-stand-in.js";
-export * from "./platform/platform-store-stand-in.js";
-export * from "./platform/platform-target-stand-in.js";
-export type * from "./platform/store-items.js";
--- a/packages/stand-ins/src/platform/platform-target-stand-in.ts
+++ b/packages/stand-ins/src/platform/platform-target-stand-in.ts
@@ -44,7 +44,16 @@
     getEntry(state: "ready" | "draining" = "ready"): readonly [string, unknown] {
         const { id, service, zone = "zone-a" } = this.opts;
         const address = `${this.server?.address.host}:${this.server?.address.port}`;
-        return [`servers/${id}`, { service, address, zone, version: "v1", slots: 8, state, coldRemainingMs: 0, seq: 1 }];
+        return [`servers/${id}`, {
+            service,
+            address,
+            zone,
+            version: "v1",
+            slots: 8,
+            state,
+            coldRemainingMs: 0,
+            seq: 1,
+        }];
     }
 
     private async answer(req: IncomingMessage, res: ServerResponse): Promise<void> {
--- a/scripts/remove-stale-outputs.mjs
+++ b/scripts/remove-stale-outputs.mjs
@@ -21,3 +21,4 @@
 for (const name of readdirSync("packages")) {
     removeStaleOutputs(join("packages", name));
 }
+removeStaleOutputs("platform");
