--- a/packages/relay/src/document/document-follower.ts
+++ b/packages/relay/src/document/document-follower.ts
@@ -12,6 +12,8 @@
     readonly codec: DocumentCodec;
     readonly holder: DocumentHolder;
     readonly log: RelayLog;
+    /** Time between two reads of changes, in milliseconds. */
+    readonly getPauseMs: () => number;
 }
 
 /** Longest wait for a peer's document, in milliseconds; several round trips between regions. */
@@ -27,7 +29,7 @@
     start(): void {
         const { kv, hub, codec, holder } = this.opts;
         hub.handle("relay.document", () => Promise.resolve({ encoded: holder.encoded }));
-        void kv.watch(codec.prefix).observe(event => {
+        void kv.watch(codec.prefix, { getPauseMs: this.opts.getPauseMs }).observe(event => {
             switch (event.kind) {
                 case "put":
                     this.takeEntry(event.entry);
--- a/packages/relay/src/instance/relay-instance.ts
+++ b/packages/relay/src/instance/relay-instance.ts
@@ -43,6 +43,12 @@
 /** Connections to one target that an instance may always have. */
 const MIN_CONNECTIONS = 2;
 
+/** Pause of a watch after changes for each instance of the fleet, so that the fleet's reads do not grow with it; in milliseconds. */
+const WATCH_PAUSE_PER_INSTANCE_MS = 6;
+
+/** Changes of targets and of the desired state must be in force within two seconds; this leaves most of that. */
+const MAX_WATCH_PAUSE_MS = 600;
+
 const MS_PER_S = 1_000;
 const STOP_POLL_MS = 50;
 
@@ -130,6 +136,7 @@
             directory: this.directory,
             log: this.log,
             returnMs: TARGET_RETURN_MS,
+            getPauseMs: () => this.getWatchPauseMs(),
         });
         this.questionPorts = this.createQuestionPorts();
     }
@@ -208,7 +215,7 @@
         this.health.onChange(available =>
             log.write(available ? "KV service regained" : "KV service lost", { silentMs: this.health.silentMs })
         );
-        new DocumentFollower({ kv: this.kv, hub, codec: this.adapter.documents, holder: documents, log }).start();
+        new DocumentFollower({ kv: this.kv, hub, codec: this.adapter.documents, holder: documents, log, getPauseMs: () => this.getWatchPauseMs() }).start();
         this.follower.start();
         this.budgets.serve();
         hub.setPeerAddresses(cfg.seeds.map(parseAddress));
@@ -244,6 +251,10 @@
         return allowance;
     }
 
+    private getWatchPauseMs(): number {
+        return Math.min(MAX_WATCH_PAUSE_MS, WATCH_PAUSE_PER_INSTANCE_MS * (this.hub.peers().length + 1));
+    }
+
     private getConnectionLimit(service: string): number {
         const most = this.documents.current()?.findService(service)?.maxConnections ?? Number.POSITIVE_INFINITY;
         return Math.max(MIN_CONNECTIONS, Math.floor(most * CONNECTION_SHARE / (this.hub.peers().length + 1)));
--- a/packages/relay/src/targets/target-follower.ts
+++ b/packages/relay/src/targets/target-follower.ts
@@ -14,6 +14,8 @@
     readonly log: RelayLog;
     /** Time after an outage of the KV service in which targets announce themselves again, in milliseconds. */
     readonly returnMs: number;
+    /** Time between two reads of changes, in milliseconds. */
+    readonly getPauseMs: () => number;
 }
 
 /** Longest wait for a peer to take word of leaving targets, in milliseconds. */
@@ -42,7 +44,7 @@
                 .forEach(id => this.opts.log.write("target leaving", { target: id, source: "peer" }));
             return Promise.resolve({});
         });
-        void kv.watch(codec.prefix).observe(event => {
+        void kv.watch(codec.prefix, { getPauseMs: this.opts.getPauseMs }).observe(event => {
             switch (event.kind) {
                 case "put":
                     this.put(event.entry);
