--- a/packages/relay/src/instance/peer-kv-client.ts
+++ b/packages/relay/src/instance/peer-kv-client.ts
@@ -1,5 +1,13 @@
 import { hasResult, OspreyError } from "@ospreyreel/errors";
-import { KvClient, type KvEntry, type KvEvent, type KvTxn, type KvTxnResult, type RangeOptions, type WatchOptions } from "@ospreyreel/kv";
+import {
+    KvClient,
+    type KvEntry,
+    type KvEvent,
+    type KvTxn,
+    type KvTxnResult,
+    type RangeOptions,
+    type WatchOptions,
+} from "@ospreyreel/kv";
 import type { PeerHub } from "@ospreyreel/peer";
 import type { PeerKvOutcome } from "@ospreyreel/types";
 import type { Stream } from "most";
--- a/packages/relay/src/instance/relay-instance.ts
+++ b/packages/relay/src/instance/relay-instance.ts
@@ -215,7 +215,14 @@
         this.health.onChange(available =>
             log.write(available ? "KV service regained" : "KV service lost", { silentMs: this.health.silentMs })
         );
-        new DocumentFollower({ kv: this.kv, hub, codec: this.adapter.documents, holder: documents, log, getPauseMs: () => this.getWatchPauseMs() }).start();
+        new DocumentFollower({
+            kv: this.kv,
+            hub,
+            codec: this.adapter.documents,
+            holder: documents,
+            log,
+            getPauseMs: () => this.getWatchPauseMs(),
+        }).start();
         this.follower.start();
         this.budgets.serve();
         hub.setPeerAddresses(cfg.seeds.map(parseAddress));
