Serve budgets until they can be handed back; state dump; no idle connection for requests that may run once

Causes, by reading: an instance told to stop during an outage dropped its budgets without a record, so that nobody could own them until it ended; a budget just opened had a limit of nothing, so that an outage stopped it; a target may drop idle connections unseen, which loses a request that may not be repeated. Each has a test that failed first.

--- a/packages/bench/src/platform/platform-fleet.test.ts
+++ b/packages/bench/src/platform/platform-fleet.test.ts
@@ -45,6 +45,15 @@
     t.is((await fleet.call(first, "/plain/a", { authorization: "Bearer unknown" })).status, 401);
     const ready = await request(`http://${first.readiness}/ospreyreel/readiness`);
     t.is(ready.statusCode, 200);
+    const metrics = await (await request(`http://${first.metrics}/metrics`)).body.text();
+    t.regex(metrics, /ospreyreel_requests_total\{result="answered",service="plain"\} 1/);
+    const states = await Promise.all(
+        fleet.instances.map(async ({ metrics: at }) => (await request(`http://${at}/state`)).body.json() as unknown),
+    );
+    const owned =
+        (states as readonly { readonly budgets: readonly { readonly budget: string; readonly spent: number; }[]; }[])
+            .flatMap(state => state.budgets);
+    t.deepEqual(owned, [{ ...owned[0], budget: "team-1", spent: 130 }]);
 });
 
 test.serial("a budget is used up to its last tokens over all instances, and never beyond", async t => {
--- a/packages/bench/src/platform/platform-fleet.ts
+++ b/packages/bench/src/platform/platform-fleet.ts
@@ -22,6 +22,7 @@
     readonly callers: string;
     readonly readiness: string;
     readonly directory: string;
+    readonly metrics: string;
     process: RigProcess;
 }
 
@@ -174,5 +175,5 @@
     };
     const settingsFile = join(folder, `${name}.jsonc`);
     await writeFile(settingsFile, `// ${name}\n${JSON.stringify(settings)}`);
-    return { name, settingsFile, callers, readiness, directory, process: await startProcess(settingsFile) };
+    return { name, settingsFile, callers, readiness, directory, metrics, process: await startProcess(settingsFile) };
 };
--- a/packages/budgets/src/budget-owner.ts
+++ b/packages/budgets/src/budget-owner.ts
@@ -118,12 +118,17 @@
         return { kind: "granted", epoch, tokens, plenty: this.hasPlenty(budget) };
     }
 
-    /** Hands all shards back with exact bounds; for a graceful stop. */
-    async handBack(): Promise<void> {
+    /**
+     * Hands all shards back with exact bounds, for a graceful stop, and claims none from then on. Returns whether all
+     * are; those that the KV service did not take are still served.
+     */
+    async handBack(): Promise<boolean> {
         this.leaving = true;
         const owned = [...this.shards.values()];
         this.shards.clear();
-        await this.writer.handBack(owned);
+        const kept = await this.writer.handBack(owned);
+        kept.forEach(shard => this.shards.set(shard.shard, shard));
+        return kept.length === 0;
     }
 
     private async findShard(shard: number): Promise<OwnedShard | BudgetDrawAnswer> {
--- a/packages/budgets/src/fleet-budgets.test.ts
+++ b/packages/budgets/src/fleet-budgets.test.ts
@@ -100,6 +100,22 @@
     t.is(other === undefined ? 0 : await holdAll(other, 100), 900);
 });
 
+test("an owner that cannot hand its budgets back serves them until it can", async t => {
+    const fleet = createFleet(10_000);
+    const instances = startAll(fleet, 4);
+    await instances[0]?.budgets.hold("team", 100);
+    const owner = instances.find(({ budgets }) => budgets.list().length > 0);
+    const other = instances.find(instance => instance !== owner);
+    instances.forEach(({ kv }) => kv.disconnect());
+    owner?.hub.updateSelf({ state: "leaving" });
+    t.false(await owner?.budgets.handBack());
+    t.is((await other?.budgets.hold("team", 1))?.kind, "held");
+    instances.forEach(({ kv }) => kv.reconnect());
+    t.true(await owner?.budgets.handBack());
+    t.is((await other?.budgets.hold("team", 100))?.kind, "held");
+    t.deepEqual(owner?.budgets.list(), []);
+});
+
 test("a lost reply to a write is settled by reading the record", async t => {
     const fleet = createFleet(10_000);
     const instances = startAll(fleet, 3);
--- a/packages/budgets/src/fleet-budgets.ts
+++ b/packages/budgets/src/fleet-budgets.ts
@@ -44,9 +44,9 @@
         this.getBorrowed(budget).release(tokens);
     }
 
-    /** Hands the owned budgets back; for a graceful stop. */
-    async handBack(): Promise<void> {
-        await this.owner.handBack();
+    /** Hands the owned budgets back, for a graceful stop; returns whether all are. */
+    async handBack(): Promise<boolean> {
+        return await this.owner.handBack();
     }
 
     /** The budgets owned here. */
--- a/packages/budgets/src/shard-writer.ts
+++ b/packages/budgets/src/shard-writer.ts
@@ -47,8 +47,8 @@
         return this.next;
     }
 
-    /** Writes that nobody owns the shards, with exact bounds. */
-    async handBack(shards: readonly OwnedShard[]): Promise<void> {
+    /** Writes that nobody owns the shards, with exact bounds; returns those that certainly are still owned. */
+    async handBack(shards: readonly OwnedShard[]): Promise<readonly OwnedShard[]> {
         await this.running;
         const writes = shards.filter(owned => !owned.isDoubtful).map((owned): Write => {
             const budgets = [...owned.budgets.values()].map((
@@ -57,11 +57,18 @@
             const record = { ...owned.record, owner: undefined, witnesses: [], budgets: Object.fromEntries(budgets) };
             return { owned, record };
         });
+        const kept: OwnedShard[] = [];
         for (let at = 0; at < writes.length; at += MAX_SHARDS_PER_WRITE) {
             const batch = writes.slice(at, at + MAX_SHARDS_PER_WRITE);
-            // What is not handed back is taken over later, with the bounds that stand in the KV service.
-            await this.send(batch).catch(() => undefined);
+            try {
+                await this.send(batch);
+            }
+            catch (err) {
+                // One that may have been written is owned no more; whoever needs it takes it over.
+                kept.push(...hasResult(err, "kvUnavailable") ? batch.map(({ owned }) => owned) : []);
+            }
         }
+        return kept;
     }
 
     private async writeQueued(): Promise<void> {
--- a/packages/budgets/src/window-policy.ts
+++ b/packages/budgets/src/window-policy.ts
@@ -48,6 +48,9 @@
  */
 const EXTENSION_STEEPNESS = 5;
 
+/** Share of the rest that may be noted of a budget whose rate is not known yet, such as one just opened. */
+const LEAST_EXTENSION_SHARE = 0.05;
+
 /** Part of a window that may be used before the next one is written. */
 const WIDEN_AT_SHARE = 0.5;
 
@@ -71,7 +74,8 @@
         const nextWindow = Math.max(window, noted, Math.min(prepaid, ahead));
         const rest = Math.max(0, prepaid - nextWindow);
         const share = Math.min(this.cfg.extensionShare, EXTENSION_STEEPNESS * (rest / Math.max(1, prepaid)) ** 3);
-        const extension = Math.min(usualRatePerS * this.cfg.extensionS, rest * share);
+        const wanted = Math.max(usualRatePerS * this.cfg.extensionS, rest * LEAST_EXTENSION_SHARE);
+        const extension = Math.min(wanted, rest * share);
         return { window: nextWindow, limit: nextWindow + Math.ceil(extension) };
     }
 
--- a/packages/relay/src/http/http-target-port.test.ts
+++ b/packages/relay/src/http/http-target-port.test.ts
@@ -77,6 +77,21 @@
     t.is(await readBody(second), "right");
 });
 
+test("a request that may run once takes no connection that was idle for long", async t => {
+    const used: Socket[] = [];
+    const { port, target } = await open(t, socket => {
+        used.push(socket);
+        socket.write(`${HEAD}keep-alive: timeout=10\r\ncontent-length: 2\r\n\r\nok`);
+    });
+    for (const isRepeatable of [true, false]) {
+        await readBody(await port.send(createCall(target, { isRepeatable })));
+        await sleep(1_700);
+        await readBody(await port.send(createCall(target, { isRepeatable })));
+    }
+    t.is(used[0], used[1]);
+    t.not(used[2], used[3]);
+});
+
 test("nobody listening means that the request was not sent", async t => {
     const { port, target, server } = await open(t, () => undefined);
     server.close();
--- a/packages/relay/src/http/http-target-port.ts
+++ b/packages/relay/src/http/http-target-port.ts
@@ -8,15 +8,29 @@
 /** Time for which a connection without requests is kept, in milliseconds, where the target does not tell. */
 const KEEP_ALIVE_MS = 4_000;
 
+/** Longest time for which one is kept where the target tells a time, in milliseconds. */
+const LONGEST_KEEP_ALIVE_MS = 60_000;
+
 /** How much sooner than the target a connection is closed, in milliseconds, so that no request crosses its close. */
 const KEEP_ALIVE_MARGIN_MS = 1_000;
 
+/**
+ * The same for requests that may run once at most. Targets may drop idle connections without a word, and such a request
+ * is lost where its connection was dropped.
+ */
+const SINGLE_RUN_KEEP_ALIVE_MS = 1_000;
+
 const getTargetKey = (target: Target): string =>
     `${target.id} ${target.startedAtMs ?? ""} ${target.host}:${target.port}`;
 
+interface TargetPools {
+    readonly repeatable: Pool;
+    readonly singleRun: Pool;
+}
+
 /** Sends requests over HTTP/1.1, one at a time on each connection. */
 export class HttpTargetPort extends TargetPort {
-    private readonly pools = new Map<string, Pool>();
+    private readonly pools = new Map<string, TargetPools>();
 
     constructor(private readonly protocol: TargetProtocol) {
         super();
@@ -32,7 +46,8 @@
                 return;
             }
             signal.addEventListener("abort", abort, { once: true });
-            this.getPool(call.target).dispatch({
+            const { repeatable, singleRun } = this.getPools(call.target);
+            (call.isRepeatable ? repeatable : singleRun).dispatch({
                 path: req.path,
                 method: req.method,
                 headers: this.protocol.encode(call).flat(),
@@ -45,32 +60,41 @@
 
     override keepOnly(targets: readonly Target[]): void {
         const kept = new Set(targets.map(getTargetKey));
-        for (const [key, pool] of this.pools) {
+        for (const [key, { repeatable, singleRun }] of this.pools) {
             if (!kept.has(key)) {
                 this.pools.delete(key);
                 // Requests in flight end first.
-                void pool.close();
+                void repeatable.close();
+                void singleRun.close();
             }
         }
     }
 
     override async close(): Promise<void> {
-        await Promise.all([...this.pools.values()].map(pool => pool.destroy()));
+        const pools = [...this.pools.values()].flatMap(({ repeatable, singleRun }) => [repeatable, singleRun]);
+        await Promise.all(pools.map(pool => pool.destroy()));
     }
 
-    private getPool(target: Target): Pool {
+    private getPools(target: Target): TargetPools {
         const key = getTargetKey(target);
         const known = this.pools.get(key);
         if (known !== undefined) {
             return known;
         }
-        const pool = new Pool(`http://${target.host}:${target.port}`, {
-            pipelining: 1,
-            connect: createTargetConnector(),
-            keepAliveTimeout: KEEP_ALIVE_MS,
-            keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
-        });
-        this.pools.set(key, pool);
-        return pool;
+        const pools = {
+            repeatable: createPool(target, KEEP_ALIVE_MS, LONGEST_KEEP_ALIVE_MS),
+            singleRun: createPool(target, SINGLE_RUN_KEEP_ALIVE_MS, SINGLE_RUN_KEEP_ALIVE_MS),
+        };
+        this.pools.set(key, pools);
+        return pools;
     }
 }
+
+const createPool = (target: Target, keepAliveTimeout: number, keepAliveMaxTimeout: number): Pool =>
+    new Pool(`http://${target.host}:${target.port}`, {
+        pipelining: 1,
+        connect: createTargetConnector(),
+        keepAliveTimeout,
+        keepAliveMaxTimeout,
+        keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
+    });
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -17,6 +17,7 @@
 export * from "./instance/relay-instance.js";
 export * from "./instance/relay-metrics.js";
 export * from "./instance/relay-settings.js";
+export type * from "./instance/relay-state.js";
 export * from "./instance/run-relay.js";
 export * from "./policy/affinity-placement.js";
 export * from "./policy/placement-policy.js";
--- a/packages/relay/src/instance/relay-instance.ts
+++ b/packages/relay/src/instance/relay-instance.ts
@@ -8,7 +8,7 @@
 import { DocumentHolder } from "../document/document-holder.js";
 import { HttpCallerPort } from "../http/http-caller-port.js";
 import { HttpTargetPort } from "../http/http-target-port.js";
-import { QuestionPort } from "../http/question-port.js";
+import { type QuestionAnswer, QuestionPort } from "../http/question-port.js";
 import { AffinityPlacement } from "../policy/affinity-placement.js";
 import { RetryAllowance } from "../policy/retry-allowance.js";
 import { Relay } from "../relay.js";
@@ -21,6 +21,7 @@
 import type { InstanceView, RelayAdapter } from "./relay-adapter.js";
 import { RelayMetrics } from "./relay-metrics.js";
 import type { RelaySettings } from "./relay-settings.js";
+import { getTargetView, type RelayState } from "./relay-state.js";
 
 /** Time between two heartbeats to peers, in milliseconds. */
 const HEARTBEAT_MS = 400;
@@ -49,9 +50,16 @@
 /** Changes of targets and of the desired state must be in force within two seconds; this leaves most of that. */
 const MAX_WATCH_PAUSE_MS = 600;
 
+const METRICS_PATH = "/metrics";
+const STATE_PATH = "/state";
+const HTTP_NOT_FOUND = 404;
+
 const MS_PER_S = 1_000;
 const STOP_POLL_MS = 50;
 
+/** Time between two tries to hand budgets back while the KV service is away, in milliseconds. */
+const HAND_BACK_EVERY_MS = 300;
+
 /** Part of the time to stop after which requests that still run are cut, so that the process ends in order. */
 const STOP_SHARE = 0.94;
 
@@ -174,6 +182,20 @@
         return { isReady: this.isReady, addresses, addressTtlS: this.cfg.addressTtlS };
     }
 
+    /** What this instance believes now. */
+    get state(): RelayState {
+        return {
+            self: this.hub.self(),
+            isReady: this.isReady,
+            documentVersion: this.documents.version,
+            kvAvailable: this.health.isAvailable,
+            openRequests: this.relay.openRequests,
+            peers: this.hub.peers(),
+            targets: this.directory.list().map(getTargetView),
+            budgets: this.budgets.list(),
+        };
+    }
+
     /** Takes changed settings; only the addresses of other instances may change while it runs. */
     updateSettings(cfg: RelaySettings): void {
         this.hub.setPeerAddresses(cfg.seeds.map(parseAddress));
@@ -203,11 +225,22 @@
             }),
             new QuestionPort({
                 ...parseAddress(cfg.metrics),
-                answer: async () => ({ status: 200, body: await this.metrics.getText() }),
+                answer: async (_method, url) => await this.answerOperator(url.pathname),
             }),
         ];
     }
 
+    private async answerOperator(path: string): Promise<QuestionAnswer> {
+        switch (path) {
+            case METRICS_PATH:
+                return { status: 200, body: await this.metrics.getText() };
+            case STATE_PATH:
+                return { status: 200, contentType: "application/json", body: JSON.stringify(this.state) };
+            default:
+                return { status: HTTP_NOT_FOUND };
+        }
+    }
+
     private async open(): Promise<void> {
         const { cfg, documents, hub, log } = this;
         documents.onChange(() => this.callerPort.updateBounds());
@@ -267,6 +300,12 @@
         return Math.max(MIN_CONNECTIONS, Math.floor(most * CONNECTION_SHARE / (this.hub.peers().length + 1)));
     }
 
+    private async handBudgetsBack(): Promise<void> {
+        while (!await this.budgets.handBack()) {
+            await new Promise(resolve => setTimeout(resolve, HAND_BACK_EVERY_MS));
+        }
+    }
+
     private async stopOnce(): Promise<void> {
         const { cfg, log } = this;
         const endsAtMs = performance.now() + cfg.stopWithinS * MS_PER_S * STOP_SHARE;
@@ -275,7 +314,7 @@
         log.write("instance leaving", { openRequests: this.relay.openRequests });
         this.hub.updateSelf({ state: "leaving" });
         this.callerPort.drain();
-        void this.budgets.handBack();
+        void this.handBudgetsBack();
         await new Promise<void>(resolve => {
             const timer = setInterval(() => {
                 const nowMs = performance.now();
--- /dev/null
+++ b/packages/relay/src/instance/relay-state.ts
@@ -0,0 +1,38 @@
+import type { BudgetView } from "@ospreyreel/budgets";
+import type { InstanceInfo } from "@ospreyreel/types";
+import type { TargetState } from "../targets/target-state.js";
+
+/** One target in the state dump. */
+export interface TargetView {
+    readonly id: string;
+    readonly service: string;
+    readonly leaving: boolean;
+    readonly inFlight: number;
+    readonly errorShare: number;
+    /** Mean time to the first byte, in milliseconds. */
+    readonly firstByteMs: number | undefined;
+}
+
+/** What an instance believes, for operators. */
+export interface RelayState {
+    readonly self: InstanceInfo;
+    readonly isReady: boolean;
+    /** Version of the desired state in force; 0 before the first one. */
+    readonly documentVersion: number;
+    readonly kvAvailable: boolean;
+    readonly openRequests: number;
+    readonly peers: readonly InstanceInfo[];
+    readonly targets: readonly TargetView[];
+    /** Budgets that this instance owns. */
+    readonly budgets: readonly BudgetView[];
+}
+
+/** What the dump shows of a target. */
+export const getTargetView = ({ target, inFlight, health }: TargetState): TargetView => ({
+    id: target.id,
+    service: target.service,
+    leaving: target.leaving,
+    inFlight,
+    errorShare: health.errorShare,
+    firstByteMs: health.firstByteMs,
+});
--- a/packages/relay/src/relay-attempts.ts
+++ b/packages/relay/src/relay-attempts.ts
@@ -79,6 +79,7 @@
                 leftMs: clock.leftMs,
                 urgency: undefined,
                 afterEvent: this.stream.lastEventId,
+                isRepeatable: this.request.repeatable,
                 signal: clock.signal,
             });
             this.opts.meter.noteSend(outcome.kind, service);
--- a/packages/relay/src/targets/target-port.ts
+++ b/packages/relay/src/targets/target-port.ts
@@ -13,6 +13,8 @@
     readonly urgency: number | undefined;
     /** Event after which the stream is to begin. */
     readonly afterEvent: number | undefined;
+    /** Whether the request may be sent again where its connection breaks. */
+    readonly isRepeatable: boolean;
     /** Ends the call and its connection. */
     readonly signal: AbortSignal;
 }
