--- a/packages/budgets/src/budget-owner.ts
+++ b/packages/budgets/src/budget-owner.ts
@@ -53,6 +53,7 @@
 export class BudgetOwner {
     private readonly shards = new Map<number, OwnedShard>();
     private readonly claims = new Map<number, Promise<OwnedShard | BudgetDrawAnswer>>();
+    private readonly notes = new Map<OwnedBudget, Promise<void>>();
     private readonly elsewhere = new Map<number, Elsewhere>();
     private readonly policy: WindowPolicy;
     private readonly log: BudgetLog;
@@ -186,23 +187,41 @@
 
     private async widen(owned: OwnedShard, budget: OwnedBudget): Promise<void> {
         const written = this.writer.write(owned);
-        await (this.opts.isKvAvailable() ? written : this.note(owned, budget));
+        await (this.opts.isKvAvailable() ? written : this.noteAhead(owned, budget));
     }
 
     /** Has the witnesses keep a bound beyond the window; true where the use is covered by it. */
     private async note(owned: OwnedShard, budget: OwnedBudget): Promise<boolean> {
+        // A note that is on its way covers later draws too, so that they send none of their own.
+        await this.notes.get(budget);
+        if (budget.spent <= budget.usable) {
+            return true;
+        }
+        const note = this.notes.get(budget)
+            ?? this.sendNote(owned, budget).finally(() => this.notes.delete(budget));
+        this.notes.set(budget, note);
+        await note;
+        return budget.spent <= budget.usable;
+    }
+
+    /** Has a higher bound kept before it is needed, unless one is on its way. */
+    private async noteAhead(owned: OwnedShard, budget: OwnedBudget): Promise<void> {
+        if (!this.notes.has(budget)) {
+            const note = this.sendNote(owned, budget).finally(() => this.notes.delete(budget));
+            this.notes.set(budget, note);
+            await note;
+        }
+    }
+
+    private async sendNote(owned: OwnedShard, budget: OwnedBudget): Promise<void> {
         const { hub, getPrepaid } = this.opts;
         const numbers = owned.getNumbers(budget, getPrepaid(budget.name));
         const upTo = this.policy.getNote(numbers, budget.limitCap);
         if (upTo === undefined || !owned.mayNote) {
-            this.log("bound not noted", {
-                budget: budget.name,
-                ...numbers,
-                limit: budget.limitCap,
-                witnesses: owned.record.witnesses.length,
-                mayNote: owned.mayNote,
-            });
-            return false;
+            const { limitCap: limit } = budget;
+            const witnesses = owned.record.witnesses.length;
+            this.log("bound not noted", { budget: budget.name, ...numbers, limit, witnesses, mayNote: owned.mayNote });
+            return;
         }
         const note: BudgetNote = { shard: owned.shard, epoch: owned.epoch, budget: budget.name, upTo };
         const { witnesses } = owned.record;
@@ -214,7 +233,6 @@
         if (!isTaken || !budget.takeNote(upTo)) {
             this.log("bound not taken by enough witnesses", { budget: budget.name, upTo, taken });
         }
-        return budget.spent <= budget.usable;
     }
 
     private drop(owned: OwnedShard): void {
--- a/packages/relay/src/instance/relay-instance.ts
+++ b/packages/relay/src/instance/relay-instance.ts
@@ -2,7 +2,7 @@
 import { BreakerKvClient, KvHealth } from "@ospreyreel/kv";
 import { createTcpPeerHub, type TcpPeerHub } from "@ospreyreel/peer";
 import { Counters } from "@ospreyreel/telemetry";
-import type { Address } from "@ospreyreel/types";
+import type { Address, InstanceInfo } from "@ospreyreel/types";
 import { randomUUID } from "node:crypto";
 import { DocumentFollower } from "../document/document-follower.js";
 import { DocumentHolder } from "../document/document-holder.js";
@@ -63,8 +63,11 @@
 /** Part of the time to stop after which requests that still run are cut, so that the process ends in order. */
 const STOP_SHARE = 0.94;
 
-const shuffle = <T>(items: readonly T[]): readonly T[] =>
-    items.map(item => ({ item, at: Math.random() })).toSorted((a, b) => a.at - b.at).map(({ item }) => item);
+/** Addresses in a random order in which larger instances come sooner. */
+const drawAddresses = (instances: readonly InstanceInfo[]): readonly string[] =>
+    instances.map(({ caller, cores = 1 }) => ({ caller, at: -Math.log(1 - Math.random()) / cores }))
+        .toSorted((a, b) => a.at - b.at)
+        .map(({ caller }) => formatAddress(caller));
 
 const formatAddress = (address: Address): string => `${address.host}:${address.port}`;
 
@@ -161,6 +164,7 @@
                 peer: parseAddress(cfg.peer),
                 state: "leaving",
                 configRevision: 0,
+                cores: cfg.processor.cores * cfg.processor.share,
             },
             listen: parseAddress(cfg.peer),
             sharedKey: cfg.sharedKey,
@@ -175,10 +179,10 @@
 
     /** What the platform and callers may know of this instance. */
     get view(): InstanceView {
-        const live = this.hub.peers().filter(peer => peer.state === "live").map(peer => formatAddress(peer.caller));
-        const own = this.isReady ? [this.cfg.callers] : [];
+        const live = this.hub.peers().filter(peer => peer.state === "live");
+        const own = this.isReady ? [this.hub.self()] : [];
         // Each answer of a large fleet names other instances, so that all get their share of callers.
-        const addresses = shuffle([...own, ...live]).slice(0, MAX_ADDRESSES);
+        const addresses = drawAddresses([...own, ...live]).slice(0, MAX_ADDRESSES);
         return { isReady: this.isReady, addresses, addressTtlS: this.cfg.addressTtlS };
     }
 
--- a/packages/relay/src/instance/relay-settings.ts
+++ b/packages/relay/src/instance/relay-settings.ts
@@ -32,6 +32,10 @@
         windowS: Type.Number({ description: "Window of that bound, in seconds.", exclusiveMinimum: 0 }),
         slack: Type.Number({ description: "Repeated sends in a window whatever the traffic.", minimum: 0 }),
     }, { additionalProperties: false }),
+    processor: Type.Object({
+        cores: Type.Number({ description: "Cores of the instance.", exclusiveMinimum: 0, default: 1 }),
+        share: Type.Number({ description: "Share of them that it may use.", exclusiveMinimum: 0, default: 1 }),
+    }, { additionalProperties: false, default: {} }),
     stopWithinS: Type.Number({ description: "Time from a stop signal to the end, in seconds.", minimum: 1 }),
     addressTtlS: Type.Number({ description: "Time for which callers keep addresses, in seconds.", minimum: 0.1 }),
 }, { additionalProperties: false });
--- a/packages/types/src/instance-info.ts
+++ b/packages/types/src/instance-info.ts
@@ -18,4 +18,6 @@
     readonly state: InstanceState;
     /** Revision of the operators' document in force; 0 before the first one. */
     readonly configRevision: number;
+    /** Processor cores that the instance may use, parts of one included; undefined counts as one. */
+    readonly cores?: number;
 }
