Split the relaying instance and the owner's notes into parts with one job each

What an instance's share of the fleet's bounds is, its addresses, its hub and the sending of notes are files of their own.

--- a/packages/budgets/src/budget-owner.ts
+++ b/packages/budgets/src/budget-owner.ts
@@ -1,11 +1,12 @@
 import type { KvClient } from "@ospreyreel/kv";
 import type { PeerHub } from "@ospreyreel/peer";
-import type { BudgetDrawAnswer, BudgetDrawRequest, BudgetNote, InstanceInfo } from "@ospreyreel/types";
+import type { BudgetDrawAnswer, BudgetDrawRequest, InstanceInfo } from "@ospreyreel/types";
 import type { BudgetLog } from "./budget-log.js";
 import { getShard, orderOwners } from "./budget-shards.js";
+import { NoteSender } from "./note-sender.js";
 import type { OwnedBudget } from "./owned-budget.js";
 import type { OwnedShard } from "./owned-shard.js";
-import { getNoteQuorum, ShardClaimer } from "./shard-claimer.js";
+import { ShardClaimer } from "./shard-claimer.js";
 import { ShardWriter } from "./shard-writer.js";
 import { SCARCE_SHARE, WindowPolicy } from "./window-policy.js";
 
@@ -35,9 +36,6 @@
 /** Longest wait of a draw for a claim, in milliseconds; the claim goes on. Two usual answers and a seal. */
 const CLAIM_WAIT_MS = 100;
 
-/** Longest wait for a witness, in milliseconds; some round trips within a region. */
-const NOTE_TIMEOUT_MS = 100;
-
 /** Rest of a budget, in seconds of use, below which borrowers should keep nothing. */
 const PLENTY_S = 4;
 
@@ -53,7 +51,7 @@
 export class BudgetOwner {
     private readonly shards = new Map<number, OwnedShard>();
     private readonly claims = new Map<number, Promise<OwnedShard | BudgetDrawAnswer>>();
-    private readonly notes = new Map<OwnedBudget, Promise<void>>();
+    private readonly notes: NoteSender;
     private readonly elsewhere = new Map<number, Elsewhere>();
     private readonly policy: WindowPolicy;
     private readonly log: BudgetLog;
@@ -65,6 +63,7 @@
         this.policy = opts.policy ?? new WindowPolicy();
         this.log = opts.log ?? (() => undefined);
         const chooseWitnesses = (shard: number): readonly string[] => this.chooseWitnesses(shard);
+        this.notes = new NoteSender({ ...opts, policy: this.policy, log: this.log });
         const startedAtMs = performance.now();
         this.claimer = new ShardClaimer({
             kv: opts.kv,
@@ -182,57 +181,12 @@
         if (isKvAvailable()) {
             await Promise.race([written, sleep(WRITE_WAIT_MS)]);
         }
-        return budget.spent <= budget.usable || await this.note(owned, budget);
+        return budget.spent <= budget.usable || await this.notes.cover(owned, budget);
     }
 
     private async widen(owned: OwnedShard, budget: OwnedBudget): Promise<void> {
         const written = this.writer.write(owned);
-        await (this.opts.isKvAvailable() ? written : this.noteAhead(owned, budget));
-    }
-
-    /** Has the witnesses keep a bound beyond the window; true where the use is covered by it. */
-    private async note(owned: OwnedShard, budget: OwnedBudget): Promise<boolean> {
-        // A note that is on its way covers later draws too, so that they send none of their own.
-        await this.notes.get(budget);
-        if (budget.spent <= budget.usable) {
-            return true;
-        }
-        const note = this.notes.get(budget)
-            ?? this.sendNote(owned, budget).finally(() => this.notes.delete(budget));
-        this.notes.set(budget, note);
-        await note;
-        return budget.spent <= budget.usable;
-    }
-
-    /** Has a higher bound kept before it is needed, unless one is on its way. */
-    private async noteAhead(owned: OwnedShard, budget: OwnedBudget): Promise<void> {
-        if (!this.notes.has(budget)) {
-            const note = this.sendNote(owned, budget).finally(() => this.notes.delete(budget));
-            this.notes.set(budget, note);
-            await note;
-        }
-    }
-
-    private async sendNote(owned: OwnedShard, budget: OwnedBudget): Promise<void> {
-        const { hub, getPrepaid } = this.opts;
-        const numbers = owned.getNumbers(budget, getPrepaid(budget.name));
-        const upTo = this.policy.getNote(numbers, budget.limitCap);
-        if (upTo === undefined || !owned.mayNote) {
-            const { limitCap: limit } = budget;
-            const witnesses = owned.record.witnesses.length;
-            this.log("bound not noted", { budget: budget.name, ...numbers, limit, witnesses, mayNote: owned.mayNote });
-            return;
-        }
-        const note: BudgetNote = { shard: owned.shard, epoch: owned.epoch, budget: budget.name, upTo };
-        const { witnesses } = owned.record;
-        const answers = await Promise.allSettled(
-            witnesses.map(witness => hub.request(witness, "budget.note", { notes: [note] }, NOTE_TIMEOUT_MS)),
-        );
-        const taken = answers.filter(answer => answer.status === "fulfilled" && answer.value.taken).length;
-        const isTaken = taken >= getNoteQuorum(witnesses.length) && owned.record.witnesses === witnesses;
-        if (!isTaken || !budget.takeNote(upTo)) {
-            this.log("bound not taken by enough witnesses", { budget: budget.name, upTo, taken });
-        }
+        await (this.opts.isKvAvailable() ? written : this.notes.sendAhead(owned, budget));
     }
 
     private drop(owned: OwnedShard): void {
--- /dev/null
+++ b/packages/relay/src/instance/create-relay-hub.ts
@@ -0,0 +1,32 @@
+import { createTcpPeerHub, type TcpPeerHub } from "@ospreyreel/peer";
+import { Counters } from "@ospreyreel/telemetry";
+import { randomUUID } from "node:crypto";
+import { parseAddress } from "./instance-addresses.js";
+import type { RelaySettings } from "./relay-settings.js";
+
+/** Time between two heartbeats to peers, in milliseconds. */
+const HEARTBEAT_MS = 400;
+
+/** Silence after which a peer counts as lost, in milliseconds; three heartbeats and a late timer. */
+const PEER_TIMEOUT_MS = 1_500;
+
+/** Listens for peers; the instance tells of itself as leaving until it takes requests. */
+export const createRelayHub = async (cfg: RelaySettings): Promise<TcpPeerHub> =>
+    await createTcpPeerHub({
+        self: {
+            instance: cfg.instance,
+            incarnation: randomUUID(),
+            availabilityZone: cfg.availabilityZone,
+            region: cfg.region,
+            caller: parseAddress(cfg.callers),
+            peer: parseAddress(cfg.peer),
+            state: "leaving",
+            configRevision: 0,
+            cores: cfg.processor.cores * cfg.processor.share,
+        },
+        listen: parseAddress(cfg.peer),
+        sharedKey: cfg.sharedKey,
+        heartbeatMs: HEARTBEAT_MS,
+        peerTimeoutMs: PEER_TIMEOUT_MS,
+        counters: new Counters(),
+    });
--- a/packages/relay/src/instance/relay-instance.ts
+++ b/packages/relay/src/instance/relay-instance.ts
@@ -1,34 +1,27 @@
 import { FleetBudgets } from "@ospreyreel/budgets";
 import { BreakerKvClient, KvHealth } from "@ospreyreel/kv";
-import { createTcpPeerHub, type TcpPeerHub } from "@ospreyreel/peer";
-import { Counters } from "@ospreyreel/telemetry";
-import type { Address, InstanceInfo } from "@ospreyreel/types";
-import { randomUUID } from "node:crypto";
+import type { TcpPeerHub } from "@ospreyreel/peer";
 import { DocumentFollower } from "../document/document-follower.js";
 import { DocumentHolder } from "../document/document-holder.js";
 import { HttpCallerPort } from "../http/http-caller-port.js";
 import { HttpTargetPort } from "../http/http-target-port.js";
 import { type QuestionAnswer, QuestionPort } from "../http/question-port.js";
 import { AffinityPlacement } from "../policy/affinity-placement.js";
-import { RetryAllowance } from "../policy/retry-allowance.js";
 import { Relay } from "../relay.js";
 import { TargetDirectory } from "../targets/target-directory.js";
 import { TargetFollower } from "../targets/target-follower.js";
 import { TargetSelector } from "../targets/target-selector.js";
 import { BoundedLog } from "./bounded-log.js";
+import { createRelayHub } from "./create-relay-hub.js";
 import { FleetBudgetGate } from "./fleet-budget-gate.js";
+import { FleetShares } from "./fleet-shares.js";
+import { drawAddresses, parseAddress } from "./instance-addresses.js";
 import { PeerKvClient } from "./peer-kv-client.js";
 import type { InstanceView, RelayAdapter } from "./relay-adapter.js";
 import { RelayMetrics } from "./relay-metrics.js";
 import type { RelaySettings } from "./relay-settings.js";
 import { getTargetView, type RelayState } from "./relay-state.js";
 
-/** Time between two heartbeats to peers, in milliseconds. */
-const HEARTBEAT_MS = 400;
-
-/** Silence after which a peer counts as lost, in milliseconds; three heartbeats and a late timer. */
-const PEER_TIMEOUT_MS = 1_500;
-
 /**
  * Time after an outage in which targets announce themselves again, in milliseconds. They need up to two seconds; one
  * that is gone must get nothing after two seconds, so that the wait ends sooner.
@@ -38,18 +31,6 @@
 /** Most addresses in one answer to a caller. */
 const MAX_ADDRESSES = 64;
 
-/** Share of a target's connections that this fleet takes, since the others' counts are known late. */
-const CONNECTION_SHARE = 0.8;
-
-/** Connections to one target that an instance may always have. */
-const MIN_CONNECTIONS = 2;
-
-/** Pause of a watch after changes for each instance of the fleet, so that the fleet's reads do not grow with it; in milliseconds. */
-const WATCH_PAUSE_PER_INSTANCE_MS = 6;
-
-/** Changes of targets and of the desired state must be in force within two seconds; this leaves most of that. */
-const MAX_WATCH_PAUSE_MS = 600;
-
 const METRICS_PATH = "/metrics";
 const STATE_PATH = "/state";
 const HTTP_NOT_FOUND = 404;
@@ -63,19 +44,6 @@
 /** Part of the time to stop after which requests that still run are cut, so that the process ends in order. */
 const STOP_SHARE = 0.94;
 
-/** Addresses in a random order in which larger instances come sooner. */
-const drawAddresses = (instances: readonly InstanceInfo[]): readonly string[] =>
-    instances.map(({ caller, cores = 1 }) => ({ caller, at: -Math.log(1 - Math.random()) / cores }))
-        .toSorted((a, b) => a.at - b.at)
-        .map(({ caller }) => formatAddress(caller));
-
-const formatAddress = (address: Address): string => `${address.host}:${address.port}`;
-
-const parseAddress = (text: string): Address => {
-    const at = text.lastIndexOf(":");
-    return { host: text.slice(0, at), port: Number(text.slice(at + 1)) };
-};
-
 /** One entry instance that relays between the callers and the targets of a platform. */
 export class RelayInstance {
     readonly metrics = new RelayMetrics();
@@ -83,7 +51,7 @@
     private readonly documents = new DocumentHolder();
     private readonly directory = new TargetDirectory();
     private readonly health = new KvHealth();
-    private readonly retries = new Map<string, RetryAllowance>();
+    private readonly shares: FleetShares;
     private readonly kv: BreakerKvClient;
     private readonly targetPort: HttpTargetPort;
     private readonly callerPort: HttpCallerPort;
@@ -109,6 +77,7 @@
             this.health,
         );
         this.targetPort = new HttpTargetPort(adapter.sends);
+        this.shares = new FleetShares({ hub, documents: this.documents, retries: cfg.retries });
         const fleetKv = new PeerKvClient({ own: this.kv, hub });
         fleetKv.serve();
         this.budgets = new FleetBudgets({
@@ -124,11 +93,11 @@
                 directory: this.directory,
                 placement: new AffinityPlacement(),
                 availabilityZone: cfg.availabilityZone,
-                getConnectionLimit: service => this.getConnectionLimit(service),
+                getConnectionLimit: service => this.shares.getConnectionLimit(service),
             }),
             port: this.targetPort,
             budgets: new FleetBudgetGate(this.budgets),
-            getRetries: service => this.getRetries(service),
+            getRetries: service => this.shares.getRetries(service),
             log: this.log,
             meter: this.metrics,
             random: Math.random,
@@ -147,31 +116,14 @@
             directory: this.directory,
             log: this.log,
             returnMs: TARGET_RETURN_MS,
-            getPauseMs: () => this.getWatchPauseMs(),
+            getPauseMs: () => this.shares.watchPauseMs,
         });
         this.questionPorts = this.createQuestionPorts();
     }
 
     /** Starts an instance; resolves when its ports listen. Throws where one can't be listened on. */
     static async start(cfg: RelaySettings, adapter: RelayAdapter): Promise<RelayInstance> {
-        const hub = await createTcpPeerHub({
-            self: {
-                instance: cfg.instance,
-                incarnation: randomUUID(),
-                availabilityZone: cfg.availabilityZone,
-                region: cfg.region,
-                caller: parseAddress(cfg.callers),
-                peer: parseAddress(cfg.peer),
-                state: "leaving",
-                configRevision: 0,
-                cores: cfg.processor.cores * cfg.processor.share,
-            },
-            listen: parseAddress(cfg.peer),
-            sharedKey: cfg.sharedKey,
-            heartbeatMs: HEARTBEAT_MS,
-            peerTimeoutMs: PEER_TIMEOUT_MS,
-            counters: new Counters(),
-        });
+        const hub = await createRelayHub(cfg);
         const instance = new RelayInstance(cfg, adapter, hub);
         await instance.open();
         return instance;
@@ -258,7 +210,7 @@
             codec: this.adapter.documents,
             holder: documents,
             log,
-            getPauseMs: () => this.getWatchPauseMs(),
+            getPauseMs: () => this.shares.watchPauseMs,
         }).start();
         this.follower.start();
         this.budgets.serve();
@@ -279,31 +231,6 @@
         }, STOP_POLL_MS);
     }
 
-    private getRetries(service: string): RetryAllowance {
-        const known = this.retries.get(service);
-        if (known !== undefined) {
-            return known;
-        }
-        const { ratio, windowS, slack } = this.cfg.retries;
-        const allowance = new RetryAllowance({
-            ratio,
-            slack,
-            windowMs: windowS * MS_PER_S,
-            getInstances: () => this.hub.peers().length + 1,
-        });
-        this.retries.set(service, allowance);
-        return allowance;
-    }
-
-    private getWatchPauseMs(): number {
-        return Math.min(MAX_WATCH_PAUSE_MS, WATCH_PAUSE_PER_INSTANCE_MS * (this.hub.peers().length + 1));
-    }
-
-    private getConnectionLimit(service: string): number {
-        const most = this.documents.current()?.findService(service)?.maxConnections ?? Number.POSITIVE_INFINITY;
-        return Math.max(MIN_CONNECTIONS, Math.floor(most * CONNECTION_SHARE / (this.hub.peers().length + 1)));
-    }
-
     private async handBudgetsBack(): Promise<void> {
         while (!await this.budgets.handBack()) {
             await new Promise(resolve => setTimeout(resolve, HAND_BACK_EVERY_MS));
