Share how a watch becomes a stream; drop an unused count

A count of unanswered requests was never used, and a doc line told of a value that is never returned.

--- a/packages/kv/src/etcd-watch.ts
+++ b/packages/kv/src/etcd-watch.ts
@@ -1,10 +1,10 @@
 import type { Counters } from "@ospreyreel/telemetry";
-import type { Disposable, Scheduler, Sink, Source } from "most";
 import { createInterface } from "node:readline";
 import { setTimeout as sleep } from "node:timers/promises";
 import type { EtcdGateway } from "./etcd-gateway.js";
 import { type GatewayWatchMessage, keyFromBase64, prefixEnd, toBase64, toKvEntry } from "./etcd-messages.js";
 import type { KvEvent } from "./kv-event.js";
+import { KvWatchSource } from "./kv-watch-source.js";
 
 /** What a watch follows and how it reconnects. */
 export interface EtcdWatchOptions {
@@ -21,30 +21,19 @@
 const LONGEST_DELAY_MS = 2000;
 
 /** Source of the changes under a prefix; each run is one watch. */
-export class EtcdWatch implements Source<KvEvent> {
+export class EtcdWatch extends KvWatchSource {
     private readonly opts: EtcdWatchOptions;
 
     constructor(opts: EtcdWatchOptions) {
+        super();
         this.opts = opts;
     }
 
-    /** Starts the watch; it ends when disposed or when the client closes. */
-    run(sink: Sink<KvEvent>, scheduler: Scheduler): Disposable<KvEvent> {
-        const disposed = new AbortController();
-        const signal = AbortSignal.any([disposed.signal, this.opts.closed]);
-        const emit = (event: KvEvent): void => {
-            if (!signal.aborted) {
-                sink.event(scheduler.now(), event);
-            }
-        };
-        this.follow(emit, signal).then(
-            () => sink.end(scheduler.now()),
-            (err: unknown) => sink.error(scheduler.now(), err as Error),
-        );
-        return { dispose: () => disposed.abort() };
+    protected override get closed(): AbortSignal {
+        return this.opts.closed;
     }
 
-    private async follow(emit: (event: KvEvent) => void, signal: AbortSignal): Promise<void> {
+    protected override async follow(emit: (event: KvEvent) => void, signal: AbortSignal): Promise<void> {
         let delayMs = FIRST_DELAY_MS;
         while (!signal.aborted) {
             let opened = false;
--- a/packages/kv/src/index.ts
+++ b/packages/kv/src/index.ts
@@ -6,3 +6,4 @@
 export type * from "./kv-event.js";
 export * from "./kv-health.js";
 export type * from "./kv-txn.js";
+export * from "./kv-watch-source.js";
--- a/packages/relay/src/http/header-list.ts
+++ b/packages/relay/src/http/header-list.ts
@@ -22,7 +22,7 @@
     return pairs;
 };
 
-/** Value of a header; undefined where it is missing, and "repeated" where it comes with different values. */
+/** First value of a header; undefined where it is missing. */
 export const findHeader = (
     pairs: readonly (readonly [string, string])[],
     name: string,
--- a/packages/relay/src/targets/target-state.ts
+++ b/packages/relay/src/targets/target-state.ts
@@ -5,8 +5,6 @@
 export class TargetState {
     /** Own requests that it works on. */
     inFlight = 0;
-    /** Own requests that were sent and have no byte of an answer yet. */
-    unanswered = 0;
     readonly health = new TargetHealth();
 
     constructor(public target: Target) {}
