Register an incarnation once, however long its registration takes

Cause: each turn of the background work (every 20 ms in tests, 1 s in the daemon) that began before the first registration had ended asked for one of its own. They ran one after another and each wrote the incarnation's record, which every draw compares: a draw that lost 12 times in a row was refused with 503. Searches for a copy holder queued up in the same way.

--- a/packages/ledger/src/copy-link.ts
+++ b/packages/ledger/src/copy-link.ts
@@ -48,6 +48,9 @@
     private queue: Pending[] = [];
     private pumping = false;
     private failedAtMs = -Infinity;
+    private registered = false;
+    /** The search that runs or waits; all that ask meanwhile share it, since each search writes the record. */
+    private finding: Promise<void> | undefined;
     /** Appends and moves never overlap, so that generations grow in the order in which they are sent. */
     private readonly inTurn = pLimit(1);
 
@@ -63,9 +66,17 @@
         return !this.broken;
     }
 
-    /** Opens the first copy and creates the incarnation's record. Throws what the guard throws. */
+    /**
+     * Opens the first copy and creates the incarnation's record, once however often it is asked for: a record written
+     * anew refuses every draw that compares the one before. Throws what the guard throws.
+     */
     async register(): Promise<void> {
-        await this.inTurn(() => this.change(undefined));
+        await this.inTurn(async () => {
+            if (!this.registered) {
+                await this.change(undefined);
+                this.registered = true;
+            }
+        });
     }
 
     /**
@@ -102,6 +113,13 @@
 
     /** Finds a copy holder where there is none. Throws as {@link append} does. */
     async findHolder(): Promise<void> {
+        this.finding ??= this.findHolderInTurn().finally(() => {
+            this.finding = undefined;
+        });
+        await this.finding;
+    }
+
+    private async findHolderInTurn(): Promise<void> {
         await this.inTurn(async () => {
             if (this.holder === undefined) {
                 await this.change(undefined);
