Tell of being ready once an instance is registered

Cause: the ready line and /health looked at the document only, while registration needs another answer of the KV service. Now /health asks for a registered incarnation; the ready line comes after the first try at both, so that an instance started in an outage still comes up (config-outages.test.ts, which failed where the line waited for success). Test: 'restarted while the key-value service is slow' (503 not_ready before).

--- a/packages/bench/src/rig/fleet.test.ts
+++ b/packages/bench/src/rig/fleet.test.ts
@@ -7,6 +7,8 @@
 import { startFleet } from "./start-fleet.js";
 
 const KEY = "key-of-alpha";
+/** Below the limit of one call, and long beside the time that meeting the peers takes. */
+const SLOW_KV_MS = 400;
 
 const createDocument = (targets: readonly Target[]): OperatorsDocument => ({
     teams: [{
@@ -20,14 +22,15 @@
     rules: [{ name: "drafts", teams: ["*"], asks: "reader", routes: [{ offering: "drafts", share: 1 }] }],
 });
 
-const complete = async (fleet: Fleet, index: number): Promise<number> => {
+/** The answer's status, with its text where it is not the whole answer. */
+const complete = async (fleet: Fleet, index: number): Promise<string> => {
     const res = await request(`${fleet.instance(index).callerUrl}/v1/chat/completions`, {
         method: "POST",
         headers: { "authorization": `Bearer ${KEY}`, "content-type": "application/json" },
         body: JSON.stringify({ model: "reader", messages: [{ role: "user", content: "len=3" }] }),
     });
-    await res.body.dump();
-    return res.statusCode;
+    const text = await res.body.text();
+    return res.statusCode === 200 ? "200" : `${res.statusCode} ${text}`;
 };
 
 const awaitPeers = async (fleet: Fleet, index: number, names: readonly string[]): Promise<void> => {
@@ -51,7 +54,7 @@
 
 test("a fleet serves on every instance and stops gracefully", async t => {
     const fleet = await startSmallFleet(t);
-    t.deepEqual(await Promise.all([0, 1, 2].map(index => complete(fleet, index))), [200, 200, 200]);
+    t.deepEqual(await Promise.all([0, 1, 2].map(index => complete(fleet, index))), ["200", "200", "200"]);
     t.deepEqual(await fleet.instance(1).stop(), { code: 0, signal: undefined });
     t.true((await fleet.platform.getKvCalls()).writes > 0);
 });
@@ -71,5 +74,15 @@
     await awaitPeers(fleet, 0, ["instance-1"]);
     await fleet.restart(2);
     await awaitPeers(fleet, 0, ["instance-1", "instance-2"]);
-    t.is(await complete(fleet, 2), 200);
+    t.is(await complete(fleet, 2), "200");
+});
+
+test("an instance restarted while the key-value service is slow can reserve for its first request", async t => {
+    const fleet = await startSmallFleet(t);
+    await awaitPeers(fleet, 0, ["instance-1", "instance-2"]);
+    await fleet.kill(2);
+    await awaitPeers(fleet, 0, ["instance-1"]);
+    await fleet.platform.setKvFaults({ stallMs: SLOW_KV_MS });
+    await fleet.restart(2);
+    t.is(await complete(fleet, 2), "200");
 });
--- a/packages/daemon/src/caller-routes.ts
+++ b/packages/daemon/src/caller-routes.ts
@@ -1,5 +1,6 @@
 import type { ConfigStore, OperatorsDocument, Settings } from "@ospreyreel/config";
 import { OspreyError } from "@ospreyreel/errors";
+import type { Ledger } from "@ospreyreel/ledger";
 import type { AddressBook, PeerHub } from "@ospreyreel/peer";
 import { type CallerRequest, getAddressAnswer, getCaller, isRequestPath, type RequestPath } from "@ospreyreel/router";
 import type { IncomingMessage } from "node:http";
@@ -11,6 +12,7 @@
     readonly hub: PeerHub;
     readonly book: AddressBook;
     readonly path: RequestPath;
+    readonly ledger: Pick<Ledger, "registered">;
 }
 
 /** Paths that callers may ask for. */
@@ -60,7 +62,7 @@
 
     private sendHealth(call: CallerRequest): void {
         const { state } = this.opts.hub.self();
-        const ready = this.opts.config.current() !== undefined;
+        const ready = this.opts.config.current() !== undefined && this.opts.ledger.registered;
         this.send(call, ready && state === "live" ? 200 : 503, { state, ready });
     }
 
--- a/packages/daemon/src/create-parts.ts
+++ b/packages/daemon/src/create-parts.ts
@@ -93,7 +93,7 @@
     const list = new ListPoller({ ...cfg.instanceList, counters });
     const loads = new LoadPoller({ pool, client, counters });
     const orders = createOrderKeeper(cfg, { kv, config, client, counters, incarnation: hub.self().incarnation });
-    const routes = new CallerRoutes({ cfg, config, hub, book, path });
+    const routes = new CallerRoutes({ cfg, config, hub, book, path, ledger });
     const meter = new ProcessMeter();
     const gauges = new GaugeReporter({ meter, admission, ledger, counters });
     const api = createOperatorApi({
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -32,6 +32,7 @@
     private readonly leaving = new AbortController();
     private stopped: Promise<void> | undefined;
     private taking: Promise<void> = Promise.resolve();
+    private lookedForDocument: Promise<void> = Promise.resolve();
     private ordering: Promise<void> | undefined;
 
     private constructor(
@@ -78,9 +79,14 @@
         return daemon;
     }
 
-    /** Resolves once requests are taken: the listed instances were met, or are not there. */
-    async awaitTaking(): Promise<void> {
+    /**
+     * Resolves once requests are taken: the listed instances were met, or are not there, and the document in force and
+     * an incarnation's registration were tried for once. During an outage both may still be lacking; `/health` tells.
+     */
+    async awaitReady(): Promise<void> {
         await this.taking;
+        await this.lookedForDocument;
+        await this.parts.ledger.awaitFirstTry();
     }
 
     /** Graceful stop: takes no new work, ends what runs, hands grants back. Called again, it waits for the same stop. */
@@ -113,20 +119,27 @@
         void parts.admission.run(this.stopper.signal);
         void parts.loads.run();
         this.ordering = parts.orders.keeper.run(this.leaving.signal);
+        this.lookedForDocument = this.lookForDocument();
         void this.awaitConfiguration();
         this.log.info({ instance: cfg.instance, incarnation: parts.hub.self().incarnation }, "instance started");
         await met;
     }
 
     private async awaitConfiguration(): Promise<void> {
-        const { config, list } = this.parts;
-        while (!this.stopper.signal.aborted && config.current() === undefined) {
-            const majorityOf = list.current().instances.map(listed => listed.instance);
-            await config.awaitCurrent({ majorityOf }).catch(() => undefined);
+        await this.lookedForDocument;
+        while (!this.stopper.signal.aborted && this.parts.config.current() === undefined) {
             await sleep(FRESH_START_PAUSE_MS);
+            await this.lookForDocument();
         }
     }
 
+    private async lookForDocument(): Promise<void> {
+        const { config, list } = this.parts;
+        const majorityOf = list.current().instances.map(listed => listed.instance);
+        // A new fleet has none, and while nobody can be asked the next look may find it: the store has logged either.
+        await config.awaitCurrent({ majorityOf }).catch(() => undefined);
+    }
+
     private async stopOnce(): Promise<void> {
         const { cfg, parts } = this;
         this.log.info({ instance: cfg.instance }, "instance is leaving");
--- a/packages/daemon/src/run-daemon.ts
+++ b/packages/daemon/src/run-daemon.ts
@@ -43,7 +43,7 @@
         const daemon = await Daemon.start(cfg, opts.policies);
         stopOn(daemon, "SIGTERM");
         stopOn(daemon, "SIGINT");
-        await daemon.awaitTaking();
+        await daemon.awaitReady();
         const { instance } = cfg;
         const ready = { ready: true, role: "instance", instance, ...daemon.addresses, pid: process.pid };
         process.stdout.write(`${JSON.stringify(ready)}\n`);
--- a/packages/ledger/src/ledger.ts
+++ b/packages/ledger/src/ledger.ts
@@ -85,6 +85,16 @@
         });
     }
 
+    /** Whether an incarnation is registered and open, so that tokens can be reserved as far as is known. */
+    get registered(): boolean {
+        return this.sessions.current?.usable ?? false;
+    }
+
+    /** Resolves once registering was tried for the first time; {@link registered} tells whether it succeeded. */
+    async awaitFirstTry(): Promise<void> {
+        await this.sessions.awaitFirstTry();
+    }
+
     /** Tokens that could be reserved and dispatched here at once. */
     getAvailable(budget: string): number {
         const session = this.sessions.current;
--- a/packages/ledger/src/session-keeper.ts
+++ b/packages/ledger/src/session-keeper.ts
@@ -15,6 +15,10 @@
 /** Keeps one session in force: registers it, settles, sees to its copy and follows a closed one with a fresh one. */
 export class SessionKeeper {
     private session: Session | undefined;
+    private endFirstTry: () => void = () => undefined;
+    private readonly firstTry = new Promise<void>(resolve => {
+        this.endFirstTry = resolve;
+    });
 
     constructor(private readonly opts: SessionKeeperOptions) {}
 
@@ -23,6 +27,11 @@
         return this.session;
     }
 
+    /** Resolves once registering was tried for the first time; during an outage it fails, and later turns try again. */
+    async awaitFirstTry(): Promise<void> {
+        await this.firstTry;
+    }
+
     /** Starts with the hub's first incarnation; registration follows with {@link maintain}. */
     start(incarnation: string): void {
         this.session = createSession(this.opts, incarnation);
@@ -39,7 +48,7 @@
             return;
         }
         if (!session.usable) {
-            await session.guardStep(() => session.register());
+            await session.guardStep(() => session.register()).finally(this.endFirstTry);
         }
         // Without a copy nothing is confirmed, yet what was confirmed before is still settled.
         await session.guardStep(() => session.link.repair()).catch(() => undefined);
