Go on naming the fleet while cut off from all of it

Cause: an instance without peers took the fleet for gone: answered with itself, took the whole retry budget and every connection of a target for itself, and read the store as often as a fleet of one. Test: fleet-roster.test.ts.

--- a/packages/relay/src/instance/fleet-shares.ts
+++ b/packages/relay/src/instance/fleet-shares.ts
@@ -1,6 +1,6 @@
-import type { PeerHub } from "@ospreyreel/peer";
 import type { DocumentHolder } from "../document/document-holder.js";
 import { RetryAllowance } from "../policy/retry-allowance.js";
+import type { FleetRoster } from "./fleet-roster.js";
 import type { RelaySettings } from "./relay-settings.js";
 
 /** Share of a target's connections that this fleet takes, since the others' counts are known late. */
@@ -19,7 +19,7 @@
 
 /** What an instance's share of the fleet's bounds depends on. */
 export interface FleetSharesOptions {
-    readonly hub: PeerHub;
+    readonly roster: Pick<FleetRoster, "size">;
     readonly documents: DocumentHolder;
     readonly retries: RelaySettings["retries"];
 }
@@ -55,6 +55,6 @@
     }
 
     private get instances(): number {
-        return this.opts.hub.peers().length + 1;
+        return this.opts.roster.size;
     }
 }
--- a/packages/relay/src/instance/relay-instance.ts
+++ b/packages/relay/src/instance/relay-instance.ts
@@ -14,6 +14,7 @@
 import { BoundedLog } from "./bounded-log.js";
 import { createRelayHub } from "./create-relay-hub.js";
 import { FleetBudgetGate } from "./fleet-budget-gate.js";
+import { FleetRoster } from "./fleet-roster.js";
 import { FleetShares } from "./fleet-shares.js";
 import { drawAddresses, parseAddress } from "./instance-addresses.js";
 import { PeerKvClient } from "./peer-kv-client.js";
@@ -51,6 +52,7 @@
     private readonly documents = new DocumentHolder();
     private readonly directory = new TargetDirectory();
     private readonly health = new KvHealth();
+    private readonly roster: FleetRoster;
     private readonly shares: FleetShares;
     private readonly kv: BreakerKvClient;
     private readonly targetPort: HttpTargetPort;
@@ -77,7 +79,8 @@
             this.health,
         );
         this.targetPort = new HttpTargetPort(adapter.sends);
-        this.shares = new FleetShares({ hub, documents: this.documents, retries: cfg.retries });
+        this.roster = new FleetRoster({ hub });
+        this.shares = new FleetShares({ roster: this.roster, documents: this.documents, retries: cfg.retries });
         const fleetKv = new PeerKvClient({ own: this.kv, hub });
         fleetKv.serve();
         this.budgets = new FleetBudgets({
@@ -131,10 +134,9 @@
 
     /** What the platform and callers may know of this instance. */
     get view(): InstanceView {
-        const live = this.hub.peers().filter(peer => peer.state === "live");
         const own = this.isReady ? [this.hub.self()] : [];
         // Each answer of a large fleet names other instances, so that all get their share of callers.
-        const addresses = drawAddresses([...own, ...live]).slice(0, MAX_ADDRESSES);
+        const addresses = drawAddresses([...own, ...this.roster.listTaking()]).slice(0, MAX_ADDRESSES);
         return { isReady: this.isReady, addresses, addressTtlS: this.cfg.addressTtlS };
     }
 
