Add a randomized fault soak of a fleet on the platform

Real processes, a fault proxy between each of them and the stand-in store, signals, late, lost and refused store calls, targets that leave and are reborn, new desired states and reloads, in series that overlap; judged by what callers and targets saw: overspend, whole answers, runs of non-idempotent calls, refusals that ran, a time to come back, graceful stops, recovery of each instance.

--- a/packages/bench/src/faults/soak-main.ts
+++ b/packages/bench/src/faults/soak-main.ts
@@ -1,15 +1,34 @@
 import sade from "sade";
-import { runSeed, type SeedResult } from "./soak-seed.js";
+import { playPlatformSeed } from "../platform/soak/play-platform-seed.js";
+import { runSeed } from "./soak-seed.js";
 
 interface SoakArguments {
     readonly "seeds": number;
     readonly "first-seed": number;
     readonly "parallel": number;
+    readonly "fleet": string;
 }
 
+/** What a seed's result says, whichever fleet it was played on. */
+interface SoakResult {
+    readonly seed: number;
+    readonly schedule: readonly { readonly fault: { readonly kind: string; }; }[];
+    readonly verdict: {
+        readonly ok: boolean;
+        readonly violations: object;
+        readonly figures: object;
+    };
+}
+
+/** Fleets that seeds can be played on: the product's own daemons, or instances on the users' platform. */
+const FLEETS: Readonly<Record<string, (seed: number) => Promise<SoakResult>>> = {
+    daemon: runSeed,
+    platform: playPlatformSeed,
+};
+
 const say = (line: string): void => void process.stdout.write(`${line}\n`);
 
-const report = ({ seed, schedule, verdict: { ok, violations, figures } }: SeedResult): void => {
+const report = ({ seed, schedule, verdict: { ok, violations, figures } }: SoakResult): void => {
     const broken = Object.entries(violations).filter(([, value]) => value !== 0);
     const text = ok ? "ok" : `BROKEN ${JSON.stringify(Object.fromEntries(broken))}`;
     say(`seed ${seed}: ${text}; ${schedule.map(entry => entry.fault.kind).join(" + ")}; ${JSON.stringify(figures)}`);
@@ -19,6 +38,12 @@
 };
 
 const run = async (opts: SoakArguments): Promise<void> => {
+    const playSeed = FLEETS[opts.fleet];
+    if (playSeed === undefined) {
+        say(`there is no fleet "${opts.fleet}"; there are ${Object.keys(FLEETS).join(", ")}`);
+        process.exitCode = 2;
+        return;
+    }
     const first = Number(opts["first-seed"]);
     const pending = [...Array(Number(opts.seeds)).keys()].map(index => first + index);
     const broken: number[] = [];
@@ -26,7 +51,7 @@
     const work = async (): Promise<void> => {
         for (let seed = pending.shift(); seed !== undefined; seed = pending.shift()) {
             try {
-                const result = await runSeed(seed);
+                const result = await playSeed(seed);
                 report(result);
                 if (!result.verdict.ok) {
                     broken.push(seed);
@@ -50,6 +75,7 @@
     .describe("Runs random schedules of faults against fleets of real processes and judges each by the oracle.")
     .option("--seeds", "How many seeds to run", 10)
     .option("--first-seed", "First seed; a single seed is replayed with --seeds 1", 1)
+    .option("--fleet", "What to play on: daemon or platform", "daemon")
     .option("--parallel", "Fleets at once, about ten processes each", 3)
     .action(run)
     .parse(process.argv);
--- a/packages/bench/src/platform/platform-fleet.ts
+++ b/packages/bench/src/platform/platform-fleet.ts
@@ -1,4 +1,10 @@
-import { PlatformStoreStandIn, PlatformTargetStandIn, type RunRequest } from "@ospreyreel/stand-ins";
+import {
+    type FaultProxy,
+    PlatformStoreStandIn,
+    PlatformTargetStandIn,
+    type RunRequest,
+    startFaultProxy,
+} from "@ospreyreel/stand-ins";
 import { mkdtemp, writeFile } from "node:fs/promises";
 import { createRequire } from "node:module";
 import { tmpdir } from "node:os";
@@ -12,6 +18,19 @@
 const PORTS_EACH = 5;
 const PREPAID = 100_000;
 
+/** Events of a model's answer, and tokens of each; together what the question allows. */
+export const MODEL_EVENTS = 6;
+export const MODEL_TOKENS_EACH = 5;
+export const MODEL_TOKENS = 30;
+
+/** What a fleet is started with. */
+export interface PlatformFleetOptions {
+    readonly count?: number;
+    readonly prepaid?: number;
+    /** Puts a proxy that injects faults between each instance and the store. */
+    readonly withStoreProxies?: boolean;
+}
+
 /** Settings of one instance on the platform. */
 type RelaySettingsJson = Readonly<Record<string, unknown>>;
 
@@ -47,7 +66,7 @@
         ],
         services: [
             { name: "plain", healthPath: "/health", maxConns: 100 },
-            { name: "model", healthPath: "/health", maxConns: 100, engine: { stride: 5 } },
+            { name: "model", healthPath: "/health", maxConns: 100, engine: { stride: MODEL_TOKENS_EACH } },
         ],
         limits: { maxHeaderBytes: 16_384, maxBodyBytes: 1_000_000, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
         tenants: [{ name: "team-1", apiKeys: ["key-1"], priority: 1, prepaid }],
@@ -59,21 +78,28 @@
     readonly store = new PlatformStoreStandIn();
     readonly plain = new PlatformTargetStandIn({ id: "plain-1", service: "plain" });
     readonly models = [1, 2].map(at =>
-        new PlatformTargetStandIn({ id: `model-${at}`, service: "model", events: 6, stepMs: 5 })
+        new PlatformTargetStandIn({ id: `model-${at}`, service: "model", events: MODEL_EVENTS, stepMs: 5 })
     );
     readonly instances: PlatformInstance[] = [];
+    /** One for each instance, if asked for. */
+    readonly storeProxies: FaultProxy[] = [];
     private readonly agent = new Agent({ pipelining: 1 });
     private requests = 0;
 
     /** Starts everything and resolves once all instances take requests. */
-    static async start(count = 3): Promise<PlatformFleet> {
+    static async start(opts: PlatformFleetOptions = {}): Promise<PlatformFleet> {
+        const { count = 3, prepaid = PREPAID, withStoreProxies = false } = opts;
         const fleet = new PlatformFleet();
         const store = await fleet.store.start();
         for (const target of [fleet.plain, ...fleet.models]) {
             await target.start();
             fleet.store.put(...target.getEntry());
         }
-        fleet.store.put("op/config", createPlatformDocument(1));
+        fleet.apply(1, prepaid);
+        if (withStoreProxies) {
+            fleet.storeProxies.push(...await startStoreProxies(store, count));
+        }
+        const storeFor = fleet.storeProxies.map(({ address }) => `${address.host}:${address.port}`);
         const ports = await getFreePorts(count * PORTS_EACH);
         const addresses = ports.map(port => `127.0.0.1:${port}`);
         const folder = await mkdtemp(join(tmpdir(), "ospreyreel-platform-"));
@@ -81,7 +107,7 @@
         fleet.instances.push(
             ...await Promise.all([...Array(count).keys()].map(async at => {
                 const own = addresses.slice(at * PORTS_EACH, (at + 1) * PORTS_EACH);
-                return await startInstance(folder, `instance-${at}`, `zone-${at}`, own, seeds, store);
+                return await startInstance(folder, `instance-${at}`, `zone-${at}`, own, seeds, storeFor[at] ?? store);
             })),
         );
         return fleet;
@@ -92,9 +118,38 @@
         return [this.plain, ...this.models].flatMap(target => target.ran);
     }
 
+    /** An id for a request that no other one has. */
+    nextId(): string {
+        this.requests += 1;
+        return `attempt-${this.requests}`;
+    }
+
+    /** Writes a desired state. */
+    apply(version: number, prepaid: number): void {
+        this.store.put("op/config", createPlatformDocument(version, prepaid));
+    }
+
+    /** Writes a model target's entry in the store. */
+    announce(model: number, state: "ready" | "draining"): void {
+        const target = this.models[model];
+        if (target !== undefined) {
+            this.store.put(...target.getEntry(state));
+        }
+    }
+
+    /** Crashes a model target and starts it again under its id at another address. */
+    async rebirth(model: number): Promise<void> {
+        const target = this.models[model];
+        if (target !== undefined) {
+            await target.close();
+            await target.start();
+            this.store.put(...target.getEntry());
+        }
+    }
+
     /** Sends a caller's request to an instance; status 0 where the connection broke. */
     async call(instance: PlatformInstance, path: string, headers: Record<string, string> = {}): Promise<CallerAnswer> {
-        this.requests += 1;
+        const id = this.nextId();
         try {
             const res = await request(`http://${instance.callers}${path}`, {
                 method: "POST",
@@ -102,7 +157,7 @@
                 body: "question",
                 headers: {
                     "host": "users.example",
-                    "attempt-id": `attempt-${this.requests}`,
+                    "attempt-id": id,
                     "deadline-ms": "4000",
                     "authorization": "Bearer key-1",
                     ...headers,
@@ -121,8 +176,16 @@
     }
 
     /** Asks a model for an answer to a prompt of so many tokens. */
-    async ask(instance: PlatformInstance, promptTokens: number): Promise<CallerAnswer> {
-        return await this.call(instance, "/model/x", { "token-counts": `${promptTokens},30`, "model": "m" });
+    async ask(
+        instance: PlatformInstance,
+        promptTokens: number,
+        headers: Record<string, string> = {},
+    ): Promise<CallerAnswer> {
+        return await this.call(instance, "/model/x", {
+            ...headers,
+            "token-counts": `${promptTokens},${MODEL_TOKENS}`,
+            "model": "m",
+        });
     }
 
     /** Addresses that an instance tells callers; empty where it tells none. */
@@ -142,10 +205,16 @@
     async close(): Promise<void> {
         this.instances.forEach(instance => instance.process.kill("SIGKILL"));
         await this.agent.destroy();
-        await Promise.all([this.plain, ...this.models, this.store].map(part => part.close()));
+        await Promise.all([this.plain, ...this.models, this.store, ...this.storeProxies].map(part => part.close()));
     }
 }
 
+const startStoreProxies = async (store: string, count: number): Promise<readonly FaultProxy[]> => {
+    const [host = "", port = ""] = store.split(":");
+    const target = { host, port: Number(port) };
+    return await Promise.all([...Array(count).keys()].map(() => startFaultProxy({ target })));
+};
+
 const startProcess = (settingsFile: string): Promise<RigProcess> =>
     startRigProcess({ script: MAIN, env: { OSPREYREEL_SETTINGS: settingsFile } });
 
--- a/packages/stand-ins/src/platform/platform-store-stand-in.ts
+++ b/packages/stand-ins/src/platform/platform-store-stand-in.ts
@@ -10,14 +10,18 @@
     busy: boolean;
     /** Writes and then cuts the connection. */
     losesReplies: boolean;
+    /** Writes take effect this much later and are not answered, in milliseconds; 0 for none. */
+    lateMs: number;
 }
 
+const NO_FAULTS: StoreFaults = { silent: false, busy: false, losesReplies: false, lateMs: 0 };
+
 const PAGE_ITEMS = 500;
 
 /** The store of the users' platform, by its published protocol. */
 export class PlatformStoreStandIn {
     readonly items = new StoreItems();
-    readonly faults: StoreFaults = { silent: false, busy: false, losesReplies: false };
+    readonly faults: StoreFaults = { ...NO_FAULTS };
     /** Calls by kind. */
     readonly calls = new Map<string, number>();
     private server: JsonServer | undefined;
@@ -33,6 +37,11 @@
         await this.server?.close();
     }
 
+    /** Ends all faults. */
+    endFaults(): void {
+        Object.assign(this.faults, NO_FAULTS);
+    }
+
     /** Writes JSON under a key, as operators and targets do. */
     put(key: string, value: unknown): void {
         this.putBytes(key, Buffer.from(JSON.stringify(value)));
@@ -113,6 +122,10 @@
     }
 
     private answerTxn(txn: StoreTxn, res: ServerResponse): void {
+        if (this.faults.lateMs > 0) {
+            setTimeout(() => this.items.apply(txn), this.faults.lateMs);
+            return;
+        }
         const done = this.items.apply(txn);
         if (this.faults.losesReplies) {
             res.destroy();
