--- a/packages/bench/src/platform/platform-fleet.ts
+++ b/packages/bench/src/platform/platform-fleet.ts
@@ -129,11 +129,11 @@
         this.store.put("op/config", createPlatformDocument(version, prepaid));
     }
 
-    /** Writes a model target's entry in the store. */
-    announce(model: number, state: "ready" | "draining"): void {
+    /** Has a model target say that it leaves. */
+    announceLeaving(model: number): void {
         const target = this.models[model];
         if (target !== undefined) {
-            this.store.put(...target.getEntry(state));
+            this.store.put(...target.getEntry("draining"));
         }
     }
 
--- a/packages/bench/src/platform/soak/platform-schedule-run.ts
+++ b/packages/bench/src/platform/soak/platform-schedule-run.ts
@@ -70,7 +70,7 @@
             case "storeForgets":
                 return fleet.store.items.forget();
             case "targetLeaves":
-                return await this.leaveAndReturn(fault.target, durationMs);
+                return await this.leaveAndRestart(fault.target, durationMs);
             case "targetReborn":
                 return await fleet.rebirth(fault.target);
             case "topUp":
@@ -113,10 +113,11 @@
         await Promise.all(proxies.map(proxy => proxy.setFaults(ended)));
     }
 
-    private async leaveAndReturn(target: number, ms: number): Promise<void> {
-        this.fleet.announce(target, "draining");
+    /** A target that said that it leaves ends; only another start of it takes requests again. */
+    private async leaveAndRestart(target: number, ms: number): Promise<void> {
+        this.fleet.announceLeaving(target);
         await sleep(ms);
-        this.fleet.announce(target, "ready");
+        await this.fleet.rebirth(target);
     }
 }
 
--- a/packages/bench/src/platform/soak/platform-schedule.ts
+++ b/packages/bench/src/platform/soak/platform-schedule.ts
@@ -13,7 +13,7 @@
     | { readonly kind: "storeSilent" | "storeBusy" | "storeLosesReplies" | "storeForgets"; }
     /** Writes take effect this much later and are not answered. */
     | { readonly kind: "storeLate"; readonly lateMs: number; }
-    /** A model target announces that it leaves, or crashes and starts again at another address. */
+    /** A model target announces that it leaves and ends, or crashes at once; it starts again at another address. */
     | { readonly kind: "targetLeaves" | "targetReborn"; readonly target: number; }
     /** A new desired state with more tokens. */
     | { readonly kind: "topUp"; readonly tokens: number; }
--- a/packages/stand-ins/src/platform/platform-target-stand-in.ts
+++ b/packages/stand-ins/src/platform/platform-target-stand-in.ts
@@ -27,12 +27,15 @@
 export class PlatformTargetStandIn {
     readonly ran: RunRequest[] = [];
     private server: JsonServer | undefined;
+    /** Unix time of this start in milliseconds; tells it from earlier ones under the same id. */
+    private born = 0;
 
     constructor(private readonly opts: PlatformTargetOptions) {}
 
     /** Listens on a free port. */
     async start(): Promise<void> {
         this.server = await startJsonServer((req, res) => this.answer(req, res));
+        this.born = Math.max(Date.now(), this.born + 1);
     }
 
     /** Stops listening and cuts what runs. */
@@ -53,6 +56,7 @@
             state,
             coldRemainingMs: 0,
             seq: 1,
+            born: this.born,
         }];
     }
 
