Have one of the instances that take a key at once run it

Cause: a request counted as running from its registration on. Two instances that took the key at the same time found each other 'running', passed their callers to each other, and a request that was passed on already is not passed on again. Ruled out: load alone (the same with no delay between the callers in memory), lookups that time out (all answered). Now a request that is still being looked for elsewhere is 'pending'. Of instances that know of each other the first by incarnation runs it; one that has not yet asked will find this one passed on or running. The decision and what lookups are told change in one step.

--- a/packages/claims/src/key-locator.test.ts
+++ b/packages/claims/src/key-locator.test.ts
@@ -15,7 +15,8 @@
             ? Promise.reject(new OspreyError("cut", { result: "peerUnavailable" }))
             : Promise.resolve({ state, caller: { host: "127.0.0.1", port } });
     };
-    const hub = { peers: () => states.map((_, port) => ({ incarnation: String(port) })), request };
+    const self = () => ({ incarnation: "self" });
+    const hub = { self, peers: () => states.map((_, port) => ({ incarnation: String(port) })), request };
     return hub as unknown as PeerHub;
 };
 
@@ -25,7 +26,7 @@
     );
 
 test("the most telling state wins, in any order of peers", async t => {
-    const order: readonly KeyState[] = ["running", "finished", "sealed", "billed", "copied", "none"];
+    const order: readonly KeyState[] = ["running", "finished", "sealed", "billed", "copied", "pending", "none"];
     for (const [rank, state] of order.entries()) {
         const weaker = order.slice(rank);
         for (const states of [weaker, weaker.toReversed()]) {
--- a/packages/claims/src/key-locator.ts
+++ b/packages/claims/src/key-locator.ts
@@ -22,8 +22,13 @@
 const DEFAULT_TIMEOUT_MS = 200;
 const DEFAULT_ASK_ALL_UP_TO = 16;
 
+const getKey = ({ team, requestKey }: KeyLookupRequest): string => `${team}\n${requestKey}`;
+
 /** The most telling state first. */
-const PRECEDENCE: readonly KeyState[] = ["running", "finished", "sealed", "billed", "copied", "none"];
+const PRECEDENCE: readonly KeyState[] = ["running", "finished", "sealed", "billed", "copied", "pending", "none"];
+
+/** What a search ends with: the peer that answers, or undefined where the request is to be run here. */
+export type SearchDecision = (found: KeyLookupAnswer | undefined) => void;
 
 interface PeerAnswer {
     readonly peer: string;
@@ -36,6 +41,8 @@
  */
 export class KeyLocator {
     private readonly directory: KeyDirectory;
+    /** Incarnations that were told of a key that it is pending here, by key, while a search for it goes on. */
+    private readonly toldPending = new Map<string, Set<string>>();
 
     constructor(private readonly opts: KeyLocatorOptions) {
         this.directory = opts.directory ?? new KeyDirectory();
@@ -44,29 +51,53 @@
     /** Answers the lookups and announcements of others. */
     serve(): void {
         const { hub, getKnowledge } = this.opts;
-        hub.handle(
-            "claims.lookup",
-            async req => await Promise.resolve({ ...getKnowledge(req), caller: hub.self().caller }),
-        );
+        hub.handle("claims.lookup", async (req, from) => {
+            const knowledge = getKnowledge(req);
+            if (knowledge.state === "pending") {
+                this.toldPending.get(getKey(req))?.add(from.incarnation);
+            }
+            return await Promise.resolve({ ...knowledge, caller: hub.self().caller });
+        });
         hub.handle("claims.announce", async req => await Promise.resolve({ earlier: this.directory.announce(req) }));
     }
 
     /**
      * The most telling answer of the peers that can know the key; undefined where none knows it. `ownCopy` is the
      * incarnation that ran the key by a copy kept here. The key counts as taken here from now on.
+     *
+     * Where several instances take a key at the same time, one of them runs it. `decide` is called with the result in the
+     * very step in which that is settled, so that what this instance tells of the key from then on agrees with it.
      */
-    async locate(req: KeyLookupRequest, ownCopy?: string): Promise<KeyLookupAnswer | undefined> {
+    async locate(
+        req: KeyLookupRequest,
+        ownCopy?: string,
+        decide: SearchDecision = () => undefined,
+    ): Promise<KeyLookupAnswer | undefined> {
+        const key = getKey(req);
+        this.toldPending.set(key, new Set());
+        try {
+            const answers = await this.search(req, ownCopy);
+            const found = this.choose(answers, ownCopy, this.toldPending.get(key) ?? new Set());
+            decide(found);
+            return found;
+        }
+        finally {
+            this.toldPending.delete(key);
+        }
+    }
+
+    private async search(req: KeyLookupRequest, ownCopy: string | undefined): Promise<readonly PeerAnswer[]> {
         const peers = this.opts.hub.peers();
         const earlier = await this.announce(req);
         if (earlier === undefined) {
-            return this.choose(await this.askAll(peers, req), ownCopy);
+            return await this.askAll(peers, req);
         }
         const takers = new Set(ownCopy === undefined ? earlier : [...earlier, ownCopy]);
         const able = [...takers].flatMap(taker => peers.find(peer => peer.incarnation === taker) ?? []);
         const answers = await this.askAll(able, req);
         // Of one that cannot be asked its copy holder may know, or whoever has closed it.
         const others = answers.length === takers.size ? [] : peers.filter(peer => !able.includes(peer));
-        return this.choose([...answers, ...await this.askAll(others, req)], ownCopy);
+        return [...answers, ...await this.askAll(others, req)];
     }
 
     /**
@@ -93,16 +124,33 @@
         return answer.earlier;
     }
 
-    private choose(answers: readonly PeerAnswer[], ownCopy: string | undefined): KeyLookupAnswer | undefined {
+    private choose(
+        answers: readonly PeerAnswer[],
+        ownCopy: string | undefined,
+        told: ReadonlySet<string>,
+    ): KeyLookupAnswer | undefined {
         // A holder that was asked knows better than a copy, which may have missed the end.
         const asked = new Set(answers.map(answer => answer.peer));
         const own: readonly KeyLookupAnswer[] = ownCopy === undefined
             ? []
             : [{ state: "copied", caller: this.opts.hub.self().caller, holder: ownCopy }];
         const known = [...answers.map(({ answer }) => answer), ...own]
-            .filter(answer => answer.state !== "none")
+            .filter(answer => answer.state !== "none" && answer.state !== "pending")
             .filter(answer => answer.state !== "copied" || answer.holder === undefined || !asked.has(answer.holder));
-        return known.toSorted((a, b) => PRECEDENCE.indexOf(a.state) - PRECEDENCE.indexOf(b.state))[0];
+        const best = known.toSorted((a, b) => PRECEDENCE.indexOf(a.state) - PRECEDENCE.indexOf(b.state))[0];
+        return best ?? this.chooseOfPending(answers, told);
+    }
+
+    /**
+     * Of instances that search at the same time each knows of those that it was told of. One that was told of this one
+     * gives way to it if this one's incarnation comes first; one that was not told will run the request.
+     */
+    private chooseOfPending(answers: readonly PeerAnswer[], told: ReadonlySet<string>): KeyLookupAnswer | undefined {
+        const own = this.opts.hub.self().incarnation;
+        const ahead = answers.filter(({ answer, peer }) =>
+            answer.state === "pending" && (peer < own || !told.has(peer))
+        );
+        return ahead.toSorted((a, b) => a.peer < b.peer ? -1 : 1)[0]?.answer;
     }
 
     /** The answers of the peers that can be reached. */
--- a/packages/claims/src/request-registry.ts
+++ b/packages/claims/src/request-registry.ts
@@ -22,9 +22,16 @@
     readonly now?: () => number;
 }
 
+/** How a request is registered. */
+export interface AddOptions {
+    /** Whether it is still open if the request runs here, until {@link RequestRegistry.noteRuns}; false by default. */
+    readonly pending?: boolean;
+}
+
 interface Entry {
     readonly identity: RequestIdentity;
     readonly answer: Answer;
+    pending: boolean;
     finishedAtMs: number | undefined;
 }
 
@@ -61,20 +68,36 @@
     }
 
     /** What is known of a key, for other instances. */
-    getState(team: string, requestKey: string): "none" | "running" | "finished" {
+    getState(team: string, requestKey: string): "none" | "pending" | "running" | "finished" {
         this.forgetOld();
         const entry = this.entries.get(getKey(team, requestKey));
         // What was refused or passed on does not run here, though its call has not ended.
         if (entry === undefined || entry.answer.error !== undefined) {
             return "none";
         }
-        return entry.finishedAtMs === undefined ? "running" : "finished";
+        if (entry.finishedAtMs !== undefined) {
+            return "finished";
+        }
+        return entry.pending ? "pending" : "running";
+    }
+
+    /** Notes that a request which was pending runs here. */
+    noteRuns(identity: RequestIdentity): void {
+        const entry = this.entries.get(getKey(identity.team, identity.requestKey));
+        if (entry !== undefined) {
+            entry.pending = false;
+        }
     }
 
     /** Registers a request; the key must not be registered. */
-    add(identity: RequestIdentity): Answer {
+    add(identity: RequestIdentity, { pending = false }: AddOptions = {}): Answer {
         const answer = new Answer(this.opts.maxAnswerBytes ?? DEFAULT_MAX_ANSWER_BYTES);
-        this.entries.set(getKey(identity.team, identity.requestKey), { identity, answer, finishedAtMs: undefined });
+        this.entries.set(getKey(identity.team, identity.requestKey), {
+            identity,
+            answer,
+            pending,
+            finishedAtMs: undefined,
+        });
         this.runningCount += 1;
         this.opts.counters.set("requests_running", this.running);
         return answer;
--- a/packages/router/src/request-path.ts
+++ b/packages/router/src/request-path.ts
@@ -59,7 +59,7 @@
             return;
         }
         // Registered before anything is awaited, so that a second call of this key joins instead of running.
-        const answer = this.opts.registry.add(identity);
+        const answer = this.opts.registry.add(identity, { pending: ctx.keyed && !ctx.forwarded });
         try {
             if (ctx.keyed && await this.serveKnownElsewhere(call, ctx, answer)) {
                 return;
@@ -117,19 +117,30 @@
     private async serveKnownElsewhere(call: CallerRequest, ctx: RequestContext, answer: Answer): Promise<boolean> {
         const lookup = { team: ctx.team.name, budget: ctx.team.budget, requestKey: ctx.requestKey };
         const { ledger, locator } = this.opts;
+        const noteRuns = (): void => this.opts.registry.noteRuns({ ...ctx, team: ctx.team.name });
         const sealed = ledger.findSealed(lookup.budget, lookup.team, lookup.requestKey);
         if (sealed !== undefined) {
+            noteRuns();
             return await this.serveHeld(call, ctx, answer, sealed, "outcomeUnknown");
         }
         const bill = ledger.findBilled(lookup.budget, lookup.team, lookup.requestKey);
         if (bill !== undefined) {
+            noteRuns();
             return await this.serveHeld(call, ctx, answer, bill.stream, "alreadyCompleted");
         }
         if (ctx.forwarded) {
             await locator.announce(lookup);
             return false;
         }
-        const found = await locator.locate(lookup, ledger.copies.find(lookup.team, lookup.requestKey)?.copy.holder);
+        const ownCopy = ledger.copies.find(lookup.team, lookup.requestKey)?.copy.holder;
+        const found = await locator.locate(lookup, ownCopy, chosen => {
+            if (chosen === undefined) {
+                noteRuns();
+            }
+            else if (chosen.state !== "copied") {
+                answer.passOn(chosen.caller);
+            }
+        });
         if (found === undefined) {
             return false;
         }
@@ -137,7 +148,8 @@
             const err = new OspreyError("its instance cannot be reached", { result: "inProgressElsewhere" });
             throw this.fail(answer, err);
         }
-        return await this.forward(call, answer, found.caller, "inProgressElsewhere");
+        await this.opts.forwarder.forward(call, found.caller, "inProgressElsewhere");
+        return true;
     }
 
     /** Answers a request that another incarnation ran from its engine's stream, or runs it again where that is safe. */
--- a/packages/types/src/peer-requests.ts
+++ b/packages/types/src/peer-requests.ts
@@ -54,12 +54,13 @@
 }
 
 /**
- * What a peer knows of a request key: nothing; that it runs or has finished there; that it runs at a holder whose copy
+ * What a peer knows of a request key: nothing; that it was taken there, and is looked for elsewhere first; that it runs
+ * or has finished there; that it runs at a holder whose copy
  * the peer keeps; that its holder was closed while it ran; that it is billed.
  */
-export type KeyState = "none" | "running" | "finished" | "copied" | "sealed" | "billed";
+export type KeyState = "none" | "pending" | "running" | "finished" | "copied" | "sealed" | "billed";
 
-/** Answer to a lookup; a caller's retry can be forwarded for `running`, `finished`, `sealed` and `billed`. */
+/** Answer to a lookup; a caller's retry can be forwarded for all but `none` and `copied`. */
 export interface KeyLookupAnswer {
     readonly state: KeyState;
     /** The peer's address for callers. */
