--- a/packages/budgets/src/borrowed-budget.ts
+++ b/packages/budgets/src/borrowed-budget.ts
@@ -16,6 +16,12 @@
 /** What a borrower keeps of a plentiful budget, in seconds of its own use; its requests then need no exchange. */
 const KEEP_S = 0.25;
 
+/**
+ * Time for which the owner's word that a budget is used up is not asked for again, in milliseconds: a team far beyond its
+ * budget then costs no exchange for each request, and tokens that come back are seen as soon as they are returned.
+ */
+const EXHAUSTED_FOR_MS = 50;
+
 /** Time after which unused tokens go back, in milliseconds: while there is plenty, and near the end. */
 const RETURN_AFTER_MS = 1_000;
 const SCARCE_RETURN_AFTER_MS = 50;
@@ -30,6 +36,8 @@
     private returned = 0;
     private seq = 0;
     private plenty = false;
+    /** Fewest tokens that the owner could not give a moment ago, and until when that holds. */
+    private short = { tokens: 0, untilMs: 0 };
     private exchanging = false;
     private returning: NodeJS.Timeout | undefined;
 
@@ -51,6 +59,9 @@
             this.scheduleReturn();
             return Promise.resolve(HELD);
         }
+        if (tokens >= this.short.tokens && performance.now() < this.short.untilMs) {
+            return Promise.resolve({ kind: "exhausted" });
+        }
         return new Promise(resolve => {
             this.waiters.push({ tokens, resolve });
             this.exchangeWhileNeeded();
@@ -60,6 +71,7 @@
     /** Gives tokens back that were set aside and not used. */
     release(tokens: number): void {
         this.free += tokens;
+        this.short = { tokens: 0, untilMs: 0 };
         this.serveWaiters();
         this.scheduleReturn();
     }
@@ -87,7 +99,12 @@
             const answer = await this.exchange(Math.max(0, needed + keep), Math.max(0, least));
             this.serveWaiters();
             const refusal = getRefusal(answer);
-            asked.filter(waiter => this.waiters.includes(waiter)).forEach(waiter => {
+            const refused = asked.filter(waiter => this.waiters.includes(waiter));
+            if (refusal.kind === "exhausted" && refused.length > 0) {
+                const tokens = Math.min(...refused.map(waiter => waiter.tokens));
+                this.short = { tokens, untilMs: performance.now() + EXHAUSTED_FOR_MS };
+            }
+            refused.forEach(waiter => {
                 this.waiters.splice(this.waiters.indexOf(waiter), 1);
                 waiter.resolve(refusal);
             });
--- a/packages/relay/src/instance/relay-instance.ts
+++ b/packages/relay/src/instance/relay-instance.ts
@@ -8,6 +8,7 @@
 import { type QuestionAnswer, QuestionPort } from "../http/question-port.js";
 import { AffinityPlacement } from "../policy/affinity-placement.js";
 import { drawNamed } from "../policy/caller-placement.js";
+import { OverloadGuard } from "../policy/overload-guard.js";
 import { Relay } from "../relay.js";
 import { TargetDirectory } from "../targets/target-directory.js";
 import { TargetFollower } from "../targets/target-follower.js";
@@ -19,6 +20,7 @@
 import { FleetShares } from "./fleet-shares.js";
 import { formatAddress, parseAddress } from "./instance-addresses.js";
 import { PeerKvClient } from "./peer-kv-client.js";
+import { ProcessorMeter } from "./processor-meter.js";
 import type { InstanceView, RelayAdapter } from "./relay-adapter.js";
 import { RelayMetrics } from "./relay-metrics.js";
 import type { RelaySettings } from "./relay-settings.js";
@@ -50,6 +52,7 @@
     private readonly documents = new DocumentHolder();
     private readonly directory = new TargetDirectory();
     private readonly health = new KvHealth();
+    private readonly overload = new OverloadGuard({ nowMs: () => performance.now(), random: Math.random });
     private readonly roster: FleetRoster;
     private readonly shares: FleetShares;
     private readonly kv: BreakerKvClient;
@@ -99,6 +102,7 @@
             port: this.targetPort,
             budgets: new FleetBudgetGate(this.budgets),
             getRetries: service => this.shares.getRetries(service),
+            overload: this.overload,
             log: this.log,
             meter: this.metrics,
             random: Math.random,
@@ -211,6 +215,8 @@
             log,
             getPauseMs: () => this.shares.watchPauseMs,
         }).start();
+        new ProcessorMeter({ cores: cfg.processor.cores * cfg.processor.share })
+            .start(usedShare => this.overload.noteUsedShare(usedShare));
         this.follower.start();
         this.budgets.serve();
         hub.setPeerAddresses(cfg.seeds.map(parseAddress));
--- a/packages/relay/src/relay.test.ts
+++ b/packages/relay/src/relay.test.ts
@@ -80,6 +80,7 @@
         port,
         budgets,
         getRetries: () => allowance,
+        overload: { getRefusal: () => undefined },
         log: new SilentRelayLog(),
         meter: { noteEnd: () => undefined, noteSend: () => undefined },
         random: () => 0,
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -2,6 +2,7 @@
 import type { BudgetGate, BudgetHold } from "./budget-gate.js";
 import type { CallerExchange } from "./caller-exchange.js";
 import type { DocumentHolder } from "./document/document-holder.js";
+import type { OverloadGuard } from "./policy/overload-guard.js";
 import type { RetryAllowance } from "./policy/retry-allowance.js";
 import { RelayAttempts } from "./relay-attempts.js";
 import type { RelayLog } from "./relay-log.js";
@@ -26,6 +27,8 @@
     readonly port: TargetPort;
     readonly budgets: BudgetGate;
     readonly getRetries: (service: string) => RetryAllowance;
+    /** Decides what is refused while this instance has more to do than it can. */
+    readonly overload: Pick<OverloadGuard, "getRefusal">;
     readonly log: RelayLog;
     readonly meter: RelayMeter;
     /** A number from 0 up to but without 1. */
@@ -73,7 +76,7 @@
             this.refuse(req, caller, "", admission);
             return;
         }
-        const { route, service } = admission;
+        const { route, service, team = "", priority } = admission;
         this.opts.getRetries(service).noteRequest();
         const waitsMs = Math.min(route.timeoutMs, req.waitsMs ?? route.timeoutMs);
         const clock = new RequestClock(req.arrivedAtMs + waitsMs, caller.gone);
@@ -83,6 +86,13 @@
                 this.refuse(req, caller, service, held);
                 return;
             }
+            // After the budget: a team that has used it up is told so for good, and does not come back.
+            const retryAfterS = this.opts.overload.getRefusal(team, priority);
+            if (retryAfterS !== undefined) {
+                held?.settle(0);
+                this.refuse(req, caller, service, { reason: "overloaded", retryAfterS });
+                return;
+            }
             const request = { req, admission, caller, clock, hold: held, repeatable: isRepeatable(route) };
             const result = await new RelayAttempts(this.opts, request).run();
             if (typeof result !== "string") {
