--- a/packages/relay/src/instance/relay-instance.ts
+++ b/packages/relay/src/instance/relay-instance.ts
@@ -20,11 +20,11 @@
 import { FleetShares } from "./fleet-shares.js";
 import { formatAddress, parseAddress } from "./instance-addresses.js";
 import { PeerKvClient } from "./peer-kv-client.js";
-import { ProcessorMeter } from "./processor-meter.js";
 import type { InstanceView, RelayAdapter } from "./relay-adapter.js";
 import { RelayMetrics } from "./relay-metrics.js";
 import type { RelaySettings } from "./relay-settings.js";
 import { getTargetView, type RelayState } from "./relay-state.js";
+import { startOverloadWatch } from "./start-overload-watch.js";
 
 /**
  * Time after an outage in which targets announce themselves again, in milliseconds. They need up to two seconds; one
@@ -215,8 +215,7 @@
             log,
             getPauseMs: () => this.shares.watchPauseMs,
         }).start();
-        new ProcessorMeter({ cores: cfg.processor.cores * cfg.processor.share })
-            .start(usedShare => this.overload.noteUsedShare(usedShare));
+        startOverloadWatch({ cores: cfg.processor.cores * cfg.processor.share, guard: this.overload, log });
         this.follower.start();
         this.budgets.serve();
         hub.setPeerAddresses(cfg.seeds.map(parseAddress));
--- a/packages/relay/src/policy/overload-guard.ts
+++ b/packages/relay/src/policy/overload-guard.ts
@@ -34,6 +34,11 @@
 
     constructor(private readonly opts: OverloadGuardOptions) {}
 
+    /** Whether requests may be refused now. */
+    get isRefusing(): boolean {
+        return this.level > 0;
+    }
+
     /** Takes a look at the processor; `usedShare` is 1 where all that may be used is used. About ten looks a second. */
     noteUsedShare(usedShare: number): void {
         this.level = Math.min(1, Math.max(0, this.level + GAIN * (usedShare - TARGET_SHARE)));
