--- a/packages/relay/src/policy/caller-placement.test.ts
+++ b/packages/relay/src/policy/caller-placement.test.ts
@@ -1,27 +1,16 @@
+import { createInstanceInfo } from "@ospreyreel/peer/fixtures";
 import type { InstanceInfo } from "@ospreyreel/types";
 import test from "ava";
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { drawNamed } from "./caller-placement.js";
 
-const createInfo = (instance: string, cores?: number): InstanceInfo => ({
-    instance,
-    incarnation: `${instance}-1`,
-    availabilityZone: "zone-a",
-    region: "region-a",
-    caller: { host: "127.0.0.1", port: 1 },
-    peer: { host: "127.0.0.1", port: 1 },
-    state: "live",
-    configRevision: 0,
-    ...(cores === undefined ? {} : { cores }),
-});
-
 const LARGE = 6;
 const SMALL = 84;
 
 const createMixedFleet = (): readonly InstanceInfo[] => [
-    ...Array.from({ length: LARGE }, (_, at) => createInfo(`large-${at}`, 1.35)),
-    ...Array.from({ length: SMALL }, (_, at) => createInfo(`small-${at}`, 0.324)),
+    ...Array.from({ length: LARGE }, (_, at) => createInstanceInfo(`large-${at}`, 1.35)),
+    ...Array.from({ length: SMALL }, (_, at) => createInstanceInfo(`small-${at}`, 0.324)),
 ];
 
 const createRandom = (seed: number): () => number => {
@@ -55,9 +44,9 @@
 
 test("a fleet of a few equal instances is named whole, and a large one of equal instances evenly", t => {
     const random = createRandom(3);
-    const few = Array.from({ length: 8 }, (_, at) => createInfo(`i-${at}`));
+    const few = Array.from({ length: 8 }, (_, at) => createInstanceInfo(`i-${at}`));
     t.is(new Set(drawNamed(few, { random })).size, few.length);
-    const many = Array.from({ length: 400 }, (_, at) => createInfo(`i-${at}`));
+    const many = Array.from({ length: 400 }, (_, at) => createInstanceInfo(`i-${at}`));
     const seen = new Set(Array.from({ length: 200 }, () => drawNamed(many, { random })).flat());
     t.is(seen.size, many.length);
 });
--- a/packages/relay/src/relay.test.ts
+++ b/packages/relay/src/relay.test.ts
@@ -51,6 +51,7 @@
     req: Partial<RelayRequest> = {},
     budgets: BudgetGate = new OpenBudgetGate(),
     leavesAfterMs?: number,
+    overloadedForS?: number,
 ) => {
     const documents = new DocumentHolder();
     const teams = [{ name: "team-1", keys: ["key-1"], priority: undefined, prepaidTokens: 1_000 }];
@@ -80,7 +81,7 @@
         port,
         budgets,
         getRetries: () => allowance,
-        overload: { getRefusal: () => undefined },
+        overload: { getRefusal: () => overloadedForS },
         log: new SilentRelayLog(),
         meter: { noteEnd: () => undefined, noteSend: () => undefined },
         random: () => 0,
@@ -204,6 +205,14 @@
     t.deepEqual(gate.settled, [0]);
 });
 
+test("what an overloaded instance refuses is not sent, charged nothing, and told when to come back", async t => {
+    const gate = new NotingGate();
+    const { caller, port } = await serve([full], { kind: "streaming" }, GENERATION, gate, undefined, 1);
+    t.deepEqual(caller.refusal, { reason: "overloaded", retryAfterS: 1 });
+    t.deepEqual(gate.settled, [0]);
+    t.is(port.calls.length, 0);
+});
+
 class RefusingGate extends BudgetGate {
     constructor(private readonly decision: BudgetDecision) {
         super();
@@ -214,6 +223,12 @@
     }
 }
 
+test("an overloaded instance tells a team without tokens that for good", async t => {
+    const gate = new RefusingGate({ kind: "exhausted" });
+    const { caller } = await serve([full], {}, GENERATION, gate, undefined, 1);
+    t.is(caller.refusal?.reason, "budgetExhausted");
+});
+
 test("a budget that does not cover a request is told apart from one that cannot be asked", async t => {
     const exhausted = await serve([full], {}, GENERATION, new RefusingGate({ kind: "exhausted" }));
     t.is(exhausted.caller.refusal?.reason, "budgetExhausted");
