--- a/packages/bench/src/platform/platform-fleet.test.ts
+++ b/packages/bench/src/platform/platform-fleet.test.ts
@@ -1,7 +1,7 @@
 import test from "ava";
 import { setTimeout as sleep } from "node:timers/promises";
 import { request } from "undici";
-import { createPlatformDocument, PlatformFleet, type PlatformInstance } from "./platform-fleet.js";
+import { type CallerAnswer, createPlatformDocument, PlatformFleet, type PlatformInstance } from "./platform-fleet.js";
 
 const start = async (): Promise<readonly [PlatformFleet, PlatformInstance, PlatformInstance]> => {
     const fleet = await PlatformFleet.start();
@@ -76,19 +76,22 @@
 test.serial("an outage of the store stops neither requests nor budgets, and a killed instance comes back", async t => {
     const [fleet, first, second] = await start();
     t.teardown(() => fleet.close());
+    const expectServed = (answer: CallerAnswer): void => {
+        t.is(answer.status, 200, answer.body);
+    };
     for (const instance of fleet.instances) {
-        t.is((await fleet.ask(instance, 470)).status, 200);
+        expectServed(await fleet.ask(instance, 470));
     }
     await sleep(1_500);
     fleet.store.faults.silent = true;
     for (const instance of fleet.instances) {
-        t.is((await fleet.ask(instance, 470)).status, 200);
-        t.is((await fleet.call(instance, "/once/a")).status, 200);
+        expectServed(await fleet.ask(instance, 470));
+        expectServed(await fleet.call(instance, "/once/a"));
     }
     first.process.kill("SIGKILL");
     const restarted = fleet.restart(first);
     await sleep(500);
-    t.is((await fleet.call(second, "/plain/a")).status, 200);
+    expectServed(await fleet.call(second, "/plain/a"));
     fleet.store.faults.silent = false;
     await restarted;
     t.true(await until(async () => (await fleet.ask(first, 470)).status === 200, 4_000));
