Read the change once more: repeats joined, work taken off each request

The relay and the budgets take the timers module's sleep; the request path passes the identity that it has. - overload-guard.test.ts: the guard has draws of its own, so that the same requests come with and without it. Assertions as they were.

--- a/packages/bench/src/faults/fault-schedule.ts
+++ b/packages/bench/src/faults/fault-schedule.ts
@@ -1,4 +1,5 @@
 import type { ProxyMode } from "@ospreyreel/stand-ins";
+import { drawEntries, type ScheduleBounds, type TimedFault } from "./draw-entries.js";
 import type { RandomSource } from "./random-source.js";
 
 /** One fault of a schedule and how it is brought about. */
@@ -24,16 +25,10 @@
     | { readonly kind: "serviceLosesReplies"; readonly calls: number; }
     | { readonly kind: "topUp"; readonly tokens: number; };
 
-/** A fault with its times, in milliseconds from the start of the load. */
-export interface ScheduleEntry {
-    readonly startMs: number;
-    readonly durationMs: number;
-    readonly fault: ScheduledFault;
-}
+/** One entry of a schedule. */
+export type ScheduleEntry = TimedFault<ScheduledFault>;
 
-const LONGEST_START_MS = 2_500;
-const SHORTEST_MS = 300;
-const LONGEST_MS = 3_500;
+const BOUNDS: ScheduleBounds = { faults: [2, 4], longestStartMs: 2_500, durationMs: [300, 3_500] };
 
 const KINDS = [
     "kill",
@@ -95,8 +90,4 @@
 
 /** Two to four faults that mostly overlap; the same ones for the same draws. */
 export const createSchedule = (random: RandomSource, instances: number): readonly ScheduleEntry[] =>
-    Array.from({ length: random.int(2, 4) }, () => ({
-        startMs: random.int(0, LONGEST_START_MS),
-        durationMs: random.int(SHORTEST_MS, LONGEST_MS),
-        fault: createFault(random, instances),
-    })).toSorted((one, other) => one.startMs - other.startMs);
+    drawEntries(random, BOUNDS, () => createFault(random, instances));
--- a/packages/bench/src/platform/soak/platform-schedule.ts
+++ b/packages/bench/src/platform/soak/platform-schedule.ts
@@ -1,4 +1,5 @@
 import type { ProxyMode } from "@ospreyreel/stand-ins";
+import { drawEntries, type ScheduleBounds, type TimedFault } from "../../faults/draw-entries.js";
 import type { RandomSource } from "../../faults/random-source.js";
 
 /** One fault of a fleet on the platform. */
@@ -20,19 +21,11 @@
     /** The settings file is written again and the process told of it. */
     | { readonly kind: "reload"; readonly instance: number; };
 
-/** A fault with its times, in milliseconds from the start of the load. */
-export interface PlatformScheduleEntry {
-    readonly startMs: number;
-    readonly durationMs: number;
-    readonly fault: PlatformFault;
-}
+/** One entry of a schedule. */
+export type PlatformScheduleEntry = TimedFault<PlatformFault>;
 
-/** Time in which faults begin; with the longest fault, a seed's load lasts about eight seconds. */
-const LONGEST_START_MS = 4_000;
-const SHORTEST_MS = 200;
-const LONGEST_MS = 4_000;
-const FEWEST = 3;
-const MOST = 7;
+/** With the longest fault, a seed's load lasts about eight seconds. */
+const BOUNDS: ScheduleBounds = { faults: [3, 7], longestStartMs: 4_000, durationMs: [200, 4_000] };
 
 const KINDS = [
     "kill",
@@ -86,8 +79,4 @@
 
 /** Faults in series that overlap; the same ones for the same draws. */
 export const createPlatformSchedule = (random: RandomSource, instances: number): readonly PlatformScheduleEntry[] =>
-    Array.from({ length: random.int(FEWEST, MOST) }, () => ({
-        startMs: random.int(0, LONGEST_START_MS),
-        durationMs: random.int(SHORTEST_MS, LONGEST_MS),
-        fault: createFault(random, instances),
-    })).toSorted((one, other) => one.startMs - other.startMs);
+    drawEntries(random, BOUNDS, () => createFault(random, instances));
--- a/packages/budgets/src/borrowed-budget.ts
+++ b/packages/budgets/src/borrowed-budget.ts
@@ -76,6 +76,11 @@
         this.scheduleReturn();
     }
 
+    /** Tokens that stay here unused; none of a budget near its end. */
+    private get keptTokens(): number {
+        return this.plenty ? Math.ceil(this.meter.ratePerS * KEEP_S) : 0;
+    }
+
     private exchangeWhileNeeded(): void {
         if (this.exchanging) {
             return;
@@ -94,9 +99,8 @@
             // Those that come during an exchange wait for the next one.
             const asked = this.waiters.slice();
             const needed = asked.reduce((sum, waiter) => sum + waiter.tokens, 0) - this.free;
-            const keep = this.plenty ? Math.ceil(this.meter.ratePerS * KEEP_S) : 0;
             const least = Math.min(...asked.map(waiter => waiter.tokens)) - this.free;
-            const answer = await this.exchange(Math.max(0, needed + keep), Math.max(0, least));
+            const answer = await this.exchange(Math.max(0, needed + this.keptTokens), Math.max(0, least));
             this.serveWaiters();
             const refusal = getRefusal(answer);
             const refused = asked.filter(waiter => this.waiters.includes(waiter));
@@ -158,8 +162,7 @@
             this.scheduleReturn();
             return;
         }
-        const keep = this.plenty ? Math.ceil(this.meter.ratePerS * KEEP_S) : 0;
-        const tokens = this.free - keep;
+        const tokens = this.free - this.keptTokens;
         if (tokens <= 0) {
             return;
         }
--- a/packages/budgets/src/budget-owner.ts
+++ b/packages/budgets/src/budget-owner.ts
@@ -1,6 +1,7 @@
 import type { KvClient } from "@ospreyreel/kv";
 import type { PeerHub } from "@ospreyreel/peer";
 import type { BudgetDrawAnswer, BudgetDrawRequest, InstanceInfo } from "@ospreyreel/types";
+import { setTimeout as sleep } from "node:timers/promises";
 import type { BudgetLog } from "./budget-log.js";
 import { getShard, orderOwners } from "./budget-shards.js";
 import { NoteSender } from "./note-sender.js";
@@ -218,5 +219,3 @@
         return [...far, ...near].slice(0, WITNESSES).map(peer => peer.incarnation);
     }
 }
-
-const sleep = (ms: number): Promise<void> => new Promise(resolve => setTimeout(resolve, ms));
--- a/packages/budgets/src/note-sender.ts
+++ b/packages/budgets/src/note-sender.ts
@@ -30,22 +30,23 @@
         if (budget.spent <= budget.usable) {
             return true;
         }
-        const note = this.sending.get(budget)
-            ?? this.send(owned, budget).finally(() => this.sending.delete(budget));
-        this.sending.set(budget, note);
-        await note;
+        await (this.sending.get(budget) ?? this.start(owned, budget));
         return budget.spent <= budget.usable;
     }
 
     /** Has a higher bound kept before it is needed, unless one is on its way. */
     async sendAhead(owned: OwnedShard, budget: OwnedBudget): Promise<void> {
         if (!this.sending.has(budget)) {
-            const note = this.send(owned, budget).finally(() => this.sending.delete(budget));
-            this.sending.set(budget, note);
-            await note;
+            await this.start(owned, budget);
         }
     }
 
+    private start(owned: OwnedShard, budget: OwnedBudget): Promise<void> {
+        const note = this.send(owned, budget).finally(() => this.sending.delete(budget));
+        this.sending.set(budget, note);
+        return note;
+    }
+
     private async send(owned: OwnedShard, budget: OwnedBudget): Promise<void> {
         const { hub, getPrepaid } = this.opts;
         const numbers = owned.getNumbers(budget, getPrepaid(budget.name));
--- a/packages/relay/src/instance/fleet-roster.ts
+++ b/packages/relay/src/instance/fleet-roster.ts
@@ -37,28 +37,38 @@
 
     /** Instances of the fleet with this one, those included that are out of contact only since this one is cut off. */
     get size(): number {
-        return this.opts.hub.peers().length + this.listMissing().length + 1;
+        const inContact = this.opts.hub.peers().length;
+        return inContact + this.listMissing(inContact).length + 1;
     }
 
     /** Other instances that take callers as far as is known. */
     listTaking(): readonly InstanceInfo[] {
-        return [...this.opts.hub.peers().filter(peer => peer.state === "live"), ...this.listMissing()];
+        const peers = this.opts.hub.peers();
+        return [...peers.filter(peer => peer.state === "live"), ...this.listMissing(peers.length)];
     }
 
     /** Instances that were lost without leaving, while hardly any is in contact; otherwise none. */
-    private listMissing(): readonly InstanceInfo[] {
-        const now = this.nowMs();
-        const missing = [...this.missing.values()].filter(({ lostAtMs }) => now - lostAtMs < REMEMBER_MS);
-        const inContact = this.opts.hub.peers().length;
-        return inContact < (missing.length + inContact) * MIN_CONTACT_SHARE ? missing.map(({ info }) => info) : [];
+    private listMissing(inContact: number): readonly InstanceInfo[] {
+        this.forgetOld();
+        const known = this.missing.size + inContact;
+        return inContact < known * MIN_CONTACT_SHARE ? [...this.missing.values()].map(({ info }) => info) : [];
+    }
+
+    /** Entries stand in the order in which the instances were lost. */
+    private forgetOld(): void {
+        const horizon = this.nowMs() - REMEMBER_MS;
+        for (const [instance, { lostAtMs }] of this.missing) {
+            if (lostAtMs > horizon) {
+                return;
+            }
+            this.missing.delete(instance);
+        }
     }
 
     private note({ kind, info }: MembershipChange): void {
+        this.missing.delete(info.instance);
         if (kind === "lost" && info.state === "live") {
             this.missing.set(info.instance, { info, lostAtMs: this.nowMs() });
         }
-        else {
-            this.missing.delete(info.instance);
-        }
     }
 }
--- a/packages/relay/src/instance/relay-instance.ts
+++ b/packages/relay/src/instance/relay-instance.ts
@@ -1,6 +1,7 @@
 import { FleetBudgets } from "@ospreyreel/budgets";
 import { BreakerKvClient, KvHealth } from "@ospreyreel/kv";
 import type { TcpPeerHub } from "@ospreyreel/peer";
+import { setTimeout as sleep } from "node:timers/promises";
 import { DocumentFollower } from "../document/document-follower.js";
 import { DocumentHolder } from "../document/document-holder.js";
 import { HttpCallerPort } from "../http/http-caller-port.js";
@@ -237,7 +238,7 @@
 
     private async handBudgetsBack(): Promise<void> {
         while (!await this.budgets.handBack()) {
-            await new Promise(resolve => setTimeout(resolve, HAND_BACK_EVERY_MS));
+            await sleep(HAND_BACK_EVERY_MS);
         }
     }
 
@@ -263,6 +264,6 @@
         log.write("instance stopped", { openRequests: this.relay.openRequests });
         this.callerPort.close();
         this.questionPorts.forEach(port => port.close());
-        await Promise.race([this.hub.close(), new Promise(resolve => setTimeout(resolve, STOP_POLL_MS))]);
+        await Promise.race([this.hub.close(), sleep(STOP_POLL_MS)]);
     }
 }
--- a/packages/relay/src/policy/overload-guard.test.ts
+++ b/packages/relay/src/policy/overload-guard.test.ts
@@ -51,7 +51,8 @@
     let nowMs = 0;
     let longestWaitMs = 0;
     let free = 0;
-    const guard = new OverloadGuard({ nowMs: () => nowMs, random });
+    // Draws of its own, so that the same requests come with and without it.
+    const guard = new OverloadGuard({ nowMs: () => nowMs, random: createRandom(2) });
     const take = ({ team, sinceMs }: Waiting): number => {
         longestWaitMs = Math.max(longestWaitMs, nowMs - sinceMs);
         if (guarded && guard.getRefusal(team, 1) !== undefined) {
--- a/packages/relay/src/policy/overload-guard.ts
+++ b/packages/relay/src/policy/overload-guard.ts
@@ -46,7 +46,11 @@
 
     /** Counts a request; returns when to come back, in seconds, where it is to be refused. Priority 0 is the most urgent. */
     getRefusal(team: string, priority: number): number | undefined {
-        const besideLargest = this.shares.note(team, this.opts.nowMs());
+        this.shares.note(team, this.opts.nowMs());
+        if (!this.isRefusing) {
+            return undefined;
+        }
+        const besideLargest = this.shares.getBesideLargest(team);
         const refused = this.level * besideLargest * (priority === 0 ? URGENT_SHARE : 1);
         return this.opts.random() < refused ? RETRY_AFTER_S : undefined;
     }
--- a/packages/router/src/request-path.ts
+++ b/packages/router/src/request-path.ts
@@ -61,7 +61,7 @@
         // Registered before anything is awaited, so that a second call of this key joins instead of running.
         const answer = this.opts.registry.add(identity, { pending: ctx.keyed && !ctx.forwarded });
         try {
-            if (ctx.keyed && await this.serveKnownElsewhere(call, ctx, answer)) {
+            if (ctx.keyed && await this.serveKnownElsewhere(call, ctx, { identity, answer })) {
                 return;
             }
             await this.run(call, ctx, answer);
@@ -114,10 +114,15 @@
     }
 
     /** Answers a key that another instance knows; false where the request is to be run here. */
-    private async serveKnownElsewhere(call: CallerRequest, ctx: RequestContext, answer: Answer): Promise<boolean> {
-        const lookup = { team: ctx.team.name, budget: ctx.team.budget, requestKey: ctx.requestKey };
+    private async serveKnownElsewhere(
+        call: CallerRequest,
+        ctx: RequestContext,
+        { identity, answer }: { readonly identity: RequestIdentity; readonly answer: Answer; },
+    ): Promise<boolean> {
+        const { team, requestKey } = identity;
+        const lookup = { team, budget: ctx.team.budget, requestKey };
         const { ledger, locator } = this.opts;
-        const noteRuns = (): void => this.opts.registry.noteRuns({ ...ctx, team: ctx.team.name });
+        const noteRuns = (): void => this.opts.registry.noteRuns(identity);
         const sealed = ledger.findSealed(lookup.budget, lookup.team, lookup.requestKey);
         if (sealed !== undefined) {
             noteRuns();
