Read changes of the KV service at a few instances for all of a large fleet

Each heartbeat of a target (65 to 80 a second) was also decoded by every instance and rebuilt its directory, rendezvous scores and connection pools. Now half the square root of the fleet (5 at 90) read the service, large instances first; the others wait at one of them for changes and read for themselves where it does not answer, is out of date or older than what they know. Heartbeats that change nothing are dropped where they are read. Bounds of waits add up to under two seconds (shared-change-reader.ts). Fleets of up to 16 read as before, without the heartbeats. Ruled out: sharing raw changes (2 MB a second for each instance at 10,000 targets), a lease for the readers (one more state to recover). The polling loop moves from platform/ to packages/kv; platform/ keeps the two calls. Tests: change-log, watch-sources, shared-change-reader (a fleet of 20 in memory whose sources are cut from the service, then from peers).

--- a/packages/kv/src/breaker-kv-client.ts
+++ b/packages/kv/src/breaker-kv-client.ts
@@ -1,6 +1,6 @@
 import { hasResult, OspreyError } from "@ospreyreel/errors";
 import type { Stream } from "most";
-import { KvClient, type RangeOptions, type WatchOptions } from "./kv-client.js";
+import { KvClient, type RangeOptions } from "./kv-client.js";
 import type { KvEntry } from "./kv-entry.js";
 import type { KvEvent } from "./kv-event.js";
 import type { KvHealth } from "./kv-health.js";
@@ -36,8 +36,8 @@
         return this.guard(() => this.inner.revokeLease(leaseId));
     }
 
-    override watch(prefix: string, opts?: WatchOptions): Stream<KvEvent> {
-        return this.inner.watch(prefix, opts);
+    override watch(prefix: string): Stream<KvEvent> {
+        return this.inner.watch(prefix);
     }
 
     override close(): Promise<void> {
--- a/packages/kv/src/kv-client.ts
+++ b/packages/kv/src/kv-client.ts
@@ -11,15 +11,6 @@
     readonly limit?: number;
 }
 
-/** How a watch follows changes. */
-export interface WatchOptions {
-    /**
-     * Time to wait after changes came before asking for more, in milliseconds, so that many changes come together.
-     * Services that send changes by themselves need none.
-     */
-    readonly getPauseMs?: () => number;
-}
-
 /**
  * Client of the platform's key-value service.
  *
@@ -46,7 +37,7 @@
     abstract revokeLease(leaseId: string): Promise<void>;
 
     /** Follows changes under a prefix; reconnects by itself and reports each reconnect as an event of kind `resync`. */
-    abstract watch(prefix: string, opts?: WatchOptions): Stream<KvEvent>;
+    abstract watch(prefix: string): Stream<KvEvent>;
 
     /** Ends watches and connections. */
     abstract close(): Promise<void>;
--- a/packages/kv/src/kv-health.ts
+++ b/packages/kv/src/kv-health.ts
@@ -24,6 +24,16 @@
         return !this.isAvailable || this.now() - this.lastAwayAtMs < ms;
     }
 
+    /** Time since the service was last away, in milliseconds, as far as is known; 0 while it is. */
+    get sinceAwayMs(): number {
+        return this.isAvailable ? this.now() - this.lastAwayAtMs : 0;
+    }
+
+    /** Notes that the service was away for another instance some time ago, in milliseconds. */
+    noteAwayElsewhere(agoMs: number): void {
+        this.lastAwayAtMs = Math.max(this.lastAwayAtMs, this.now() - agoMs);
+    }
+
     /** Time since the last call that was answered, in milliseconds. */
     get silentMs(): number {
         return this.now() - this.lastSuccessAtMs;
--- a/packages/relay/src/document/document-follower.ts
+++ b/packages/relay/src/document/document-follower.ts
@@ -7,13 +7,12 @@
 
 /** What a follower needs. */
 export interface DocumentFollowerOptions {
-    readonly kv: KvClient;
+    /** Follows the changes under a prefix. */
+    readonly watch: KvClient["watch"];
     readonly hub: PeerHub;
     readonly codec: DocumentCodec;
     readonly holder: DocumentHolder;
     readonly log: RelayLog;
-    /** Time between two reads of changes, in milliseconds. */
-    readonly getPauseMs: () => number;
 }
 
 /** Longest wait for a peer's document, in milliseconds; several round trips between regions. */
@@ -27,9 +26,9 @@
 
     /** Starts following; it lasts as long as the process. */
     start(): void {
-        const { kv, hub, codec, holder } = this.opts;
+        const { watch, hub, codec, holder } = this.opts;
         hub.handle("relay.document", () => Promise.resolve({ encoded: holder.encoded }));
-        void kv.watch(codec.prefix, { getPauseMs: this.opts.getPauseMs }).observe(event => {
+        void watch(codec.prefix).observe(event => {
             switch (event.kind) {
                 case "put":
                     this.takeEntry(event.entry);
--- a/packages/relay/src/instance/peer-kv-client.ts
+++ b/packages/relay/src/instance/peer-kv-client.ts
@@ -1,13 +1,5 @@
 import { hasResult, OspreyError } from "@ospreyreel/errors";
-import {
-    KvClient,
-    type KvEntry,
-    type KvEvent,
-    type KvTxn,
-    type KvTxnResult,
-    type RangeOptions,
-    type WatchOptions,
-} from "@ospreyreel/kv";
+import { KvClient, type KvEntry, type KvEvent, type KvTxn, type KvTxnResult, type RangeOptions } from "@ospreyreel/kv";
 import type { PeerHub } from "@ospreyreel/peer";
 import type { PeerKvOutcome } from "@ospreyreel/types";
 import type { Stream } from "most";
@@ -112,8 +104,8 @@
         return this.own.revokeLease(leaseId);
     }
 
-    override watch(prefix: string, opts?: WatchOptions): Stream<KvEvent> {
-        return this.own.watch(prefix, opts);
+    override watch(prefix: string): Stream<KvEvent> {
+        return this.own.watch(prefix);
     }
 
     override close(): Promise<void> {
--- a/packages/relay/src/instance/relay-adapter.ts
+++ b/packages/relay/src/instance/relay-adapter.ts
@@ -1,4 +1,4 @@
-import type { KvClient, KvHealth } from "@ospreyreel/kv";
+import type { KvHealth, PolledKvClient } from "@ospreyreel/kv";
 import type { DocumentCodec } from "../document/document-codec.js";
 import type { CallerProtocol } from "../http/caller-protocol.js";
 import type { QuestionAnswer } from "../http/question-port.js";
@@ -22,8 +22,8 @@
     abstract readonly callers: CallerProtocol;
     abstract readonly sends: TargetProtocol;
 
-    /** Makes the client of the KV service at an address; its watches tell the health of their calls. */
-    abstract createKvClient(address: string, deadlineMs: number, health: KvHealth): KvClient;
+    /** Makes the client of the KV service at an address; its changes tell the health of their calls. */
+    abstract createKvClient(address: string, deadlineMs: number, health: KvHealth): PolledKvClient;
 
     /** Answers whether the instance is ready. */
     abstract answerReadiness(method: string, url: URL, view: InstanceView): QuestionAnswer;
--- a/packages/relay/src/instance/relay-instance.ts
+++ b/packages/relay/src/instance/relay-instance.ts
@@ -1,5 +1,5 @@
 import { FleetBudgets } from "@ospreyreel/budgets";
-import { BreakerKvClient, KvHealth } from "@ospreyreel/kv";
+import { BreakerKvClient, type KvClient, KvHealth } from "@ospreyreel/kv";
 import type { TcpPeerHub } from "@ospreyreel/peer";
 import { setTimeout as sleep } from "node:timers/promises";
 import { DocumentFollower } from "../document/document-follower.js";
@@ -16,6 +16,7 @@
 import { TargetSelector } from "../targets/target-selector.js";
 import { BoundedLog } from "./bounded-log.js";
 import { createRelayHub } from "./create-relay-hub.js";
+import { createSharedWatch } from "./create-shared-watch.js";
 import { FleetBudgetGate } from "./fleet-budget-gate.js";
 import { FleetRoster } from "./fleet-roster.js";
 import { FleetShares } from "./fleet-shares.js";
@@ -57,6 +58,7 @@
     private readonly roster: FleetRoster;
     private readonly shares: FleetShares;
     private readonly kv: BreakerKvClient;
+    private readonly watch: KvClient["watch"];
     private readonly targetPort: HttpTargetPort;
     private readonly callerPort: HttpCallerPort;
     private readonly questionPorts: readonly QuestionPort[];
@@ -76,10 +78,15 @@
         this.ready = new Promise(resolve => {
             this.tellReady = resolve;
         });
-        this.kv = new BreakerKvClient(
-            adapter.createKvClient(cfg.kv.address, cfg.kv.deadlineMs, this.health),
-            this.health,
-        );
+        const platformKv = adapter.createKvClient(cfg.kv.address, cfg.kv.deadlineMs, this.health);
+        this.kv = new BreakerKvClient(platformKv, this.health);
+        this.watch = createSharedWatch({
+            kv: platformKv,
+            health: this.health,
+            hub,
+            targets: adapter.targets,
+            getPauseMs: () => this.shares.watchPauseMs,
+        });
         this.targetPort = new HttpTargetPort(adapter.sends);
         this.roster = new FleetRoster({ hub });
         this.shares = new FleetShares({ roster: this.roster, documents: this.documents, retries: cfg.retries });
@@ -115,14 +122,13 @@
             serve: (req, caller) => this.relay.serve(req, caller),
         });
         this.follower = new TargetFollower({
-            kv: this.kv,
+            watch: this.watch,
             health: this.health,
             hub,
             codec: adapter.targets,
             directory: this.directory,
             log: this.log,
             returnMs: TARGET_RETURN_MS,
-            getPauseMs: () => this.shares.watchPauseMs,
         });
         this.questionPorts = this.createQuestionPorts();
     }
@@ -209,14 +215,13 @@
             log.write(available ? "KV service regained" : "KV service lost", { silentMs: this.health.silentMs })
         );
         new DocumentFollower({
-            kv: this.kv,
+            watch: this.watch,
             hub,
             codec: this.adapter.documents,
             holder: documents,
             log,
-            getPauseMs: () => this.shares.watchPauseMs,
         }).start();
-        startOverloadWatch({ cores: cfg.processor.cores * cfg.processor.share, guard: this.overload, log });
+        startOverloadWatch({ ...parseAddress(cfg.callers), guard: this.overload, log });
         this.follower.start();
         this.budgets.serve();
         hub.setPeerAddresses(cfg.seeds.map(parseAddress));
--- a/packages/relay/src/targets/target-follower.ts
+++ b/packages/relay/src/targets/target-follower.ts
@@ -6,7 +6,8 @@
 
 /** What a follower needs. */
 export interface TargetFollowerOptions {
-    readonly kv: KvClient;
+    /** Follows the changes under a prefix. */
+    readonly watch: KvClient["watch"];
     readonly health: KvHealth;
     readonly hub: PeerHub;
     readonly codec: TargetCodec;
@@ -14,8 +15,6 @@
     readonly log: RelayLog;
     /** Time after an outage of the KV service in which targets announce themselves again, in milliseconds. */
     readonly returnMs: number;
-    /** Time between two reads of changes, in milliseconds. */
-    readonly getPauseMs: () => number;
 }
 
 /** Longest wait for a peer to take word of leaving targets, in milliseconds. */
@@ -38,13 +37,13 @@
 
     /** Starts following; it lasts as long as the process. */
     start(): void {
-        const { kv, hub, codec } = this.opts;
+        const { watch, hub, codec } = this.opts;
         hub.handle("targets.leaving", req => {
             req.targets.filter(id => this.opts.directory.markLeaving(id))
                 .forEach(id => this.opts.log.write("target leaving", { target: id, source: "peer" }));
             return Promise.resolve({});
         });
-        void kv.watch(codec.prefix, { getPauseMs: this.opts.getPauseMs }).observe(event => {
+        void watch(codec.prefix).observe(event => {
             switch (event.kind) {
                 case "put":
                     this.put(event.entry);
--- /dev/null
+++ b/packages/relay/src/watch/shared-change-reader.test.ts
@@ -0,0 +1,119 @@
+import { type KvEvent, KvHealth, watchByPolling } from "@ospreyreel/kv";
+import { type MemoryHub, MemoryNetwork } from "@ospreyreel/peer/fixtures";
+import test, { type ExecutionContext } from "ava";
+import { setTimeout as sleep } from "node:timers/promises";
+import { MemoryChanges } from "../fixtures/memory-changes.js";
+import { SharedChangeReader } from "./shared-change-reader.js";
+import { WatchSources } from "./watch-sources.js";
+
+const FLEET = 20;
+const PREFIX = "targets/";
+
+/** The users' pages allow two seconds until a change is in force; the rest is left for the request itself. */
+const IN_FORCE_MS = 1_800;
+
+interface Follower {
+    readonly hub: MemoryHub;
+    readonly values: Map<string, string>;
+    readonly isSource: () => boolean;
+}
+
+const apply = (values: Map<string, string>, event: KvEvent): void => {
+    const put = (key: string, value: Uint8Array): unknown => values.set(key, Buffer.from(value).toString());
+    switch (event.kind) {
+        case "put":
+            put(event.entry.key, event.entry.value);
+            break;
+        case "delete":
+            values.delete(event.key);
+            break;
+        case "resync":
+            values.clear();
+            event.entries?.forEach(entry => put(entry.key, entry.value));
+    }
+};
+
+/** A fleet that follows one prefix; what stands after a dash in a value is noise. */
+const createFleet = (t: ExecutionContext) => {
+    const network = new MemoryNetwork();
+    const service = new MemoryChanges();
+    const closed = new AbortController();
+    t.teardown(() => closed.abort());
+    service.put("targets/a", "ready-1");
+    const hubs = Array.from({ length: FLEET }, (_, at) => network.createHub(`i${at}`, `zone-${at % 3}`));
+    const followers = hubs.map((hub): Follower => {
+        const values = new Map<string, string>();
+        const sources = new WatchSources({ hub });
+        const reader = new SharedChangeReader({
+            own: service.createReader(hub.self().instance),
+            hub,
+            sources,
+            health: new KvHealth(),
+            isNoise: (before, after) =>
+                String(Buffer.from(before.value)).split("-")[0] === String(Buffer.from(after.value)).split("-")[0],
+            getPauseMs: () => 50,
+        });
+        reader.serve();
+        void watchByPolling({ reader, prefix: PREFIX, closed: closed.signal }).observe(event => apply(values, event));
+        return { hub, values, isSource: () => sources.choose() === undefined };
+    });
+    const awaitAll = async (isDone: (follower: Follower) => boolean, among = followers): Promise<number> => {
+        const startedAtMs = performance.now();
+        while (!among.every(isDone) && performance.now() - startedAtMs < 2 * IN_FORCE_MS) {
+            await sleep(10);
+        }
+        return performance.now() - startedAtMs;
+    };
+    return { network, service, followers, awaitAll };
+};
+
+test("a change reaches all instances though few read the service", async t => {
+    const { service, followers, awaitAll } = createFleet(t);
+    await awaitAll(({ values }) => values.has("targets/a"));
+    service.calls.clear();
+    service.put("targets/a", "leaving-1");
+    t.true(await awaitAll(({ values }) => values.get("targets/a") === "leaving-1") < IN_FORCE_MS);
+    service.remove("targets/a");
+    t.true(await awaitAll(({ values }) => !values.has("targets/a")) < IN_FORCE_MS);
+    const sources = followers.filter(({ isSource }) => isSource()).map(({ hub }) => hub.self().instance);
+    t.is(sources.length, 3);
+    t.deepEqual([...service.calls.keys()].toSorted(), sources.toSorted());
+});
+
+test("heartbeats are read by the sources and told to nobody", async t => {
+    const { service, followers, awaitAll } = createFleet(t);
+    await awaitAll(({ values }) => values.has("targets/a"));
+    service.put("targets/a", "ready-2");
+    await sleep(600);
+    t.true(followers.every(({ values }) => values.get("targets/a") === "ready-1"));
+});
+
+test("sources that the service does not answer are passed by in time", async t => {
+    const { service, followers, awaitAll } = createFleet(t);
+    await awaitAll(({ values }) => values.has("targets/a"));
+    const sources = followers.filter(({ isSource }) => isSource());
+    sources.forEach(({ hub }) => service.cut.add(hub.self().instance));
+    service.put("targets/b", "ready-1");
+    const others = followers.filter(follower => !sources.includes(follower));
+    t.true(await awaitAll(({ values }) => values.has("targets/b"), others) < IN_FORCE_MS);
+    service.cut.clear();
+    t.true(await awaitAll(({ values }) => values.has("targets/b"), sources) < IN_FORCE_MS);
+});
+
+test("sources that their askers do not reach are passed by in time", async t => {
+    const { network, service, followers, awaitAll } = createFleet(t);
+    await awaitAll(({ values }) => values.has("targets/a"));
+    const sources = followers.filter(({ isSource }) => isSource());
+    sources.forEach(({ hub }) => network.isolate(hub));
+    service.put("targets/a", "leaving-1");
+    t.true(await awaitAll(({ values }) => values.get("targets/a") === "leaving-1") < IN_FORCE_MS);
+});
+
+test("an instance that cannot read the service hears of changes from a source", async t => {
+    const { service, followers, awaitAll } = createFleet(t);
+    await awaitAll(({ values }) => values.has("targets/a"));
+    const cutOff = followers.filter(({ isSource }) => !isSource());
+    cutOff.forEach(({ hub }) => service.cut.add(hub.self().instance));
+    service.put("targets/c", "ready-1");
+    t.true(await awaitAll(({ values }) => values.has("targets/c"), cutOff) < IN_FORCE_MS);
+});
--- a/packages/types/src/peer-requests.ts
+++ b/packages/types/src/peer-requests.ts
@@ -159,6 +159,31 @@
 /** Outcome of a peer's call; "unavailable" promises that it had no effect. */
 export type PeerKvOutcome = "done" | "unavailable" | "unknown";
 
+/** Asks an instance that reads the KV service itself for the changes under a prefix. */
+export interface PeerChangesRequest {
+    readonly prefix: string;
+    /** Revision up to which the asker knows all; undefined where it knows nothing yet. */
+    readonly after: number | undefined;
+    /** Longest wait for a change, in milliseconds. */
+    readonly waitMs: number;
+}
+
+/** What an instance knows of a prefix. */
+export type PeerChangesAnswer =
+    /** It does not read the prefix itself, or has not been able to for some time. */
+    | { readonly kind: "stale"; }
+    | {
+        readonly kind: "current";
+        /** Whether `entries` are all under the prefix, and not only what changed. */
+        readonly isWhole: boolean;
+        readonly entries: readonly PeerKvEntry[];
+        readonly removed: readonly { readonly key: string; readonly revision: number; }[];
+        /** Revision of the KV service up to which this is complete. */
+        readonly at: number;
+        /** Time since the KV service was away, in milliseconds; undefined where it was not. */
+        readonly awayMsAgo: number | undefined;
+    };
+
 /** Requests between instances by kind, with the shapes of request and answer. */
 export interface PeerRequests {
     readonly "copy.open": { readonly req: CopyOpenRequest; readonly res: CopyAnswer; };
@@ -187,6 +212,8 @@
         readonly req: PeerKvTxnRequest;
         readonly res: { readonly outcome: PeerKvOutcome; readonly succeeded: boolean; readonly revision: number; };
     };
+    /** Waits for changes that the asked instance has read from the KV service. */
+    readonly "kv.changes": { readonly req: PeerChangesRequest; readonly res: PeerChangesAnswer; };
     /** Asks for the relay's desired state in force, as operators wrote it. */
     readonly "relay.document": {
         readonly req: Record<string, never>;
