Refuse by how long new connections wait; do not serve callers that left meanwhile

Now the guard is told what a new connection to the callers' own port waits, and refuses beyond 100 ms. And a caller that left while it waited is noticed by the end of its connection before its request is served. Ruled out: probes on a kept connection (151 ms at most, 1 request refused, GONE still broken), a higher share of the processor.

--- a/packages/relay/src/http/http-caller-exchange.ts
+++ b/packages/relay/src/http/http-caller-exchange.ts
@@ -24,7 +24,13 @@
                 this.left.abort();
             }
         };
-        res.once("close", leave);
+        const { socket } = req;
+        // The server answers nothing more on a connection whose other side has ended, and closes it some turns later.
+        socket.once("end", leave);
+        res.once("close", () => {
+            socket.off("end", leave);
+            leave();
+        });
         req.once("aborted", leave);
     }
 
--- a/packages/relay/src/http/http-caller-port.ts
+++ b/packages/relay/src/http/http-caller-port.ts
@@ -1,5 +1,7 @@
 import { once } from "node:events";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
+import { setImmediate as nextTurn } from "node:timers/promises";
 import type { CallerExchange } from "../caller-exchange.js";
 import type { CallerBounds } from "../document/relay-document.js";
 import type { RelayRequest } from "../relay-request.js";
@@ -55,6 +57,11 @@
         await once(this.server, "listening");
     }
 
+    /** Port that this one listens on. */
+    get listenPort(): number {
+        return (this.server.address() as AddressInfo).port;
+    }
+
     /** Takes the bounds of the desired state in force. */
     updateBounds(): void {
         const { headerTimeoutMs, idleTimeoutMs } = this.bounds;
@@ -112,13 +119,25 @@
             caller.refuse({ reason: "bodyTooLarge" });
             return;
         }
-        await this.opts.serve(toRequest(head, body), caller);
+        await readWhatFollows();
+        if (!caller.gone.aborted) {
+            await this.opts.serve(toRequest(head, body), caller);
+        }
     }
 }
 
 /** Colon, space and line end of a header, over its two parts. */
 const HEADER_SEPARATOR_BYTES = 2;
 
+/**
+ * Lets the end of a connection be read, which comes in the turn after its last bytes. Callers that left while their
+ * connection waited to be accepted show only then.
+ */
+const readWhatFollows = async (): Promise<void> => {
+    await nextTurn();
+    await nextTurn();
+};
+
 const toRequest = (head: DecodedHead, body: Buffer): RelayRequest => ({ ...head, body });
 
 const readBody = async (req: IncomingMessage, maxBytes: number): Promise<Buffer | "cut" | "too_large"> => {
--- /dev/null
+++ b/packages/relay/src/instance/input-delay-meter.test.ts
@@ -0,0 +1,65 @@
+import test, { type ExecutionContext } from "ava";
+import { once } from "node:events";
+import { createServer } from "node:http";
+import { type AddressInfo, connect } from "node:net";
+import { setTimeout as sleep } from "node:timers/promises";
+import { InputDelayMeter } from "./input-delay-meter.js";
+
+/** Objective of the users' shortest requests, in milliseconds; half of it is too long a wait. */
+const TOO_LONG_MS = 100;
+
+/** Keeps the process from its input. */
+const block = (ms: number): void => {
+    const endsAtMs = performance.now() + ms;
+    while (performance.now() < endsAtMs) {
+        // Nothing else runs meanwhile.
+    }
+};
+
+/** A callers' port, of which each answer takes some work. */
+const open = async (t: ExecutionContext, workMs: number) => {
+    const server = createServer((_req, res) => {
+        block(workMs);
+        res.writeHead(400, { "Connection": "close" }).end();
+    });
+    server.listen(0, "127.0.0.1");
+    await once(server, "listening");
+    t.teardown(() => {
+        server.close();
+        server.closeAllConnections();
+    });
+    return { host: "127.0.0.1", port: (server.address() as AddressInfo).port };
+};
+
+test.serial("a burst of connections that wait to be accepted shows, and shows when it has ended", async t => {
+    const port = await open(t, 5);
+    const looks: number[] = [];
+    new InputDelayMeter({ ...port, warmUpMs: 0 }).start(delayMs => looks.push(delayMs));
+    const callers = Array.from({ length: 200 }, () => connect(port).on("error", () => undefined));
+    callers.forEach(caller => caller.write("GET / HTTP/1.1\r\nHost: caller\r\n\r\n"));
+    await sleep(2_000);
+    t.true(Math.max(...looks) > TOO_LONG_MS, looks.join());
+    callers.forEach(caller => caller.destroy());
+    await sleep(1_000);
+    t.true((looks.at(-1) ?? Number.NaN) < TOO_LONG_MS, looks.join());
+});
+
+test.serial("used processor time alone is no delay", async t => {
+    const port = await open(t, 0);
+    const looks: number[] = [];
+    new InputDelayMeter({ ...port, warmUpMs: 0 }).start(delayMs => looks.push(delayMs));
+    const endsAtMs = performance.now() + 1_500;
+    while (performance.now() < endsAtMs) {
+        block(1);
+        await new Promise(resolve => setImmediate(resolve));
+    }
+    const median = looks.toSorted((a, b) => a - b)[Math.floor(looks.length / 2)] ?? Number.NaN;
+    t.true(median < TOO_LONG_MS, looks.join());
+});
+
+test.serial("what a start takes is not told", async t => {
+    const looks: number[] = [];
+    new InputDelayMeter(await open(t, 0)).start(delayMs => looks.push(delayMs));
+    await sleep(500);
+    t.deepEqual(looks, []);
+});
--- a/packages/relay/src/instance/start-overload-watch.ts
+++ b/packages/relay/src/instance/start-overload-watch.ts
@@ -1,22 +1,21 @@
 import type { OverloadGuard } from "../policy/overload-guard.js";
 import type { RelayLog } from "../relay-log.js";
-import { ProcessorMeter } from "./processor-meter.js";
+import { InputDelayMeter, type InputDelayMeterOptions } from "./input-delay-meter.js";
 
 /** What a watch needs. */
-export interface OverloadWatchOptions {
-    /** Cores that this process may use, parts of one included. */
-    readonly cores: number;
+export interface OverloadWatchOptions extends InputDelayMeterOptions {
     readonly guard: OverloadGuard;
     readonly log: RelayLog;
 }
 
-/** Tells the guard how much of the processor is used, and logs when it begins and ends to refuse. */
-export const startOverloadWatch = ({ cores, guard, log }: OverloadWatchOptions): void => {
-    new ProcessorMeter({ cores }).start(usedShare => {
+/** Tells the guard how long new connections wait, and logs when it begins and ends to refuse. */
+export const startOverloadWatch = ({ guard, log, ...port }: OverloadWatchOptions): void => {
+    new InputDelayMeter(port).start(delayMs => {
         const wasRefusing = guard.isRefusing;
-        guard.noteUsedShare(usedShare);
+        guard.noteInputDelay(delayMs);
         if (guard.isRefusing !== wasRefusing) {
-            log.write(guard.isRefusing ? "processor used up" : "processor free again", { usedShare });
+            const event = guard.isRefusing ? "callers wait too long" : "callers are taken in time again";
+            log.write(event, { delayMs: Math.round(delayMs) });
         }
     });
 };
--- a/packages/relay/src/policy/overload-guard.test.ts
+++ b/packages/relay/src/policy/overload-guard.test.ts
@@ -12,9 +12,8 @@
 const PATIENCE_MS = 1_000;
 /** While the level rises, in milliseconds: half a second to see it, and the backlog of as long at three times the capacity. */
 const LONGEST_WAIT_MS = 1_500;
-/** Looks at the processor, and how many of them one figure is the mean of. */
-const LOOK_EVERY_MS = 100;
-const LOOKS = 4;
+/** Time between two looks at how long input waits. */
+const LOOK_EVERY_MS = 200;
 
 type Counts = Readonly<Record<string, number>>;
 
@@ -47,7 +46,6 @@
     const queue: Waiting[] = [];
     const sent: Record<string, number> = {};
     const served: Record<string, number> = {};
-    const used: number[] = [0];
     let nowMs = 0;
     let longestWaitMs = 0;
     let free = 0;
@@ -71,14 +69,11 @@
         free = Math.min(1, free + CAPACITY / MS_PER_S);
         for (let next = queue[0]; next !== undefined && free > 0; next = queue[0]) {
             queue.shift();
-            const cost = take(next);
-            free -= cost;
-            used.push((used.pop() ?? 0) + cost / (CAPACITY * LOOK_EVERY_MS / MS_PER_S));
+            free -= take(next);
         }
         if (nowMs % LOOK_EVERY_MS === 0) {
-            const last = used.slice(-LOOKS);
-            guard.noteUsedShare(last.reduce((sum, share) => sum + share, 0) / last.length);
-            used.push(0);
+            // A probe takes its turn like a request, so that it tells what the oldest one waits.
+            guard.noteInputDelay(nowMs - (queue[0]?.sinceMs ?? nowMs));
         }
     }
     return { sent, served, longestWaitMs };
@@ -115,7 +110,9 @@
 
 test("urgent requests are refused less than others", t => {
     const guard = new OverloadGuard({ nowMs: () => 0, random: createRandom(2) });
-    guard.noteUsedShare(1.5);
+    for (let look = 0; look < 5; look++) {
+        guard.noteInputDelay(300);
+    }
     const [urgent = 0, other = 0] = [0, 3].map(priority =>
         Array.from({ length: 400 }, () => guard.getRefusal("a", priority)).filter(after => after !== undefined).length
     );
--- a/packages/relay/src/policy/overload-guard.ts
+++ b/packages/relay/src/policy/overload-guard.ts
@@ -8,14 +8,11 @@
     readonly random: () => number;
 }
 
-/**
- * Share of the processor time above which requests are refused. Bursts of some hundred milliseconds still fit; the calm
- * days of the users' sites stay below 0.82, and a processor that is used up shows 1 and more.
- */
-const TARGET_SHARE = 0.95;
+/** Wait of new connections above which requests are refused, in milliseconds; half of the shortest objective of the users' requests. */
+const TARGET_DELAY_MS = 100;
 
-/** How fast the level follows: 0.2 beyond the target for half a second refuse all of the largest team. */
-const GAIN = 1;
+/** How fast the level moves with each look: a second at twice the target refuses half of the largest team's requests. */
+const STEP = 0.1;
 
 /** Part of what others of the same team are refused that the most urgent requests are. */
 const URGENT_SHARE = 0.5;
@@ -24,9 +21,9 @@
 const RETRY_AFTER_S = 1;
 
 /**
- * Decides which requests an instance takes that has more to do than its processor can. Without it all wait alike, until
- * their callers have left and what is done for them is lost. Teams are refused by what they send beside the largest, so
- * that one team does not starve the others, and urgent requests less.
+ * Decides which requests an instance takes that has more to do than its processor can, told by how long new
+ * connections wait. Without it all wait alike, until their callers have left and what is done for them is lost. Teams are
+ * refused by what they send beside the largest, so that one team does not starve the others, and urgent requests less.
  */
 export class OverloadGuard {
     private readonly shares = new TeamShares();
@@ -39,9 +36,10 @@
         return this.level > 0;
     }
 
-    /** Takes a look at the processor; `usedShare` is 1 where all that may be used is used. About ten looks a second. */
-    noteUsedShare(usedShare: number): void {
-        this.level = Math.min(1, Math.max(0, this.level + GAIN * (usedShare - TARGET_SHARE)));
+    /** Takes how long new connections wait until they are taken, in milliseconds; five times a second. */
+    noteInputDelay(delayMs: number): void {
+        const beyond = Math.min(1, delayMs / TARGET_DELAY_MS - 1);
+        this.level = Math.min(1, Math.max(0, this.level + STEP * beyond));
     }
 
     /** Counts a request; returns when to come back, in seconds, where it is to be refused. Priority 0 is the most urgent. */
