--- a/packages/relay/src/relay-attempts.ts
+++ b/packages/relay/src/relay-attempts.ts
@@ -33,6 +33,7 @@
     private readonly tried = new Set<string>();
     private readonly stream: StreamPass;
     private sends = 0;
+    private lastTarget = "";
     private unreached = 0;
     private mayHaveRun = false;
 
@@ -40,6 +41,11 @@
         this.stream = new StreamPass(request.caller, request.req.lastEventId);
     }
 
+    /** What became of the sends, for the request's log line. */
+    get trace(): { readonly target: string; readonly sends: number; readonly events: number; } {
+        return { target: this.lastTarget, sends: this.sends, events: this.stream.eventCount };
+    }
+
     /** Sends the request until it is answered or may not be sent again. */
     async run(): Promise<AttemptsEnd | RelayRefusal> {
         try {
@@ -69,6 +75,7 @@
             return { kind: "end", end: this.giveUp("overloaded") };
         }
         this.tried.add(state.target.id);
+        this.lastTarget = state.target.id;
         state.inFlight += 1;
         try {
             const startedAtMs = performance.now();
--- a/packages/relay/src/relay-log.ts
+++ b/packages/relay/src/relay-log.ts
@@ -6,10 +6,3 @@
     /** Writes one line about a request or a change of what the process believes. */
     abstract write(event: string, fields: LogFields): void;
 }
-
-/** Writes nothing. */
-export class SilentRelayLog extends RelayLog {
-    override write(): void {
-        // For tests.
-    }
-}
--- a/packages/relay/src/relay.test.ts
+++ b/packages/relay/src/relay.test.ts
@@ -8,7 +8,7 @@
 import { createRequest } from "./fixtures/plain-protocol.js";
 import { AffinityPlacement } from "./policy/affinity-placement.js";
 import { RetryAllowance } from "./policy/retry-allowance.js";
-import { SilentRelayLog } from "./relay-log.js";
+import { type LogFields, RelayLog } from "./relay-log.js";
 import type { RelayRequest } from "./relay-request.js";
 import { Relay } from "./relay.js";
 import { TargetDirectory } from "./targets/target-directory.js";
@@ -40,6 +40,15 @@
 const lost: Outcome = () => ({ kind: "failed", cause: "reset" });
 const unreachable: Outcome = () => ({ kind: "not_sent", cause: "refused" });
 
+/** Keeps the lines. */
+class KeptLog extends RelayLog {
+    readonly lines: (LogFields & { readonly event: string; })[] = [];
+
+    override write(event: string, fields: LogFields): void {
+        this.lines.push({ event, ...fields });
+    }
+}
+
 const silent: Outcome = call =>
     new Promise(resolve => {
         call.signal.addEventListener("abort", () => resolve({ kind: "failed", cause: "aborted" }));
@@ -69,6 +78,7 @@
         directory.put({ id, ...rest, leaving: false, startedAtMs: undefined });
     }
     const port = new FakeTargetPort(outcomes);
+    const log = new KeptLog();
     const allowance = new RetryAllowance({ ratio: 1, slack: 10, windowMs: 10_000, getInstances: () => 1 });
     const relay = new Relay({
         documents,
@@ -82,7 +92,7 @@
         budgets,
         getRetries: () => allowance,
         overload: { getRefusal: () => overloadedForS },
-        log: new SilentRelayLog(),
+        log,
         meter: { noteEnd: () => undefined, noteSend: () => undefined },
         random: () => 0,
     });
@@ -91,7 +101,7 @@
         setTimeout(() => caller.leaving.abort(), leavesAfterMs);
     }
     await relay.serve(createRequest({ teamKey: "key-1", ...req }), caller);
-    return { caller, port };
+    return { caller, port, lines: log.lines };
 };
 
 test("an idempotent request whose answer is lost is sent to another target", async t => {
@@ -237,3 +247,13 @@
     t.deepEqual(unavailable.caller.refusal, { reason: "budgetUnavailable", retryAfterS: 1 });
     t.is(unavailable.port.calls.length, 0);
 });
+
+test("each request leaves one line of its end, with what decided it", async t => {
+    const { lines } = await serve([lost, answer(["whole"])]);
+    const [end, ...others] = lines.filter(({ event }) => event.startsWith("request "));
+    t.deepEqual(others, []);
+    t.like(end, { event: "request ended", request: "request-1", result: "answered", team: "team-1", sends: 2 });
+    t.is(typeof end?.["target"], "string");
+    const { lines: refused } = await serve([full], { maxAttempts: 1 });
+    t.like(refused.at(-1), { event: "request refused", reason: "overloaded", team: "team-1", sends: 1 });
+});
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -5,7 +5,7 @@
 import type { OverloadGuard } from "./policy/overload-guard.js";
 import type { RetryAllowance } from "./policy/retry-allowance.js";
 import { RelayAttempts } from "./relay-attempts.js";
-import type { RelayLog } from "./relay-log.js";
+import type { LogFields, RelayLog } from "./relay-log.js";
 import type { RefusalReason, RelayRefusal } from "./relay-refusal.js";
 import type { RelayRequest } from "./relay-request.js";
 import { RequestClock } from "./request-clock.js";
@@ -37,6 +37,10 @@
 
 const isRefusal = (admitted: Admission | RelayRefusal): admitted is RelayRefusal => "reason" in admitted;
 
+/** Tokens that a request may use at most; 0 where it asks no model. */
+const getWorstCase = ({ generation }: RelayRequest): number =>
+    generation === undefined ? 0 : generation.promptTokens + generation.maxOutputTokens;
+
 /** A request with all that was decided before its first send. */
 export interface AdmittedRequest {
     readonly req: RelayRequest;
@@ -83,23 +87,34 @@
         try {
             const held = await this.holdBudget(req, admission);
             if (held !== undefined && "reason" in held) {
-                this.refuse(req, caller, service, held);
+                this.refuse(req, caller, service, held, { team, tokens: getWorstCase(req) });
                 return;
             }
             // After the budget: a team that has used it up is told so for good, and does not come back.
             const retryAfterS = this.opts.overload.getRefusal(team, priority);
             if (retryAfterS !== undefined) {
                 held?.settle(0);
-                this.refuse(req, caller, service, { reason: "overloaded", retryAfterS });
+                this.refuse(req, caller, service, { reason: "overloaded", retryAfterS }, { team, priority });
                 return;
             }
             const request = { req, admission, caller, clock, hold: held, repeatable: isRepeatable(route) };
-            const result = await new RelayAttempts(this.opts, request).run();
+            const attempts = new RelayAttempts(this.opts, request);
+            const result = await attempts.run();
             if (typeof result !== "string") {
-                this.refuse(req, caller, service, result);
+                this.refuse(req, caller, service, result, { team, ...attempts.trace });
                 return;
             }
-            this.opts.meter.noteEnd(result, service, performance.now() - req.arrivedAtMs);
+            const ms = performance.now() - req.arrivedAtMs;
+            this.opts.meter.noteEnd(result, service, ms);
+            this.opts.log.write("request ended", {
+                request: req.id,
+                result,
+                service,
+                team,
+                ...attempts.trace,
+                document: admission.version,
+                ms: Math.round(ms),
+            });
         }
         finally {
             clock.stop();
@@ -114,8 +129,7 @@
         if (generation === undefined || admission.team === undefined || !admission.isPrepaid) {
             return undefined;
         }
-        const tokens = generation.promptTokens + generation.maxOutputTokens;
-        const decision = await this.opts.budgets.hold(admission.team, tokens);
+        const decision = await this.opts.budgets.hold(admission.team, getWorstCase(req));
         switch (decision.kind) {
             case "held":
                 return decision.hold;
@@ -131,7 +145,13 @@
         }
     }
 
-    private refuse(req: RelayRequest, caller: CallerExchange, service: string, refusal: RelayRefusal): void {
+    private refuse(
+        req: RelayRequest,
+        caller: CallerExchange,
+        service: string,
+        refusal: RelayRefusal,
+        decidedBy: LogFields = {},
+    ): void {
         caller.refuse(refusal);
         const ms = performance.now() - req.arrivedAtMs;
         this.opts.meter.noteEnd(refusal.reason satisfies RefusalReason, service, ms);
@@ -139,6 +159,7 @@
             request: req.id,
             reason: refusal.reason,
             service,
+            ...decidedBy,
             document: this.opts.documents.version,
             ms: Math.round(ms),
             retryAfterS: refusal.retryAfterS ?? 0,
