--- a/packages/relay/src/policy/overload-guard.ts
+++ b/packages/relay/src/policy/overload-guard.ts
@@ -8,11 +8,8 @@
     readonly random: () => number;
 }
 
-/**
- * Wait of new connections above which requests are refused, in milliseconds: most of the users' objectives of 200 to
- * 400 ms. Up to there callers get their answers, if late; a refused one waits longer and comes back.
- */
-const TARGET_DELAY_MS = 250;
+/** Wait of new connections above which requests are refused, in milliseconds; half of the shortest objective of the users' requests. */
+const TARGET_DELAY_MS = 100;
 
 /** How fast the level moves with each look: a second at twice the target refuses half of the largest team's requests. */
 const STEP = 0.1;
