Tell changes before the pause, give up probes that fall silent, log silent sources

Cause of each: the pause between two own reads stood between a read and its telling, up to 0.6 s at 90 instances and 48 ms at 8, which takes from the bounds of leaving targets and desired states; a probe on a connection that fell silent for good would have raised the guard's level until the end of the process; a source that does not answer left no line. A caller that left is now counted and logged by the relay, as all other ends are.

--- a/packages/relay/src/http/http-caller-port.test.ts
+++ b/packages/relay/src/http/http-caller-port.test.ts
@@ -12,23 +12,23 @@
 const createMessage = (id: string): string =>
     `POST /x HTTP/1.1\r\nHost: users.example\r\nid: ${id}\r\nContent-Length: ${BODY.length}\r\n\r\n${BODY}`;
 
-/** A port that answers each request at once and keeps what it served. */
+/** A port that answers each request at once and keeps whose callers had left by then. */
 const open = async (t: ExecutionContext) => {
-    const served: string[] = [];
+    const taken: Record<string, "there" | "left"> = {};
     const port = new HttpCallerPort({
         host: HOST,
         port: 0,
         protocol: new PlainCallerProtocol(),
         getBounds: () => undefined,
         serve: (req: RelayRequest, caller) => {
-            served.push(req.id);
+            taken[req.id] = caller.gone.aborted ? "left" : "there";
             caller.refuse({ reason: "noTarget", retryAfterS: 1 });
             return Promise.resolve();
         },
     });
     await port.start();
     t.teardown(() => port.close());
-    return { served, port: port.listenPort };
+    return { taken, port: port.listenPort };
 };
 
 /** Sends a request as soon as the connection stands, and leaves in the same moment where it is to. */
@@ -38,20 +38,20 @@
     return socket;
 };
 
-test("load pattern, callers that leave while their connections wait: they are not served", async t => {
-    const { served, port } = await open(t);
+test("load pattern, callers that leave while their connections wait: they are known to have left", async t => {
+    const { taken, port } = await open(t);
     ["a", "b", "c"].forEach(id => send(port, id, true));
     const stays = send(port, "d", false);
     await sleep(200);
-    t.deepEqual(served, ["d"]);
+    t.deepEqual(taken, { a: "left", b: "left", c: "left", d: "there" });
     stays.destroy();
 });
 
 test("a caller that waits is served, with its whole body", async t => {
-    const { served, port } = await open(t);
+    const { taken, port } = await open(t);
     const socket = send(port, "a", false);
     const [answer] = await once(socket, "data") as [Buffer];
     t.true(answer.toString().startsWith("HTTP/1.1 503"));
-    t.deepEqual(served, ["a"]);
+    t.deepEqual(taken, { a: "there" });
     socket.destroy();
 });
--- a/packages/relay/src/http/http-caller-port.ts
+++ b/packages/relay/src/http/http-caller-port.ts
@@ -120,9 +120,7 @@
             return;
         }
         await readWhatFollows();
-        if (!caller.gone.aborted) {
-            await this.opts.serve(toRequest(head, body), caller);
-        }
+        await this.opts.serve(toRequest(head, body), caller);
     }
 }
 
--- a/packages/relay/src/instance/create-shared-watch.ts
+++ b/packages/relay/src/instance/create-shared-watch.ts
@@ -1,6 +1,7 @@
 import { type KvClient, type KvHealth, type PolledKvClient, watchByPolling } from "@ospreyreel/kv";
 import type { PeerHub } from "@ospreyreel/peer";
 import { isDeepStrictEqual } from "node:util";
+import type { RelayLog } from "../relay-log.js";
 import type { TargetCodec } from "../targets/target-codec.js";
 import type { IsNoise } from "../watch/change-log.js";
 import { SharedChangeReader } from "../watch/shared-change-reader.js";
@@ -12,6 +13,7 @@
     readonly health: KvHealth;
     readonly hub: PeerHub;
     readonly targets: TargetCodec;
+    readonly log: RelayLog;
     /** Time to wait after reads that brought changes where each instance reads for itself, in milliseconds. */
     readonly getPauseMs: () => number;
 }
@@ -24,13 +26,14 @@
 
 /** Follows changes of the KV service, in a large fleet by way of a few instances; answers those that ask this one. */
 export const createSharedWatch = (
-    { kv, health, hub, targets, getPauseMs }: SharedWatchOptions,
+    { kv, health, hub, targets, log, getPauseMs }: SharedWatchOptions,
 ): KvClient["watch"] => {
     const reader = new SharedChangeReader({
         own: kv.changes,
         hub,
         sources: new WatchSources({ hub }),
         health,
+        log,
         isNoise: isHeartbeat(targets),
         getPauseMs,
     });
--- a/packages/relay/src/instance/input-delay-meter.test.ts
+++ b/packages/relay/src/instance/input-delay-meter.test.ts
@@ -1,7 +1,7 @@
 import test, { type ExecutionContext } from "ava";
 import { once } from "node:events";
 import { createServer } from "node:http";
-import { type AddressInfo, connect } from "node:net";
+import { type AddressInfo, connect, createServer as createTcpServer } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { InputDelayMeter } from "./input-delay-meter.js";
 
@@ -44,6 +44,22 @@
     t.true((looks.at(-1) ?? Number.NaN) < TOO_LONG_MS, looks.join());
 });
 
+test.serial("a connection that falls silent for good is given up, and later ones tell the wait", async t => {
+    const port = await open(t, 0);
+    const looks: number[] = [];
+    const silent = createTcpServer(() => undefined).listen(0, port.host);
+    await once(silent, "listening");
+    const proxied = { host: port.host, port: (silent.address() as AddressInfo).port };
+    new InputDelayMeter({ ...proxied, warmUpMs: 0 }).start(delayMs => looks.push(delayMs));
+    await sleep(700);
+    t.true(Math.max(...looks) > TOO_LONG_MS, looks.join());
+    // From now on connections are answered; the one that waits is not.
+    silent.on("connection", socket => socket.once("data", () => socket.end("HTTP/1.1 400 Bad Request\r\n\r\n")));
+    await sleep(1_300);
+    t.true((looks.at(-1) ?? Number.NaN) < TOO_LONG_MS, looks.join());
+    silent.close();
+});
+
 test.serial("used processor time alone is no delay", async t => {
     const port = await open(t, 0);
     const looks: number[] = [];
--- a/packages/relay/src/instance/input-delay-meter.ts
+++ b/packages/relay/src/instance/input-delay-meter.ts
@@ -6,6 +6,12 @@
 /** Time after the start in which nothing is told, in milliseconds: code is compiled then, which ends by itself. */
 const WARM_UP_MS = 5_000;
 
+/**
+ * Time after which a probe is given up, in milliseconds. A connection may fall silent for good while others work; a wait
+ * as long as this is told as such, and the next probe tells whether it lasts.
+ */
+const PROBE_TIMEOUT_MS = 1_000;
+
 /** Names no request, so that the instance refuses it as it stands. */
 const PROBE = "GET / HTTP/1.1\r\nHost: self\r\nConnection: close\r\n\r\n";
 
@@ -59,6 +65,7 @@
             }
         };
         socket.once("data", () => end(performance.now() - sentAtMs));
+        socket.setTimeout(PROBE_TIMEOUT_MS, () => end(PROBE_TIMEOUT_MS));
         // A port that is closed takes no callers; that is no delay.
         socket.once("error", () => end(0));
         socket.once("close", () => end(0));
--- a/packages/relay/src/instance/relay-instance.ts
+++ b/packages/relay/src/instance/relay-instance.ts
@@ -85,6 +85,7 @@
             health: this.health,
             hub,
             targets: adapter.targets,
+            log: this.log,
             getPauseMs: () => this.shares.watchPauseMs,
         });
         this.targetPort = new HttpTargetPort(adapter.sends);
--- a/packages/relay/src/relay.test.ts
+++ b/packages/relay/src/relay.test.ts
@@ -5,10 +5,10 @@
 import { createDocument, createRoute } from "./fixtures/documents.js";
 import { FakeExchange } from "./fixtures/fake-exchange.js";
 import { FakeTargetPort } from "./fixtures/fake-target-port.js";
+import { KeptLog } from "./fixtures/kept-log.js";
 import { createRequest } from "./fixtures/plain-protocol.js";
 import { AffinityPlacement } from "./policy/affinity-placement.js";
 import { RetryAllowance } from "./policy/retry-allowance.js";
-import { type LogFields, RelayLog } from "./relay-log.js";
 import type { RelayRequest } from "./relay-request.js";
 import { Relay } from "./relay.js";
 import { TargetDirectory } from "./targets/target-directory.js";
@@ -40,15 +40,6 @@
 const lost: Outcome = () => ({ kind: "failed", cause: "reset" });
 const unreachable: Outcome = () => ({ kind: "not_sent", cause: "refused" });
 
-/** Keeps the lines. */
-class KeptLog extends RelayLog {
-    readonly lines: (LogFields & { readonly event: string; })[] = [];
-
-    override write(event: string, fields: LogFields): void {
-        this.lines.push({ event, ...fields });
-    }
-}
-
 const silent: Outcome = call =>
     new Promise(resolve => {
         call.signal.addEventListener("abort", () => resolve({ kind: "failed", cause: "aborted" }));
@@ -59,7 +50,7 @@
     route: Partial<RelayRoute> = {},
     req: Partial<RelayRequest> = {},
     budgets: BudgetGate = new OpenBudgetGate(),
-    leavesAfterMs?: number,
+    leavesAfterMs?: number | "before",
     overloadedForS?: number,
 ) => {
     const documents = new DocumentHolder();
@@ -97,7 +88,10 @@
         random: () => 0,
     });
     const caller = new FakeExchange();
-    if (leavesAfterMs !== undefined) {
+    if (leavesAfterMs === "before") {
+        caller.leaving.abort();
+    }
+    else if (leavesAfterMs !== undefined) {
         setTimeout(() => caller.leaving.abort(), leavesAfterMs);
     }
     await relay.serve(createRequest({ teamKey: "key-1", ...req }), caller);
@@ -173,6 +167,12 @@
     t.is(caller.ended, "broken");
 });
 
+test("a caller that left before its request was taken is not served", async t => {
+    const { caller, port, lines } = await serve([answer(["whole"])], {}, {}, new OpenBudgetGate(), "before");
+    t.deepEqual([port.calls.length, caller.whole], [0, undefined]);
+    t.like(lines.at(-1), { event: "request ended", result: "caller_left", sends: 0 });
+});
+
 test("at the route's time-out the caller is answered, and a request that was sent promises nothing", async t => {
     const startedAtMs = performance.now();
     const { caller } = await serve([silent], { timeoutMs: 80 });
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -4,7 +4,7 @@
 import type { DocumentHolder } from "./document/document-holder.js";
 import type { OverloadGuard } from "./policy/overload-guard.js";
 import type { RetryAllowance } from "./policy/retry-allowance.js";
-import { RelayAttempts } from "./relay-attempts.js";
+import { type AttemptsEnd, RelayAttempts } from "./relay-attempts.js";
 import type { LogFields, RelayLog } from "./relay-log.js";
 import type { RefusalReason, RelayRefusal } from "./relay-refusal.js";
 import type { RelayRequest } from "./relay-request.js";
@@ -74,6 +74,10 @@
     }
 
     private async serveAdmitted(req: RelayRequest, caller: CallerExchange): Promise<void> {
+        if (caller.gone.aborted) {
+            this.noteEnd(req, "caller_left", { sends: 0 });
+            return;
+        }
         const { documents, random } = this.opts;
         const admission = admit(documents.current(), req, random);
         if (isRefusal(admission)) {
@@ -104,17 +108,7 @@
                 this.refuse(req, caller, service, result, { team, ...attempts.trace });
                 return;
             }
-            const ms = performance.now() - req.arrivedAtMs;
-            this.opts.meter.noteEnd(result, service, ms);
-            this.opts.log.write("request ended", {
-                request: req.id,
-                result,
-                service,
-                team,
-                ...attempts.trace,
-                document: admission.version,
-                ms: Math.round(ms),
-            });
+            this.noteEnd(req, result, { team, ...attempts.trace }, service);
         }
         finally {
             clock.stop();
@@ -145,6 +139,19 @@
         }
     }
 
+    private noteEnd(req: RelayRequest, result: AttemptsEnd, decidedBy: LogFields, service = ""): void {
+        const ms = performance.now() - req.arrivedAtMs;
+        this.opts.meter.noteEnd(result, service, ms);
+        this.opts.log.write("request ended", {
+            request: req.id,
+            result,
+            service,
+            ...decidedBy,
+            document: this.opts.documents.version,
+            ms: Math.round(ms),
+        });
+    }
+
     private refuse(
         req: RelayRequest,
         caller: CallerExchange,
--- a/packages/relay/src/watch/shared-change-reader.test.ts
+++ b/packages/relay/src/watch/shared-change-reader.test.ts
@@ -2,6 +2,7 @@
 import { type MemoryHub, MemoryNetwork } from "@ospreyreel/peer/fixtures";
 import test, { type ExecutionContext } from "ava";
 import { setTimeout as sleep } from "node:timers/promises";
+import { KeptLog } from "../fixtures/kept-log.js";
 import { MemoryChanges } from "../fixtures/memory-changes.js";
 import { SharedChangeReader } from "./shared-change-reader.js";
 import { WatchSources } from "./watch-sources.js";
@@ -49,6 +50,7 @@
             hub,
             sources,
             health: new KvHealth(),
+            log: new KeptLog(),
             isNoise: (before, after) =>
                 String(Buffer.from(before.value)).split("-")[0] === String(Buffer.from(after.value)).split("-")[0],
             getPauseMs: () => 50,
@@ -117,3 +119,26 @@
     service.put("targets/c", "ready-1");
     t.true(await awaitAll(({ values }) => values.has("targets/c"), cutOff) < IN_FORCE_MS);
 });
+
+test("a change is told at once, and the pause comes before the next read", async t => {
+    const service = new MemoryChanges();
+    const network = new MemoryNetwork();
+    const hub = network.createHub("alone");
+    const reader = new SharedChangeReader({
+        own: service.createReader("alone"),
+        hub,
+        sources: new WatchSources({ hub }),
+        health: new KvHealth(),
+        log: new KeptLog(),
+        isNoise: () => false,
+        getPauseMs: () => 400,
+    });
+    const { at } = await reader.readAll(PREFIX);
+    service.put("targets/a", "ready-1");
+    const startedAtMs = performance.now();
+    const first = await reader.readChanges(PREFIX, at, 1_000);
+    t.true(performance.now() - startedAtMs < 200);
+    service.put("targets/a", "leaving-1");
+    await reader.readChanges(PREFIX, first?.at ?? at, 1_000);
+    t.true(performance.now() - startedAtMs > 380);
+});
--- a/packages/relay/src/watch/shared-change-reader.ts
+++ b/packages/relay/src/watch/shared-change-reader.ts
@@ -3,6 +3,7 @@
 import type { PeerChangesAnswer, PeerChangesRequest } from "@ospreyreel/types";
 import { EventEmitter } from "node:events";
 import { setTimeout as sleep } from "node:timers/promises";
+import type { RelayLog } from "../relay-log.js";
 import { ChangeLog, type IsNoise } from "./change-log.js";
 import type { WatchSources } from "./watch-sources.js";
 
@@ -13,6 +14,7 @@
     readonly hub: Pick<PeerHub, "request" | "handle">;
     readonly sources: Pick<WatchSources, "choose" | "isShared" | "noteSilent">;
     readonly health: KvHealth;
+    readonly log: RelayLog;
     readonly isNoise: IsNoise;
     /** Time to wait after own reads that brought changes where each instance reads for itself, in milliseconds. */
     readonly getPauseMs: () => number;
@@ -47,6 +49,8 @@
     readonly news = new EventEmitter().setMaxListeners(0);
     /** When the KV service itself answered last. */
     ownReadAtMs = Number.NEGATIVE_INFINITY;
+    /** Before this time the KV service is not read again, so that many changes come together. */
+    nextReadAtMs = Number.NEGATIVE_INFINITY;
 
     constructor(isNoise: IsNoise) {
         this.log = new ChangeLog(isNoise);
@@ -90,7 +94,8 @@
                 : await this.readItself(prefix, known, after, waitMs);
         }
         if (!this.opts.health.isAvailable && this.opts.health.mayCall()) {
-            // Only a call of its own shows that the service is back; budgets depend on knowing.
+            // Only a call of its own shows that the service is back, and budgets depend on knowing. That it failed is noted
+            // in the health.
             const own = await this.readItself(prefix, known, after, 0).catch(() => undefined);
             if (own !== undefined) {
                 return own;
@@ -134,6 +139,7 @@
         waitMs: number,
         pauseMs = this.opts.getPauseMs(),
     ): Promise<KvChanges | undefined> {
+        await sleep(Math.max(0, known.nextReadAtMs - this.nowMs()));
         const read = await this.opts.own.readChanges(prefix, after, waitMs);
         if (read === undefined) {
             return undefined;
@@ -144,14 +150,14 @@
             known.news.emit("read");
         }
         if (read.changes.length > 0 || waitMs === 0) {
-            await sleep(pauseMs);
+            known.nextReadAtMs = this.nowMs() + pauseMs;
         }
         return told;
     }
 
     /** Asks a source; undefined where there is none, it does not answer, or it knows less than this instance. */
     private async ask(known: SharedPrefix, req: PeerChangesRequest): Promise<PeerChangesAnswer | undefined> {
-        const { hub, sources, health } = this.opts;
+        const { hub, sources, health, log } = this.opts;
         const source = sources.choose();
         if (source === undefined) {
             return undefined;
@@ -166,8 +172,9 @@
             }
             return answer;
         }
-        catch {
-            // The source is noted as silent; the caller reads the service itself.
+        catch (err) {
+            // The caller reads the service itself then.
+            log.write("watch source silent", { source, prefix: req.prefix, cause: String(err) });
             sources.noteSilent(source);
             return undefined;
         }
