--- a/packages/relay/src/instance/input-delay-meter.test.ts
+++ b/packages/relay/src/instance/input-delay-meter.test.ts
@@ -8,6 +8,22 @@
 /** Objective of the users' shortest requests, in milliseconds; half of it is too long a wait. */
 const TOO_LONG_MS = 100;
 
+/** Longest wait for a look that must come, in milliseconds; the machine may be busy with other tests. */
+const LOOK_WITHIN_MS = 10_000;
+
+/** Waits for a look from now on that the test is about; false where none came. */
+const awaitLook = async (looks: readonly number[], isDue: (delayMs: number) => boolean): Promise<boolean> => {
+    const from = looks.length;
+    const endsAtMs = performance.now() + LOOK_WITHIN_MS;
+    while (!looks.slice(from).some(isDue) && performance.now() < endsAtMs) {
+        await sleep(20);
+    }
+    return looks.slice(from).some(isDue);
+};
+
+const isTooLong = (delayMs: number): boolean => delayMs > TOO_LONG_MS;
+const isInTime = (delayMs: number): boolean => delayMs < TOO_LONG_MS;
+
 /** Keeps the process from its input. */
 const block = (ms: number): void => {
     const endsAtMs = performance.now() + ms;
@@ -37,11 +53,9 @@
     new InputDelayMeter({ ...port, warmUpMs: 0 }).start(delayMs => looks.push(delayMs));
     const callers = Array.from({ length: 200 }, () => connect(port).on("error", () => undefined));
     callers.forEach(caller => caller.write("GET / HTTP/1.1\r\nHost: caller\r\n\r\n"));
-    await sleep(2_000);
-    t.true(Math.max(...looks) > TOO_LONG_MS, looks.join());
+    t.true(await awaitLook(looks, isTooLong), looks.join());
     callers.forEach(caller => caller.destroy());
-    await sleep(1_000);
-    t.true((looks.at(-1) ?? Number.NaN) < TOO_LONG_MS, looks.join());
+    t.true(await awaitLook(looks, isInTime), looks.join());
 });
 
 test.serial("a connection that falls silent for good is given up, and later ones tell the wait", async t => {
@@ -51,12 +65,10 @@
     await once(silent, "listening");
     const proxied = { host: port.host, port: (silent.address() as AddressInfo).port };
     new InputDelayMeter({ ...proxied, warmUpMs: 0 }).start(delayMs => looks.push(delayMs));
-    await sleep(700);
-    t.true(Math.max(...looks) > TOO_LONG_MS, looks.join());
+    t.true(await awaitLook(looks, isTooLong), looks.join());
     // From now on connections are answered; the one that waits is not.
     silent.on("connection", socket => socket.once("data", () => socket.end("HTTP/1.1 400 Bad Request\r\n\r\n")));
-    await sleep(1_300);
-    t.true((looks.at(-1) ?? Number.NaN) < TOO_LONG_MS, looks.join());
+    t.true(await awaitLook(looks, isInTime), looks.join());
     silent.close();
 });
 
@@ -64,13 +76,14 @@
     const port = await open(t, 0);
     const looks: number[] = [];
     new InputDelayMeter({ ...port, warmUpMs: 0 }).start(delayMs => looks.push(delayMs));
+    const inTime = awaitLook(looks, isInTime);
     const endsAtMs = performance.now() + 1_500;
     while (performance.now() < endsAtMs) {
         block(1);
         await new Promise(resolve => setImmediate(resolve));
     }
-    const median = looks.toSorted((a, b) => a - b)[Math.floor(looks.length / 2)] ?? Number.NaN;
-    t.true(median < TOO_LONG_MS, looks.join());
+    t.true(await inTime, looks.join());
+    t.true(looks.filter(isInTime).length > looks.length / 2, looks.join());
 });
 
 test.serial("what a start takes is not told", async t => {
