Read the change once more: one choice of a source a read, no option that nobody sets

Cause: found by reading the diff since; no behaviour changes. - SharedChangeReader chose the source of a read twice (rendezvous hashes each time), once to see whether there is one and once to ask it; now once, and the asking is told which. - PollingKvWatch had an option for its wait that no caller set; the constant is used as it is.

--- a/packages/kv/src/polling-kv-watch.ts
+++ b/packages/kv/src/polling-kv-watch.ts
@@ -10,15 +10,13 @@
     readonly prefix: string;
     /** Ends the watch when the client closes; without it the watch lasts as long as the process. */
     readonly closed?: AbortSignal;
-    /** Longest wait of one call for changes, in milliseconds; 2,000 by default. */
-    readonly waitMs?: number;
 }
 
 /**
  * Time for which one call waits for changes, in milliseconds. A call that was sent while the service was silent hangs for
  * as long and its deadline (0.6 s); the platform allows three seconds from the end of an outage.
  */
-const DEFAULT_WAIT_MS = 2_000;
+const WAIT_MS = 2_000;
 
 /** Pauses after a call that failed, in milliseconds; the longest leaves the service four calls in its usual outage of a second. */
 const FIRST_PAUSE_MS = 50;
@@ -64,8 +62,8 @@
 
     /** Waits for changes; undefined where the prefix must be read anew. */
     private async readChanges(after: number, emit: (event: KvEvent) => void): Promise<number | undefined> {
-        const { reader, prefix, waitMs = DEFAULT_WAIT_MS } = this.opts;
-        const batch = await reader.readChanges(prefix, after, waitMs);
+        const { reader, prefix } = this.opts;
+        const batch = await reader.readChanges(prefix, after, WAIT_MS);
         batch?.changes.forEach(emit);
         return batch?.at;
     }
--- a/packages/relay/src/watch/shared-change-reader.ts
+++ b/packages/relay/src/watch/shared-change-reader.ts
@@ -77,7 +77,10 @@
 
     override async readAll(prefix: string): Promise<KvSnapshot> {
         const known = this.getPrefix(prefix);
-        const answer = await this.ask(known, { prefix, after: undefined, waitMs: 0 });
+        const source = this.opts.sources.choose();
+        const answer = source === undefined
+            ? undefined
+            : await this.ask(source, known, { prefix, after: undefined, waitMs: 0 });
         if (answer?.kind === "current" && answer.isWhole) {
             known.log.replace({ entries: answer.entries, at: answer.at });
             return known.log.snapshot;
@@ -101,7 +104,7 @@
                 return own;
             }
         }
-        const answer = await this.ask(known, { prefix, after, waitMs: PEER_WAIT_MS });
+        const answer = await this.ask(source, known, { prefix, after, waitMs: PEER_WAIT_MS });
         if (answer?.kind !== "current") {
             return await this.readItself(prefix, known, after, 0);
         }
@@ -155,13 +158,13 @@
         return told;
     }
 
-    /** Asks a source; undefined where there is none, it does not answer, or it knows less than this instance. */
-    private async ask(known: SharedPrefix, req: PeerChangesRequest): Promise<PeerChangesAnswer | undefined> {
+    /** Asks a source; undefined where it does not answer, or knows less than this instance. */
+    private async ask(
+        source: string,
+        known: SharedPrefix,
+        req: PeerChangesRequest,
+    ): Promise<PeerChangesAnswer | undefined> {
         const { hub, sources, health, log } = this.opts;
-        const source = sources.choose();
-        if (source === undefined) {
-            return undefined;
-        }
         try {
             const answer = await hub.request(source, "kv.changes", req, req.waitMs + PEER_MARGIN_MS);
             if (answer.kind === "stale" || answer.at < (known.log.at ?? 0)) {
