Measure the age of an instance's view and the delay of its network input

Change: a source says how long it held a request for changes; the requester derives the delay of the response and the age of its view. Two gauges, and one log line when the input becomes delayed and one when it is in time again. No decision uses them yet.

--- a/packages/relay/src/instance/create-shared-watch.ts
+++ b/packages/relay/src/instance/create-shared-watch.ts
@@ -5,6 +5,7 @@
 import type { TargetCodec } from "../targets/target-codec.js";
 import type { IsIrrelevantUpdate } from "../watch/change-log.js";
 import { SharedChangeReader } from "../watch/shared-change-reader.js";
+import type { ViewFreshness } from "../watch/view-freshness.js";
 import { WatchSources } from "../watch/watch-sources.js";
 
 /** Options of {@link createSharedWatch}. */
@@ -13,6 +14,7 @@
     readonly health: KvHealth;
     readonly hub: PeerHub;
     readonly targets: TargetCodec;
+    readonly freshness: ViewFreshness;
     readonly log: RelayLog;
     /** Pause after a read that returned changes where each instance reads for itself, in milliseconds. */
     readonly getPauseMs: () => number;
@@ -26,13 +28,14 @@
 
 /** Watches the KV service, in a large fleet through a few instances; also serves other instances' requests. */
 export const createSharedWatch = (
-    { kv, health, hub, targets, log, getPauseMs }: SharedWatchOptions,
+    { kv, health, hub, targets, freshness, log, getPauseMs }: SharedWatchOptions,
 ): KvClient["watch"] => {
     const reader = new SharedChangeReader({
         own: kv.changes,
         hub,
         sources: new WatchSources({ hub }),
         health,
+        freshness,
         log,
         isIrrelevantUpdate: isHeartbeat(targets),
         getPauseMs,
--- a/packages/relay/src/instance/relay-instance.ts
+++ b/packages/relay/src/instance/relay-instance.ts
@@ -14,6 +14,7 @@
 import { TargetDirectory } from "../targets/target-directory.js";
 import { TargetFollower } from "../targets/target-follower.js";
 import { TargetSelector } from "../targets/target-selector.js";
+import { ViewFreshness } from "../watch/view-freshness.js";
 import { BoundedLog } from "./bounded-log.js";
 import { createRelayHub } from "./create-relay-hub.js";
 import { createSharedWatch } from "./create-shared-watch.js";
@@ -54,6 +55,7 @@
     private readonly documents = new DocumentHolder();
     private readonly directory = new TargetDirectory();
     private readonly health = new KvHealth();
+    private readonly freshness = new ViewFreshness({ log: this.log });
     private readonly overload = new OverloadGuard({ nowMs: () => performance.now(), random: Math.random });
     private readonly roster: FleetRoster;
     private readonly shares: FleetShares;
@@ -85,6 +87,7 @@
             health: this.health,
             hub,
             targets: adapter.targetCodec,
+            freshness: this.freshness,
             log: this.log,
             getPauseMs: () => this.shares.watchPauseMs,
         });
@@ -202,6 +205,7 @@
     private async handleOperatorRequest(path: string): Promise<StatusPortResponse> {
         switch (path) {
             case METRICS_PATH:
+                Object.entries(this.freshness.gauges).forEach(([name, value]) => this.metrics.set(name, value));
                 return { status: 200, body: await this.metrics.getText() };
             case STATE_PATH:
                 return { status: 200, contentType: "application/json", body: JSON.stringify(this.state) };
--- a/packages/relay/src/watch/shared-change-reader.test.ts
+++ b/packages/relay/src/watch/shared-change-reader.test.ts
@@ -5,6 +5,7 @@
 import { MemoryChanges } from "../fixtures/memory-changes.js";
 import { MemoryLog } from "../fixtures/memory-log.js";
 import { SharedChangeReader } from "./shared-change-reader.js";
+import { ViewFreshness } from "./view-freshness.js";
 import { WatchSources } from "./watch-sources.js";
 
 const FLEET_SIZE = 20;
@@ -50,6 +51,7 @@
             hub,
             sources,
             health: new KvHealth(),
+            freshness: new ViewFreshness({ log: new MemoryLog() }),
             log: new MemoryLog(),
             isIrrelevantUpdate: (before, after) =>
                 String(Buffer.from(before.value)).split("-")[0] === String(Buffer.from(after.value)).split("-")[0],
@@ -129,6 +131,7 @@
         hub,
         sources: new WatchSources({ hub }),
         health: new KvHealth(),
+        freshness: new ViewFreshness({ log: new MemoryLog() }),
         log: new MemoryLog(),
         isIrrelevantUpdate: () => false,
         getPauseMs: () => 400,
--- a/packages/relay/src/watch/shared-change-reader.ts
+++ b/packages/relay/src/watch/shared-change-reader.ts
@@ -5,6 +5,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import type { RelayLog } from "../relay-log.js";
 import { ChangeLog, type IsIrrelevantUpdate } from "./change-log.js";
+import type { ViewFreshness } from "./view-freshness.js";
 import type { WatchSources } from "./watch-sources.js";
 
 /** Options of {@link SharedChangeReader}. */
@@ -14,6 +15,7 @@
     readonly hub: Pick<PeerHub, "request" | "handle">;
     readonly sources: Pick<WatchSources, "choose" | "isShared" | "recordUnresponsive">;
     readonly health: KvHealth;
+    readonly freshness: ViewFreshness;
     readonly log: RelayLog;
     readonly isIrrelevantUpdate: IsIrrelevantUpdate;
     /** Pause after a direct read that returned changes where each instance reads for itself, in milliseconds. */
@@ -150,11 +152,14 @@
         pauseMs = this.opts.getPauseMs(),
     ): Promise<KvChanges | undefined> {
         await sleep(Math.max(0, known.nextReadAtMs - this.nowMs()));
+        const requestedAtMs = this.nowMs();
         const read = await this.opts.own.readChanges(prefix, after, waitMs);
         if (read === undefined) {
             return undefined;
         }
         known.directReadAtMs = this.nowMs();
+        // The service does not tell how long it held the call, so that its delay is unknown.
+        this.opts.freshness.recordResponse({ prefix, requestedAtMs, delayMs: 0, isCurrent: true });
         const relevant = known.log.apply(read);
         if (relevant.changes.length > 0) {
             known.updates.emit("read");
@@ -172,8 +177,10 @@
         req: PeerChangesRequest,
     ): Promise<PeerChangesResponse | undefined> {
         const { hub, sources, health, log } = this.opts;
+        const requestedAtMs = this.nowMs();
         try {
             const response = await hub.request(source, "kv.changes", req, req.waitMs + PEER_MARGIN_MS);
+            this.recordResponse(response, req, requestedAtMs);
             if (response.kind === "stale" || response.at < (known.log.at ?? 0)) {
                 return undefined;
             }
@@ -190,7 +197,24 @@
         }
     }
 
+    private recordResponse(
+        response: PeerChangesResponse,
+        { prefix, waitMs }: PeerChangesRequest,
+        requestedAtMs: number,
+    ): void {
+        const isCurrent = response.kind === "current";
+        const heldMs = (isCurrent ? response.heldMs : 0) ?? waitMs;
+        const delayMs = this.nowMs() - requestedAtMs - heldMs;
+        this.opts.freshness.recordResponse({ prefix, requestedAtMs, delayMs, isCurrent });
+    }
+
     private async handleRequest(req: PeerChangesRequest): Promise<PeerChangesResponse> {
+        const startedAtMs = this.nowMs();
+        const response = await this.awaitChanges(req);
+        return response.kind === "stale" ? response : { ...response, heldMs: this.nowMs() - startedAtMs };
+    }
+
+    private async awaitChanges(req: PeerChangesRequest): Promise<PeerChangesResponse> {
         const known = this.getPrefix(req.prefix);
         const endsAtMs = this.nowMs() + req.waitMs;
         for (;;) {
--- /dev/null
+++ b/packages/relay/src/watch/view-freshness.test.ts
@@ -0,0 +1,39 @@
+import test from "ava";
+import { MemoryLog } from "../fixtures/memory-log.js";
+import { ViewFreshness } from "./view-freshness.js";
+
+const create = () => {
+    const clock = { ms: 0 };
+    const log = new MemoryLog();
+    const freshness = new ViewFreshness({ log, nowMs: () => clock.ms });
+    const respond = (prefix: string, requestedAtMs: number, delayMs = 0, isCurrent = true): void =>
+        freshness.recordResponse({ prefix, requestedAtMs, delayMs, isCurrent });
+    return { clock, log, freshness, respond };
+};
+
+test("the view is as old as the oldest prefix's last complete response", t => {
+    const { clock, freshness, respond } = create();
+    t.is(freshness.ageMs, 0);
+    respond("a/", 100);
+    respond("b/", 900);
+    clock.ms = 1_000;
+    t.is(freshness.ageMs, 900);
+    respond("a/", 1_000, 0, false);
+    t.is(freshness.ageMs, 900);
+    respond("a/", 950);
+    t.is(freshness.ageMs, 100);
+});
+
+test("late responses are reported once, and once more when they have stopped", t => {
+    const { clock, log, freshness, respond } = create();
+    respond("a/", 0, 100);
+    t.false(freshness.isInputDelayed);
+    respond("a/", 0, 700);
+    respond("a/", 0, 800);
+    t.true(freshness.isInputDelayed);
+    t.is(freshness.inputDelayMs, 800);
+    clock.ms = 6_000;
+    t.is(freshness.inputDelayMs, 0);
+    respond("a/", 6_000);
+    t.deepEqual(log.lines.map(({ event }) => event), ["network input delayed", "network input in time again"]);
+});
--- /dev/null
+++ b/packages/relay/src/watch/view-freshness.ts
@@ -0,0 +1,84 @@
+import type { RelayLog } from "../relay-log.js";
+
+/** A response to a request for changes. */
+export interface ChangesResponse {
+    readonly prefix: string;
+    /** Monotonic time at which the request was sent, in milliseconds. */
+    readonly requestedAtMs: number;
+    /** Time by which the response arrived later than it was due, in milliseconds. */
+    readonly delayMs: number;
+    /** Whether it told all changes up to the request. */
+    readonly isCurrent: boolean;
+}
+
+/** Options of {@link ViewFreshness}. */
+export interface ViewFreshnessOptions {
+    readonly log: RelayLog;
+    /** Monotonic time in milliseconds; `performance.now` by default. */
+    readonly nowMs?: () => number;
+}
+
+/** Delay of a response from which the network input counts as delayed, in milliseconds; far above a round trip. */
+const MIN_DELAY_MS = 250;
+
+/** Time after the last delayed response in which the network input still counts as delayed, in milliseconds. */
+const DELAY_MEMORY_MS = 5_000;
+
+const MS_PER_S = 1_000;
+
+/** Tracks how old this instance's view of the KV service is, and whether responses reach it late. */
+export class ViewFreshness {
+    private readonly confirmedAtMs = new Map<string, number>();
+    private readonly nowMs: () => number;
+    private lastDelayMs = 0;
+    private delayedUntilMs = Number.NEGATIVE_INFINITY;
+    private wasDelayed = false;
+
+    constructor(private readonly opts: ViewFreshnessOptions) {
+        this.nowMs = opts.nowMs ?? (() => performance.now());
+    }
+
+    /** Records a response of a source or of the KV service. */
+    recordResponse({ prefix, requestedAtMs, delayMs, isCurrent }: ChangesResponse): void {
+        if (isCurrent) {
+            this.confirmedAtMs.set(prefix, Math.max(requestedAtMs, this.confirmedAtMs.get(prefix) ?? requestedAtMs));
+        }
+        if (delayMs >= MIN_DELAY_MS) {
+            this.lastDelayMs = delayMs;
+            this.delayedUntilMs = this.nowMs() + DELAY_MEMORY_MS;
+        }
+        this.logChange();
+    }
+
+    /** Whether responses arrived late recently, since the link or the processor of this instance is overloaded. */
+    get isInputDelayed(): boolean {
+        return this.nowMs() < this.delayedUntilMs;
+    }
+
+    /** Delay of the last delayed response, in milliseconds; 0 while the input is in time. */
+    get inputDelayMs(): number {
+        return this.isInputDelayed ? this.lastDelayMs : 0;
+    }
+
+    /** Time up to which changes may be unknown here, in milliseconds; 0 before the first response. */
+    get ageMs(): number {
+        return this.confirmedAtMs.size === 0 ? 0 : this.nowMs() - Math.min(...this.confirmedAtMs.values());
+    }
+
+    /** The two measures in seconds, by the names of their gauges. */
+    get gauges(): Readonly<Record<string, number>> {
+        return {
+            view_age_seconds: this.ageMs / MS_PER_S,
+            network_input_delay_seconds: this.inputDelayMs / MS_PER_S,
+        };
+    }
+
+    private logChange(): void {
+        const isDelayed = this.isInputDelayed;
+        if (isDelayed !== this.wasDelayed) {
+            this.wasDelayed = isDelayed;
+            const event = isDelayed ? "network input delayed" : "network input in time again";
+            this.opts.log.write(event, { delayMs: Math.round(this.lastDelayMs), viewAgeMs: Math.round(this.ageMs) });
+        }
+    }
+}
--- a/packages/types/src/peer-requests.ts
+++ b/packages/types/src/peer-requests.ts
@@ -187,6 +187,8 @@
         readonly at: number;
         /** Time since the KV service was unavailable, in milliseconds; undefined where it was not. */
         readonly awayMsAgo: number | undefined;
+        /** Time for which the request waited for changes, in milliseconds; undefined from older versions. */
+        readonly heldMs?: number;
     };
 
 /** Requests between instances by kind, with the types of request and response. */
