--- a/packages/relay/src/watch/shared-change-reader.test.ts
+++ b/packages/relay/src/watch/shared-change-reader.test.ts
@@ -1,6 +1,7 @@
 import { type KvEvent, KvHealth, watchByPolling } from "@ospreyreel/kv";
 import { type MemoryHub, MemoryNetwork } from "@ospreyreel/peer/fixtures";
 import test, { type ExecutionContext } from "ava";
+import { createHash } from "node:crypto";
 import { setTimeout as sleep } from "node:timers/promises";
 import { MemoryChanges } from "../fixtures/memory-changes.js";
 import { MemoryLog } from "../fixtures/memory-log.js";
@@ -61,9 +62,13 @@
         void watchByPolling({ reader, prefix: PREFIX, closed: closed.signal }).observe(event => apply(values, event));
         return { hub, values, isSource: () => sources.choose() === undefined };
     });
-    const awaitAll = async (isDone: (follower: Follower) => boolean, among = followers): Promise<number> => {
+    const awaitAll = async (
+        isDone: (follower: Follower) => boolean,
+        among = followers,
+        withinMs = 2 * MAX_PROPAGATION_MS,
+    ): Promise<number> => {
         const startedAtMs = performance.now();
-        while (!among.every(isDone) && performance.now() - startedAtMs < 2 * MAX_PROPAGATION_MS) {
+        while (!among.every(isDone) && performance.now() - startedAtMs < withinMs) {
             await sleep(10);
         }
         return performance.now() - startedAtMs;
@@ -122,6 +127,64 @@
     t.true(await awaitAll(({ values }) => values.has("targets/c"), unconnected) < MAX_PROPAGATION_MS);
 });
 
+/** Delay of all responses to one instance, in milliseconds. */
+const INPUT_DELAY_MS = 2_400;
+
+/** A response may be on its way while the change is made, and the next one takes as long, in milliseconds. */
+const MAX_DELAYED_PROPAGATION_MS = 2 * INPUT_DELAY_MS + MAX_PROPAGATION_MS;
+
+test("an instance whose responses arrive late still learns of changes", async t => {
+    const { service, followers, awaitAll } = createFleet(t);
+    await awaitAll(({ values }) => values.has("targets/a"));
+    const slow = followers.filter(({ isSource }) => !isSource()).slice(0, 1);
+    slow.forEach(({ hub }) => {
+        hub.input.delayMs = INPUT_DELAY_MS;
+        service.cut.add(hub.self().instance);
+    });
+    service.put("targets/a", "leaving-1");
+    const tookMs = await awaitAll(
+        ({ values }) => values.get("targets/a") === "leaving-1",
+        slow,
+        2 * MAX_DELAYED_PROPAGATION_MS,
+    );
+    t.true(tookMs < MAX_DELAYED_PROPAGATION_MS);
+});
+
+/** What a link of 7 Mbit/s carries in a millisecond, in bytes. */
+const SLOW_LINK_BYTES_PER_MS = 875;
+
+const ROUTES = 4_000;
+
+const createRoutesText = (): string =>
+    JSON.stringify(Array.from({ length: ROUTES }, (_, at) => ({
+        name: `route-${at}`,
+        host: `${createHash("sha256").update(String(at)).digest("hex").slice(0, 10)}.example`,
+        prefix: `/path-${at}/`,
+        service: "service-1",
+        kind: "non_idempotent",
+        timeoutMs: 4_000,
+        targetLatencyMs: 400,
+        maxAttempts: 2,
+        priority: 0,
+        sticky: true,
+        resumable: true,
+        gapAimMs: 300,
+    })));
+
+test("a large value reaches an instance with a slow link in time", async t => {
+    const { service, followers, awaitAll } = createFleet(t);
+    await awaitAll(({ values }) => values.has("targets/a"));
+    const slow = followers.filter(({ isSource }) => !isSource());
+    slow.forEach(({ hub }) => {
+        hub.input.bytesPerMs = SLOW_LINK_BYTES_PER_MS;
+        service.cut.add(hub.self().instance);
+    });
+    const text = createRoutesText();
+    t.true(text.length > 900_000);
+    service.put("targets/large", text);
+    t.true(await awaitAll(({ values }) => values.get("targets/large") === text, slow) < MAX_PROPAGATION_MS);
+});
+
 test("a change is returned immediately, and the pause precedes the next read", async t => {
     const service = new MemoryChanges();
     const network = new MemoryNetwork();
