Use late responses of a watch source instead of discarding them

Cause: a request for changes was given up after 1,050 ms, whatever arrived later was discarded, and the next request began from nothing. An instance whose link is full gets every response later than that, so that it learned of no change at all while the link was full; each abandoned response also took the link from the next one. Class: a fixed time limit for a transfer whose time depends on size and load.

Change: a source's response counts for eight seconds. Where it is late, the KV service is read as well and the first usable response is applied; only that one, so that the other cannot hide changes which were never returned. While responses arrive late, the time after which the service is asked grows with the delay, and requests wait at the source for 100 ms only.

--- a/packages/relay/src/watch/shared-change-reader.ts
+++ b/packages/relay/src/watch/shared-change-reader.ts
@@ -1,3 +1,4 @@
+import { OspreyError } from "@ospreyreel/errors";
 import { KvChangeReader, type KvChanges, type KvHealth, type KvSnapshot } from "@ospreyreel/kv";
 import type { PeerHub } from "@ospreyreel/peer";
 import type { PeerChangesRequest, PeerChangesResponse } from "@ospreyreel/types";
@@ -43,14 +44,41 @@
 /** Wait for changes at a source, in milliseconds; together with the other limits it stays below two seconds. */
 const PEER_WAIT_MS = 800;
 
-/** Time that a response may take beyond the wait, in milliseconds: some round trips and a busy processor. */
+/**
+ * Time that a response may take beyond the wait before the service is read as well, in milliseconds: some round trips
+ * and a busy processor.
+ */
 const PEER_MARGIN_MS = 250;
 
+/**
+ * Time for which a late response of a source is still used, in milliseconds; a peer that sends nothing at all is lost
+ * sooner.
+ */
+const MAX_RESPONSE_DELAY_MS = 8_000;
+
+/** Wait for changes at a source while responses arrive late, in milliseconds; the delay alone keeps requests rare. */
+const DELAYED_PEER_WAIT_MS = 100;
+
 /**
  * Time after which a waiting source checks its state again, in milliseconds; its reads may have failed in the meantime.
  */
 const RECHECK_MS = 400;
 
+type CurrentChanges = Extract<PeerChangesResponse, { readonly kind: "current"; }>;
+
+/** A read of the KV service itself. */
+interface DirectRead<T> {
+    readonly kind: "service";
+    readonly read: T;
+}
+
+const assertUsable = (response: CurrentChanges | undefined): CurrentChanges => {
+    if (response === undefined) {
+        throw new OspreyError("the source has no current response", { result: "peerUnavailable" });
+    }
+    return response;
+};
+
 /** State of one prefix at this instance. */
 class SharedPrefix {
     readonly log: ChangeLog;
@@ -87,14 +115,20 @@
     override async readAll(prefix: string): Promise<KvSnapshot> {
         const known = this.getPrefix(prefix);
         const source = this.opts.sources.choose();
-        const response = source === undefined
-            ? undefined
-            : await this.requestFromSource(source, known, { prefix, after: undefined, waitMs: 0 });
-        if (response?.kind === "current" && response.isWhole) {
-            known.log.replace({ entries: response.entries, at: response.at });
-            return known.log.snapshot;
+        if (source === undefined) {
+            return this.applySnapshot(known, await this.requestAllFromService(prefix));
         }
-        return await this.readAllDirectly(prefix, known);
+        const response = await this.requestFromSourceOrService(
+            source,
+            known,
+            { prefix, after: undefined, waitMs: 0 },
+            () => this.requestAllFromService(prefix),
+        );
+        if (response.kind === "service") {
+            return this.applySnapshot(known, response.read);
+        }
+        known.log.replace({ entries: response.entries, at: response.at });
+        return known.log.snapshot;
     }
 
     override async readChanges(prefix: string, after: number, waitMs: number): Promise<KvChanges | undefined> {
@@ -113,9 +147,16 @@
                 return own;
             }
         }
-        const response = await this.requestFromSource(source, known, { prefix, after, waitMs: PEER_WAIT_MS });
-        if (response?.kind !== "current") {
-            return await this.readDirectly(prefix, known, after, 0);
+        const waitAtSourceMs = this.opts.freshness.isInputDelayed ? DELAYED_PEER_WAIT_MS : PEER_WAIT_MS;
+        const req = { prefix, after, waitMs: waitAtSourceMs };
+        const response = await this.requestFromSourceOrService(
+            source,
+            known,
+            req,
+            () => this.requestFromService(prefix, known, after, 0, this.opts.getPauseMs()),
+        );
+        if (response.kind === "service") {
+            return this.applyChanges(known, response.read);
         }
         if (response.isWhole) {
             // The revision is too old for the source to return individual changes.
@@ -137,19 +178,29 @@
         return known;
     }
 
-    private async readAllDirectly(prefix: string, known: SharedPrefix): Promise<KvSnapshot> {
-        known.log.replace(await this.opts.own.readAll(prefix));
-        known.directReadAtMs = this.nowMs();
-        known.updates.emit("read");
-        return known.log.snapshot;
-    }
-
     private async readDirectly(
         prefix: string,
         known: SharedPrefix,
         after: number,
         waitMs: number,
         pauseMs = this.opts.getPauseMs(),
+    ): Promise<KvChanges | undefined> {
+        return this.applyChanges(known, await this.requestFromService(prefix, known, after, waitMs, pauseMs));
+    }
+
+    private async requestAllFromService(prefix: string): Promise<KvSnapshot> {
+        const requestedAtMs = this.nowMs();
+        const read = await this.opts.own.readAll(prefix);
+        this.opts.freshness.recordResponse({ prefix, requestedAtMs, delayMs: 0, isCurrent: true });
+        return read;
+    }
+
+    private async requestFromService(
+        prefix: string,
+        known: SharedPrefix,
+        after: number,
+        waitMs: number,
+        pauseMs: number,
     ): Promise<KvChanges | undefined> {
         await sleep(Math.max(0, known.nextReadAtMs - this.nowMs()));
         const requestedAtMs = this.nowMs();
@@ -157,29 +208,69 @@
         if (read === undefined) {
             return undefined;
         }
-        known.directReadAtMs = this.nowMs();
         // The service does not tell how long it held the call, so that its delay is unknown.
         this.opts.freshness.recordResponse({ prefix, requestedAtMs, delayMs: 0, isCurrent: true });
+        if (read.changes.length > 0 || waitMs === 0) {
+            known.nextReadAtMs = this.nowMs() + pauseMs;
+        }
+        return read;
+    }
+
+    private applySnapshot(known: SharedPrefix, read: KvSnapshot): KvSnapshot {
+        known.log.replace(read);
+        known.directReadAtMs = this.nowMs();
+        known.updates.emit("read");
+        return known.log.snapshot;
+    }
+
+    private applyChanges(known: SharedPrefix, read: KvChanges | undefined): KvChanges | undefined {
+        if (read === undefined) {
+            return undefined;
+        }
+        known.directReadAtMs = this.nowMs();
         const relevant = known.log.apply(read);
         if (relevant.changes.length > 0) {
             known.updates.emit("read");
         }
-        if (read.changes.length > 0 || waitMs === 0) {
-            known.nextReadAtMs = this.nowMs() + pauseMs;
-        }
         return relevant;
     }
 
-    /** Queries a source; undefined where it does not respond or is behind this instance. */
+    /**
+     * Queries a source, and the service as well where the source responds late; returns the first usable response.
+     * Neither is applied here, so that the unused one cannot hide changes that were not returned.
+     */
+    private async requestFromSourceOrService<T>(
+        source: string,
+        known: SharedPrefix,
+        req: PeerChangesRequest,
+        readService: () => Promise<T>,
+    ): Promise<CurrentChanges | DirectRead<T>> {
+        const { freshness, log, sources } = this.opts;
+        const response = this.requestFromSource(source, known, req);
+        const dueMs = req.waitMs + PEER_MARGIN_MS + 2 * freshness.inputDelayMs;
+        const inTime = await Promise.race([response, sleep(dueMs, "late" as const, { ref: false })]);
+        if (inTime !== undefined && inTime !== "late") {
+            return inTime;
+        }
+        const direct = readService().then((read): DirectRead<T> => ({ kind: "service", read }));
+        if (inTime === undefined) {
+            return await direct;
+        }
+        log.write("watch source silent", { source, prefix: req.prefix, dueMs: Math.round(dueMs) });
+        sources.recordUnresponsive(source);
+        return await Promise.any([direct, response.then(assertUsable)]);
+    }
+
+    /** Queries a source; undefined where it does not respond or is behind this instance. Does not throw. */
     private async requestFromSource(
         source: string,
         known: SharedPrefix,
         req: PeerChangesRequest,
-    ): Promise<PeerChangesResponse | undefined> {
+    ): Promise<CurrentChanges | undefined> {
         const { hub, sources, health, log } = this.opts;
         const requestedAtMs = this.nowMs();
         try {
-            const response = await hub.request(source, "kv.changes", req, req.waitMs + PEER_MARGIN_MS);
+            const response = await hub.request(source, "kv.changes", req, req.waitMs + MAX_RESPONSE_DELAY_MS);
             this.recordResponse(response, req, requestedAtMs);
             if (response.kind === "stale" || response.at < (known.log.at ?? 0)) {
                 return undefined;
@@ -191,7 +282,7 @@
         }
         catch (err) {
             // The caller then reads the service directly.
-            log.write("watch source silent", { source, prefix: req.prefix, cause: String(err) });
+            log.write("watch source lost", { source, prefix: req.prefix, cause: String(err) });
             sources.recordUnresponsive(source);
             return undefined;
         }
