Refuse requests while responses arrive late and the view is outdated

Cause: an instance decides by the targets and the desired state that it knows, however old its knowledge is. Where its link is full, changes arrive after the requests' time bound, and nothing showed that. Class: a decision by a view of unknown age.

Change: an instance refuses with 503 and a retry-after time while responses have arrived over 250 ms late within five seconds and its view is over two seconds old. Where nothing responds (outage, partition) it serves by the last known state as before; a source that cannot read the service counts as a response.

--- a/packages/relay/src/instance/relay-instance.ts
+++ b/packages/relay/src/instance/relay-instance.ts
@@ -115,6 +115,7 @@
             budgets: new FleetBudgetGate(this.budgets),
             getRetries: service => this.shares.getRetries(service),
             overload: this.overload,
+            freshness: this.freshness,
             log: this.log,
             meter: this.metrics,
             random: Math.random,
--- a/packages/relay/src/relay.test.ts
+++ b/packages/relay/src/relay.test.ts
@@ -52,6 +52,7 @@
     budgets: BudgetGate = new OpenBudgetGate(),
     disconnectsAfterMs?: number | "before",
     overloadedForS?: number,
+    viewIsOutdated = false,
 ) => {
     const documents = new DocumentHolder();
     const teams = [{ name: "team-1", keys: ["key-1"], priority: undefined, prepaidTokens: 1_000 }];
@@ -83,6 +84,7 @@
         budgets,
         getRetries: () => allowance,
         overload: { getRefusal: () => overloadedForS },
+        freshness: { isOutdated: viewIsOutdated, ageMs: 0 },
         log,
         meter: { recordEnd: () => undefined, recordSend: () => undefined },
         random: () => 0,
@@ -233,6 +235,20 @@
     }
 }
 
+test("a request that would be decided by an outdated view is refused as not run, not as unknown", async t => {
+    const { caller, port } = await serve(
+        [full],
+        {},
+        { path: "/no-such-route/" },
+        undefined,
+        undefined,
+        undefined,
+        true,
+    );
+    t.deepEqual(caller.refusal, { reason: "viewOutdated", retryAfterS: 0.5 });
+    t.is(port.calls.length, 0);
+});
+
 test("an overloaded instance refuses a team without tokens by its budget", async t => {
     const gate = new RefusingGate({ kind: "exhausted" });
     const { caller } = await serve([full], {}, GENERATION, gate, undefined, 1);
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -11,6 +11,7 @@
 import { RequestClock } from "./request-clock.js";
 import type { TargetPort } from "./targets/target-port.js";
 import type { TargetSelector } from "./targets/target-selector.js";
+import type { ViewFreshness } from "./watch/view-freshness.js";
 
 /** Records metrics of requests. */
 export interface RelayMeter {
@@ -29,12 +30,17 @@
     readonly getRetries: (service: string) => RetryAllowance;
     /** Decides which requests are refused while this instance is overloaded. */
     readonly overload: Pick<OverloadGuard, "getRefusal">;
+    /** Tells whether the desired state and the targets known here may be too old to decide by. */
+    readonly freshness: Pick<ViewFreshness, "isOutdated" | "ageMs">;
     readonly log: RelayLog;
     readonly meter: RelayMeter;
     /** Returns a random number in [0, 1). */
     readonly random: () => number;
 }
 
+/** Retry-after time where this instance's view is outdated, in seconds; other instances can serve at once. */
+const OUTDATED_RETRY_AFTER_S = 0.5;
+
 const isRefusal = (admitted: Admission | RelayRefusal): admitted is RelayRefusal => "reason" in admitted;
 
 /** Maximum number of tokens that a request may use; 0 where it requests no generation. */
@@ -78,7 +84,12 @@
             this.logEnd(req, "caller_left", { sends: 0 });
             return;
         }
-        const { documents, random } = this.opts;
+        const { documents, freshness, random } = this.opts;
+        if (freshness.isOutdated) {
+            const refusal = { reason: "viewOutdated", retryAfterS: OUTDATED_RETRY_AFTER_S } as const;
+            this.refuse(req, caller, "", refusal, { viewAgeMs: Math.round(freshness.ageMs) });
+            return;
+        }
         const admission = admit(documents.current(), req, random);
         if (isRefusal(admission)) {
             this.refuse(req, caller, "", admission);
--- a/packages/relay/src/watch/shared-change-reader.ts
+++ b/packages/relay/src/watch/shared-change-reader.ts
@@ -191,7 +191,7 @@
     private async requestAllFromService(prefix: string): Promise<KvSnapshot> {
         const requestedAtMs = this.nowMs();
         const read = await this.opts.own.readAll(prefix);
-        this.opts.freshness.recordResponse({ prefix, requestedAtMs, delayMs: 0, isCurrent: true });
+        this.opts.freshness.recordResponse({ prefix, requestedAtMs, delayMs: 0 });
         return read;
     }
 
@@ -209,7 +209,7 @@
             return undefined;
         }
         // The service does not tell how long it held the call, so that its delay is unknown.
-        this.opts.freshness.recordResponse({ prefix, requestedAtMs, delayMs: 0, isCurrent: true });
+        this.opts.freshness.recordResponse({ prefix, requestedAtMs, delayMs: 0 });
         if (read.changes.length > 0 || waitMs === 0) {
             known.nextReadAtMs = this.nowMs() + pauseMs;
         }
@@ -293,10 +293,9 @@
         { prefix, waitMs }: PeerChangesRequest,
         requestedAtMs: number,
     ): void {
-        const isCurrent = response.kind === "current";
-        const heldMs = (isCurrent ? response.heldMs : 0) ?? waitMs;
+        const heldMs = (response.kind === "current" ? response.heldMs : 0) ?? waitMs;
         const delayMs = this.nowMs() - requestedAtMs - heldMs;
-        this.opts.freshness.recordResponse({ prefix, requestedAtMs, delayMs, isCurrent });
+        this.opts.freshness.recordResponse({ prefix, requestedAtMs, delayMs });
     }
 
     private async handleRequest(req: PeerChangesRequest): Promise<PeerChangesResponse> {
--- a/packages/relay/src/watch/view-freshness.ts
+++ b/packages/relay/src/watch/view-freshness.ts
@@ -7,8 +7,6 @@
     readonly requestedAtMs: number;
     /** Time by which the response arrived later than it was due, in milliseconds. */
     readonly delayMs: number;
-    /** Whether it told all changes up to the request. */
-    readonly isCurrent: boolean;
 }
 
 /** Options of {@link ViewFreshness}. */
@@ -24,6 +22,12 @@
 /** Time after the last delayed response in which the network input still counts as delayed, in milliseconds. */
 const DELAY_MEMORY_MS = 5_000;
 
+/**
+ * Age from which the view is outdated while the input is delayed, in milliseconds. Changes must be active within three
+ * seconds; the rest is for the source, which reads the service every 0.3 s, and for the request's way to its target.
+ */
+const MAX_AGE_MS = 2_000;
+
 const MS_PER_S = 1_000;
 
 /** Tracks how old this instance's view of the KV service is, and whether responses reach it late. */
@@ -38,11 +42,12 @@
         this.nowMs = opts.nowMs ?? (() => performance.now());
     }
 
-    /** Records a response of a source or of the KV service. */
-    recordResponse({ prefix, requestedAtMs, delayMs, isCurrent }: ChangesResponse): void {
-        if (isCurrent) {
-            this.confirmedAtMs.set(prefix, Math.max(requestedAtMs, this.confirmedAtMs.get(prefix) ?? requestedAtMs));
-        }
+    /**
+     * Records a response of a source or of the KV service. A source that cannot read the service either counts as well:
+     * no newer state can be known then.
+     */
+    recordResponse({ prefix, requestedAtMs, delayMs }: ChangesResponse): void {
+        this.confirmedAtMs.set(prefix, Math.max(requestedAtMs, this.confirmedAtMs.get(prefix) ?? requestedAtMs));
         if (delayMs >= MIN_DELAY_MS) {
             this.lastDelayMs = delayMs;
             this.delayedUntilMs = this.nowMs() + DELAY_MEMORY_MS;
@@ -65,6 +70,14 @@
         return this.confirmedAtMs.size === 0 ? 0 : this.nowMs() - Math.min(...this.confirmedAtMs.values());
     }
 
+    /**
+     * Whether this instance may decide by changes that are too old. Without late responses an old view means that the KV
+     * service or the peers are unavailable, and requests are served by the last known state.
+     */
+    get isOutdated(): boolean {
+        return this.isInputDelayed && this.ageMs > MAX_AGE_MS;
+    }
+
     /** The two measures in seconds, by the names of their gauges. */
     get gauges(): Readonly<Record<string, number>> {
         return {
