Check again whether the target left once a connection to it is open

Callers could see a request sent to a target that had left (DRAIN).

Cause: a target is selected before a connection is opened, which takes up to 400 ms and longer where the event loop is late or the request waits for a free connection; the pool of a removed target still sent what waited in it. Class: a decision before an await that is not checked again after it.

Change: a call asks again, just before its first byte, whether the target still accepts requests; otherwise it counts as not sent and another target is selected. A removed or restarted target's old state counts as leaving.

Evidence: without the check the new test of the port fails (the target receives the request), with it nothing is sent.

Measured: tests of packages/relay/src/http and relay.test passed.

--- a/packages/relay/src/http/http-target-port.test.ts
+++ b/packages/relay/src/http/http-target-port.test.ts
@@ -4,6 +4,7 @@
 import { createCall, createRequest, PlainTargetProtocol } from "../fixtures/plain-protocol.js";
 import { createRawTarget, type RawTarget } from "../fixtures/raw-target.js";
 import type { TargetOutcome } from "../targets/target-port.js";
+import { TargetState } from "../targets/target-state.js";
 import { HttpTargetPort } from "./http-target-port.js";
 
 const open = async (
@@ -98,6 +99,16 @@
     t.is((await port.send(createCall(target))).kind, "not_sent");
 });
 
+test("a request is not sent to a target that leaves while the connection is opened", async t => {
+    const { port, target, seen } = await open(t, socket => socket.end(`${HEAD}content-length: 2\r\n\r\nok`));
+    const state = new TargetState(target);
+    const sending = port.send(createCall(target, { mayStart: () => !state.target.leaving }));
+    state.markLeaving();
+    t.is((await sending).kind, "not_sent");
+    await sleep(50);
+    t.deepEqual(seen, []);
+});
+
 test("a target's report that it did not run the request is returned", async t => {
     const { port, target } = await open(t, socket => {
         socket.write("HTTP/1.1 503 Full\r\nid: request-1\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n");
--- a/packages/relay/src/http/target-call-handler.ts
+++ b/packages/relay/src/http/target-call-handler.ts
@@ -40,6 +40,9 @@
 
     onRequestStart(controller: Dispatcher.DispatchController): void {
         this.controller = controller;
+        if (!this.call.mayStart()) {
+            this.aborted ??= new Error("the target left while a connection was opened");
+        }
         if (this.aborted !== undefined) {
             controller.abort(this.aborted);
             return;
--- a/packages/relay/src/relay-attempts.ts
+++ b/packages/relay/src/relay-attempts.ts
@@ -88,6 +88,7 @@
                 afterEvent: this.stream.lastEventId,
                 isRepeatable: this.request.isRepeatable,
                 signal: clock.signal,
+                mayStart: () => !state.target.leaving,
             });
             this.opts.meter.recordSend(outcome.kind, service);
             return await this.handleOutcome(state, outcome, performance.now() - startedAtMs);
@@ -100,7 +101,7 @@
     private async handleOutcome(state: TargetState, outcome: TargetOutcome, firstByteMs: number): Promise<Step> {
         switch (outcome.kind) {
             case "not_sent":
-                if (this.request.clock.endReason === undefined) {
+                if (this.request.clock.endReason === undefined && !state.target.leaving) {
                     state.health.recordUnreachable(performance.now());
                 }
                 this.logSend(state, outcome.kind, outcome.cause);
--- a/packages/relay/src/relay.test.ts
+++ b/packages/relay/src/relay.test.ts
@@ -15,7 +15,7 @@
 import type { TargetCall, TargetOutcome } from "./targets/target-port.js";
 import { TargetSelector } from "./targets/target-selector.js";
 
-type Outcome = (call: TargetCall) => TargetOutcome | Promise<TargetOutcome>;
+type Outcome = (call: TargetCall, directory: TargetDirectory) => TargetOutcome | Promise<TargetOutcome>;
 
 const HEAD = { status: 200, headers: [], isFramed: true };
 
@@ -69,7 +69,7 @@
         const common = { service: "service-1", host: "127.0.0.1", port: 1, availabilityZone: "a", slots: 4 };
         directory.put({ id, ...common, leaving: false, startedAtMs: undefined });
     }
-    const port = new FakeTargetPort(outcomes);
+    const port = new FakeTargetPort(outcomes.map(outcome => call => outcome(call, directory)));
     const log = new MemoryLog();
     const allowance = new RetryAllowance({ ratio: 1, slack: 10, windowMs: 10_000, getInstances: () => 1 });
     const relay = new Relay({
@@ -132,6 +132,17 @@
     t.is(port.calls.length, 2);
 });
 
+test("a request whose target left before it was sent goes to another target", async t => {
+    const leaveFirst: Outcome = (call, directory) => {
+        t.true(call.mayStart());
+        directory.remove(call.target.id);
+        return call.mayStart() ? respond(["sent"])(call, directory) : { kind: "not_sent", cause: "left" };
+    };
+    const { caller, port } = await serve([leaveFirst, respond(["whole"])], { kind: "non_idempotent", maxAttempts: 1 });
+    t.is(caller.response?.body, "whole");
+    t.is(new Set(port.calls.map(call => call.target.id)).size, 2);
+});
+
 test("no request is sent to more targets than its route allows", async t => {
     const { caller, port } = await serve([failing], { maxAttempts: 2 });
     t.is(port.calls.length, 2);
--- a/packages/relay/src/targets/target-directory.ts
+++ b/packages/relay/src/targets/target-directory.ts
@@ -43,6 +43,7 @@
             this.handleChange();
             return startsLeaving ? "leaving" : "updated";
         }
+        known?.markLeaving();
         this.states.set(target.id, new TargetState(target));
         this.handleChange();
         return known === undefined ? "added" : "restarted";
@@ -50,11 +51,14 @@
 
     /** Removes a target; returns whether it was known. */
     remove(id: string): boolean {
-        const removed = this.states.delete(id);
-        if (removed) {
-            this.handleChange();
+        const state = this.states.get(id);
+        if (state === undefined) {
+            return false;
         }
-        return removed;
+        state.markLeaving();
+        this.states.delete(id);
+        this.handleChange();
+        return true;
     }
 
     /** Marks a target as leaving; returns whether this changed it. */
@@ -63,7 +67,7 @@
         if (state === undefined || state.target.leaving) {
             return false;
         }
-        state.target = { ...state.target, leaving: true };
+        state.markLeaving();
         this.handleChange();
         return true;
     }
--- a/packages/relay/src/targets/target-port.ts
+++ b/packages/relay/src/targets/target-port.ts
@@ -17,11 +17,13 @@
     readonly isRepeatable: boolean;
     /** Aborts the call and closes its connection. */
     readonly signal: AbortSignal;
+    /** Whether the target still accepts requests; checked again once a connection is open. */
+    readonly mayStart: () => boolean;
 }
 
 /** Outcome of a send. */
 export type TargetOutcome =
-    /** No connection could be opened; the target has not received the request. */
+    /** No connection could be opened, or the target left meanwhile; it has not received the request. */
     | { readonly kind: "not_sent"; readonly cause: string; }
     /** The target reports that it did not run the request. */
     | { readonly kind: "not_run"; readonly reason: "full" | "other_target"; }
--- a/packages/relay/src/targets/target-state.ts
+++ b/packages/relay/src/targets/target-state.ts
@@ -8,4 +8,9 @@
     readonly health = new TargetHealth();
 
     constructor(public target: Target) {}
+
+    /** Marks the target as leaving, also for requests that have selected it and are not sent yet. */
+    markLeaving(): void {
+        this.target = { ...this.target, leaving: true };
+    }
 }
