Send large values to other instances compressed

Cause: the document with 1,924 routes more took a 7 Mbit/s link for most of a second in each copy; from 29 to 32 s the instances together received 100 MB, and news of targets waited behind it.

Change: a source, or a peer that is asked for its document, sends values from 4 KiB on with raw deflate where the request accepts it. An older version neither asks for that nor gets it.

Evidence: the new test limits a value of 0.9 MB to a quarter of what the link carries in the time limit.

--- a/packages/relay/src/document/document-follower.ts
+++ b/packages/relay/src/document/document-follower.ts
@@ -1,7 +1,8 @@
 import type { KvClient, KvEntry } from "@ospreyreel/kv";
 import type { PeerHub } from "@ospreyreel/peer";
-import type { InstanceInfo } from "@ospreyreel/types";
+import type { InstanceInfo, PeerRequests } from "@ospreyreel/types";
 import type { RelayLog } from "../relay-log.js";
+import { deflateValue, inflateValue } from "../watch/deflated-value.js";
 import type { DocumentCodec } from "./document-codec.js";
 import type { DocumentHolder } from "./document-holder.js";
 
@@ -18,6 +19,17 @@
 /** Timeout for a peer's document, in milliseconds; several round trips between regions. */
 const PEER_TIMEOUT_MS = 500;
 
+const encodeDocument = (
+    encoded: Uint8Array | undefined,
+    acceptsDeflate: boolean | undefined,
+): PeerRequests["relay.document"]["res"] => {
+    if (encoded === undefined) {
+        return { encoded };
+    }
+    const { value, isDeflated = false } = deflateValue(encoded, acceptsDeflate);
+    return { encoded: value, isDeflated };
+};
+
 /** Keeps the desired state current: from the KV service's watch, and from peers that have a newer one. */
 export class DocumentFollower {
     private isFetching = false;
@@ -27,7 +39,7 @@
     /** Starts following, until the process ends. */
     start(): void {
         const { watch, hub, codec, holder } = this.opts;
-        hub.handle("relay.document", () => Promise.resolve({ encoded: holder.encoded }));
+        hub.handle("relay.document", req => Promise.resolve(encodeDocument(holder.encoded, req.acceptsDeflate)));
         void watch(codec.prefix).observe(event => {
             switch (event.kind) {
                 case "put":
@@ -76,9 +88,10 @@
         }
         this.isFetching = true;
         try {
-            const { encoded } = await hub.request(info.incarnation, "relay.document", {}, PEER_TIMEOUT_MS);
+            const req = { acceptsDeflate: true };
+            const { encoded, isDeflated } = await hub.request(info.incarnation, "relay.document", req, PEER_TIMEOUT_MS);
             if (encoded !== undefined) {
-                this.apply(encoded, info.instance);
+                this.apply(inflateValue({ value: encoded, isDeflated: isDeflated ?? false }), info.instance);
             }
         }
         catch (err) {
--- a/packages/relay/src/watch/shared-change-reader.test.ts
+++ b/packages/relay/src/watch/shared-change-reader.test.ts
@@ -197,6 +197,23 @@
         gapAimMs: 300,
     })));
 
+/** Share of the time limit that a large value may fill a slow link with, so that callers' requests pass as well. */
+const MAX_LINK_SHARE = 0.25;
+
+test("a large value leaves most of a slow link to callers", async t => {
+    const { service, followers, awaitAll } = createFleet(t);
+    await awaitAll(({ values }) => values.has("targets/a"));
+    const slow = followers.filter(({ isSource }) => !isSource());
+    slow.forEach(({ hub }) => {
+        hub.input.bytesPerMs = SLOW_LINK_BYTES_PER_MS;
+    });
+    const text = createRoutesText();
+    service.put("targets/large", text);
+    await awaitAll(({ values }) => values.get("targets/large") === text, slow);
+    const maxBytes = MAX_LINK_SHARE * MAX_PROPAGATION_MS * SLOW_LINK_BYTES_PER_MS;
+    slow.forEach(({ hub }) => t.true(hub.input.deliveredBytes < maxBytes));
+});
+
 test("a large value reaches an instance with a slow link in time", async t => {
     const { service, followers, awaitAll } = createFleet(t);
     await awaitAll(({ values }) => values.has("targets/a"));
--- a/packages/relay/src/watch/shared-change-reader.ts
+++ b/packages/relay/src/watch/shared-change-reader.ts
@@ -1,11 +1,12 @@
 import { OspreyError } from "@ospreyreel/errors";
-import { KvChangeReader, type KvChanges, type KvHealth, type KvSnapshot } from "@ospreyreel/kv";
+import { KvChangeReader, type KvChanges, type KvEntry, type KvHealth, type KvSnapshot } from "@ospreyreel/kv";
 import type { PeerHub } from "@ospreyreel/peer";
-import type { PeerChangesRequest, PeerChangesResponse } from "@ospreyreel/types";
+import type { PeerChangesRequest, PeerChangesResponse, PeerKvEntry } from "@ospreyreel/types";
 import { EventEmitter } from "node:events";
 import { setTimeout as sleep } from "node:timers/promises";
 import type { RelayLog } from "../relay-log.js";
 import { ChangeLog, type IsIrrelevantUpdate } from "./change-log.js";
+import { deflateValue, inflateValue } from "./deflated-value.js";
 import type { ViewFreshness } from "./view-freshness.js";
 import type { WatchSources } from "./watch-sources.js";
 
@@ -121,7 +122,7 @@
         const response = await this.requestFromSourceOrService(
             source,
             known,
-            { prefix, after: undefined, waitMs: 0 },
+            { prefix, after: undefined, waitMs: 0, acceptsDeflate: true },
             () => this.requestAllFromService(prefix),
         );
         if (response.kind === "service") {
@@ -148,7 +149,7 @@
             }
         }
         const waitAtSourceMs = this.opts.freshness.isInputDelayed ? DELAYED_PEER_WAIT_MS : PEER_WAIT_MS;
-        const req = { prefix, after, waitMs: waitAtSourceMs };
+        const req = { prefix, after, waitMs: waitAtSourceMs, acceptsDeflate: true };
         const response = await this.requestFromSourceOrService(
             source,
             known,
@@ -278,7 +279,7 @@
             if (response.awayMsAgo !== undefined) {
                 health.recordRemoteOutage(response.awayMsAgo);
             }
-            return response;
+            return { ...response, entries: response.entries.map(inflateEntry) };
         }
         catch (err) {
             // The caller then reads the service directly.
@@ -319,7 +320,7 @@
         }
     }
 
-    private getCurrent(known: SharedPrefix, { after }: PeerChangesRequest): PeerChangesResponse {
+    private getCurrent(known: SharedPrefix, { after, acceptsDeflate }: PeerChangesRequest): PeerChangesResponse {
         const { health } = this.opts;
         if (known.log.at === undefined || this.nowMs() - known.directReadAtMs > MAX_READ_AGE_MS) {
             return { kind: "stale" };
@@ -327,9 +328,13 @@
         const awayMsAgo = Number.isFinite(health.msSinceUnavailable) ? health.msSinceUnavailable : undefined;
         const since = after === undefined ? undefined : known.log.getSince(after);
         if (since === undefined) {
-            return { kind: "current", isWhole: true, ...known.log.snapshot, removed: [], awayMsAgo };
+            const { entries, at } = known.log.snapshot;
+            const sent = entries.map(entry => deflateEntry(entry, acceptsDeflate));
+            return { kind: "current", isWhole: true, entries: sent, at, removed: [], awayMsAgo };
         }
-        const entries = since.changes.flatMap(change => change.kind === "put" ? [change.entry] : []);
+        const entries = since.changes.flatMap(change =>
+            change.kind === "put" ? [deflateEntry(change.entry, acceptsDeflate)] : []
+        );
         const removed = since.changes.flatMap(change =>
             change.kind === "delete" ? [{ key: change.key, revision: change.revision }] : []
         );
@@ -337,6 +342,17 @@
     }
 }
 
+const deflateEntry = (entry: KvEntry, acceptsDeflate: boolean | undefined): PeerKvEntry => ({
+    ...entry,
+    ...deflateValue(entry.value, acceptsDeflate),
+});
+
+const inflateEntry = (entry: PeerKvEntry): KvEntry => ({
+    key: entry.key,
+    value: inflateValue(entry),
+    modRevision: entry.modRevision,
+});
+
 /** Resolves when a read returned changes, or after a time. */
 const waitForRead = (known: SharedPrefix, ms: number): Promise<void> =>
     new Promise(resolve => {
--- a/packages/types/src/peer-requests.ts
+++ b/packages/types/src/peer-requests.ts
@@ -153,6 +153,8 @@
     readonly key: string;
     readonly value: Uint8Array;
     readonly modRevision: number;
+    /** Whether the value is compressed (raw deflate); undefined where it is not. */
+    readonly isDeflated?: boolean;
 }
 
 /** A conditional write that a peer makes for an instance that cannot reach the KV service. */
@@ -171,6 +173,8 @@
     readonly after: number | undefined;
     /** Longest wait for a change, in milliseconds. */
     readonly waitMs: number;
+    /** Whether values may be compressed; undefined from older versions. */
+    readonly acceptsDeflate?: boolean;
 }
 
 /** Changes under a prefix. */
@@ -223,8 +227,8 @@
     readonly "kv.changes": { readonly req: PeerChangesRequest; readonly res: PeerChangesResponse; };
     /** Requests the relay's active desired state, as operators wrote it. */
     readonly "relay.document": {
-        readonly req: Record<string, never>;
-        readonly res: { readonly encoded: Uint8Array | undefined; };
+        readonly req: { readonly acceptsDeflate?: boolean; };
+        readonly res: { readonly encoded: Uint8Array | undefined; readonly isDeflated?: boolean; };
     };
     /** Announces targets that are leaving; the response is empty. */
     readonly "targets.leaving": {
