Fetch a peer's document only where the watch does not bring it, and until none is newer

Change: one task per instance waits 500 ms for the watch, then asks large peers first, one at a time, until no peer is known to have a newer document. A request lasts up to three seconds; a peer that sends nothing is lost sooner.

--- a/packages/relay/src/document/document-follower.ts
+++ b/packages/relay/src/document/document-follower.ts
@@ -1,6 +1,7 @@
 import type { KvClient, KvEntry } from "@ospreyreel/kv";
-import type { PeerHub } from "@ospreyreel/peer";
+import { orderByCores, type PeerHub } from "@ospreyreel/peer";
 import type { InstanceInfo, PeerRequests } from "@ospreyreel/types";
+import { setTimeout as sleep } from "node:timers/promises";
 import type { RelayLog } from "../relay-log.js";
 import { deflateValue, inflateValue } from "../watch/deflated-value.js";
 import type { DocumentCodec } from "./document-codec.js";
@@ -16,8 +17,14 @@
     readonly log: RelayLog;
 }
 
-/** Timeout for a peer's document, in milliseconds; several round trips between regions. */
-const PEER_TIMEOUT_MS = 500;
+/**
+ * Time for the KV service's watch to bring a document that a peer has announced, in milliseconds. Without it each
+ * document would be transferred twice.
+ */
+const WATCH_GRACE_MS = 500;
+
+/** Timeout for a peer's document, in milliseconds; a peer that sends nothing at all is lost sooner. */
+const PEER_TIMEOUT_MS = 3_000;
 
 const encodeDocument = (
     encoded: Uint8Array | undefined,
@@ -54,8 +61,8 @@
             }
         });
         void hub.changes().observe(change => {
-            if (change.kind !== "lost") {
-                void this.fetchFromPeer(change.info);
+            if (change.kind !== "lost" && change.info.configRevision > holder.version) {
+                void this.fetchNewer();
             }
         });
     }
@@ -80,25 +87,54 @@
         }
     }
 
-    /** Requests a peer's document if it is newer. */
-    private async fetchFromPeer(info: InstanceInfo): Promise<void> {
-        const { hub, holder, log } = this.opts;
-        if (info.configRevision <= holder.version || this.isFetching) {
+    /** Requests documents from peers, one at a time, until no peer is known to have a newer one. */
+    private async fetchNewer(): Promise<void> {
+        if (this.isFetching) {
             return;
         }
         this.isFetching = true;
+        const failed = new Set<string>();
+        try {
+            for (;;) {
+                await sleep(WATCH_GRACE_MS);
+                const newer = this.opts.hub.peers().filter(peer => peer.configRevision > this.opts.holder.version);
+                if (newer.length === 0) {
+                    return;
+                }
+                const untried = newer.filter(peer => !failed.has(peer.incarnation));
+                if (untried.length === 0) {
+                    failed.clear();
+                }
+                const peer = this.choosePeer(untried.length > 0 ? untried : newer);
+                if (peer !== undefined && !await this.fetchFromPeer(peer)) {
+                    failed.add(peer.incarnation);
+                }
+            }
+        }
+        finally {
+            this.isFetching = false;
+        }
+    }
+
+    /** Large instances are preferred, since small ones may have slow links; each instance has its own order. */
+    private choosePeer(peers: readonly InstanceInfo[]): InstanceInfo | undefined {
+        return orderByCores(this.opts.hub.self().instance, peers)[0];
+    }
+
+    /** Requests a peer's document; returns whether that made this instance's document newer. */
+    private async fetchFromPeer({ incarnation, instance }: InstanceInfo): Promise<boolean> {
+        const { hub, holder, log } = this.opts;
+        const before = holder.version;
         try {
             const req = { acceptsDeflate: true };
-            const { encoded, isDeflated } = await hub.request(info.incarnation, "relay.document", req, PEER_TIMEOUT_MS);
+            const { encoded, isDeflated } = await hub.request(incarnation, "relay.document", req, PEER_TIMEOUT_MS);
             if (encoded !== undefined) {
-                this.apply(inflateValue({ value: encoded, isDeflated: isDeflated ?? false }), info.instance);
+                this.apply(inflateValue({ value: encoded, isDeflated: isDeflated ?? false }), instance);
             }
         }
         catch (err) {
-            log.write("document request to peer failed", { peer: info.instance, cause: String(err) });
-        }
-        finally {
-            this.isFetching = false;
+            log.write("document request to peer failed", { peer: instance, cause: String(err) });
         }
+        return holder.version > before;
     }
 }
