Use what arrived in time though the event loop is late

Callers could see changes late (CONFIG, DRAIN) at an instance whose processor is overloaded.

Cause: expired timers run before pending reads, so that after a turn of the event loop longer than a time limit a reply that lies in the socket's buffer, an open connection or a store's response was discarded and asked for again. Class: a timer that judges reads it runs before.

--- a/packages/peer/src/pending-requests.ts
+++ b/packages/peer/src/pending-requests.ts
@@ -1,9 +1,10 @@
 import { peerUnavailable } from "./errors.js";
+import { IoTimeout } from "./io-timeout.js";
 
 interface PendingRequest {
     readonly resolve: (body: unknown) => void;
     readonly reject: (err: Error) => void;
-    readonly timer: NodeJS.Timeout;
+    readonly timeout: IoTimeout;
 }
 
 /** Requests sent on one link that have no reply yet. */
@@ -21,7 +22,7 @@
         const id = this.nextId++;
         return new Promise((resolve, reject) => {
             const expire = (): void => void this.fail(id, `no reply within ${timeoutMs} ms`);
-            this.pending.set(id, { resolve, reject, timer: setTimeout(expire, timeoutMs) });
+            this.pending.set(id, { resolve, reject, timeout: new IoTimeout(expire, timeoutMs) });
             try {
                 send(id);
             }
@@ -55,7 +56,7 @@
 
     private remove(id: number): PendingRequest | undefined {
         const request = this.pending.get(id);
-        clearTimeout(request?.timer);
+        request?.timeout.cancel();
         this.pending.delete(id);
         return request;
     }
--- a/packages/relay/src/http/target-connector.ts
+++ b/packages/relay/src/http/target-connector.ts
@@ -1,3 +1,4 @@
+import { IoTimeout } from "@ospreyreel/peer";
 import { connect as connectTcp, type Socket } from "node:net";
 import type { buildConnector } from "undici";
 
@@ -30,10 +31,10 @@
     socket.setKeepAlive(true, KEEP_ALIVE_PROBE_MS);
     // Registered first, so that it runs before the client's own listener.
     socket.on("error", replaceResetCode);
-    const timer = setTimeout(() => socket.destroy(new Error("connect timeout")), timeoutMs);
+    const timeout = new IoTimeout(() => socket.destroy(new Error("connect timeout")), timeoutMs);
     let settled = false;
     const settle = (err: Error | null): void => {
-        clearTimeout(timer);
+        timeout.cancel();
         if (settled) {
             return;
         }
