Count the time for which a source held a request also where it lost the service

Cause: a source that cannot read the KV service any more responds so after it has held a request for up to 0.8 s, and did not say for how long. The requester took that time for a delay of its network input: in each outage it logged a delay, asked more often, and came close to refusing requests which are to be served by the last known state.

Change: each response tells how long the request was held; without it (older versions) the delay is unknown and counts as none. The side that responds to other instances, and the state of a prefix, move to files of their own without a change.

Evidence: the test of sources that are disconnected from the service now asserts that no delay is recorded; it fails without the change.

--- a/packages/relay/src/watch/shared-change-reader.test.ts
+++ b/packages/relay/src/watch/shared-change-reader.test.ts
@@ -107,6 +107,8 @@
     service.put("targets/b", "ready-1");
     const others = followers.filter(follower => !sources.includes(follower));
     t.true(await awaitAll(({ values }) => values.has("targets/b"), others) < MAX_PROPAGATION_MS);
+    // A request that a source held until it knew that it is disconnected is no late response.
+    t.false(others.some(({ freshness }) => freshness.isInputDelayed));
     service.cut.clear();
     t.true(await awaitAll(({ values }) => values.has("targets/b"), sources) < MAX_PROPAGATION_MS);
 });
--- a/packages/relay/src/watch/shared-change-reader.ts
+++ b/packages/relay/src/watch/shared-change-reader.ts
@@ -2,11 +2,12 @@
 import { KvChangeReader, type KvChanges, type KvEntry, type KvHealth, type KvSnapshot } from "@ospreyreel/kv";
 import type { PeerHub } from "@ospreyreel/peer";
 import type { PeerChangesRequest, PeerChangesResponse, PeerKvEntry } from "@ospreyreel/types";
-import { EventEmitter } from "node:events";
 import { setTimeout as sleep } from "node:timers/promises";
 import type { RelayLog } from "../relay-log.js";
-import { ChangeLog, type IsIrrelevantUpdate } from "./change-log.js";
-import { deflateValue, inflateValue } from "./deflated-value.js";
+import type { IsIrrelevantUpdate } from "./change-log.js";
+import { ChangeResponder } from "./change-responder.js";
+import { inflateValue } from "./deflated-value.js";
+import { SharedPrefix } from "./shared-prefix.js";
 import type { ViewFreshness } from "./view-freshness.js";
 import type { WatchSources } from "./watch-sources.js";
 
@@ -37,11 +38,6 @@
  */
 const SOURCE_PAUSE_MS = 300;
 
-/**
- * Maximum age of the last direct read of a source that responds, in milliseconds: a wait, a pause and a slow response.
- */
-const MAX_READ_AGE_MS = 1_500;
-
 /** Wait for changes at a source, in milliseconds; together with the other limits it stays below two seconds. */
 const PEER_WAIT_MS = 800;
 
@@ -60,11 +56,6 @@
 /** Wait for changes at a source while responses arrive late, in milliseconds; the delay alone keeps requests rare. */
 const DELAYED_PEER_WAIT_MS = 100;
 
-/**
- * Time after which a waiting source checks its state again, in milliseconds; its reads may have failed in the meantime.
- */
-const RECHECK_MS = 400;
-
 type CurrentChanges = Extract<PeerChangesResponse, { readonly kind: "current"; }>;
 
 /** A read of the KV service itself. */
@@ -80,20 +71,6 @@
     return response;
 };
 
-/** State of one prefix at this instance. */
-class SharedPrefix {
-    readonly log: ChangeLog;
-    readonly updates = new EventEmitter().setMaxListeners(0);
-    /** Time of the last response of the KV service itself. */
-    directReadAtMs = Number.NEGATIVE_INFINITY;
-    /** Time before which the KV service is not read again, so that changes are batched. */
-    nextReadAtMs = Number.NEGATIVE_INFINITY;
-
-    constructor(isIrrelevantUpdate: IsIrrelevantUpdate) {
-        this.log = new ChangeLog(isIrrelevantUpdate);
-    }
-}
-
 /**
  * Reads changes of the KV service. In a large fleet only a few instances, the sources, read the service directly, and
  * all others read from a source. Where a source does not respond or cannot read the service, an instance reads it
@@ -110,7 +87,13 @@
 
     /** Starts responding to other instances' requests for changes. */
     serve(): void {
-        this.opts.hub.handle("kv.changes", req => this.handleRequest(req));
+        const { hub, health } = this.opts;
+        const responder = new ChangeResponder({
+            getPrefix: prefix => this.getPrefix(prefix),
+            health,
+            nowMs: this.nowMs,
+        });
+        hub.handle("kv.changes", req => responder.respond(req));
     }
 
     override async readAll(prefix: string): Promise<KvSnapshot> {
@@ -220,7 +203,7 @@
     private applySnapshot(known: SharedPrefix, read: KvSnapshot): KvSnapshot {
         known.log.replace(read);
         known.directReadAtMs = this.nowMs();
-        known.updates.emit("read");
+        known.notifyRead();
         return known.log.snapshot;
     }
 
@@ -231,7 +214,7 @@
         known.directReadAtMs = this.nowMs();
         const relevant = known.log.apply(read);
         if (relevant.changes.length > 0) {
-            known.updates.emit("read");
+            known.notifyRead();
         }
         return relevant;
     }
@@ -272,7 +255,7 @@
         const requestedAtMs = this.nowMs();
         try {
             const response = await hub.request(source, "kv.changes", req, req.waitMs + MAX_RESPONSE_DELAY_MS);
-            this.recordResponse(response, req, requestedAtMs);
+            this.recordResponse(response, req.prefix, requestedAtMs);
             if (response.kind === "stale" || response.at < (known.log.at ?? 0)) {
                 return undefined;
             }
@@ -289,78 +272,15 @@
         }
     }
 
-    private recordResponse(
-        response: PeerChangesResponse,
-        { prefix, waitMs }: PeerChangesRequest,
-        requestedAtMs: number,
-    ): void {
-        const heldMs = (response.kind === "current" ? response.heldMs : 0) ?? waitMs;
-        const delayMs = this.nowMs() - requestedAtMs - heldMs;
+    private recordResponse(response: PeerChangesResponse, prefix: string, requestedAtMs: number): void {
+        const tookMs = this.nowMs() - requestedAtMs;
+        const delayMs = tookMs - (response.heldMs ?? tookMs);
         this.opts.freshness.recordResponse({ prefix, requestedAtMs, delayMs });
     }
-
-    private async handleRequest(req: PeerChangesRequest): Promise<PeerChangesResponse> {
-        const startedAtMs = this.nowMs();
-        const response = await this.awaitChanges(req);
-        return response.kind === "stale" ? response : { ...response, heldMs: this.nowMs() - startedAtMs };
-    }
-
-    private async awaitChanges(req: PeerChangesRequest): Promise<PeerChangesResponse> {
-        const known = this.getPrefix(req.prefix);
-        const endsAtMs = this.nowMs() + req.waitMs;
-        for (;;) {
-            const current = this.getCurrent(known, req);
-            const leftMs = endsAtMs - this.nowMs();
-            const hasChanges = current.kind === "stale" || current.isWhole
-                || current.entries.length + current.removed.length > 0;
-            if (hasChanges || leftMs <= 0) {
-                return current;
-            }
-            await waitForRead(known, Math.min(leftMs, RECHECK_MS));
-        }
-    }
-
-    private getCurrent(known: SharedPrefix, { after, acceptsDeflate }: PeerChangesRequest): PeerChangesResponse {
-        const { health } = this.opts;
-        if (known.log.at === undefined || this.nowMs() - known.directReadAtMs > MAX_READ_AGE_MS) {
-            return { kind: "stale" };
-        }
-        const awayMsAgo = Number.isFinite(health.msSinceUnavailable) ? health.msSinceUnavailable : undefined;
-        const since = after === undefined ? undefined : known.log.getSince(after);
-        if (since === undefined) {
-            const { entries, at } = known.log.snapshot;
-            const sent = entries.map(entry => deflateEntry(entry, acceptsDeflate));
-            return { kind: "current", isWhole: true, entries: sent, at, removed: [], awayMsAgo };
-        }
-        const entries = since.changes.flatMap(change =>
-            change.kind === "put" ? [deflateEntry(change.entry, acceptsDeflate)] : []
-        );
-        const removed = since.changes.flatMap(change =>
-            change.kind === "delete" ? [{ key: change.key, revision: change.revision }] : []
-        );
-        return { kind: "current", isWhole: false, entries, removed, at: since.at, awayMsAgo };
-    }
 }
 
-const deflateEntry = (entry: KvEntry, acceptsDeflate: boolean | undefined): PeerKvEntry => ({
-    ...entry,
-    ...deflateValue(entry.value, acceptsDeflate),
-});
-
 const inflateEntry = (entry: PeerKvEntry): KvEntry => ({
     key: entry.key,
     value: inflateValue(entry),
     modRevision: entry.modRevision,
 });
-
-/** Resolves when a read returned changes, or after a time. */
-const waitForRead = (known: SharedPrefix, ms: number): Promise<void> =>
-    new Promise(resolve => {
-        const end = (): void => {
-            clearTimeout(timer);
-            known.updates.off("read", end);
-            resolve();
-        };
-        const timer = setTimeout(end, ms);
-        known.updates.once("read", end);
-    });
--- a/packages/types/src/peer-requests.ts
+++ b/packages/types/src/peer-requests.ts
@@ -177,8 +177,8 @@
     readonly acceptsDeflate?: boolean;
 }
 
-/** Changes under a prefix. */
-export type PeerChangesResponse =
+/** What an instance knows of the changes under a prefix. */
+type PeerChanges =
     /** The instance does not read the prefix itself, or has been unable to for some time. */
     | { readonly kind: "stale"; }
     | {
@@ -191,10 +191,14 @@
         readonly at: number;
         /** Time since the KV service was unavailable, in milliseconds; undefined where it was not. */
         readonly awayMsAgo: number | undefined;
-        /** Time for which the request waited for changes, in milliseconds; undefined from older versions. */
-        readonly heldMs?: number;
     };
 
+/** Response to a request for the changes under a prefix. */
+export type PeerChangesResponse = PeerChanges & {
+    /** Time for which the request waited for changes, in milliseconds; undefined from older versions. */
+    readonly heldMs?: number;
+};
+
 /** Requests between instances by kind, with the types of request and response. */
 export interface PeerRequests {
     readonly "copy.open": { readonly req: CopyOpenRequest; readonly res: CopyResponse; };
