Do not send a request again by a view that has become outdated

Callers could see a request sent to a target that had left (DRAIN).

Cause: the age of the view was checked before a request's first send only. A second send, up to the route's time limit later, selects from the targets that are known then, and a wait for the budget lies before the first one. Class: a decision before an await that is not checked again.

Change: the age is checked before each send. What may have run ends as failed, anything else as refused.

Evidence: the new test fails without the check (two sends).

--- a/packages/relay/src/relay-attempts.ts
+++ b/packages/relay/src/relay-attempts.ts
@@ -67,6 +67,9 @@
         if (clock.endReason !== undefined) {
             return { kind: "end", end: this.expireRequest() };
         }
+        if (this.opts.freshness.isOutdated) {
+            return { kind: "end", end: this.failRequest("viewOutdated") };
+        }
         const state = this.opts.selector.select(req, route, service, this.tried);
         if (state === undefined) {
             return { kind: "end", end: this.failRequest("noTarget") };
@@ -217,7 +220,9 @@
     }
 
     /** Ends the request without another target. Only a request that no target ran may be reported as not run. */
-    private failRequest(reason: "noTarget" | "overloaded" | "targetFailed"): AttemptsResult | RelayRefusal {
+    private failRequest(
+        reason: "noTarget" | "overloaded" | "targetFailed" | "viewOutdated",
+    ): AttemptsResult | RelayRefusal {
         if (this.stream.isStarted) {
             this.request.caller.abortStream();
             return "broken";
--- a/packages/relay/src/relay.test.ts
+++ b/packages/relay/src/relay.test.ts
@@ -15,7 +15,12 @@
 import type { TargetCall, TargetOutcome } from "./targets/target-port.js";
 import { TargetSelector } from "./targets/target-selector.js";
 
-type Outcome = (call: TargetCall, directory: TargetDirectory) => TargetOutcome | Promise<TargetOutcome>;
+interface View {
+    isOutdated: boolean;
+    ageMs: number;
+}
+
+type Outcome = (call: TargetCall, directory: TargetDirectory, view: View) => TargetOutcome | Promise<TargetOutcome>;
 
 const HEAD = { status: 200, headers: [], isFramed: true };
 
@@ -69,7 +74,8 @@
         const common = { service: "service-1", host: "127.0.0.1", port: 1, availabilityZone: "a", slots: 4 };
         directory.put({ id, ...common, leaving: false, startedAtMs: undefined });
     }
-    const port = new FakeTargetPort(outcomes.map(outcome => call => outcome(call, directory)));
+    const port = new FakeTargetPort(outcomes.map(outcome => call => outcome(call, directory, view)));
+    const view = { isOutdated: viewIsOutdated, ageMs: 0 };
     const log = new MemoryLog();
     const allowance = new RetryAllowance({ ratio: 1, slack: 10, windowMs: 10_000, getInstances: () => 1 });
     const relay = new Relay({
@@ -84,7 +90,7 @@
         budgets,
         getRetries: () => allowance,
         overload: { getRefusal: () => overloadedForS },
-        freshness: { isOutdated: viewIsOutdated, ageMs: 0 },
+        freshness: view,
         log,
         meter: { recordEnd: () => undefined, recordSend: () => undefined },
         random: () => 0,
@@ -133,10 +139,10 @@
 });
 
 test("a request whose target left before it was sent goes to another target", async t => {
-    const leaveFirst: Outcome = (call, directory) => {
+    const leaveFirst: Outcome = (call, directory, view) => {
         t.true(call.mayStart());
         directory.remove(call.target.id);
-        return call.mayStart() ? respond(["sent"])(call, directory) : { kind: "not_sent", cause: "left" };
+        return call.mayStart() ? respond(["sent"])(call, directory, view) : { kind: "not_sent", cause: "left" };
     };
     const { caller, port } = await serve([leaveFirst, respond(["whole"])], { kind: "non_idempotent", maxAttempts: 1 });
     t.is(caller.response?.body, "whole");
@@ -260,6 +266,16 @@
     t.is(port.calls.length, 0);
 });
 
+test("a request is not sent again by a view that has become outdated since its first send", async t => {
+    const outdate: Outcome = (_call, _directory, view) => {
+        view.isOutdated = true;
+        return { kind: "failed", cause: "reset" };
+    };
+    const { caller, port } = await serve([outdate, respond(["whole"])]);
+    t.is(port.calls.length, 1);
+    t.is(caller.refusal?.reason, "targetFailed");
+});
+
 test("an overloaded instance refuses a team without tokens by its budget", async t => {
     const gate = new RefusingGate({ kind: "exhausted" });
     const { caller } = await serve([full], {}, GENERATION, gate, undefined, 1);
