Share the fixture that blocks the event loop between tests

Two tests held the same loop, and a doc line of a test's codec said what it does not do. No behaviour and no check changes.

--- a/packages/peer/src/pending-requests.test.ts
+++ b/packages/peer/src/pending-requests.test.ts
@@ -1,6 +1,7 @@
 import test, { type ExecutionContext } from "ava";
 import { once } from "node:events";
 import { type AddressInfo, connect, createServer, type Socket } from "node:net";
+import { blockEventLoop } from "./fixtures/block-event-loop.js";
 import { PendingRequests } from "./pending-requests.js";
 
 const TIMEOUT_MS = 50;
@@ -19,13 +20,6 @@
     return [near, far];
 };
 
-const blockEventLoop = (ms: number): void => {
-    const endsAtMs = performance.now() + ms;
-    while (performance.now() < endsAtMs) {
-        // Keeps the event loop from reading.
-    }
-};
-
 test.serial("a reply that arrived in time is used though the event loop is late", async t => {
     const [near, far] = await openConnection(t);
     const pending = new PendingRequests();
--- a/packages/relay/src/document/document-follower.test.ts
+++ b/packages/relay/src/document/document-follower.test.ts
@@ -14,7 +14,7 @@
 /** A change must be active within two seconds, in milliseconds. */
 const MAX_PROPAGATION_MS = 2_000;
 
-/** Documents as JSON, padded to a size. */
+/** Documents as JSON, of which only the version is written. */
 class JsonDocumentCodec extends DocumentCodec {
     override readonly prefix = "op/";
 
--- a/packages/relay/src/http/target-connector.test.ts
+++ b/packages/relay/src/http/target-connector.test.ts
@@ -1,3 +1,4 @@
+import { blockEventLoop } from "@ospreyreel/peer/fixtures";
 import test from "ava";
 import { once } from "node:events";
 import { type AddressInfo, createServer, type Socket } from "node:net";
@@ -23,10 +24,7 @@
     server.listen(0, "127.0.0.1");
     await once(server, "listening");
     const connecting = connectTo((server.address() as AddressInfo).port);
-    const endsAtMs = performance.now() + 2 * TIMEOUT_MS;
-    while (performance.now() < endsAtMs) {
-        // Keeps the event loop from noticing that the connection is open.
-    }
+    blockEventLoop(2 * TIMEOUT_MS);
     const socket = await connecting;
     t.false(socket.destroyed);
     socket.destroy();
