--- a/packages/bench/src/platform/platform-fleet.ts
+++ b/packages/bench/src/platform/platform-fleet.ts
@@ -29,6 +29,10 @@
     readonly prepaid?: number;
     /** Puts a proxy that injects faults between each instance and the store. */
     readonly withStoreProxies?: boolean;
+    /** Time between two events of a model's answer, in milliseconds; 5 by default. */
+    readonly modelStepMs?: number;
+    /** Time from SIGTERM to the end of an instance, in seconds; 8 by default. */
+    readonly stopWithinS?: number;
 }
 
 /** Settings of one instance on the platform. */
@@ -77,19 +81,23 @@
 export class PlatformFleet {
     readonly store = new PlatformStoreStandIn();
     readonly plain = new PlatformTargetStandIn({ id: "plain-1", service: "plain" });
-    readonly models = [1, 2].map(at =>
-        new PlatformTargetStandIn({ id: `model-${at}`, service: "model", events: MODEL_EVENTS, stepMs: 5 })
-    );
+    readonly models: readonly PlatformTargetStandIn[];
     readonly instances: PlatformInstance[] = [];
     /** One for each instance, if asked for. */
     readonly storeProxies: FaultProxy[] = [];
     private readonly agent = new Agent({ pipelining: 1 });
     private requests = 0;
 
+    private constructor(stepMs: number) {
+        this.models = [1, 2].map(at =>
+            new PlatformTargetStandIn({ id: `model-${at}`, service: "model", events: MODEL_EVENTS, stepMs })
+        );
+    }
+
     /** Starts everything and resolves once all instances take requests. */
     static async start(opts: PlatformFleetOptions = {}): Promise<PlatformFleet> {
-        const { count = 3, prepaid = PREPAID, withStoreProxies = false } = opts;
-        const fleet = new PlatformFleet();
+        const { count = 3, prepaid = PREPAID, withStoreProxies = false, modelStepMs = 5, stopWithinS = 8 } = opts;
+        const fleet = new PlatformFleet(modelStepMs);
         const store = await fleet.store.start();
         for (const target of [fleet.plain, ...fleet.models]) {
             await target.start();
@@ -107,7 +115,15 @@
         fleet.instances.push(
             ...await Promise.all([...Array(count).keys()].map(async at => {
                 const own = addresses.slice(at * PORTS_EACH, (at + 1) * PORTS_EACH);
-                return await startInstance(folder, `instance-${at}`, `zone-${at}`, own, seeds, storeFor[at] ?? store);
+                return await startInstance({
+                    folder,
+                    name: `instance-${at}`,
+                    zone: `zone-${at}`,
+                    addresses: own,
+                    seeds,
+                    store: storeFor[at] ?? store,
+                    stopWithinS,
+                });
             })),
         );
         return fleet;
@@ -218,14 +234,21 @@
 const startProcess = (settingsFile: string): Promise<RigProcess> =>
     startRigProcess({ script: MAIN, env: { OSPREYREEL_SETTINGS: settingsFile } });
 
+interface InstanceStart {
+    readonly folder: string;
+    readonly name: string;
+    readonly zone: string;
+    /** Addresses for callers, readiness, directory, peers and metrics. */
+    readonly addresses: readonly string[];
+    readonly seeds: readonly string[];
+    readonly store: string;
+    readonly stopWithinS: number;
+}
+
 const startInstance = async (
-    folder: string,
-    name: string,
-    zone: string,
-    [callers = "", readiness = "", directory = "", peer = "", metrics = ""]: readonly string[],
-    seeds: readonly string[],
-    store: string,
+    { folder, name, zone, addresses, seeds, store, stopWithinS }: InstanceStart,
 ): Promise<PlatformInstance> => {
+    const [callers = "", readiness = "", directory = "", peer = "", metrics = ""] = addresses;
     const settings: RelaySettingsJson = {
         instance: name,
         availabilityZone: zone,
@@ -239,7 +262,7 @@
         seeds,
         kv: { address: store },
         retries: { ratio: 0.2, windowS: 10, slack: 50 },
-        stopWithinS: 8,
+        stopWithinS,
         addressTtlS: 0.5,
     };
     const settingsFile = join(folder, `${name}.jsonc`);
