Log how long after its start a stop accepted requests

Callers saw streams cut at the end of a stop. The log told the number of open requests at the end, but not whether they were accepted late or took long, the two hypotheses that remain for a stop without a record of its requests. The line 'instance stopped' now tells when the last request was accepted and when the stop ended.

--- a/packages/relay/src/instance/relay-instance.ts
+++ b/packages/relay/src/instance/relay-instance.ts
@@ -257,9 +257,10 @@
 
     private async stopOnce(): Promise<void> {
         const { cfg, log } = this;
-        const endsAtMs = performance.now() + cfg.stopWithinS * MS_PER_S * STOP_TIME_SHARE;
+        const startedAtMs = performance.now();
+        const endsAtMs = startedAtMs + cfg.stopWithinS * MS_PER_S * STOP_TIME_SHARE;
         // Some callers cache addresses for three times their TTL.
-        const addressesEndAtMs = performance.now() + 3 * cfg.addressTtlS * MS_PER_S;
+        const addressesEndAtMs = startedAtMs + 3 * cfg.addressTtlS * MS_PER_S;
         log.write("instance leaving", { openRequests: this.relay.openRequests });
         this.hub.updateSelf({ state: "leaving" });
         this.callerPort.drain();
@@ -274,7 +275,11 @@
                 }
             }, POLL_INTERVAL_MS);
         });
-        log.write("instance stopped", { openRequests: this.relay.openRequests });
+        log.write("instance stopped", {
+            openRequests: this.relay.openRequests,
+            lastAcceptedMs: Math.max(0, Math.round(this.relay.lastAcceptedAtMs - startedAtMs)),
+            ms: Math.round(performance.now() - startedAtMs),
+        });
         this.callerPort.close();
         this.statusPorts.forEach(port => port.close());
         await Promise.race([this.hub.close(), sleep(POLL_INTERVAL_MS)]);
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -60,6 +60,7 @@
 /** Sends each request to a target of its route and relays the response, or refuses the request. */
 export class Relay {
     private open = 0;
+    private acceptedAtMs = Number.NEGATIVE_INFINITY;
 
     constructor(private readonly opts: RelayOptions) {}
 
@@ -68,6 +69,11 @@
         return this.open;
     }
 
+    /** Monotonic time at which the last request was accepted, in milliseconds. */
+    get lastAcceptedAtMs(): number {
+        return this.acceptedAtMs;
+    }
+
     /** Serves one request; does not throw. */
     async serve(req: RelayRequest, caller: CallerExchange): Promise<void> {
         this.open += 1;
@@ -112,6 +118,7 @@
                 this.refuse(req, caller, service, { reason: "overloaded", retryAfterS }, { team, priority });
                 return;
             }
+            this.acceptedAtMs = performance.now();
             const request = { req, admission, caller, clock, hold: held, isRepeatable: isRepeatable(route) };
             const attempts = new RelayAttempts(this.opts, request);
             const result = await attempts.run();
