Accept requests during a stop only while they have time to end

Callers saw streams closed in the middle, 7.6 s after SIGTERM of their instance.

Cause: a stopping instance accepted every request until it was idle or its time was over. Under constant load it is never idle, so the last accepted requests had no time left. The class of fault is work accepted without regard to the time left for it.

Change: every request is accepted for as long as callers may not know of the stop (three times the addresses' time to live, half of the stop at most); later only one whose deadline is before the end, which therefore cannot be cut. Others are refused at once with 503 (leaving) and a Retry-After of 0.1 s, since other instances serve them. The decision is made when the request has been read, so that a pause of the process or a slow body does not move it.

--- a/packages/relay/src/instance/relay-instance.ts
+++ b/packages/relay/src/instance/relay-instance.ts
@@ -10,6 +10,7 @@
 import { AffinityPlacement } from "../policy/affinity-placement.js";
 import { OverloadGuard } from "../policy/overload-guard.js";
 import { sampleInstances } from "../policy/sample-instances.js";
+import { StopWindow } from "../policy/stop-window.js";
 import { Relay } from "../relay.js";
 import { TargetDirectory } from "../targets/target-directory.js";
 import { TargetFollower } from "../targets/target-follower.js";
@@ -48,6 +49,9 @@
 /** Share of the stop time after which running requests are aborted, so that the process still ends in order. */
 const STOP_TIME_SHARE = 0.94;
 
+/** Some callers use addresses for this many times their TTL. */
+const ADDRESS_TTL_FACTOR = 3;
+
 /** One instance that relays requests from callers to the targets of a platform. */
 export class RelayInstance {
     readonly metrics = new RelayMetrics();
@@ -258,23 +262,18 @@
     private async stopOnce(): Promise<void> {
         const { cfg, log } = this;
         const startedAtMs = performance.now();
-        const endsAtMs = startedAtMs + cfg.stopWithinS * MS_PER_S * STOP_TIME_SHARE;
-        // Some callers cache addresses for three times their TTL.
-        const addressesEndAtMs = startedAtMs + 3 * cfg.addressTtlS * MS_PER_S;
+        const stopMs = cfg.stopWithinS * MS_PER_S;
+        const window = new StopWindow({
+            startedAtMs,
+            lengthMs: stopMs * STOP_TIME_SHARE,
+            addressLifetimeMs: ADDRESS_TTL_FACTOR * cfg.addressTtlS * MS_PER_S,
+        });
         log.write("instance leaving", { openRequests: this.relay.openRequests });
+        this.relay.limitTo(window);
         this.hub.updateSelf({ state: "leaving" });
         this.callerPort.drain();
         void this.releaseBudgets();
-        await new Promise<void>(resolve => {
-            const timer = setInterval(() => {
-                const nowMs = performance.now();
-                const isIdle = this.relay.openRequests === 0 && nowMs >= addressesEndAtMs;
-                if (isIdle || nowMs >= endsAtMs) {
-                    clearInterval(timer);
-                    resolve();
-                }
-            }, POLL_INTERVAL_MS);
-        });
+        await this.waitForRequests(window);
         log.write("instance stopped", {
             openRequests: this.relay.openRequests,
             lastAcceptedMs: Math.max(0, Math.round(this.relay.lastAcceptedAtMs - startedAtMs)),
@@ -284,4 +283,13 @@
         this.statusPorts.forEach(port => port.close());
         await Promise.race([this.hub.close(), sleep(POLL_INTERVAL_MS)]);
     }
+
+    /** Resolves when no caller may use this instance any more and all requests have ended, or when the window ends. */
+    private async waitForRequests({ servesUntilMs, endsAtMs }: StopWindow): Promise<void> {
+        const isDone = (nowMs: number): boolean =>
+            nowMs >= endsAtMs || (nowMs >= servesUntilMs && this.relay.openRequests === 0);
+        while (!isDone(performance.now())) {
+            await sleep(POLL_INTERVAL_MS);
+        }
+    }
 }
--- /dev/null
+++ b/packages/relay/src/policy/stop-window.ts
@@ -0,0 +1,33 @@
+/** Options of {@link StopWindow}. */
+export interface StopWindowOptions {
+    /** Monotonic time of the stop's start, in milliseconds. */
+    readonly startedAtMs: number;
+    /** Time from the start until the requests that still run are aborted, in milliseconds. */
+    readonly lengthMs: number;
+    /** Time for which callers may still use this instance's address, in milliseconds. */
+    readonly addressLifetimeMs: number;
+}
+
+/** Share of the stop in which every request is accepted at most; the rest is left for those requests to end. */
+const MAX_SERVING_SHARE = 0.5;
+
+/**
+ * Decides which requests a stopping instance accepts, so that those that it accepts can end. Callers that do not know of
+ * the stop yet are served; later only requests whose deadline is before the end of the stop.
+ */
+export class StopWindow {
+    /** Monotonic time until which every request is accepted, in milliseconds. */
+    readonly servesUntilMs: number;
+    /** Monotonic time at which the requests that still run are aborted, in milliseconds. */
+    readonly endsAtMs: number;
+
+    constructor({ startedAtMs, lengthMs, addressLifetimeMs }: StopWindowOptions) {
+        this.servesUntilMs = startedAtMs + Math.min(addressLifetimeMs, MAX_SERVING_SHARE * lengthMs);
+        this.endsAtMs = startedAtMs + lengthMs;
+    }
+
+    /** Whether a request that has to end by `deadlineMs` is accepted. Both are monotonic times in milliseconds. */
+    isAccepting(nowMs: number, deadlineMs: number): boolean {
+        return nowMs < this.servesUntilMs || deadlineMs <= this.endsAtMs;
+    }
+}
--- a/packages/relay/src/relay-refusal.ts
+++ b/packages/relay/src/relay-refusal.ts
@@ -1,6 +1,7 @@
 /** Why an instance itself ends a request; the reasons with status 503 guarantee that it has not run and will not. */
 export type RefusalReason =
     | "notReady"
+    | "leaving"
     | "viewOutdated"
     | "overloaded"
     | "noTarget"
@@ -24,6 +25,7 @@
 /** HTTP status of each refusal. 503 guarantees that the request has not run; 502 and 504 guarantee nothing. */
 export const REFUSAL_STATUS: Readonly<Record<RefusalReason, number>> = {
     notReady: 503,
+    leaving: 503,
     viewOutdated: 503,
     overloaded: 503,
     noTarget: 503,
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -4,6 +4,7 @@
 import type { DocumentHolder } from "./document/document-holder.js";
 import type { OverloadGuard } from "./policy/overload-guard.js";
 import type { RetryAllowance } from "./policy/retry-allowance.js";
+import type { StopWindow } from "./policy/stop-window.js";
 import { type AttemptsResult, RelayAttempts } from "./relay-attempts.js";
 import type { LogFields, RelayLog } from "./relay-log.js";
 import type { RefusalReason, RelayRefusal } from "./relay-refusal.js";
@@ -41,6 +42,9 @@
 /** Retry-after time where this instance's view is outdated, in seconds; other instances can serve at once. */
 const OUTDATED_RETRY_AFTER_S = 0.5;
 
+/** Retry-after time where this instance is leaving, in seconds; other instances can serve at once. */
+const LEAVING_RETRY_AFTER_S = 0.1;
+
 const isRefusal = (admitted: Admission | RelayRefusal): admitted is RelayRefusal => "reason" in admitted;
 
 /** Maximum number of tokens that a request may use; 0 where it requests no generation. */
@@ -61,6 +65,7 @@
 export class Relay {
     private open = 0;
     private acceptedAtMs = Number.NEGATIVE_INFINITY;
+    private stopWindow: StopWindow | undefined;
 
     constructor(private readonly opts: RelayOptions) {}
 
@@ -74,6 +79,11 @@
         return this.acceptedAtMs;
     }
 
+    /** Accepts from now on only the requests that the window allows. */
+    limitTo(window: StopWindow): void {
+        this.stopWindow = window;
+    }
+
     /** Serves one request; does not throw. */
     async serve(req: RelayRequest, caller: CallerExchange): Promise<void> {
         this.open += 1;
@@ -104,7 +114,13 @@
         const { route, service, team = "", priority } = admission;
         this.opts.getRetries(service).recordRequest();
         const waitsMs = Math.min(route.timeoutMs, req.waitsMs ?? route.timeoutMs);
-        const clock = new RequestClock(req.arrivedAtMs + waitsMs, caller.disconnectSignal);
+        const deadlineMs = req.arrivedAtMs + waitsMs;
+        if (this.stopWindow?.isAccepting(performance.now(), deadlineMs) === false) {
+            const refusal = { reason: "leaving", retryAfterS: LEAVING_RETRY_AFTER_S } as const;
+            this.refuse(req, caller, service, refusal, { team });
+            return;
+        }
+        const clock = new RequestClock(deadlineMs, caller.disconnectSignal);
         try {
             const held = await this.holdBudget(req, admission);
             if (held !== undefined && "reason" in held) {
