Send the last responses before a stopping instance closes connections

What callers would see: a response that ends in the middle when its instance stops, though its target had answered. A stop counted a request as ended once its response was handed to the connection, and then closed all connections; a request whose body was still being read did not count at all.

Waiting alone does not help: close() of an HTTP server also closes connections whose response is ended but not sent, so the port first stops listening only.

Change: the port counts exchanges from the arrival of the head until the response is sent or the connection closed. A stop ends when there are none, or at its end, after another 3% of its time for the last bytes. http-caller-port.test.ts failed before in its slow caller.

--- a/packages/relay/src/http/http-caller-port.test.ts
+++ b/packages/relay/src/http/http-caller-port.test.ts
@@ -12,6 +12,8 @@
 const createMessage = (id: string): string =>
     `POST /x HTTP/1.1\r\nHost: users.example\r\nid: ${id}\r\nContent-Length: ${BODY.length}\r\n\r\n${BODY}`;
 
+const LARGE_RESPONSE = Buffer.alloc(24 * 1_024 * 1_024, "y");
+
 /** A port that responds to each request immediately and records whether the caller had disconnected by then. */
 const open = async (t: ExecutionContext) => {
     const callerStates: Record<string, "there" | "left"> = {};
@@ -27,8 +29,8 @@
         },
     });
     await port.start();
-    t.teardown(() => port.close());
-    return { callerStates, port: port.listenPort };
+    t.teardown(() => port.close(0));
+    return { callerStates, port: port.listenPort, openExchanges: () => port.openExchanges };
 };
 
 /** Sends a request as soon as the connection is open; ends the connection with it if `leaves` is set. */
@@ -55,3 +57,45 @@
     t.deepEqual(callerStates, { a: "there" });
     socket.destroy();
 });
+
+test("a slow caller gets its whole response though the port is closed meanwhile", async t => {
+    const port = new HttpCallerPort({
+        host: HOST,
+        port: 0,
+        protocol: new PlainCallerProtocol(),
+        getBounds: () => undefined,
+        serve: (_req, caller) => {
+            caller.sendResponse({ status: 200, headers: [], isFramed: true }, LARGE_RESPONSE);
+            return Promise.resolve();
+        },
+    });
+    await port.start();
+    const socket = send(port.listenPort, "a", false);
+    let bytes = 0;
+    socket.on("data", (chunk: Buffer) => bytes += chunk.length);
+    await once(socket, "data");
+    socket.pause();
+    t.is(port.openExchanges, 1);
+    const closed = port.close(5_000);
+    await sleep(100);
+    const ended = once(socket, "end");
+    socket.resume();
+    await Promise.all([ended, closed]);
+    t.true(bytes > LARGE_RESPONSE.length, String(bytes));
+    t.is(port.openExchanges, 0);
+});
+
+test("a body that is still being read keeps its request open", async t => {
+    const { callerStates, port, openExchanges } = await open(t);
+    const socket = connect(port, HOST).on("error", () => undefined);
+    const message = createMessage("a");
+    socket.write(message.slice(0, -1));
+    await sleep(50);
+    t.is(openExchanges(), 1);
+    socket.write(message.slice(-1));
+    await once(socket, "data");
+    t.deepEqual(callerStates, { a: "there" });
+    await sleep(50);
+    t.is(openExchanges(), 0);
+    socket.destroy();
+});
--- a/packages/relay/src/http/http-caller-port.ts
+++ b/packages/relay/src/http/http-caller-port.ts
@@ -1,7 +1,7 @@
 import { once } from "node:events";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import type { AddressInfo } from "node:net";
-import { setImmediate as nextTurn } from "node:timers/promises";
+import { type AddressInfo, Server as TcpServer } from "node:net";
+import { setImmediate as nextTurn, setTimeout as sleep } from "node:timers/promises";
 import type { CallerExchange } from "../caller-exchange.js";
 import type { CallerBounds } from "../document/relay-document.js";
 import type { RelayRequest } from "../relay-request.js";
@@ -33,12 +33,16 @@
 /** Time between the parser's checks for slow heads, in milliseconds. */
 const HEADER_CHECK_INTERVAL_MS = 1_000;
 
+/** Interval in which a closing port checks whether all responses are sent, in milliseconds. */
+const FLUSH_POLL_MS = 10;
+
 const HTTP_HEADERS_TOO_LARGE = 431;
 
 /** The port for callers. */
 export class HttpCallerPort {
     private readonly server: Server;
     private isDraining = false;
+    private open = 0;
 
     constructor(private readonly opts: HttpCallerPortOptions) {
         this.server = createServer({
@@ -74,8 +78,19 @@
         this.isDraining = true;
     }
 
-    /** Stops listening and closes all open connections. */
-    close(): void {
+    /** Number of requests that are being read or served, or whose response is being sent. */
+    get openExchanges(): number {
+        return this.open;
+    }
+
+    /** Stops listening, waits up to `flushMs` milliseconds until the last responses are sent, and closes all connections. */
+    async close(flushMs: number): Promise<void> {
+        this.drain();
+        stopListening(this.server);
+        const endsAtMs = performance.now() + flushMs;
+        while (this.open > 0 && performance.now() < endsAtMs) {
+            await sleep(FLUSH_POLL_MS);
+        }
         this.server.close();
         this.server.closeAllConnections();
     }
@@ -86,6 +101,8 @@
 
     private async serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
         const arrivedAtMs = performance.now();
+        this.open += 1;
+        res.once("close", () => this.open -= 1);
         res.sendDate = false;
         const { protocol } = this.opts;
         const refusal = { closes: false };
@@ -124,6 +141,11 @@
     }
 }
 
+/** Stops listening only; `close` of an HTTP server also closes connections whose last response is still being sent. */
+const stopListening = (server: Server): void => {
+    TcpServer.prototype.close.call(server);
+};
+
 /** Colon, space and line end of a header, divided between its name and its value. */
 const HEADER_SEPARATOR_BYTES = 2;
 
--- a/packages/relay/src/instance/relay-instance.ts
+++ b/packages/relay/src/instance/relay-instance.ts
@@ -49,6 +49,9 @@
 /** Share of the stop time after which running requests are aborted, so that the process still ends in order. */
 const STOP_TIME_SHARE = 0.94;
 
+/** Share of the stop time in which the last responses are sent. */
+const FLUSH_TIME_SHARE = 0.03;
+
 /** Some callers use addresses for this many times their TTL. */
 const ADDRESS_TTL_FACTOR = 3;
 
@@ -274,12 +277,13 @@
         this.callerPort.drain();
         void this.releaseBudgets();
         await this.waitForRequests(window);
+        const { openRequests } = this.relay;
+        await this.callerPort.close(stopMs * FLUSH_TIME_SHARE);
         log.write("instance stopped", {
-            openRequests: this.relay.openRequests,
+            openRequests,
             lastAcceptedMs: Math.max(0, Math.round(this.relay.lastAcceptedAtMs - startedAtMs)),
             ms: Math.round(performance.now() - startedAtMs),
         });
-        this.callerPort.close();
         this.statusPorts.forEach(port => port.close());
         await Promise.race([this.hub.close(), sleep(POLL_INTERVAL_MS)]);
     }
@@ -287,7 +291,7 @@
     /** Resolves when no caller may use this instance any more and all requests have ended, or when the window ends. */
     private async waitForRequests({ servesUntilMs, endsAtMs }: StopWindow): Promise<void> {
         const isDone = (nowMs: number): boolean =>
-            nowMs >= endsAtMs || (nowMs >= servesUntilMs && this.relay.openRequests === 0);
+            nowMs >= endsAtMs || (nowMs >= servesUntilMs && this.callerPort.openExchanges === 0);
         while (!isDone(performance.now())) {
             await sleep(POLL_INTERVAL_MS);
         }
