End the requests that still run at the end of a stop with a response

What callers saw: a closed connection, which promises nothing, also where no byte of a response had been sent and where the request had not run.

Cause: at the end of its time a stopping instance closed all connections without ending their requests.

Change: it ends them as if their time were over: 503 with a Retry-After where no target got them, 504 where one may have run them; a stream that has begun is cut so that it cannot look complete. After a pause of the process what arrived meanwhile is read first, as timers run before reads.

Evidence: three tests in relay.test.ts; without the change the request of 'a request that still runs at the end of a stop' never ends.

--- a/packages/relay/src/instance/relay-instance.ts
+++ b/packages/relay/src/instance/relay-instance.ts
@@ -1,7 +1,7 @@
 import { FleetBudgets } from "@ospreyreel/budgets";
 import { BreakerKvClient, type KvClient, KvHealth } from "@ospreyreel/kv";
 import type { TcpPeerHub } from "@ospreyreel/peer";
-import { setTimeout as sleep } from "node:timers/promises";
+import { setImmediate as nextTurn, setTimeout as sleep } from "node:timers/promises";
 import { DocumentFollower } from "../document/document-follower.js";
 import { DocumentHolder } from "../document/document-holder.js";
 import { HttpCallerPort } from "../http/http-caller-port.js";
@@ -46,7 +46,7 @@
 /** Time between two attempts to release budgets while the KV service is unavailable, in milliseconds. */
 const BUDGET_RELEASE_INTERVAL_MS = 300;
 
-/** Share of the stop time after which running requests are aborted, so that the process still ends in order. */
+/** Share of the stop time after which running requests are ended, so that the process still ends in order. */
 const STOP_TIME_SHARE = 0.94;
 
 /** Share of the stop time in which the last responses are sent. */
@@ -277,7 +277,7 @@
         this.callerPort.drain();
         void this.releaseBudgets();
         await this.waitForRequests(window);
-        const { openRequests } = this.relay;
+        const openRequests = this.relay.expireOpenRequests();
         await this.callerPort.close(stopMs * FLUSH_TIME_SHARE);
         log.write("instance stopped", {
             openRequests,
@@ -295,5 +295,8 @@
         while (!isDone(performance.now())) {
             await sleep(POLL_INTERVAL_MS);
         }
+        // After a pause of the process, what arrived during it is read first.
+        await nextTurn();
+        await nextTurn();
     }
 }
--- a/packages/relay/src/policy/stop-window.ts
+++ b/packages/relay/src/policy/stop-window.ts
@@ -2,7 +2,7 @@
 export interface StopWindowOptions {
     /** Monotonic time of the stop's start, in milliseconds. */
     readonly startedAtMs: number;
-    /** Time from the start until the requests that still run are aborted, in milliseconds. */
+    /** Time from the start until the requests that still run are ended, in milliseconds. */
     readonly lengthMs: number;
     /** Time for which callers may still use this instance's address, in milliseconds. */
     readonly addressLifetimeMs: number;
@@ -18,7 +18,7 @@
 export class StopWindow {
     /** Monotonic time until which every request is accepted, in milliseconds. */
     readonly servesUntilMs: number;
-    /** Monotonic time at which the requests that still run are aborted, in milliseconds. */
+    /** Monotonic time at which the requests that still run are ended, in milliseconds. */
     readonly endsAtMs: number;
 
     constructor({ startedAtMs, lengthMs, addressLifetimeMs }: StopWindowOptions) {
--- a/packages/relay/src/relay.test.ts
+++ b/packages/relay/src/relay.test.ts
@@ -1,4 +1,5 @@
 import test from "ava";
+import { setTimeout as sleep } from "node:timers/promises";
 import { type BudgetDecision, BudgetGate, OpenBudgetGate } from "./budget-gate.js";
 import { DocumentHolder } from "./document/document-holder.js";
 import type { RelayRoute } from "./document/relay-document.js";
@@ -9,6 +10,7 @@
 import { createRequest } from "./fixtures/plain-protocol.js";
 import { AffinityPlacement } from "./policy/affinity-placement.js";
 import { RetryAllowance } from "./policy/retry-allowance.js";
+import { StopWindow } from "./policy/stop-window.js";
 import type { RelayRequest } from "./relay-request.js";
 import { Relay } from "./relay.js";
 import { TargetDirectory } from "./targets/target-directory.js";
@@ -24,6 +26,9 @@
 
 const HEAD = { status: 200, headers: [], isFramed: true };
 
+/** Time after which a stopping instance ends its requests in these tests, in milliseconds. */
+const STOP_AFTER_MS = 30;
+
 /** A body of chunks; fails after the last one if `cut` is set. */
 const createBody = async function*(chunks: readonly string[], cut = false): AsyncGenerator<Buffer> {
     for (const chunk of chunks) {
@@ -58,6 +63,7 @@
     disconnectsAfterMs?: number | "before",
     overloadedForS?: number,
     viewIsOutdated = false,
+    stop?: "late" | "expired",
 ) => {
     const documents = new DocumentHolder();
     const teams = [{ name: "team-1", keys: ["key-1"], priority: undefined, prepaidTokens: 1_000 }];
@@ -95,6 +101,9 @@
         meter: { recordEnd: () => undefined, recordSend: () => undefined },
         random: () => 0,
     });
+    if (stop === "late") {
+        relay.limitTo(new StopWindow({ startedAtMs: performance.now(), lengthMs: 0, addressLifetimeMs: 0 }));
+    }
     const caller = new FakeExchange();
     if (disconnectsAfterMs === "before") {
         caller.disconnect.abort();
@@ -102,7 +111,12 @@
     else if (disconnectsAfterMs !== undefined) {
         setTimeout(() => caller.disconnect.abort(), disconnectsAfterMs);
     }
-    await relay.serve(createRequest({ teamKey: "key-1", ...req }), caller);
+    const served = relay.serve(createRequest({ teamKey: "key-1", ...req }), caller);
+    if (stop === "expired") {
+        await sleep(STOP_AFTER_MS);
+        relay.expireOpenRequests();
+    }
+    await served;
     return { caller, port, lines: log.lines };
 };
 
@@ -199,6 +213,35 @@
     t.true(performance.now() - startedAtMs < 300);
 });
 
+const stopping = (stop: "late" | "expired", outcome: Outcome, route: Partial<RelayRoute> = {}) =>
+    serve([outcome], route, {}, undefined, undefined, undefined, false, stop);
+
+test("a request that arrives too late in a stop is refused before it is sent, and may be sent elsewhere at once", async t => {
+    const { caller, port } = await stopping("late", respond(["whole"]));
+    t.deepEqual(caller.refusal, { reason: "leaving", retryAfterS: 0.1 });
+    t.is(port.calls.length, 0);
+});
+
+test("a request that still runs at the end of a stop gets a definite response, not a cut connection", async t => {
+    const { caller, port } = await stopping("expired", unresponsive);
+    t.is(caller.refusal?.reason, "timedOut");
+    t.true(port.calls[0]?.signal.aborted);
+});
+
+test("a stream that still runs at the end of a stop does not look complete", async t => {
+    const endless: Outcome = call => ({
+        kind: "answer",
+        head: HEAD,
+        body: (async function*() {
+            yield Buffer.from("id: 1\n\n");
+            await new Promise((_, reject) => call.signal.addEventListener("abort", () => reject(new Error("aborted"))));
+        })(),
+    });
+    const { caller } = await stopping("expired", endless, { kind: "streaming" });
+    t.is(caller.events, "id: 1\n\n");
+    t.is(caller.ended, "broken");
+});
+
 test("the call to the target is aborted when the caller disconnects", async t => {
     const { caller, port } = await serve([unresponsive], {}, {}, new OpenBudgetGate(), 30);
     t.true(port.calls[0]?.signal.aborted);
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -66,6 +66,7 @@
     private open = 0;
     private acceptedAtMs = Number.NEGATIVE_INFINITY;
     private stopWindow: StopWindow | undefined;
+    private readonly clocks = new Set<RequestClock>();
 
     constructor(private readonly opts: RelayOptions) {}
 
@@ -84,6 +85,13 @@
         this.stopWindow = window;
     }
 
+    /** Ends the requests in progress as if their time were over; returns how many there were. */
+    expireOpenRequests(): number {
+        const { size } = this.clocks;
+        this.clocks.forEach(clock => clock.expire());
+        return size;
+    }
+
     /** Serves one request; does not throw. */
     async serve(req: RelayRequest, caller: CallerExchange): Promise<void> {
         this.open += 1;
@@ -121,6 +129,7 @@
             return;
         }
         const clock = new RequestClock(deadlineMs, caller.disconnectSignal);
+        this.clocks.add(clock);
         try {
             const held = await this.holdBudget(req, admission);
             if (held !== undefined && "reason" in held) {
@@ -145,6 +154,7 @@
             this.logEnd(req, result, { team, ...attempts.trace }, service);
         }
         finally {
+            this.clocks.delete(clock);
             clock.stop();
         }
     }
--- a/packages/relay/src/request-clock.ts
+++ b/packages/relay/src/request-clock.ts
@@ -33,6 +33,11 @@
         return Math.max(0, this.endsAtMs - performance.now());
     }
 
+    /** Ends the time now. */
+    expire(): void {
+        this.end("time_out");
+    }
+
     /** Stops the timer; to be called when the request has ended. */
     stop(): void {
         clearTimeout(this.timer);
