Handle SIGTERM from the start of a process on

What callers would see: a connection that is cut by a stop during the start. The handler was registered only after all ports listened, so that SIGTERM in between ended the process at once, with what a caller that knew the address had sent. The window is a few milliseconds, so that the test, which stops a process as soon as its port listens, passes before as well in most runs.

--- a/packages/bench/src/platform/graceful-stop.test.ts
+++ b/packages/bench/src/platform/graceful-stop.test.ts
@@ -1,4 +1,6 @@
 import test from "ava";
+import { once } from "node:events";
+import { connect } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { type CallerAnswer, MODEL_EVENTS, PlatformFleet } from "./platform-fleet.js";
 
@@ -44,3 +46,32 @@
     // Callers that learned the address just before the stop are served.
     t.true(results.filter(({ sentAfterMs }) => sentAfterMs < 500).every(isWhole));
 });
+
+/** Resolves once the address accepts connections. */
+const awaitListening = async (address: string): Promise<void> => {
+    const [host, port] = address.split(":");
+    for (;;) {
+        const socket = connect({ host, port: Number(port) });
+        const isOpen = await Promise.race([
+            once(socket, "connect").then(() => true),
+            once(socket, "close").then(() => false),
+        ]).catch(() => false);
+        socket.destroy();
+        if (isOpen) {
+            return;
+        }
+    }
+};
+
+test.serial("an instance that is told to stop as soon as it listens ends in order", async t => {
+    const fleet = await PlatformFleet.start({ stopWithinS: STOP_WITHIN_S });
+    t.teardown(() => fleet.close());
+    const [instance] = fleet.instances;
+    if (instance === undefined) {
+        throw new Error("no instances");
+    }
+    await instance.process.stop();
+    const again = fleet.spawn(instance);
+    await awaitListening(instance.callers);
+    t.is((await again.stop()).code, 0);
+});
--- a/packages/bench/src/platform/platform-fleet.ts
+++ b/packages/bench/src/platform/platform-fleet.ts
@@ -11,7 +11,7 @@
 import { join } from "node:path";
 import { Agent, request } from "undici";
 import { getFreePorts } from "../rig/free-ports.js";
-import { type RigProcess, startProcess as startRigProcess } from "../rig/rig-process.js";
+import { type ProcessOptions, RigProcess, startProcess as startRigProcess } from "../rig/rig-process.js";
 
 const MAIN = createRequire(import.meta.url).resolve("@ospreyreel/platform/main");
 
@@ -212,6 +212,12 @@
         return res.statusCode === 200 ? (JSON.parse(body) as { readonly addresses: string[]; }).addresses : [];
     }
 
+    /** Starts an instance again with the same settings, without waiting until it is ready. */
+    spawn(instance: PlatformInstance): RigProcess {
+        instance.process = new RigProcess(getProcessOptions(instance.settingsFile));
+        return instance.process;
+    }
+
     /** Starts an instance again with the same settings. */
     async restart(instance: PlatformInstance): Promise<void> {
         instance.process = await startProcess(instance.settingsFile);
@@ -231,8 +237,12 @@
     return await Promise.all([...Array(count).keys()].map(() => startFaultProxy({ target })));
 };
 
-const startProcess = (settingsFile: string): Promise<RigProcess> =>
-    startRigProcess({ script: MAIN, env: { OSPREYREEL_SETTINGS: settingsFile } });
+const getProcessOptions = (settingsFile: string): ProcessOptions => ({
+    script: MAIN,
+    env: { OSPREYREEL_SETTINGS: settingsFile },
+});
+
+const startProcess = (settingsFile: string): Promise<RigProcess> => startRigProcess(getProcessOptions(settingsFile));
 
 interface InstanceStart {
     readonly folder: string;
--- a/packages/relay/src/instance/run-relay.ts
+++ b/packages/relay/src/instance/run-relay.ts
@@ -44,9 +44,11 @@
 export const runRelay = async (file: string, adapter: RelayAdapter): Promise<void> => {
     try {
         const cfg = await readRelaySettings(file);
-        const instance = await RelayInstance.start(cfg, adapter);
-        process.on("SIGTERM", () => void instance.stop().then(() => process.exit(0), fail));
+        const starting = RelayInstance.start(cfg, adapter);
+        // Callers that know the address may send requests as soon as the port listens.
+        process.on("SIGTERM", () => void starting.then(it => it.stop()).then(() => process.exit(0), fail));
         process.on("SIGINT", () => process.exit(EXIT_FAULT));
+        const instance = await starting;
         followSettings(instance, file);
         await instance.ready;
         const ready = { ready: true, role: "relay", instance: cfg.instance, callers: cfg.callers, pid: process.pid };
