--- a/packages/relay/src/http/http-caller-port.ts
+++ b/packages/relay/src/http/http-caller-port.ts
@@ -83,10 +83,15 @@
         return this.open;
     }
 
+    /** Accepts no new connections; open ones are still served. */
+    stopListening(): void {
+        stopListening(this.server);
+    }
+
     /** Stops listening, waits up to `flushMs` milliseconds until the last responses are sent, and closes all connections. */
     async close(flushMs: number): Promise<void> {
         this.drain();
-        stopListening(this.server);
+        this.stopListening();
         const endsAtMs = performance.now() + flushMs;
         while (this.open > 0 && performance.now() < endsAtMs) {
             await sleep(FLUSH_POLL_MS);
--- a/packages/relay/src/instance/relay-instance.ts
+++ b/packages/relay/src/instance/relay-instance.ts
@@ -290,9 +290,10 @@
 
     /** Resolves when no caller may use this instance any more and all requests have ended, or when the window ends. */
     private async waitForRequests({ servesUntilMs, endsAtMs }: StopWindow): Promise<void> {
-        const isDone = (nowMs: number): boolean =>
-            nowMs >= endsAtMs || (nowMs >= servesUntilMs && this.callerPort.openExchanges === 0);
-        while (!isDone(performance.now())) {
+        await sleep(servesUntilMs - performance.now());
+        // A caller that is refused a connection takes another address at once; one that gets 503 may come back here.
+        this.callerPort.stopListening();
+        while (performance.now() < endsAtMs && this.callerPort.openExchanges > 0) {
             await sleep(POLL_INTERVAL_MS);
         }
         // After a pause of the process, what arrived during it is read first.
