Do not count a request as open after its connection is closed

Cause: the port counted a request until its response closes. A response that waits behind an earlier one on the same connection is not attached to the connection yet and never closes, so that the count stays above zero.

Change: the end of the connection ends the count as well. 'a request that waits behind another one does not stay open after its connection' read 1 where 0 was due before.

--- a/packages/relay/src/http/http-caller-port.test.ts
+++ b/packages/relay/src/http/http-caller-port.test.ts
@@ -100,6 +100,25 @@
     socket.destroy();
 });
 
+test("a request that waits behind another one does not stay open after its connection", async t => {
+    const port = new HttpCallerPort({
+        host: HOST,
+        port: 0,
+        protocol: new PlainCallerProtocol(),
+        getBounds: () => undefined,
+        serve: () => new Promise(() => undefined),
+    });
+    await port.start();
+    t.teardown(() => port.close(0));
+    const socket = connect(port.listenPort, HOST).on("error", () => undefined);
+    socket.write(createMessage("a") + createMessage("b"));
+    await sleep(100);
+    t.is(port.openExchanges, 2);
+    socket.destroy();
+    await sleep(100);
+    t.is(port.openExchanges, 0);
+});
+
 test("a port that takes no new connections serves the open ones", async t => {
     const { port, callers } = await open(t);
     const kept = send(port, "a", false);
--- a/packages/relay/src/http/http-caller-port.ts
+++ b/packages/relay/src/http/http-caller-port.ts
@@ -104,10 +104,22 @@
         return this.opts.getBounds() ?? DEFAULT_BOUNDS;
     }
 
+    private countUntilClosed({ socket }: IncomingMessage, res: ServerResponse): void {
+        this.open += 1;
+        let isOpen = true;
+        const end = (): void => {
+            socket.off("close", end);
+            this.open -= isOpen ? 1 : 0;
+            isOpen = false;
+        };
+        res.once("close", end);
+        // A response that waits behind an earlier one on its connection does not see that connection close.
+        socket.once("close", end);
+    }
+
     private async serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
         const arrivedAtMs = performance.now();
-        this.open += 1;
-        res.once("close", () => this.open -= 1);
+        this.countUntilClosed(req, res);
         res.sendDate = false;
         const { protocol } = this.opts;
         const refusal = { closes: false };
