Let callers that are still sending read the refusal of their request

What callers saw: the connection ended without an answer where 413 was due.

Cause: after the response to a refused request the server closed both directions at once (`destroySoon`), as soon as the declared body had been read. What a caller sends after that is answered by a reset, its next write fails, and its socket is destroyed with the refusal unread in the receive buffer. A caller meets this whenever it is suspended between two writes, or sends a body whose end is still on its way when the instance gives up reading.

Evidence: the new test 'a caller that is still sending when its body has been refused reads the refusal' writes three times after the refusal before it reads.

Change: the caller server closes the sending direction after its last response and reads on until the caller closes too, for two seconds at most (`lingerOnClose`). The remainder of a refused body is discarded meanwhile, up to 16 MB as before. Bytes that are no HTTP after a refusal no longer destroy the connection before the refusal is read.

--- a/packages/bench/src/callers/hostile-input.test.ts
+++ b/packages/bench/src/callers/hostile-input.test.ts
@@ -1,10 +1,12 @@
 import test, { type ExecutionContext } from "ava";
+import { setTimeout as sleep } from "node:timers/promises";
 import { request } from "undici";
 import { CALLER_KEY, type CallerFleet, startCallerFleet, STRANGER_KEY } from "./caller-fleet.js";
 import { createHead, openRaw, type RawAnswer } from "./raw-connection.js";
 
 const MAX_BODY_BYTES = 65_536;
 const BODY_TIMEOUT_MS = 500;
+const LATE_WRITE_MS = 150;
 const MODEL_PATH = "/v1/chat/completions";
 const AUTHORIZATION = { authorization: `Bearer ${CALLER_KEY}`, "content-type": "application/json" };
 
@@ -140,6 +142,22 @@
     await checkUnharmed(t, fleet);
 });
 
+test("a caller that is still sending when its body has been refused reads the refusal", async t => {
+    const fleet = await startSmall(t);
+    const conn = await openRaw(fleet.url());
+    const length = MAX_BODY_BYTES + 1;
+    conn.socket.pause();
+    conn.send(createHead("POST", MODEL_PATH, { ...AUTHORIZATION, "content-length": length }) + "x".repeat(length));
+    // Each write to a connection that the instance has closed is answered by a reset, which fails the write after it.
+    for (let writes = 0; writes < 3; writes++) {
+        await sleep(LATE_WRITE_MS);
+        conn.send(createHead("GET", "/health", AUTHORIZATION));
+    }
+    conn.socket.resume();
+    checkNotRun(t, await conn.readToEnd(), 413, 2005, "late writes");
+    await checkUnharmed(t, fleet);
+});
+
 test("headers beyond the limit are refused with a code", async t => {
     const fleet = await startSmall(t);
     const conn = await openRaw(fleet.url());
--- a/packages/peer/src/index.ts
+++ b/packages/peer/src/index.ts
@@ -4,6 +4,7 @@
 export * from "./copy-holder.js";
 export * from "./even-spread-address-order.js";
 export * from "./io-timeout.js";
+export * from "./lingering-close.js";
 export * from "./link-view.js";
 export * from "./name-scores.js";
 export * from "./order-by-cores.js";
--- a/packages/router/src/caller-server.ts
+++ b/packages/router/src/caller-server.ts
@@ -1,4 +1,5 @@
 import { OspreyError, toOspreyError } from "@ospreyreel/errors";
+import { lingerOnClose } from "@ospreyreel/peer";
 import type { Counters } from "@ospreyreel/telemetry";
 import type { Address } from "@ospreyreel/types";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
@@ -51,7 +52,6 @@
 
 const HEADERS_TIMEOUT_MS = 10_000;
 const CHECK_INTERVAL_MS = 1_000;
-const DISCARD_TIMEOUT_MS = 1_000;
 
 /** Returns the error for bytes that the parser rejected or that arrived too slowly. */
 const toParseError = (err: NodeJS.ErrnoException): OspreyError => {
@@ -84,6 +84,7 @@
         });
         // A caller may half-close the connection after its request and still wait for the response.
         Object.assign(this.server, { httpAllowHalfOpen: true });
+        lingerOnClose(this.server);
         this.stalledResponses = new StalledResponses({
             stallTimeoutMs,
             onStall: () => opts.counters.add("caller_answers_stalled"),
@@ -137,14 +138,14 @@
         }
         catch (thrown) {
             heldBody.release();
-            await this.reject({ req, res, requestId, connection }, toOspreyError(thrown));
+            this.reject({ req, res, requestId, connection }, toOspreyError(thrown));
         }
         finally {
             heldBody.release();
         }
     }
 
-    private async reject({ req, res, requestId, connection }: RejectedRequest, err: OspreyError): Promise<void> {
+    private reject({ req, res, requestId, connection }: RejectedRequest, err: OspreyError): void {
         this.opts.counters.add(`caller_errors.${err.result.name}`);
         if (connection.isRejected) {
             return;
@@ -157,23 +158,25 @@
         }
         // The unread remainder of the body must not be parsed as the next request.
         connection.closing = true;
-        await rejectUnread(req, res, err, requestId);
+        rejectUnread(req, res, err, requestId);
     }
 
     private rejectUnparsed(cause: NodeJS.ErrnoException, socket: Duplex): void {
         const connection = this.getConnection(socket);
-        if (connection.isRejected) {
+        if (connection.isRejected || !socket.writable) {
             return;
         }
-        if (!connection.canReject || !socket.writable) {
-            socket.destroy();
+        if (!connection.canReject) {
+            if (!connection.closing) {
+                socket.destroy();
+            }
             return;
         }
         const err = toParseError(cause);
         this.opts.counters.add(`caller_errors.${err.result.name}`);
         connection.closing = true;
         connection.isRejected = true;
-        rejectUnparsed(socket, err, createRequestId(), DISCARD_TIMEOUT_MS);
+        rejectUnparsed(socket, err, createRequestId());
     }
 
     private getConnection(socket: Duplex): CallerConnection {
--- a/packages/router/src/read-body.ts
+++ b/packages/router/src/read-body.ts
@@ -7,8 +7,7 @@
     readonly bodyTimeoutMs: number;
 }
 
-/** Maximum time and bytes for which a rejected request is still read. */
-const DISCARD_TIMEOUT_MS = 1_000;
+/** Maximum number of bytes of a rejected request that are still read. */
 const MAX_DISCARDED_BYTES = 16 * 1_048_576;
 
 const createBodyTooLargeError = (limits: BodyLimits): OspreyError =>
@@ -77,22 +76,16 @@
 };
 
 /**
- * Reads and discards the remainder of a rejected request, up to a limit. Closing a connection with unread bytes resets
- * it, and the caller loses the error response.
+ * Reads and discards the remainder of a rejected request, up to a limit. The caller may read its response only after it
+ * has sent the whole request.
  */
-export const discardBody = async (req: IncomingMessage): Promise<void> =>
-    await new Promise(resolve => {
-        let remainingBytes = MAX_DISCARDED_BYTES;
-        const finish = (): void => {
-            clearTimeout(timer);
-            resolve();
-        };
-        const timer = setTimeout(finish, DISCARD_TIMEOUT_MS);
-        req.on("data", (chunk: Buffer) => {
-            remainingBytes -= chunk.length;
-            if (remainingBytes < 0) {
-                finish();
-            }
-        });
-        req.once("end", finish).once("close", finish).once("error", finish).resume();
+export const discardBody = (req: IncomingMessage): void => {
+    let remainingBytes = MAX_DISCARDED_BYTES;
+    req.on("data", (chunk: Buffer) => {
+        remainingBytes -= chunk.length;
+        if (remainingBytes < 0) {
+            req.pause();
+        }
     });
+    req.resume();
+};
--- a/packages/router/src/write-response.ts
+++ b/packages/router/src/write-response.ts
@@ -1,5 +1,6 @@
 import type { SharedResponse } from "@ospreyreel/claims";
 import { type OspreyError, toOspreyError } from "@ospreyreel/errors";
+import { closeWithLinger } from "@ospreyreel/peer";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Duplex } from "node:stream";
 import { getErrorBody, getErrorHeaders } from "./error-body.js";
@@ -19,13 +20,13 @@
     res.end(body);
 };
 
-/** Rejects a request whose body is incomplete, and closes the connection once the caller could read the response. */
-export const rejectUnread = async (
+/** Rejects a request whose body is incomplete, and closes the connection after the response. */
+export const rejectUnread = (
     req: IncomingMessage,
     res: ServerResponse,
     err: OspreyError,
     requestId: string,
-): Promise<void> => {
+): void => {
     logCause(err, requestId);
     if (res.headersSent || res.destroyed) {
         res.destroy();
@@ -34,13 +35,12 @@
     const body = Buffer.from(JSON.stringify(getErrorBody(err, requestId)));
     const headers = { ...getErrorHeaders(err, requestId), "content-length": body.length, connection: "close" };
     res.writeHead(err.result.status, headers);
-    res.write(body);
-    await discardBody(req);
-    res.end();
+    res.end(body);
+    discardBody(req);
 };
 
 /** Writes an error response to bytes that are not a valid request and closes the connection. */
-export const rejectUnparsed = (socket: Duplex, err: OspreyError, requestId: string, discardTimeoutMs: number): void => {
+export const rejectUnparsed = (socket: Duplex, err: OspreyError, requestId: string): void => {
     logCause(err, requestId);
     const body = JSON.stringify(getErrorBody(err, requestId));
     const headers = {
@@ -49,9 +49,8 @@
         "connection": "close",
     };
     const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}`);
-    socket.end([`HTTP/1.1 ${err.result.status} ${err.result.name}`, ...lines, "", body].join("\r\n"));
-    // Until then the parser reads and discards further bytes, so that the caller can read the response.
-    setTimeout(() => socket.destroy(), discardTimeoutMs).unref();
+    socket.write([`HTTP/1.1 ${err.result.status} ${err.result.name}`, ...lines, "", body].join("\r\n"));
+    closeWithLinger(socket);
 };
 
 /** Streams a response as it arrives. An incomplete one destroys the connection, so that the caller sees no end mark. */
