--- a/packages/relay/src/instance/relay-instance.ts
+++ b/packages/relay/src/instance/relay-instance.ts
@@ -1,7 +1,7 @@
 import { FleetBudgets } from "@ospreyreel/budgets";
 import { BreakerKvClient, type KvClient, KvHealth } from "@ospreyreel/kv";
 import type { TcpPeerHub } from "@ospreyreel/peer";
-import { setTimeout as sleep } from "node:timers/promises";
+import { setImmediate as nextTurn, setTimeout as sleep } from "node:timers/promises";
 import { DocumentFollower } from "../document/document-follower.js";
 import { DocumentHolder } from "../document/document-holder.js";
 import { HttpCallerPort } from "../http/http-caller-port.js";
@@ -10,6 +10,7 @@
 import { AffinityPlacement } from "../policy/affinity-placement.js";
 import { OverloadGuard } from "../policy/overload-guard.js";
 import { sampleInstances } from "../policy/sample-instances.js";
+import { StopWindow } from "../policy/stop-window.js";
 import { Relay } from "../relay.js";
 import { TargetDirectory } from "../targets/target-directory.js";
 import { TargetFollower } from "../targets/target-follower.js";
@@ -45,9 +46,15 @@
 /** Time between two attempts to release budgets while the KV service is unavailable, in milliseconds. */
 const BUDGET_RELEASE_INTERVAL_MS = 300;
 
-/** Share of the stop time after which running requests are aborted, so that the process still ends in order. */
+/** Share of the stop time after which running requests are ended, so that the process still ends in order. */
 const STOP_TIME_SHARE = 0.94;
 
+/** Share of the stop time in which the last responses are sent. */
+const FLUSH_TIME_SHARE = 0.03;
+
+/** Some callers use addresses for this many times their TTL. */
+const ADDRESS_TTL_FACTOR = 3;
+
 /** One instance that relays requests from callers to the targets of a platform. */
 export class RelayInstance {
     readonly metrics = new RelayMetrics();
@@ -257,26 +264,39 @@
 
     private async stopOnce(): Promise<void> {
         const { cfg, log } = this;
-        const endsAtMs = performance.now() + cfg.stopWithinS * MS_PER_S * STOP_TIME_SHARE;
-        // Some callers cache addresses for three times their TTL.
-        const addressesEndAtMs = performance.now() + 3 * cfg.addressTtlS * MS_PER_S;
+        const startedAtMs = performance.now();
+        const stopMs = cfg.stopWithinS * MS_PER_S;
+        const window = new StopWindow({
+            startedAtMs,
+            lengthMs: stopMs * STOP_TIME_SHARE,
+            addressLifetimeMs: ADDRESS_TTL_FACTOR * cfg.addressTtlS * MS_PER_S,
+        });
         log.write("instance leaving", { openRequests: this.relay.openRequests });
+        this.relay.limitTo(window);
         this.hub.updateSelf({ state: "leaving" });
         this.callerPort.drain();
         void this.releaseBudgets();
-        await new Promise<void>(resolve => {
-            const timer = setInterval(() => {
-                const nowMs = performance.now();
-                const isIdle = this.relay.openRequests === 0 && nowMs >= addressesEndAtMs;
-                if (isIdle || nowMs >= endsAtMs) {
-                    clearInterval(timer);
-                    resolve();
-                }
-            }, POLL_INTERVAL_MS);
+        await this.waitForRequests(window);
+        const openRequests = this.relay.expireOpenRequests();
+        await this.callerPort.close(stopMs * FLUSH_TIME_SHARE);
+        log.write("instance stopped", {
+            openRequests,
+            lastAcceptedMs: Math.max(0, Math.round(this.relay.lastAcceptedAtMs - startedAtMs)),
+            ms: Math.round(performance.now() - startedAtMs),
         });
-        log.write("instance stopped", { openRequests: this.relay.openRequests });
-        this.callerPort.close();
         this.statusPorts.forEach(port => port.close());
         await Promise.race([this.hub.close(), sleep(POLL_INTERVAL_MS)]);
     }
+
+    /** Resolves when no caller may use this instance any more and all requests have ended, or when the window ends. */
+    private async waitForRequests({ servesUntilMs, endsAtMs }: StopWindow): Promise<void> {
+        const isDone = (nowMs: number): boolean =>
+            nowMs >= endsAtMs || (nowMs >= servesUntilMs && this.callerPort.openExchanges === 0);
+        while (!isDone(performance.now())) {
+            await sleep(POLL_INTERVAL_MS);
+        }
+        // After a pause of the process, what arrived during it is read first.
+        await nextTurn();
+        await nextTurn();
+    }
 }
