Let callers of the relay that are still sending read their refusal

What callers saw: a caller whose headers (431) or body (413) are refused while it still sends got a reset in place of the refusal. A request that followed a refused one on its connection was sent to a target, and the connection was closed without its response.

The port also went on serving what the parser had read behind a request that ends the connection.

Change: the port for callers and the status ports close with `lingerOnClose`. After a refusal that ends the connection, or once its sending direction is closed, further requests on it are read and not served. The rest of a body that is too large is discarded; the request's iterator no longer destroys the request, which stopped its reading.

--- a/packages/relay/src/http/http-caller-port.test.ts
+++ b/packages/relay/src/http/http-caller-port.test.ts
@@ -2,11 +2,19 @@
 import { once } from "node:events";
 import { connect, type Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
+import type { CallerBounds } from "../document/relay-document.js";
 import { PlainCallerProtocol } from "../fixtures/plain-protocol.js";
 import type { RelayRequest } from "../relay-request.js";
 import { HttpCallerPort } from "./http-caller-port.js";
 
 const HOST = "127.0.0.1";
+const LATE_WRITE_MS = 50;
+const SMALL_BOUNDS: CallerBounds = {
+    maxHeaderBytes: 16_384,
+    maxBodyBytes: 10_000,
+    headerTimeoutMs: 3_000,
+    idleTimeoutMs: 15_000,
+};
 const BODY = "x".repeat(20_000);
 
 const createMessage = (id: string): string =>
@@ -15,13 +23,13 @@
 const LARGE_RESPONSE = Buffer.alloc(24 * 1_024 * 1_024, "y");
 
 /** A port that responds to each request immediately and records whether the caller had disconnected by then. */
-const open = async (t: ExecutionContext) => {
+const open = async (t: ExecutionContext, bounds?: CallerBounds) => {
     const callerStates: Record<string, "there" | "left"> = {};
     const port = new HttpCallerPort({
         host: HOST,
         port: 0,
         protocol: new PlainCallerProtocol(),
-        getBounds: () => undefined,
+        getBounds: () => bounds,
         serve: (req: RelayRequest, caller) => {
             callerStates[req.id] = caller.disconnectSignal.aborted ? "left" : "there";
             caller.refuse({ reason: "noTarget", retryAfterS: 1 });
@@ -99,3 +107,42 @@
     t.is(openExchanges(), 0);
     socket.destroy();
 });
+
+/** Sends a head and then parts of a body later than the refusal, as a caller with a slow link does; returns what arrives. */
+const sendSlowly = async (port: number, head: string, parts: readonly string[]): Promise<string> => {
+    const chunks: Buffer[] = [];
+    const socket = connect(port, HOST).on("data", chunk => chunks.push(chunk)).on("error", () => undefined);
+    const closed = new Promise(resolve => socket.once("close", resolve));
+    // As a caller does that is busy sending.
+    socket.pause();
+    socket.write(head);
+    for (const part of parts) {
+        await sleep(LATE_WRITE_MS);
+        socket.write(part);
+    }
+    socket.resume();
+    await closed;
+    return Buffer.concat(chunks).toString();
+};
+
+test("a caller reads the refusal of its body while it is still sending", async t => {
+    const { callerStates, port } = await open(t, SMALL_BOUNDS);
+    const head = `POST /x HTTP/1.1\r\nHost: users.example\r\nid: a\r\nContent-Length: ${6 * BODY.length}\r\n\r\n`;
+    t.regex(await sendSlowly(port, head, [BODY, BODY, BODY, BODY]), /^HTTP\/1\.1 413 [^]*bodyTooLarge/);
+    t.deepEqual(callerStates, {});
+});
+
+test("a caller reads the refusal of its headers while it is still sending", async t => {
+    const { callerStates, port } = await open(t);
+    const long = `Long: ${"x".repeat(20_000)}`;
+    const head = `POST /x HTTP/1.1\r\nHost: users.example\r\nid: a\r\n${long}\r\nContent-Length: 40000\r\n\r\n`;
+    t.regex(await sendSlowly(port, head, [BODY, BODY, createMessage("b")]), /^HTTP\/1\.1 431 /);
+    t.deepEqual(callerStates, {});
+});
+
+test("a request that follows a refused one on its connection is not served", async t => {
+    const { callerStates, port } = await open(t);
+    const refused = `POST /x HTTP/1.1\r\nHost: users.example\r\nid: a\r\nLong: ${"x".repeat(20_000)}\r\n\r\n`;
+    t.regex(await sendSlowly(port, refused + createMessage("b"), [createMessage("c")]), /^HTTP\/1\.1 431 /);
+    t.deepEqual(callerStates, {});
+});
--- a/packages/relay/src/http/http-caller-port.ts
+++ b/packages/relay/src/http/http-caller-port.ts
@@ -1,6 +1,7 @@
+import { lingerOnClose } from "@ospreyreel/peer";
 import { once } from "node:events";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import { type AddressInfo, Server as TcpServer } from "node:net";
+import { type AddressInfo, Server as TcpServer, type Socket } from "node:net";
 import { setImmediate as nextTurn, setTimeout as sleep } from "node:timers/promises";
 import type { CallerExchange } from "../caller-exchange.js";
 import type { CallerBounds } from "../document/relay-document.js";
@@ -43,6 +44,8 @@
     private readonly server: Server;
     private isDraining = false;
     private open = 0;
+    /** Connections that are closed after a refusal. */
+    private readonly closing = new WeakSet<Socket>();
 
     constructor(private readonly opts: HttpCallerPortOptions) {
         this.server = createServer({
@@ -51,6 +54,7 @@
             requestTimeout: 0,
             noDelay: true,
         });
+        lingerOnClose(this.server);
         this.server.on("request", (req, res) => void this.serve(req, res));
         this.updateBounds();
     }
@@ -101,28 +105,34 @@
 
     private async serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
         const arrivedAtMs = performance.now();
+        const { socket } = req;
+        if (this.closing.has(socket) || !socket.writable) {
+            // No response can be sent any more, so the request is not served.
+            req.resume();
+            return;
+        }
         this.open += 1;
         res.once("close", () => this.open -= 1);
         res.sendDate = false;
         const { protocol } = this.opts;
-        const refusal = { closes: false };
         const caller = new HttpCallerExchange({
             req,
             res,
             protocol,
-            shouldCloseAfter: () => this.isDraining || refusal.closes,
+            shouldCloseAfter: () => this.isDraining || this.closing.has(socket),
         });
         req.on("error", () => undefined);
         res.on("error", () => undefined);
         const { method = "", url = "", rawHeaders } = req;
         const headBytes = rawHeaders.reduce((sum, text) => sum + text.length + HEADER_SEPARATOR_BYTES, url.length);
         if (headBytes > this.bounds.maxHeaderBytes) {
+            this.closing.add(socket);
             res.writeHead(HTTP_HEADERS_TOO_LARGE, { "Connection": "close" }).end();
             return;
         }
         const head = protocol.decode({ method, target: url, rawHeaders, arrivedAtMs });
         if (head === undefined) {
-            refusal.closes = true;
+            this.closing.add(socket);
             caller.refuse({ reason: "badRequest" });
             return;
         }
@@ -132,8 +142,9 @@
             return;
         }
         if (body === "too_large") {
-            refusal.closes = true;
+            this.closing.add(socket);
             caller.refuse({ reason: "bodyTooLarge" });
+            req.resume();
             return;
         }
         await readPendingClose();
@@ -164,7 +175,7 @@
     const chunks: Buffer[] = [];
     let bytes = 0;
     try {
-        for await (const chunk of req as AsyncIterable<Buffer>) {
+        for await (const chunk of req.iterator({ destroyOnReturn: false }) as AsyncIterable<Buffer>) {
             bytes += chunk.length;
             if (bytes > maxBytes) {
                 return "too_large";
--- a/packages/relay/src/http/status-port.ts
+++ b/packages/relay/src/http/status-port.ts
@@ -1,3 +1,4 @@
+import { lingerOnClose } from "@ospreyreel/peer";
 import { once } from "node:events";
 import { createServer, type Server } from "node:http";
 
@@ -32,6 +33,7 @@
                 )
                 .catch(() => res.destroy());
         });
+        lingerOnClose(this.server);
     }
 
     /** Starts listening; throws if listening on the address fails. */
