Let operators that are still sending read the refusal of their document

What operators saw: a request whose body exceeds 8 MiB ended with a reset in place of 413 while it was still being sent.

Change: the operator server closes with `lingerOnClose` and discards the rest of the body.

--- a/packages/daemon/src/operator-server.ts
+++ b/packages/daemon/src/operator-server.ts
@@ -1,7 +1,8 @@
 import type { OperatorApi } from "@ospreyreel/config";
 import type { ConsoleFile } from "@ospreyreel/console";
 import { toOspreyError } from "@ospreyreel/errors";
-import { getErrorBody, getErrorHeaders, listen, readBody } from "@ospreyreel/router";
+import { lingerOnClose } from "@ospreyreel/peer";
+import { discardBody, getErrorBody, getErrorHeaders, listen, readBody } from "@ospreyreel/router";
 import type { Address } from "@ospreyreel/types";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 
@@ -21,6 +22,7 @@
 
     constructor(private readonly opts: OperatorServerOptions) {
         this.server = createServer((req, res) => void this.serve(req, res));
+        lingerOnClose(this.server);
     }
 
     /** Starts listening; returns the address with the actual port. */
@@ -61,6 +63,7 @@
             const err = toOspreyError(thrown);
             res.writeHead(err.result.status, { ...getErrorHeaders(err, ""), connection: "close" });
             res.end(JSON.stringify(getErrorBody(err, "")));
+            discardBody(req);
         }
     }
 
