Reset an aborted stream whose end is the end of its connection

Callers saw an unframed stream that had been cut end with an ordinary close after its last complete event, and took it for a complete one.

Cause: aborting a response destroys its socket, which sends FIN. For a response without a length or chunks that is the mark of its end. Class: an abort that is the same on the wire as the end.

Change: a response that is delimited by its connection is aborted with a reset.

Evidence: three new tests on real sockets failed before ('closed' where 'reset' was due): the target resets its connection, ends it within an event, or passes the route's timeout. The other tests of the file passed before too: unframed responses of each kind of request, HTTP/1.0, empty bodies, 204 and 304, resumptions between unframed and framed targets in both directions.

--- a/packages/relay/src/http/http-caller-exchange.ts
+++ b/packages/relay/src/http/http-caller-exchange.ts
@@ -15,6 +15,8 @@
 /** A caller on an HTTP/1.1 connection. */
 export class HttpCallerExchange extends CallerExchange {
     private readonly disconnect = new AbortController();
+    /** Whether the end of the connection is the end of the response. */
+    private endsWithConnection = false;
 
     constructor(private readonly opts: HttpCallerExchangeOptions) {
         super();
@@ -58,7 +60,14 @@
     }
 
     override abortStream(): void {
-        this.opts.res.destroy();
+        const { req, res } = this.opts;
+        if (this.endsWithConnection) {
+            // After an ordinary close the response would look complete.
+            req.socket.resetAndDestroy();
+        }
+        else {
+            res.destroy();
+        }
     }
 
     override refuse(refusal: RelayRefusal): void {
@@ -81,6 +90,7 @@
 
     /** Makes the end of the connection the end of the response; returns the headers for it. */
     private delimitByClose(): readonly string[] {
+        this.endsWithConnection = true;
         this.opts.res.useChunkedEncodingByDefault = false;
         this.opts.res.shouldKeepAlive = false;
         return this.opts.shouldCloseAfter() ? [] : ["Connection", "close"];
--- /dev/null
+++ b/packages/relay/src/http/unframed-response.test.ts
@@ -0,0 +1,197 @@
+import test, { type ExecutionContext } from "ava";
+import type { Socket } from "node:net";
+import { setTimeout as sleep } from "node:timers/promises";
+import type { RelayRoute } from "../document/relay-document.js";
+import {
+    createRawRequest,
+    openCaller,
+    type RawAnswer,
+    readUntilEnd,
+    type RelayPath,
+    requestOnce,
+    startRelayPath,
+} from "../fixtures/relay-path.js";
+
+const HEAD = "HTTP/1.1 200 OK\r\nid: request-1\r\n";
+const RESET_DELAY_MS = 40;
+
+const STREAM: Partial<RelayRoute> = { kind: "streaming" };
+const RESUMABLE: Partial<RelayRoute> = { kind: "streaming", isResumable: true };
+
+const start = async (
+    t: ExecutionContext,
+    answers: readonly RawAnswer[],
+    route: Partial<RelayRoute> = {},
+): Promise<RelayPath> => {
+    const path = await startRelayPath(answers, route);
+    t.teardown(() => path.close());
+    return path;
+};
+
+/** Responds without a length and closes the connection. */
+const unframed = (body: string, headers = "", status = "200 OK"): RawAnswer => socket =>
+    socket.end(`HTTP/1.1 ${status}\r\nid: request-1\r\n${headers}\r\n${body}`);
+
+/** Responds without a length and resets the connection once the bytes are sent. */
+const unframedReset = (body: string): RawAnswer => socket => {
+    socket.write(`${HEAD}\r\n${body}`, () => setTimeout(() => socket.resetAndDestroy(), RESET_DELAY_MS));
+};
+
+const toChunk = (text: string): string => `${text.length.toString(16)}\r\n${text}\r\n`;
+
+/** Responds in chunks that end properly. */
+const chunked = (...parts: readonly string[]): RawAnswer => socket =>
+    socket.write(`${HEAD}transfer-encoding: chunked\r\n\r\n${parts.map(toChunk).join("")}0\r\n\r\n`);
+
+const withLength = (body: string): RawAnswer => socket =>
+    socket.write(`${HEAD}content-length: ${body.length}\r\n\r\n${body}`);
+
+const getBody = (text: string): string => text.slice(text.indexOf("\r\n\r\n") + 4);
+
+/** Sends a request on a connection that the caller would keep. */
+const requestKept = async (port: number) => await readUntilEnd(await openCaller(port, createRawRequest()));
+
+for (const kind of ["idempotent", "non_idempotent", "streaming"] as const) {
+    test(`an unframed response to a request of kind ${kind} is relayed whole, up to the end of its connection`, async t => {
+        const path = await start(t, [unframed("id: 1\n\n", "Connection: keep-alive\r\n")], { kind });
+        const { text, end } = await requestKept(path.callerPort);
+        t.is(getBody(text), "id: 1\n\n");
+        t.is(end, "closed");
+        t.regex(text, /^connection: close\r$/im);
+        t.notRegex(text, /content-length|transfer-encoding/i);
+    });
+}
+
+test("an unframed response of HTTP/1.0 is relayed whole", async t => {
+    const path = await start(t, [socket => socket.end("HTTP/1.0 200 OK\r\nid: request-1\r\n\r\nwhole")]);
+    t.is(getBody((await requestKept(path.callerPort)).text), "whole");
+});
+
+test("an unframed response without a body is relayed as such", async t => {
+    const path = await start(t, [unframed("")]);
+    const { text, end } = await requestKept(path.callerPort);
+    t.true(text.startsWith("HTTP/1.1 200"));
+    t.deepEqual([getBody(text), end], ["", "closed"]);
+});
+
+for (const status of ["204 No Content", "304 Not Modified"]) {
+    test(`a response ${status} needs no framing, and the caller's connection is kept`, async t => {
+        const path = await start(t, [unframed("", "", status)]);
+        const caller = await openCaller(path.callerPort, createRawRequest() + createRawRequest());
+        t.teardown(() => caller.destroy());
+        let text = "";
+        caller.on("data", (chunk: Buffer) => {
+            text += chunk.toString("latin1");
+        });
+        await sleep(300);
+        t.is(text.split(`HTTP/1.1 ${status}`).length - 1, 2);
+        t.notRegex(text, /content-length: [1-9]|transfer-encoding|connection: close/i);
+    });
+}
+
+test("an unframed response that is reset is not relayed as complete", async t => {
+    const path = await start(t, [unframedReset("part")], { kind: "non_idempotent" });
+    const { text } = await requestOnce(path.callerPort);
+    t.true(text.startsWith("HTTP/1.1 502"), text);
+    t.is(path.seen.length, 1);
+});
+
+test("an idempotent request whose unframed response is reset is sent to another target", async t => {
+    const path = await start(t, [unframedReset("part"), unframed("whole")]);
+    t.is(getBody((await requestOnce(path.callerPort)).text), "whole");
+    t.is(path.seen.length, 2);
+});
+
+test("an unframed stream is relayed whole, on a connection whose end is the end of the stream", async t => {
+    const path = await start(t, [unframed("id: 1\n\nid: 2\n\n")], STREAM);
+    const { text, end } = await requestKept(path.callerPort);
+    t.deepEqual([getBody(text), end], ["id: 1\n\nid: 2\n\n", "closed"]);
+    t.notRegex(text, /content-length|transfer-encoding/i);
+});
+
+test("an aborted unframed stream is reset, so that it does not look complete", async t => {
+    const path = await start(t, [unframedReset("id: 1\n\n")], STREAM);
+    const { text, end } = await requestKept(path.callerPort);
+    t.is(getBody(text), "id: 1\n\n");
+    t.is(end, "reset");
+});
+
+test("an unframed stream that ends within an event is reset", async t => {
+    const path = await start(t, [unframed("id: 1\n\nid: 2\ndata")], STREAM);
+    const { end } = await requestKept(path.callerPort);
+    t.is(end, "reset");
+    t.is(path.seen.length, 1);
+});
+
+test("an unframed stream that passes its route's timeout is reset", async t => {
+    const path = await start(t, [socket => socket.write(`${HEAD}\r\nid: 1\n\n`)], { ...STREAM, timeoutMs: 200 });
+    const { text, end } = await requestKept(path.callerPort);
+    t.deepEqual([getBody(text), end], ["id: 1\n\n", "reset"]);
+});
+
+test("an unframed stream that ends before its first event fails as one that may have run", async t => {
+    const path = await start(t, [unframed("id: 1\ndata")], STREAM);
+    t.true((await requestOnce(path.callerPort)).text.startsWith("HTTP/1.1 502"));
+});
+
+for (const [name, answer] of [["chunked", chunked], ["content-length", withLength]] as const) {
+    test(`a ${name} stream that ends within an event is broken though its framing is complete`, async t => {
+        const path = await start(t, [answer("id: 1\n\nid: 2\ndata: x")], STREAM);
+        const { text } = await requestKept(path.callerPort);
+        t.false(text.includes("id: 2"));
+        t.false(text.endsWith("0\r\n\r\n"));
+    });
+
+    test(`a ${name} stream that ends after an event is complete`, async t => {
+        const path = await start(t, [answer("id: 1\n\n: comment\n\nid: 2\n\n")], STREAM);
+        const { text } = await requestOnce(path.callerPort);
+        t.true(text.includes("id: 1\n\n: comment\n\nid: 2\n\n"));
+        t.true(text.endsWith("0\r\n\r\n"));
+    });
+}
+
+test("a stream whose last line is a comment without a line end is broken", async t => {
+    const path = await start(t, [chunked("id: 1\n\n", ": ping")], STREAM);
+    t.false((await requestKept(path.callerPort)).text.endsWith("0\r\n\r\n"));
+});
+
+const PARTS = ["id: 1\n\nid: 2\nda", "id: 2\ndata: b\n\nid: 3\n\n"] as const;
+const EVENTS = "id: 1\n\nid: 2\ndata: b\n\nid: 3\n\n";
+
+test("an unframed stream that ends within an event is resumed at a chunked one", async t => {
+    const path = await start(t, [unframed(PARTS[0]), chunked(PARTS[1])], RESUMABLE);
+    const { text, end } = await requestKept(path.callerPort);
+    t.deepEqual([getBody(text), end], [EVENTS, "closed"]);
+    t.is(path.seen.length, 2);
+});
+
+test("an unframed stream that is reset is resumed at another unframed one", async t => {
+    const path = await start(t, [unframedReset(PARTS[0]), unframed(PARTS[1])], RESUMABLE);
+    const { text, end } = await requestKept(path.callerPort);
+    t.deepEqual([getBody(text), end], [EVENTS, "closed"]);
+});
+
+test("a chunked stream is resumed at one with a length", async t => {
+    const path = await start(t, [chunked(PARTS[0]), withLength(PARTS[1])], RESUMABLE);
+    const { text } = await requestOnce(path.callerPort);
+    t.true(text.includes(PARTS[1]));
+    t.true(text.endsWith("0\r\n\r\n"));
+});
+
+test("the end of a chunked stream is not concluded from the end of an unframed one", async t => {
+    const path = await start(t, [chunked(PARTS[0]), unframed(PARTS[1])], { ...RESUMABLE, maxAttempts: 2 });
+    const { text } = await requestKept(path.callerPort);
+    t.true(text.includes("id: 3\n\n"));
+    t.false(text.endsWith("0\r\n\r\n"));
+});
+
+test("a target's unframed response leaves no connection that a later request could use", async t => {
+    const used: Socket[] = [];
+    const path = await start(t, [socket => {
+        used.push(socket);
+        unframed("whole")(socket, "");
+    }]);
+    await requestOnce(path.callerPort);
+    await requestOnce(path.callerPort);
+    t.is(new Set(used).size, 2);
+});
