Take a response as framed by chunks only if that is its last transfer coding

Callers got a response that ended with its target's connection with a length, as if it were known to be complete.

Cause: any Transfer-Encoding counted as framing. The parser reads a response with another last coding up to the end of the connection, where a cut by FIN cannot be noticed. Class: framing decided twice, by the parser and by us, with different rules.

Change: only `chunked` as the last coding counts.

--- a/packages/relay/src/http/target-call-handler.ts
+++ b/packages/relay/src/http/target-call-handler.ts
@@ -1,6 +1,6 @@
 import type { Dispatcher } from "undici";
 import type { TargetCall, TargetOutcome } from "../targets/target-port.js";
-import { countHeader, toHeaderPairs } from "./header-list.js";
+import { countHeader, findHeader, toHeaderPairs } from "./header-list.js";
 import { ResponseBody } from "./response-body.js";
 import type { TargetProtocol } from "./target-protocol.js";
 
@@ -13,7 +13,8 @@
 
 const isFramed = (status: number, headers: readonly (readonly [string, string])[]): boolean =>
     status === HTTP_NO_CONTENT || status === HTTP_NOT_MODIFIED
-    || countHeader(headers, "content-length") > 0 || countHeader(headers, "transfer-encoding") > 0;
+    || countHeader(headers, "content-length") > 0
+    || /(^|,)[ \t]*chunked[ \t]*$/i.test(findHeader(headers, "transfer-encoding") ?? "");
 
 /** Handles one exchange with a target. */
 export class TargetCallHandler implements Dispatcher.DispatchHandler {
--- a/packages/relay/src/http/unframed-response.test.ts
+++ b/packages/relay/src/http/unframed-response.test.ts
@@ -195,3 +195,9 @@
     await requestOnce(path.callerPort);
     t.is(new Set(used).size, 2);
 });
+test("a response whose transfer coding is not chunked ends with its connection", async t => {
+    const path = await start(t, [unframed("whole", "transfer-encoding: identity\r\n")]);
+    const { text, end } = await requestKept(path.callerPort);
+    t.deepEqual([getBody(text), end], ["whole", "closed"]);
+    t.notRegex(text, /content-length|transfer-encoding/i);
+});
