Serve the requests of one connection in order

Callers that sent a request behind another one on the same connection could lose it without a response though a target had run it.

Cause: the server hands over a request as soon as it is parsed, also while an earlier one of the connection runs. If the earlier response closes the connection (an unframed response, a stop, a refused body), the later one is run and its response has nowhere to go. Class: work that is started before it is known that its response can be delivered.

Change: a request waits for the responses before it and is dropped unread by any target if the connection is closed by then.

Evidence: the new test failed before (2 requests reached a target where 1 was due).

Measured: the tests of packages/relay/src/http, 40 passed.

--- a/packages/relay/src/http/http-caller-port.ts
+++ b/packages/relay/src/http/http-caller-port.ts
@@ -7,6 +7,7 @@
 import type { RelayRequest } from "../relay-request.js";
 import type { CallerProtocol, DecodedHead } from "./caller-protocol.js";
 import { HttpCallerExchange } from "./http-caller-exchange.js";
+import { PipelineOrder } from "./pipeline-order.js";
 
 /** Options of {@link HttpCallerPort}. */
 export interface HttpCallerPortOptions {
@@ -38,6 +39,7 @@
 /** The port for callers. */
 export class HttpCallerPort {
     private readonly server: Server;
+    private readonly order = new PipelineOrder();
     private isDraining = false;
 
     constructor(private readonly opts: HttpCallerPortOptions) {
@@ -87,6 +89,7 @@
     private async serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
         const arrivedAtMs = performance.now();
         res.sendDate = false;
+        const turn = this.order.waitForTurn(req.socket, res);
         const { protocol } = this.opts;
         const refusal = { closes: false };
         const caller = new HttpCallerExchange({
@@ -119,6 +122,9 @@
             caller.refuse({ reason: "bodyTooLarge" });
             return;
         }
+        if (!await turn) {
+            return;
+        }
         await readPendingClose();
         await this.opts.serve(toRequest(head, body), caller);
     }
--- /dev/null
+++ b/packages/relay/src/http/pipeline-order.ts
@@ -0,0 +1,27 @@
+import type { ServerResponse } from "node:http";
+import type { Socket } from "node:net";
+
+/** Orders the requests of each connection, so that none is served on a connection that an earlier response closes. */
+export class PipelineOrder {
+    private readonly newest = new WeakMap<Socket, Promise<void>>();
+
+    /** Waits for the responses to earlier requests; returns whether the connection still accepts a response. */
+    async waitForTurn(socket: Socket, res: ServerResponse): Promise<boolean> {
+        const previous = this.newest.get(socket);
+        this.newest.set(socket, waitForClose(socket, res));
+        await previous;
+        return socket.writable;
+    }
+}
+
+/** Resolves when the response has ended; the response of a request that still waits does not report a closed connection. */
+const waitForClose = (socket: Socket, res: ServerResponse): Promise<void> =>
+    new Promise(resolve => {
+        const finish = (): void => {
+            socket.off("close", finish);
+            res.off("close", finish);
+            resolve();
+        };
+        socket.once("close", finish);
+        res.once("close", finish);
+    });
--- a/packages/relay/src/http/unframed-response.test.ts
+++ b/packages/relay/src/http/unframed-response.test.ts
@@ -201,3 +201,21 @@
     t.deepEqual([getBody(text), end], ["whole", "closed"]);
     t.notRegex(text, /content-length|transfer-encoding/i);
 });
+test("a request behind one with an unframed response is not run on a connection that closes", async t => {
+    const path = await start(t, [socket => setTimeout(() => unframed("whole")(socket, ""), 100)]);
+    const { text } = await readUntilEnd(await openCaller(path.callerPort, createRawRequest() + createRawRequest()));
+    t.is(getBody(text), "whole");
+    t.is(path.seen.length, 1);
+});
+
+test("requests that are sent together on one connection get their responses in order", async t => {
+    const path = await start(t, [
+        socket => setTimeout(() => withLength("one")(socket, ""), 100),
+        socket => socket.write("HTTP/1.1 200 OK\r\nid: request-2\r\ncontent-length: 3\r\n\r\ntwo"),
+        socket => socket.write("HTTP/1.1 200 OK\r\nid: request-3\r\ncontent-length: 5\r\n\r\nthree"),
+    ]);
+    const requests = createRawRequest() + createRawRequest("request-2")
+        + createRawRequest("request-3", "Connection: close\r\n");
+    const { text } = await readUntilEnd(await openCaller(path.callerPort, requests));
+    t.regex(text, /one[^]*two[^]*three$/);
+});
