Recognize a reset that is read together with the last bytes of an unframed response

Callers got a truncated response, or a truncated stream, as complete: the status of the target, a part of the body, and an ordinary end.

Cause: if data and a reset are pending in one poll, libuv reports the data and then an ordinary end (POLLHUP after a partial read), never the error. The HTTP client takes an end for the end of an unframed response. Replacing the error code of resets, as before, covers only resets that are polled by themselves. It happens whenever the event loop is late by more than the time between the last bytes and the reset. Class: an end that is inferred from the lack of an error.

Change: the end of an unframed response counts only if its connection still has a remote address (getpeername fails after a reset, but not after FIN). For that each exchange knows the connection it runs on.

Evidence: the new test on real sockets (reset directly after the bytes) fails without the check. Found by unframed-response.test, where three tests with a delay of 40 ms before the reset failed once the event loop was kept busy by another test; the socket's events without the HTTP client were then 'data', 'end' and 'close' without an error.

Measured: the tests of packages/relay/src/http passed, with their counterpart for FIN together with the bytes.

--- a/packages/relay/src/http/http-target-port.test.ts
+++ b/packages/relay/src/http/http-target-port.test.ts
@@ -46,6 +46,23 @@
     await t.throwsAsync(readBody(outcome));
 });
 
+test("a response without a length is truncated if the reset of its connection is read together with its bytes", async t => {
+    const { port, target } = await open(t, socket => {
+        socket.write(`${HEAD}\r\npart`, () => socket.resetAndDestroy());
+    });
+    for (const isRepeatable of [true, false]) {
+        const outcome = await port.send(createCall(target, { isRepeatable }));
+        await t.throwsAsync(async () => await readBody(outcome));
+    }
+});
+
+test("a response without a length is complete if its connection is closed together with its bytes", async t => {
+    const { port, target } = await open(t, socket => socket.write(`${HEAD}\r\nwhole`, () => socket.end()));
+    for (let i = 0; i < 3; i += 1) {
+        t.is(await readBody(await port.send(createCall(target))), "whole");
+    }
+});
+
 test("a response shorter than its length is truncated", async t => {
     const { port, target } = await open(t, socket => socket.end(`${HEAD}content-length: 9\r\n\r\npart`));
     const outcome = await port.send(createCall(target));
--- a/packages/relay/src/http/http-target-port.ts
+++ b/packages/relay/src/http/http-target-port.ts
@@ -1,8 +1,8 @@
 import { Pool } from "undici";
 import { type TargetCall, type TargetOutcome, TargetPort } from "../targets/target-port.js";
 import type { Target } from "../targets/target.js";
+import { HttpTargetClient, type TargetDispatchOptions } from "./http-target-client.js";
 import { TargetCallHandler } from "./target-call-handler.js";
-import { createTargetConnector } from "./target-connector.js";
 import type { TargetProtocol } from "./target-protocol.js";
 
 /** Time for which an idle connection is kept open if the target announces no time, in milliseconds. */
@@ -50,14 +50,16 @@
             }
             signal.addEventListener("abort", abort, { once: true });
             const { repeatable, singleRun } = this.getPools(call.target);
-            (call.isRepeatable ? repeatable : singleRun).dispatch({
+            const opts: TargetDispatchOptions = {
                 path: req.path,
                 method: req.method,
                 headers: this.protocol.encode(call).flat(),
                 body: req.body.length === 0 ? null : req.body,
                 headersTimeout: 0,
                 bodyTimeout: 0,
-            }, handler);
+                onConnection: connection => handler.useConnection(connection),
+            };
+            (call.isRepeatable ? repeatable : singleRun).dispatch(opts, handler);
         });
     }
 
@@ -96,7 +98,7 @@
 const createPool = (target: Target, keepAliveTimeout: number, keepAliveMaxTimeout: number): Pool =>
     new Pool(`http://${target.host}:${target.port}`, {
         pipelining: 1,
-        connect: createTargetConnector(),
+        factory: (origin, opts) => new HttpTargetClient(origin, opts),
         keepAliveTimeout,
         keepAliveMaxTimeout,
         keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
--- a/packages/relay/src/http/target-call-handler.ts
+++ b/packages/relay/src/http/target-call-handler.ts
@@ -2,6 +2,7 @@
 import type { TargetCall, TargetOutcome } from "../targets/target-port.js";
 import { countHeader, findHeader, toHeaderPairs } from "./header-list.js";
 import { ResponseBody } from "./response-body.js";
+import type { TargetConnection } from "./target-connection.js";
 import type { TargetProtocol } from "./target-protocol.js";
 
 /** Maximum size of a complete or streamed response, in bytes; limits the use of memory. */
@@ -20,6 +21,8 @@
 export class TargetCallHandler implements Dispatcher.DispatchHandler {
     private readonly body = new ResponseBody();
     private controller: Dispatcher.DispatchController | undefined;
+    private connection: TargetConnection | undefined;
+    private isFramed = true;
     private sent = false;
     private settled = false;
     private bytes = 0;
@@ -31,6 +34,11 @@
         private readonly resolve: (outcome: TargetOutcome) => void,
     ) {}
 
+    /** Sets the connection of the exchange. */
+    useConnection(connection: TargetConnection): void {
+        this.connection = connection;
+    }
+
     /** Aborts the exchange and closes its connection. */
     abort(err: Error): void {
         this.aborted ??= err;
@@ -57,12 +65,13 @@
         }
         const raw = (controller.rawHeaders ?? []) as readonly (Buffer | string)[];
         const headers = toHeaderPairs(raw.map(value => value.toString("latin1")));
+        this.isFramed = isFramed(status, headers);
         const decoded = this.protocol.decode(this.call, status, headers);
         switch (decoded.kind) {
             case "answer":
                 this.settle({
                     kind: "answer",
-                    head: { status, headers: decoded.headers, isFramed: isFramed(status, headers) },
+                    head: { status, headers: decoded.headers, isFramed: this.isFramed },
                     body: this.body,
                 });
                 break;
@@ -84,6 +93,10 @@
     }
 
     onResponseEnd(): void {
+        if (!this.isFramed && this.connection?.wasReset === true) {
+            this.body.fail(new Error("the connection was reset"));
+            return;
+        }
         this.body.end();
     }
 
--- a/packages/relay/src/http/target-connector.test.ts
+++ b/packages/relay/src/http/target-connector.test.ts
@@ -9,7 +9,7 @@
 const connectTo = (port: number): Promise<Socket> =>
     new Promise((resolve, reject) => {
         const opts = { hostname: "127.0.0.1", port: String(port), protocol: "http:" };
-        createTargetConnector(TIMEOUT_MS)(opts, (err, socket) => {
+        createTargetConnector({ timeoutMs: TIMEOUT_MS })(opts, (err, socket) => {
             if (err === null) {
                 resolve(socket);
             }
--- a/packages/relay/src/http/target-connector.ts
+++ b/packages/relay/src/http/target-connector.ts
@@ -24,8 +24,19 @@
     }
 };
 
+/** Options of {@link createTargetConnector}. */
+export interface TargetConnectorOptions {
+    /** Connect timeout, in milliseconds. */
+    readonly timeoutMs?: number;
+    /** Called with each connection once it is open. */
+    readonly onOpen?: (socket: Socket) => void;
+}
+
 /** Creates a connector that opens connections to targets with a short timeout. */
-export const createTargetConnector = (timeoutMs = CONNECT_TIMEOUT_MS): buildConnector.connector => (opts, callback) => {
+export const createTargetConnector = (
+    { timeoutMs = CONNECT_TIMEOUT_MS, onOpen }: TargetConnectorOptions = {},
+): buildConnector.connector =>
+(opts, callback) => {
     const socket: Socket = connectTcp({ host: opts.hostname, port: Number(opts.port) });
     socket.setNoDelay(true);
     socket.setKeepAlive(true, KEEP_ALIVE_PROBE_MS);
@@ -40,6 +51,7 @@
         }
         settled = true;
         if (err === null) {
+            onOpen?.(socket);
             callback(null, socket);
         }
         else {
