Send the relayed events before an aborted stream is closed

Callers whose stream broke directly after some events got a closed or reset connection without these events, which were billed.

Cause: destroying the response discards what its socket has not sent yet, the head and the events of the same turn included. Class: an abort that overtakes what was already counted as relayed.

Change: the connection of an aborted stream is closed (framed) or reset (unframed) once the written bytes are sent, or after a second where the caller does not read.

--- a/packages/relay/src/http/http-caller-exchange.ts
+++ b/packages/relay/src/http/http-caller-exchange.ts
@@ -3,6 +3,9 @@
 import { REFUSAL_STATUS, type RelayRefusal } from "../relay-refusal.js";
 import type { CallerProtocol } from "./caller-protocol.js";
 
+/** Maximum time in which a caller can read the rest of an aborted stream, in milliseconds. */
+const ABORT_FLUSH_MS = 1_000;
+
 /** Options of {@link HttpCallerExchange}. */
 export interface HttpCallerExchangeOptions {
     readonly req: IncomingMessage;
@@ -60,14 +63,20 @@
     }
 
     override abortStream(): void {
-        const { req, res } = this.opts;
-        if (this.endsWithConnection) {
-            // After an ordinary close the response would look complete.
-            req.socket.resetAndDestroy();
-        }
-        else {
-            res.destroy();
-        }
+        const { req: { socket }, res } = this.opts;
+        const destroy = (): void => {
+            if (this.endsWithConnection) {
+                // After an ordinary close the response would look complete.
+                socket.resetAndDestroy();
+            }
+            else {
+                socket.destroy();
+            }
+        };
+        // The relayed events are sent first.
+        socket.write("", destroy);
+        const timer = setTimeout(destroy, ABORT_FLUSH_MS);
+        res.once("close", () => clearTimeout(timer));
     }
 
     override refuse(refusal: RelayRefusal): void {
--- a/packages/relay/src/http/unframed-response.test.ts
+++ b/packages/relay/src/http/unframed-response.test.ts
@@ -1,6 +1,5 @@
 import test, { type ExecutionContext } from "ava";
 import type { Socket } from "node:net";
-import { setTimeout as sleep } from "node:timers/promises";
 import type { RelayRoute } from "../document/relay-document.js";
 import {
     createRawRequest,
@@ -80,11 +79,13 @@
         const caller = await openCaller(path.callerPort, createRawRequest() + createRawRequest());
         t.teardown(() => caller.destroy());
         let text = "";
-        caller.on("data", (chunk: Buffer) => {
+        for await (const chunk of caller as AsyncIterable<Buffer>) {
             text += chunk.toString("latin1");
-        });
-        await sleep(300);
-        t.is(text.split(`HTTP/1.1 ${status}`).length - 1, 2);
+            if (text.split(`HTTP/1.1 ${status}`).length === 3) {
+                break;
+            }
+        }
+        t.is(text.split(`HTTP/1.1 ${status}`).length, 3);
         t.notRegex(text, /content-length: [1-9]|transfer-encoding|connection: close/i);
     });
 }
@@ -138,6 +139,7 @@
     test(`a ${name} stream that ends within an event is broken though its framing is complete`, async t => {
         const path = await start(t, [answer("id: 1\n\nid: 2\ndata: x")], STREAM);
         const { text } = await requestKept(path.callerPort);
+        t.true(text.includes("id: 1\n\n"));
         t.false(text.includes("id: 2"));
         t.false(text.endsWith("0\r\n\r\n"));
     });
