Stop reading responses that are not needed further

An instance could keep connections and up to 16 MiB for each response that nobody read any more; targets worked on for nothing.

Cause: a response was read to its end although its request had gone on: the body of a report that the request did not run, and the rest of a stream whose events were out of order. Neither the end of the request nor a timeout closed it. Class: a reader that stops without telling its source.

Change: reading a body can be ended early, which aborts its exchange. The body of such a report is read up to 64 KiB and for a second, so that short ones keep their connection.

--- a/packages/relay/src/http/response-body.ts
+++ b/packages/relay/src/http/response-body.ts
@@ -5,8 +5,12 @@
     private readonly chunks: Buffer[] = [];
     private waiter: Waiter | undefined;
     private ended = false;
+    private isDiscarded = false;
     private failure: Error | undefined;
 
+    /** `onAbandon` is called when the reader stops before the end of the body. */
+    constructor(private readonly onAbandon: () => void) {}
+
     [Symbol.asyncIterator](): AsyncIterator<Buffer> {
         return this;
     }
@@ -28,8 +32,27 @@
         });
     }
 
+    /** Ends the reading early. */
+    return(): Promise<IteratorResult<Buffer>> {
+        const isOpen = !this.ended && this.failure === undefined;
+        this.discard();
+        if (isOpen) {
+            this.onAbandon();
+        }
+        return Promise.resolve({ done: true, value: undefined });
+    }
+
+    /** Discards all chunks from now on. */
+    discard(): void {
+        this.isDiscarded = true;
+        this.chunks.length = 0;
+    }
+
     /** Adds a chunk. */
     push(chunk: Buffer): void {
+        if (this.isDiscarded) {
+            return;
+        }
         const { waiter } = this;
         this.waiter = undefined;
         if (waiter === undefined) {
--- a/packages/relay/src/http/target-call-handler.ts
+++ b/packages/relay/src/http/target-call-handler.ts
@@ -8,6 +8,12 @@
 /** Maximum size of a complete or streamed response, in bytes; limits the use of memory. */
 const MAX_RESPONSE_BYTES = 16 * 1_024 * 1_024;
 
+/** Maximum size of a body that is read only to reuse its connection, in bytes. */
+const MAX_DISCARDED_BYTES = 65_536;
+
+/** Maximum time to read such a body, in milliseconds. */
+const MAX_DISCARD_MS = 1_000;
+
 const HTTP_FINAL_FROM = 200;
 const HTTP_NO_CONTENT = 204;
 const HTTP_NOT_MODIFIED = 304;
@@ -19,10 +25,11 @@
 
 /** Handles one exchange with a target. */
 export class TargetCallHandler implements Dispatcher.DispatchHandler {
-    private readonly body = new ResponseBody();
+    private readonly body = new ResponseBody(() => this.abort(new Error("the response is not read further")));
     private controller: Dispatcher.DispatchController | undefined;
     private connection: TargetConnection | undefined;
     private isFramed = true;
+    private discardTimer: NodeJS.Timeout | undefined;
     private sent = false;
     private settled = false;
     private bytes = 0;
@@ -77,6 +84,7 @@
                 break;
             case "not_run":
                 this.settle({ kind: "not_run", reason: decoded.reason });
+                this.discardBody();
                 break;
             case "invalid":
                 this.abort(new Error(decoded.cause));
@@ -85,7 +93,7 @@
 
     onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
         this.bytes += chunk.length;
-        if (this.bytes > MAX_RESPONSE_BYTES) {
+        if (this.bytes > (this.discardTimer === undefined ? MAX_RESPONSE_BYTES : MAX_DISCARDED_BYTES)) {
             this.abort(new Error("the response is too large"));
             return;
         }
@@ -93,6 +101,7 @@
     }
 
     onResponseEnd(): void {
+        clearTimeout(this.discardTimer);
         if (!this.isFramed && this.connection?.wasReset === true) {
             this.body.fail(new Error("the connection was reset"));
             return;
@@ -101,10 +110,20 @@
     }
 
     onResponseError(_controller: Dispatcher.DispatchController, err: Error): void {
+        clearTimeout(this.discardTimer);
         this.settle(this.failed(err));
         this.body.fail(err);
     }
 
+    /** Reads a body that nobody needs, so that its connection can be reused if the body is short. */
+    private discardBody(): void {
+        this.discardTimer = setTimeout(
+            () => this.abort(new Error("a response without use does not end")),
+            MAX_DISCARD_MS,
+        );
+        this.body.discard();
+    }
+
     private failed(err: Error): TargetOutcome {
         return this.sent ? { kind: "failed", cause: err.message } : { kind: "not_sent", cause: err.message };
     }
