Limit the size of an event of a stream

An event without end was buffered up to 16 MiB for each stream, and kept the event loop busy: nothing else was served meanwhile.

Cause: each chunk was joined to the incomplete event and the whole searched again, so that the time grew with the square of its size. Class: a buffer that is bounded by a limit made for something else.

Change: an event may have 1 MiB (as in the product's own client); only new bytes are searched; bytes are joined once, when the event is complete.

--- a/packages/relay/src/stream/event-splitter.test.ts
+++ b/packages/relay/src/stream/event-splitter.test.ts
@@ -1,6 +1,6 @@
 import test from "ava";
 import fc from "fast-check";
-import { EventSplitter } from "./event-splitter.js";
+import { EventSplitter, MAX_EVENT_BYTES } from "./event-splitter.js";
 
 const EVENTS = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nversion: 3\nid: 3\ndata: c\n\n";
 
@@ -29,3 +29,20 @@
     t.is(splitter.push(Buffer.from("\nid: 2")).count, 1);
     t.is(splitter.pendingBytes, 5);
 });
+
+test("a large event in many chunks is split in linear time", t => {
+    const splitter = new EventSplitter();
+    const startedAtMs = performance.now();
+    for (let bytes = 0; bytes < MAX_EVENT_BYTES - 100; bytes += 16) {
+        splitter.push(Buffer.from("data: 123456789\n"));
+    }
+    t.is(splitter.push(Buffer.from("\n")).count, 1);
+    t.is(splitter.pendingBytes, 0);
+    t.true(performance.now() - startedAtMs < 2_000);
+});
+
+test("an event beyond the limit is not buffered", t => {
+    const splitter = new EventSplitter();
+    splitter.push(Buffer.alloc(MAX_EVENT_BYTES, "x"));
+    t.throws(() => splitter.push(Buffer.from("x")), { message: /exceeds/ });
+});
--- a/packages/relay/src/stream/event-splitter.ts
+++ b/packages/relay/src/stream/event-splitter.ts
@@ -29,22 +29,37 @@
     return match === null ? undefined : Number(match[1]);
 };
 
+/** Maximum size of one event, in bytes. */
+export const MAX_EVENT_BYTES = 1_048_576;
+
+/** Bytes before a chunk that may be the beginning of a blank line which the chunk completes. */
+const OVERLAP_BYTES = 2;
+
 /** Splits a byte stream at the ends of events, so that an incomplete event is never relayed. */
 export class EventSplitter {
-    private remainder: Buffer = Buffer.alloc(0);
+    /** Bytes of an incomplete event, in the order of their arrival. */
+    private remainder: Buffer[] = [];
+    private remainderBytes = 0;
 
     /** Number of buffered bytes of an incomplete event. */
     get pendingBytes(): number {
-        return this.remainder.length;
+        return this.remainderBytes;
     }
 
-    /** Adds bytes and returns the events that are now complete. */
+    /** Adds bytes and returns the events that are now complete; throws if an event is too large. */
     push(chunk: Buffer): SplitEvents {
-        const bytes = this.remainder.length === 0 ? chunk : Buffer.concat([this.remainder, chunk]);
+        const tail = Buffer.concat(this.remainder.slice(-OVERLAP_BYTES)).subarray(-OVERLAP_BYTES);
+        if (findEventEnd(Buffer.concat([tail, chunk]), 0) === -1) {
+            this.keep(chunk);
+            return NO_EVENTS;
+        }
+        const bytes = Buffer.concat([...this.remainder, chunk]);
         const ids: number[] = [];
         let start = 0;
         let count = 0;
-        for (let end = findEventEnd(bytes, 0); end !== -1; end = findEventEnd(bytes, end)) {
+        // Earlier bytes contain no end of an event.
+        const from = this.remainderBytes - tail.length;
+        for (let end = findEventEnd(bytes, from); end !== -1; end = findEventEnd(bytes, end)) {
             const id = readId(bytes.subarray(start, end));
             if (id !== undefined) {
                 ids.push(id);
@@ -52,7 +67,19 @@
             count += 1;
             start = end;
         }
-        this.remainder = bytes.subarray(start);
-        return count === 0 ? NO_EVENTS : { bytes: bytes.subarray(0, start), count, ids };
+        this.remainder = [];
+        this.remainderBytes = 0;
+        this.keep(bytes.subarray(start));
+        return { bytes: bytes.subarray(0, start), count, ids };
+    }
+
+    private keep(bytes: Buffer): void {
+        if (bytes.length > 0) {
+            this.remainder.push(bytes);
+            this.remainderBytes += bytes.length;
+        }
+        if (this.remainderBytes > MAX_EVENT_BYTES) {
+            throw new Error(`an event exceeds ${MAX_EVENT_BYTES} bytes`);
+        }
     }
 }
