Join small chunks of a response that arrive together

One response in chunks of a few bytes could exhaust the memory of an instance, whose process is then killed with all its requests.

Cause: each chunk was kept as a buffer of its own, at about 100 bytes of heap for 4 bytes of body, and each held the whole read of the socket it came from; the limit of a response counts body bytes only. Class: a limit on a figure that is not what is used.

Change: chunks that are parsed in one turn are returned as one buffer.

Evidence: response-body.test fails before (one of three tests).

--- /dev/null
+++ b/packages/relay/src/http/response-body.test.ts
@@ -0,0 +1,41 @@
+import test from "ava";
+import { ResponseBody } from "./response-body.js";
+
+const createBody = (): ResponseBody => new ResponseBody(() => undefined);
+
+test("chunks that arrive in one turn are returned as one", async t => {
+    const body = createBody();
+    const waiting = body.next();
+    for (const text of ["a", "b", "c"]) {
+        body.push(Buffer.from(text));
+    }
+    t.deepEqual(await waiting, { done: false, value: Buffer.from("abc") });
+});
+
+test("chunks are returned before the end and before a failure", async t => {
+    const complete = createBody();
+    complete.push(Buffer.from("a"));
+    complete.end();
+    t.deepEqual(await complete.next(), { done: false, value: Buffer.from("a") });
+    t.deepEqual(await complete.next(), { done: true, value: undefined });
+    const truncated = createBody();
+    const waiting = truncated.next();
+    truncated.push(Buffer.from("a"));
+    truncated.fail(new Error("cut"));
+    t.deepEqual(await waiting, { done: false, value: Buffer.from("a") });
+    await t.throwsAsync(truncated.next(), { message: "cut" });
+});
+
+test("a body whose reading ends early is abandoned once, and one that had ended is not", async t => {
+    let abandoned = 0;
+    const body = new ResponseBody(() => {
+        abandoned += 1;
+        body.fail(new Error("abandoned"));
+    });
+    await body.return();
+    await body.return();
+    t.is(abandoned, 1);
+    const ended = new ResponseBody(() => t.fail());
+    ended.end();
+    await ended.return();
+});
--- a/packages/relay/src/http/response-body.ts
+++ b/packages/relay/src/http/response-body.ts
@@ -4,6 +4,7 @@
 export class ResponseBody implements AsyncIterable<Buffer>, AsyncIterator<Buffer> {
     private readonly chunks: Buffer[] = [];
     private waiter: Waiter | undefined;
+    private isScheduled = false;
     private ended = false;
     private isDiscarded = false;
     private failure: Error | undefined;
@@ -15,20 +16,11 @@
         return this;
     }
 
-    /** Returns the next chunk; rejects if the response was truncated. */
+    /** Returns the bytes that have arrived since the last call; rejects if the response was truncated. */
     next(): Promise<IteratorResult<Buffer>> {
-        const chunk = this.chunks.shift();
-        if (chunk !== undefined) {
-            return Promise.resolve({ done: false, value: chunk });
-        }
-        if (this.failure !== undefined) {
-            return Promise.reject(this.failure);
-        }
-        if (this.ended) {
-            return Promise.resolve({ done: true, value: undefined });
-        }
         return new Promise((resolve, reject) => {
             this.waiter = { resolve, reject };
+            this.settle();
         });
     }
 
@@ -53,27 +45,50 @@
         if (this.isDiscarded) {
             return;
         }
-        const { waiter } = this;
-        this.waiter = undefined;
-        if (waiter === undefined) {
-            this.chunks.push(chunk);
-        }
-        else {
-            waiter.resolve({ done: false, value: chunk });
-        }
+        this.chunks.push(chunk);
+        this.scheduleSettle();
     }
 
     /** Ends the body as complete. */
     end(): void {
         this.ended = true;
-        this.waiter?.resolve({ done: true, value: undefined });
-        this.waiter = undefined;
+        this.scheduleSettle();
     }
 
     /** Ends the body as truncated. */
     fail(err: Error): void {
         this.failure ??= err;
-        this.waiter?.reject(err);
+        this.scheduleSettle();
+    }
+
+    /** Lets chunks that are parsed in the same turn be returned as one. */
+    private scheduleSettle(): void {
+        if (this.waiter !== undefined && !this.isScheduled) {
+            this.isScheduled = true;
+            queueMicrotask(() => {
+                this.isScheduled = false;
+                this.settle();
+            });
+        }
+    }
+
+    private settle(): void {
+        const { waiter, chunks } = this;
+        if (waiter === undefined || (chunks.length === 0 && !this.ended && this.failure === undefined)) {
+            return;
+        }
         this.waiter = undefined;
+        const [first] = chunks;
+        if (first !== undefined) {
+            const value = chunks.length === 1 ? first : Buffer.concat(chunks);
+            chunks.length = 0;
+            waiter.resolve({ done: false, value });
+        }
+        else if (this.failure === undefined) {
+            waiter.resolve({ done: true, value: undefined });
+        }
+        else {
+            waiter.reject(this.failure);
+        }
     }
 }
