Abort responses whose framing has no end

A target in trouble that sent a status line, a header of blanks, empty lines, interim responses, a chunk extension or a chunk size without end kept its request until the route's timeout, and the instance parsed the bytes all the time: callers got 504, other requests were served late.

Cause: the HTTP client limits the bytes of header names and values only, and reports nothing of the rest. Class: a limit on what a parser returns instead of on what it reads.

Change: an exchange counts the parsed bytes of its connection; beyond 64 KiB and 16 bytes for each byte of the body it is aborted, its connection closed and its target counted as failing. The request is sent again where it may be, and ends with 502 otherwise.

--- a/packages/relay/src/http/endless-response.test.ts
+++ b/packages/relay/src/http/endless-response.test.ts
@@ -57,6 +57,13 @@
     { name: "head of many lines", head: HEAD, repeated: "x: 1\r\n", maxBytes: 64 * KIB },
     { name: "head line", head: `${HEAD}x: `, repeated: "x", maxBytes: 64 * KIB },
     { name: "row of bytes that are not HTTP", head: "", repeated: "\x00garbage", maxBytes: 64 * KIB },
+    { name: "head line of blanks", head: `${HEAD}x:`, repeated: " ", maxBytes: 128 * KIB },
+    { name: "status line", head: "HTTP/1.1 200 ", repeated: "x", maxBytes: 128 * KIB },
+    { name: "row of empty lines", head: "", repeated: "\r\n", maxBytes: 128 * KIB },
+    { name: "row of interim responses", head: "", repeated: "HTTP/1.1 103 Hints\r\n\r\n", maxBytes: 128 * KIB },
+    { name: "row of headers after blanks", head: HEAD, repeated: `x:${" ".repeat(999)}1\r\n`, maxBytes: 128 * KIB },
+    { name: "chunk extension", head: `${CHUNKED}1;x=`, repeated: "x", maxBytes: 128 * KIB },
+    { name: "chunk size", head: CHUNKED, repeated: "0", maxBytes: 128 * KIB },
     { name: "trailer", head: `${CHUNKED}1\r\nx\r\n0\r\nx: `, repeated: "x", maxBytes: 128 * KIB },
     { name: "row of trailers", head: `${CHUNKED}1\r\nx\r\n0\r\n`, repeated: "x: 1\r\n", maxBytes: 128 * KIB },
     { name: "chunked body", head: CHUNKED, repeated: "4\r\nbody\r\n", maxBytes: 64 * MIB },
@@ -86,6 +93,15 @@
     });
 }
 
+test.serial("an endless response to an idempotent request is abandoned, and the request sent to another target", async t => {
+    const path = await startRelayPath([
+        socket => writeEndlessly(socket, `${CHUNKED}1;x=`, "x"),
+        socket => socket.write(`${HEAD}content-length: 5\r\n\r\nwhole`),
+    ], { timeoutMs: TIMEOUT_MS });
+    t.teardown(() => path.close());
+    t.true((await requestOnce(path.callerPort)).text.endsWith("whole"));
+});
+
 test.serial("the body of a report that the request did not run is not read without end", async t => {
     const path = await startRelayPath([
         socket => writeEndlessly(socket, `${NOT_RUN}\r\n`, "x"),
--- a/packages/relay/src/http/target-call-handler.ts
+++ b/packages/relay/src/http/target-call-handler.ts
@@ -8,6 +8,12 @@
 /** Maximum size of a complete or streamed response, in bytes; limits the use of memory. */
 const MAX_RESPONSE_BYTES = 16 * 1_024 * 1_024;
 
+/** Maximum size of the head of a response and of the framing of its first chunks, in bytes. */
+const MAX_FRAMING_BYTES = 65_536;
+
+/** Maximum number of received bytes for one byte of the body; a chunk of one byte takes six. */
+const MAX_FRAMING_RATIO = 16;
+
 /** Maximum size of a body that is read only to reuse its connection, in bytes. */
 const MAX_DISCARDED_BYTES = 65_536;
 
@@ -28,6 +34,8 @@
     private readonly body = new ResponseBody(() => this.abort(new Error("the response is not read further")));
     private controller: Dispatcher.DispatchController | undefined;
     private connection: TargetConnection | undefined;
+    /** Bytes of the connection before this exchange. */
+    private startedAtBytes = 0;
     private isFramed = true;
     private discardTimer: NodeJS.Timeout | undefined;
     private sent = false;
@@ -64,6 +72,8 @@
             return;
         }
         this.sent = true;
+        this.startedAtBytes = this.connection?.parsedBytes ?? 0;
+        this.connection?.watch(() => this.checkFraming());
     }
 
     onResponseStart(controller: Dispatcher.DispatchController, status: number): void {
@@ -101,7 +111,7 @@
     }
 
     onResponseEnd(): void {
-        clearTimeout(this.discardTimer);
+        this.stopWatching();
         if (!this.isFramed && this.connection?.wasReset === true) {
             this.body.fail(new Error("the connection was reset"));
             return;
@@ -110,11 +120,26 @@
     }
 
     onResponseError(_controller: Dispatcher.DispatchController, err: Error): void {
-        clearTimeout(this.discardTimer);
+        this.stopWatching();
         this.settle(this.failed(err));
         this.body.fail(err);
     }
 
+    /** Aborts a response of which far more was received than its body, since the HTTP client accepts some parts without end. */
+    private checkFraming(): void {
+        const received = (this.connection?.parsedBytes ?? 0) - this.startedAtBytes;
+        if (received > MAX_FRAMING_BYTES + MAX_FRAMING_RATIO * this.bytes) {
+            this.abort(new Error("the response has too much framing"));
+        }
+    }
+
+    private stopWatching(): void {
+        clearTimeout(this.discardTimer);
+        if (this.sent) {
+            this.connection?.watch(undefined);
+        }
+    }
+
     /** Reads a body that nobody needs, so that its connection can be reused if the body is short. */
     private discardBody(): void {
         this.discardTimer = setTimeout(
--- a/packages/relay/src/http/target-connection.ts
+++ b/packages/relay/src/http/target-connection.ts
@@ -3,10 +3,24 @@
 /** The current connection of a client that has one connection at a time. */
 export class TargetConnection {
     private socket: Socket | undefined;
+    private onReceive: (() => void) | undefined;
 
     /** Sets the connection that was opened last. */
     attach(socket: Socket): void {
         this.socket = socket;
+        // Registered before the listener of the HTTP client, so it runs before new bytes are parsed.
+        socket.on("readable", () => this.onReceive?.());
+    }
+
+    /** Number of bytes that were received and parsed. */
+    get parsedBytes(): number {
+        const { socket } = this;
+        return socket === undefined ? 0 : socket.bytesRead - socket.readableLength;
+    }
+
+    /** Sets what is called when bytes arrive; undefined stops it. */
+    watch(onReceive: (() => void) | undefined): void {
+        this.onReceive = onReceive;
     }
 
     /**
