--- a/packages/relay/src/http/http-caller-exchange.ts
+++ b/packages/relay/src/http/http-caller-exchange.ts
@@ -3,6 +3,9 @@
 import { REFUSAL_STATUS, type RelayRefusal } from "../relay-refusal.js";
 import type { CallerProtocol } from "./caller-protocol.js";
 
+/** Maximum time in which a caller can read the rest of an aborted stream, in milliseconds. */
+const ABORT_FLUSH_MS = 1_000;
+
 /** Options of {@link HttpCallerExchange}. */
 export interface HttpCallerExchangeOptions {
     readonly req: IncomingMessage;
@@ -15,6 +18,8 @@
 /** A caller on an HTTP/1.1 connection. */
 export class HttpCallerExchange extends CallerExchange {
     private readonly disconnect = new AbortController();
+    /** Whether the end of the connection is the end of the response. */
+    private endsWithConnection = false;
 
     constructor(private readonly opts: HttpCallerExchangeOptions) {
         super();
@@ -58,7 +63,20 @@
     }
 
     override abortStream(): void {
-        this.opts.res.destroy();
+        const { req: { socket }, res } = this.opts;
+        const destroy = (): void => {
+            if (this.endsWithConnection) {
+                // After an ordinary close the response would look complete.
+                socket.resetAndDestroy();
+            }
+            else {
+                socket.destroy();
+            }
+        };
+        // The relayed events are sent first.
+        socket.write("", destroy);
+        const timer = setTimeout(destroy, ABORT_FLUSH_MS);
+        res.once("close", () => clearTimeout(timer));
     }
 
     override refuse(refusal: RelayRefusal): void {
@@ -81,6 +99,7 @@
 
     /** Makes the end of the connection the end of the response; returns the headers for it. */
     private delimitByClose(): readonly string[] {
+        this.endsWithConnection = true;
         this.opts.res.useChunkedEncodingByDefault = false;
         this.opts.res.shouldKeepAlive = false;
         return this.opts.shouldCloseAfter() ? [] : ["Connection", "close"];
--- a/packages/relay/src/http/http-caller-port.ts
+++ b/packages/relay/src/http/http-caller-port.ts
@@ -8,6 +8,7 @@
 import type { RelayRequest } from "../relay-request.js";
 import type { CallerProtocol, DecodedHead } from "./caller-protocol.js";
 import { HttpCallerExchange } from "./http-caller-exchange.js";
+import { PipelineOrder } from "./pipeline-order.js";
 
 /** Options of {@link HttpCallerPort}. */
 export interface HttpCallerPortOptions {
@@ -42,6 +43,7 @@
 /** The port for callers. */
 export class HttpCallerPort {
     private readonly server: Server;
+    private readonly order = new PipelineOrder();
     private isDraining = false;
     private open = 0;
     /** Connections that are closed after a refusal. */
@@ -131,6 +133,7 @@
         }
         this.countUntilClosed(req, res);
         res.sendDate = false;
+        const turn = this.order.waitForTurn(req.socket, res);
         const { protocol } = this.opts;
         const caller = new HttpCallerExchange({
             req,
@@ -164,6 +167,9 @@
             req.resume();
             return;
         }
+        if (!await turn) {
+            return;
+        }
         await readPendingClose();
         await this.opts.serve(toRequest(head, body), caller);
     }
