Read a target's stream no faster than its caller reads it

Callers that read slowly or not at all could exhaust the memory of an instance: up to 16 MiB for each of their streams.

Cause: events were written to the caller's response without regard to what it still held, and chunks of the target were taken without regard to what was relayed. Class: a pipe without back pressure.

Change: a relay waits until the caller's response can take more, the caller has left, or the request's time has ended; a body of which 64 KiB wait pauses its connection. For each stream at most that, one event of 1 MiB, and the buffers of the two sockets are held.

Evidence: the new test failed without the wait for the caller (the target went on writing while the caller did not read); a stream whose caller stops reading still ends at its route's timeout.

--- a/packages/relay/src/caller-exchange.ts
+++ b/packages/relay/src/caller-exchange.ts
@@ -22,8 +22,8 @@
     /** Starts a stream with a target's response head. */
     abstract startStream(head: ResponseHead): void;
 
-    /** Sends complete events of the stream. */
-    abstract sendEvents(events: Buffer): void;
+    /** Sends complete events of the stream; resolves when the caller can take more, has disconnected, or `signal` aborts. */
+    abstract sendEvents(events: Buffer, signal: AbortSignal): Promise<void>;
 
     /** Ends the stream as complete. */
     abstract endStream(): void;
--- a/packages/relay/src/http/endless-response.test.ts
+++ b/packages/relay/src/http/endless-response.test.ts
@@ -1,7 +1,6 @@
 import test, { type ExecutionContext } from "ava";
-import type { Socket } from "node:net";
 import type { RelayRoute } from "../document/relay-document.js";
-import { type RawAnswer, requestOnce, startRelayPath } from "../fixtures/relay-path.js";
+import { type RawAnswer, requestOnce, startRelayPath, waitForClose } from "../fixtures/relay-path.js";
 import { writeEndlessly } from "../fixtures/write-endlessly.js";
 
 const HEAD = "HTTP/1.1 200 OK\r\nid: request-1\r\n";
@@ -14,16 +13,6 @@
 /** Bytes that the buffers of both ends of a loopback connection can hold, in addition to what was read. */
 const SOCKET_BUFFER_BYTES = 12_000_000;
 
-const closed = (socket: Socket): Promise<void> =>
-    new Promise(resolve => {
-        if (socket.destroyed) {
-            resolve();
-        }
-        else {
-            socket.once("close", () => resolve());
-        }
-    });
-
 interface EndlessCase {
     readonly name: string;
     readonly head: string;
@@ -43,7 +32,7 @@
     t.teardown(() => path.close());
     const startedAtMs = performance.now();
     const response = await requestOnce(path.callerPort);
-    await Promise.all(path.sockets.map(closed));
+    await Promise.all(path.sockets.map(waitForClose));
     t.true(performance.now() - startedAtMs < TIMEOUT_MS / 2);
     t.true(getWritten() < maxBytes + SOCKET_BUFFER_BYTES, String(getWritten()));
     t.is(path.directory.list().filter(state => state.health.errorShare > 0).length, 1);
@@ -110,7 +99,7 @@
     t.teardown(() => path.close());
     t.true((await requestOnce(path.callerPort)).text.endsWith("whole"));
     const [first] = path.sockets;
-    await closed(first ?? t.fail());
+    await waitForClose(first);
     t.true((first?.bytesWritten ?? 0) < 64 * KIB + SOCKET_BUFFER_BYTES);
 });
 
@@ -121,7 +110,7 @@
     ], { timeoutMs: TIMEOUT_MS });
     t.teardown(() => path.close());
     t.true((await requestOnce(path.callerPort)).text.endsWith("whole"));
-    await closed(path.sockets[0] ?? t.fail());
+    await waitForClose(path.sockets[0]);
 });
 
 test.serial("a stream whose events are out of order is not read further", async t => {
@@ -131,7 +120,7 @@
     );
     t.teardown(() => path.close());
     await requestOnce(path.callerPort);
-    await closed(path.sockets[0] ?? t.fail());
+    await waitForClose(path.sockets[0]);
     t.true((path.sockets[0]?.bytesWritten ?? 0) < MIB + SOCKET_BUFFER_BYTES);
 });
 
@@ -144,5 +133,5 @@
     t.teardown(() => path.close());
     t.true((await requestOnce(path.callerPort)).text.endsWith("one"));
     t.true((await requestOnce(path.callerPort)).text.endsWith("two"));
-    await closed(path.sockets[0] ?? t.fail());
+    await waitForClose(path.sockets[0]);
 });
--- a/packages/relay/src/http/http-caller-exchange.ts
+++ b/packages/relay/src/http/http-caller-exchange.ts
@@ -2,6 +2,7 @@
 import { CallerExchange, type ResponseHead } from "../caller-exchange.js";
 import { REFUSAL_STATUS, type RelayRefusal } from "../relay-refusal.js";
 import type { CallerProtocol } from "./caller-protocol.js";
+import { waitForDrain } from "./wait-for-drain.js";
 
 /** Maximum time in which a caller can read the rest of an aborted stream, in milliseconds. */
 const ABORT_FLUSH_MS = 1_000;
@@ -54,8 +55,11 @@
         this.opts.res.writeHead(head.status, [...head.headers.flat(), ...framing, ...this.getCloseHeader()]);
     }
 
-    override sendEvents(events: Buffer): void {
-        this.opts.res.write(events);
+    override async sendEvents(events: Buffer, signal: AbortSignal): Promise<void> {
+        const { res } = this.opts;
+        if (!res.write(events) && !res.destroyed && !signal.aborted) {
+            await waitForDrain(res, signal);
+        }
     }
 
     override endStream(): void {
--- a/packages/relay/src/http/response-body.test.ts
+++ b/packages/relay/src/http/response-body.test.ts
@@ -1,7 +1,14 @@
 import test from "ava";
-import { ResponseBody } from "./response-body.js";
+import { ResponseBody, type ResponseSource } from "./response-body.js";
 
-const createBody = (): ResponseBody => new ResponseBody(() => undefined);
+const createSource = (overrides: Partial<ResponseSource> = {}): ResponseSource => ({
+    pause: () => undefined,
+    resume: () => undefined,
+    abandon: () => undefined,
+    ...overrides,
+});
+
+const createBody = (): ResponseBody => new ResponseBody(createSource());
 
 test("chunks that arrive in one turn are returned as one", async t => {
     const body = createBody();
@@ -28,14 +35,33 @@
 
 test("a body whose reading ends early is abandoned once, and one that had ended is not", async t => {
     let abandoned = 0;
-    const body = new ResponseBody(() => {
+    const abandon = (): void => {
         abandoned += 1;
         body.fail(new Error("abandoned"));
-    });
+    };
+    const body = new ResponseBody(createSource({ abandon }));
     await body.return();
     await body.return();
     t.is(abandoned, 1);
-    const ended = new ResponseBody(() => t.fail());
+    const ended = new ResponseBody(createSource({ abandon: () => t.fail() }));
     ended.end();
     await ended.return();
 });
+
+test("the source is paused while its chunks are not read, and resumed by the next read", async t => {
+    let isPaused = false;
+    const body = new ResponseBody(createSource({
+        pause: () => {
+            isPaused = true;
+        },
+        resume: () => {
+            isPaused = false;
+        },
+    }));
+    body.push(Buffer.alloc(65_535));
+    t.false(isPaused);
+    body.push(Buffer.alloc(1));
+    t.true(isPaused);
+    await body.next();
+    t.false(isPaused);
+});
--- a/packages/relay/src/http/response-body.ts
+++ b/packages/relay/src/http/response-body.ts
@@ -1,16 +1,28 @@
 type Waiter = { readonly resolve: (result: IteratorResult<Buffer>) => void; readonly reject: (err: Error) => void; };
 
+/** Number of buffered bytes from which the source is paused. */
+const PAUSE_FROM_BYTES = 65_536;
+
+/** Where the chunks of a body come from. */
+export interface ResponseSource {
+    /** Stops the chunks until `resume` is called. */
+    readonly pause: () => void;
+    readonly resume: () => void;
+    /** Called when the reader stops before the end of the body. */
+    readonly abandon: () => void;
+}
+
 /** Body of a response, pushed by a connection and read by one reader. */
 export class ResponseBody implements AsyncIterable<Buffer>, AsyncIterator<Buffer> {
     private readonly chunks: Buffer[] = [];
+    private bufferedBytes = 0;
     private waiter: Waiter | undefined;
     private isScheduled = false;
     private ended = false;
     private isDiscarded = false;
     private failure: Error | undefined;
 
-    /** `onAbandon` is called when the reader stops before the end of the body. */
-    constructor(private readonly onAbandon: () => void) {}
+    constructor(private readonly source: ResponseSource) {}
 
     [Symbol.asyncIterator](): AsyncIterator<Buffer> {
         return this;
@@ -29,7 +41,7 @@
         const isOpen = !this.ended && this.failure === undefined;
         this.discard();
         if (isOpen) {
-            this.onAbandon();
+            this.source.abandon();
         }
         return Promise.resolve({ done: true, value: undefined });
     }
@@ -38,6 +50,8 @@
     discard(): void {
         this.isDiscarded = true;
         this.chunks.length = 0;
+        this.bufferedBytes = 0;
+        this.source.resume();
     }
 
     /** Adds a chunk. */
@@ -46,6 +60,10 @@
             return;
         }
         this.chunks.push(chunk);
+        this.bufferedBytes += chunk.length;
+        if (this.bufferedBytes >= PAUSE_FROM_BYTES) {
+            this.source.pause();
+        }
         this.scheduleSettle();
     }
 
@@ -82,7 +100,9 @@
         if (first !== undefined) {
             const value = chunks.length === 1 ? first : Buffer.concat(chunks);
             chunks.length = 0;
+            this.bufferedBytes = 0;
             waiter.resolve({ done: false, value });
+            this.source.resume();
         }
         else if (this.failure === undefined) {
             waiter.resolve({ done: true, value: undefined });
--- a/packages/relay/src/http/target-call-handler.ts
+++ b/packages/relay/src/http/target-call-handler.ts
@@ -31,7 +31,11 @@
 
 /** Handles one exchange with a target. */
 export class TargetCallHandler implements Dispatcher.DispatchHandler {
-    private readonly body = new ResponseBody(() => this.abort(new Error("the response is not read further")));
+    private readonly body = new ResponseBody({
+        pause: () => this.controller?.pause(),
+        resume: () => this.controller?.resume(),
+        abandon: () => this.abort(new Error("the response is not read further")),
+    });
     private controller: Dispatcher.DispatchController | undefined;
     private connection: TargetConnection | undefined;
     /** Bytes of the connection before this exchange. */
--- a/packages/relay/src/relay-attempts.ts
+++ b/packages/relay/src/relay-attempts.ts
@@ -161,7 +161,7 @@
         firstByteMs: number,
     ): Promise<Step> {
         const { caller, clock } = this.request;
-        const result = await this.stream.relay(head, body);
+        const result = await this.stream.relay(head, body, clock.signal);
         if (result.kind === "complete") {
             state.health.recordResponse(false, firstByteMs);
             caller.endStream();
--- a/packages/relay/src/stream/stream-relay.ts
+++ b/packages/relay/src/stream/stream-relay.ts
@@ -35,8 +35,12 @@
         return this.lastId;
     }
 
-    /** Relays events as they arrive; the head is sent with the first one. */
-    async relay(head: ResponseHead, body: AsyncIterable<Buffer>): Promise<StreamRelayResult> {
+    /** Relays events as they arrive, no faster than the caller reads; the head is sent with the first one. */
+    async relay(
+        head: ResponseHead,
+        body: AsyncIterable<Buffer>,
+        signal: AbortSignal,
+    ): Promise<StreamRelayResult> {
         const splitter = new EventSplitter();
         try {
             for await (const chunk of body) {
@@ -49,7 +53,7 @@
                 }
                 this.events += count;
                 this.start(head);
-                this.caller.sendEvents(bytes);
+                await this.caller.sendEvents(bytes, signal);
             }
         }
         catch (err) {
