Log the prompt parts of sends that targets lose

Where targets ended one after the other, no line told which prompt parts the lost requests had or whether their answers had begun, so that requests that crash targets could not be told from overload. Lines of lost sends now have both, and a counter tells sends that ended before their answer began.

--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -24,7 +24,7 @@
 export * from "./policy/retry-allowance.js";
 export * from "./relay-log.js";
 export * from "./relay-refusal.js";
-export type * from "./relay-request.js";
+export * from "./relay-request.js";
 export * from "./relay.js";
 export * from "./targets/target-codec.js";
 export * from "./targets/target-directory.js";
--- a/packages/relay/src/instance/relay-metrics.ts
+++ b/packages/relay/src/instance/relay-metrics.ts
@@ -11,6 +11,7 @@
     private readonly registry = new Registry();
     private readonly ends: Counter;
     private readonly sends: Counter;
+    private readonly endsBeforeAnswer: Counter;
     private readonly latency: Histogram;
     private readonly gauges = new Map<string, Gauge>();
     private readonly counters = new Map<string, Counter>();
@@ -30,6 +31,12 @@
             labelNames: ["outcome", "service"],
             registers,
         });
+        this.endsBeforeAnswer = new Counter({
+            name: "ospreyreel_sends_ended_before_answer_total",
+            help: "Sends that ended before the answer began, without a timeout or a caller who left.",
+            labelNames: ["service"],
+            registers,
+        });
         this.latency = new Histogram({
             name: "ospreyreel_request_seconds",
             help: "Time from a request's arrival to its end.",
@@ -48,6 +55,10 @@
         this.sends.inc({ outcome, service });
     }
 
+    recordEndBeforeAnswer(service: string): void {
+        this.endsBeforeAnswer.inc({ service });
+    }
+
     /** Adds to a counter, which is created on first use. */
     add(name: string, amount = 1): void {
         const known = this.counters.get(name);
--- a/packages/relay/src/relay-attempts.ts
+++ b/packages/relay/src/relay-attempts.ts
@@ -1,5 +1,6 @@
 import type { ResponseHead } from "./caller-exchange.js";
 import type { RelayRefusal } from "./relay-refusal.js";
+import { getSharedParts } from "./relay-request.js";
 import type { AdmittedRequest, RelayOptions } from "./relay.js";
 import { StreamRelay } from "./stream/stream-relay.js";
 import type { TargetOutcome } from "./targets/target-port.js";
@@ -24,6 +25,9 @@
 /** Retry-after time of a refusal where no better estimate exists, in seconds. */
 const DEFAULT_RETRY_AFTER_S = 0.5;
 
+/** Maximum number of prompt parts in a log line. */
+const MAX_LOGGED_PARTS = 8;
+
 const HTTP_OK_FROM = 200;
 const HTTP_OK_BELOW = 300;
 const HTTP_ERROR_FROM = 500;
@@ -130,12 +134,15 @@
         }
     }
 
-    private handleFailure(state: TargetState, cause: string): Step {
+    private handleFailure(state: TargetState, cause: string, hasBegun = false): Step {
         if (this.request.clock.endReason !== undefined) {
             return { kind: "end", end: this.expireRequest() };
         }
         state.health.recordFailure(performance.now());
         this.logSend(state, "failed", cause);
+        if (!hasBegun) {
+            this.opts.meter.recordEndBeforeAnswer(this.request.admission.service);
+        }
         if (this.request.isRepeatable && this.canRetry()) {
             return RETRY_STEP;
         }
@@ -161,7 +168,9 @@
         firstByteMs: number,
     ): Promise<Step> {
         const { caller, clock } = this.request;
+        const eventsBefore = this.stream.eventCount;
         const result = await this.stream.relay(head, body);
+        const hasBegun = this.stream.eventCount > eventsBefore;
         if (result.kind === "complete") {
             state.health.recordResponse(false, firstByteMs);
             caller.endStream();
@@ -172,7 +181,7 @@
         }
         const cause = result.kind === "cut" ? result.cause : "events out of order";
         if (clock.endReason === undefined && result.kind === "cut") {
-            const step = this.handleFailure(state, cause);
+            const step = this.handleFailure(state, cause, hasBegun);
             if (step.kind === "again" || !this.stream.isStarted) {
                 return step;
             }
@@ -265,6 +274,8 @@
             outcome,
             cause,
             sends: this.sends,
+            events: this.stream.eventCount,
+            parts: getSharedParts(this.request.req).slice(0, MAX_LOGGED_PARTS).join(" "),
             leftMs: Math.round(this.request.clock.leftMs),
         });
     }
--- a/packages/relay/src/relay-request.ts
+++ b/packages/relay/src/relay-request.ts
@@ -33,3 +33,8 @@
     /** Id of the last event that the caller received; set where it resumes a stream. */
     readonly lastEventId: number | undefined;
 }
+
+/** Ids of the prompt parts that other requests may have too: all but the last one, each once. */
+export const getSharedParts = ({ generation }: Pick<RelayRequest, "generation">): readonly string[] => [
+    ...new Set(generation?.parts.slice(0, -1).map(part => part.id)),
+];
--- a/packages/relay/src/relay.test.ts
+++ b/packages/relay/src/relay.test.ts
@@ -77,6 +77,7 @@
     const port = new FakeTargetPort(outcomes.map(outcome => call => outcome(call, directory, view)));
     const view = { isOutdated: viewIsOutdated, ageMs: 0 };
     const log = new MemoryLog();
+    const endsBeforeAnswer: string[] = [];
     const allowance = new RetryAllowance({ ratio: 1, slack: 10, windowMs: 10_000, getInstances: () => 1 });
     const relay = new Relay({
         documents,
@@ -92,7 +93,13 @@
         overload: { getRefusal: () => overloadedForS },
         freshness: view,
         log,
-        meter: { recordEnd: () => undefined, recordSend: () => undefined },
+        meter: {
+            recordEnd: () => undefined,
+            recordSend: () => undefined,
+            recordEndBeforeAnswer: service => {
+                endsBeforeAnswer.push(service);
+            },
+        },
         random: () => 0,
     });
     const caller = new FakeExchange();
@@ -103,7 +110,7 @@
         setTimeout(() => caller.disconnect.abort(), disconnectsAfterMs);
     }
     await relay.serve(createRequest({ teamKey: "key-1", ...req }), caller);
-    return { caller, port, lines: log.lines };
+    return { caller, port, lines: log.lines, endsBeforeAnswer };
 };
 
 test("an idempotent request whose response is lost is sent to another target", async t => {
@@ -300,3 +307,14 @@
     const { lines: refused } = await serve([full], { maxAttempts: 1 });
     t.like(refused.at(-1), { event: "request refused", reason: "overloaded", team: "team-1", sends: 1 });
 });
+
+test("the log line of a lost send tells the shared prompt parts and whether the answer had begun", async t => {
+    const part = (id: string): { readonly id: string; readonly tokens: number; } => ({ id, tokens: 10 });
+    const generation = { promptTokens: 100, maxOutputTokens: 50, parts: [part("a"), part("b"), part("own")] };
+    const lost = await serve([respond([], true)], { kind: "streaming" }, { generation });
+    t.like(lost.lines[0], { event: "send without answer", parts: "a b", events: 0 });
+    t.deepEqual(lost.endsBeforeAnswer, ["service-1"]);
+    const cut = await serve([respond(["id: 1\n\n"], true)], { kind: "streaming" }, { generation });
+    t.like(cut.lines[0], { event: "send without answer", parts: "a b", events: 1 });
+    t.deepEqual(cut.endsBeforeAnswer, []);
+});
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -19,6 +19,8 @@
     recordEnd(result: string, service: string, ms: number): void;
     /** Records a send to a target and its outcome. */
     recordSend(outcome: string, service: string): void;
+    /** Records a send that ended after it was sent and before its answer began. */
+    recordEndBeforeAnswer(service: string): void;
 }
 
 /** Options of {@link Relay}. */
