Reproduce a prompt part that crashes target after target

A rig test starts three instances and four targets that crash when they begin an answer to a prompt with one part.

--- /dev/null
+++ b/packages/bench/src/platform/deadly-part.test.ts
@@ -0,0 +1,68 @@
+import test from "ava";
+import { setTimeout as sleep } from "node:timers/promises";
+import { type CallerAnswer, PlatformFleet } from "./platform-fleet.js";
+
+const DEADLY_PART = "dead";
+const SHARED_PART = "5a5a";
+
+/** Time after the fifth crash from which requests that crash targets are counted, in milliseconds. */
+const CONTACT_MS = 3_000;
+const CRASHES_TO_LEARN = 5;
+const MAX_LATER_SENDS = 3;
+
+const DEADLY_INTERVAL_MS = 120;
+const SOUND_INTERVAL_MS = 40;
+const RUN_MS = 12_000;
+
+/** Time within which fewer than five crashes must have been enough, in milliseconds. */
+const LEARNT_WITHIN_MS = 6_000;
+
+interface SoundCall {
+    readonly startedAtMs: number;
+    readonly answer: CallerAnswer;
+}
+
+/** Sends a request at an interval until a time, to each instance in turn. */
+const sendEvery = async (
+    fleet: PlatformFleet,
+    intervalMs: number,
+    endsAtMs: number,
+    createParts: (index: number) => readonly string[],
+): Promise<readonly SoundCall[]> => {
+    const calls: Promise<SoundCall>[] = [];
+    for (let index = 0; performance.now() < endsAtMs; index++) {
+        const instance = fleet.instances[index % fleet.instances.length];
+        if (instance !== undefined) {
+            const startedAtMs = performance.now();
+            const prefix = createParts(index).map(id => `${id}:20`).join(",");
+            const answer = fleet.ask(instance, 60, { "prompt-prefix": prefix });
+            calls.push(answer.then(received => ({ startedAtMs, answer: received })));
+        }
+        await sleep(intervalMs);
+    }
+    return await Promise.all(calls);
+};
+
+test.serial("a prompt part that crashes targets is kept from all targets after a few crashes", async t => {
+    const fleet = await PlatformFleet.start({
+        prepaid: 10_000_000,
+        modelCount: 4,
+        models: { deadlyPart: DEADLY_PART, stepMs: 20 },
+    });
+    t.teardown(() => fleet.close());
+    const startedAtMs = performance.now();
+    const endsAtMs = startedAtMs + RUN_MS;
+    const [sound] = await Promise.all([
+        sendEvery(fleet, SOUND_INTERVAL_MS, endsAtMs, index => [SHARED_PART, `b${index % 8}`, `c${index}`]),
+        sendEvery(fleet, DEADLY_INTERVAL_MS, endsAtMs, index => [SHARED_PART, DEADLY_PART, `d${index}`]),
+    ]);
+    const crashes = fleet.models.flatMap(model => model.crashedAtMs).toSorted((a, b) => a - b);
+    const fifthAtMs = crashes[CRASHES_TO_LEARN - 1];
+    const fromMs = fifthAtMs === undefined ? startedAtMs + LEARNT_WITHIN_MS : fifthAtMs + CONTACT_MS;
+    t.log(`${crashes.length} crashes, the fifth after ${Math.round((fifthAtMs ?? 0) - startedAtMs)} ms`);
+    const laterSends = fleet.ran.filter(({ parts, atMs }) => parts.includes(DEADLY_PART) && atMs > fromMs);
+    t.true(laterSends.length <= MAX_LATER_SENDS, `${laterSends.length} later sends`);
+    const later = sound.filter(call => call.startedAtMs > fromMs);
+    const served = later.filter(call => call.answer.status === 200);
+    t.true(served.length >= later.length / 2, `${served.length} of ${later.length} sound requests served`);
+});
--- a/packages/bench/src/platform/platform-fleet.ts
+++ b/packages/bench/src/platform/platform-fleet.ts
@@ -1,6 +1,7 @@
 import {
     type FaultProxy,
     PlatformStoreStandIn,
+    type PlatformTargetOptions,
     PlatformTargetStandIn,
     type RunRequest,
     startFaultProxy,
@@ -29,8 +30,13 @@
     readonly prepaid?: number;
     /** Puts a proxy that injects faults between each instance and the store. */
     readonly withStoreProxies?: boolean;
+    readonly modelCount?: number;
+    /** How the model targets work. */
+    readonly models?: Pick<PlatformTargetOptions, "stepMs" | "deadlyPart" | "downMs">;
 }
 
+const DEFAULT_MODEL_COUNT = 2;
+
 /** Settings of one instance on the platform. */
 type RelaySettingsJson = Readonly<Record<string, unknown>>;
 
@@ -77,19 +83,32 @@
 export class PlatformFleet {
     readonly store = new PlatformStoreStandIn();
     readonly plain = new PlatformTargetStandIn({ id: "plain-1", service: "plain" });
-    readonly models = [1, 2].map(at =>
-        new PlatformTargetStandIn({ id: `model-${at}`, service: "model", events: MODEL_EVENTS, stepMs: 5 })
-    );
+    readonly models: readonly PlatformTargetStandIn[];
     readonly instances: PlatformInstance[] = [];
     /** One for each instance, if asked for. */
     readonly storeProxies: FaultProxy[] = [];
     private readonly agent = new Agent({ pipelining: 1 });
     private requests = 0;
 
+    private constructor({ modelCount = DEFAULT_MODEL_COUNT, models = {} }: PlatformFleetOptions) {
+        this.models = [...Array(modelCount).keys()].map(at =>
+            new PlatformTargetStandIn({
+                id: `model-${at + 1}`,
+                service: "model",
+                events: MODEL_EVENTS,
+                stepMs: 5,
+                ...models,
+            })
+        );
+        this.models.forEach(target => {
+            target.onRestart = () => this.store.put(...target.getEntry());
+        });
+    }
+
     /** Starts everything and resolves once all instances take requests. */
     static async start(opts: PlatformFleetOptions = {}): Promise<PlatformFleet> {
         const { count = 3, prepaid = PREPAID, withStoreProxies = false } = opts;
-        const fleet = new PlatformFleet();
+        const fleet = new PlatformFleet(opts);
         const store = await fleet.store.start();
         for (const target of [fleet.plain, ...fleet.models]) {
             await target.start();
--- a/packages/stand-ins/src/platform/platform-target-stand-in.ts
+++ b/packages/stand-ins/src/platform/platform-target-stand-in.ts
@@ -10,6 +10,10 @@
     readonly body: string;
     readonly waitsMs: number;
     readonly hadKey: boolean;
+    /** Ids of the prompt's parts. */
+    readonly parts: readonly string[];
+    /** Monotonic time of its arrival, in milliseconds. */
+    readonly atMs: number;
 }
 
 /** How a target works. */
@@ -21,12 +25,24 @@
     readonly events?: number;
     /** Time for each event or for the whole answer, in milliseconds. */
     readonly stepMs?: number;
+    /** Crashes the target when it begins an answer to a prompt with this part. */
+    readonly deadlyPart?: string;
+    /** Time from a crash to the next start, in milliseconds. */
+    readonly downMs?: number;
 }
 
+/** Time from a crash to the next start where none is given, in milliseconds. */
+const DEFAULT_DOWN_MS = 1_500;
+
 /** A worker of the users' platform, by its published protocol. */
 export class PlatformTargetStandIn {
     readonly ran: RunRequest[] = [];
+    /** Monotonic times of its crashes, in milliseconds. */
+    readonly crashedAtMs: number[] = [];
+    /** Called after each start that follows a crash. */
+    onRestart: () => void = () => undefined;
     private server: JsonServer | undefined;
+    private stopped = false;
     /** Unix time of this start in milliseconds; tells it from earlier ones under the same id. */
     private born = 0;
 
@@ -34,15 +50,33 @@
 
     /** Listens on a free port. */
     async start(): Promise<void> {
+        this.stopped = false;
         this.server = await startJsonServer((req, res) => this.answer(req, res));
         this.born = Math.max(Date.now(), this.born + 1);
     }
 
     /** Stops listening and cuts what runs. */
     async close(): Promise<void> {
+        this.stopped = true;
         await this.server?.close();
     }
 
+    /** Resets all connections, refuses new ones for a time and starts again. */
+    async crash(): Promise<void> {
+        const { server } = this;
+        if (server === undefined) {
+            return;
+        }
+        this.server = undefined;
+        this.crashedAtMs.push(performance.now());
+        await server.close();
+        await sleep(this.opts.downMs ?? DEFAULT_DOWN_MS);
+        if (!this.stopped) {
+            await this.start();
+            this.onRestart();
+        }
+    }
+
     /** Key and value of its entry in the store. */
     getEntry(state: "ready" | "draining" = "ready"): readonly [string, unknown] {
         const { id, service, zone = "zone-a" } = this.opts;
@@ -67,6 +101,7 @@
             res.writeHead(421, { "Instance-Id": this.opts.id }).end();
             return;
         }
+        const parts = String(req.headers["prompt-prefix"] ?? "").split(",").map(part => part.split(":")[0] ?? "");
         this.ran.push({
             id,
             team: req.headers["tenant"]?.toString(),
@@ -74,8 +109,10 @@
             body,
             waitsMs: Number(req.headers["deadline-ms"]),
             hadKey: req.headers.authorization !== undefined,
+            parts,
+            atMs: performance.now(),
         });
-        const { events = 0, stepMs = 2 } = this.opts;
+        const { events = 0, stepMs = 2, deadlyPart } = this.opts;
         const headers = { "Attempt-Id": id, "Response-Seal": `seal-${this.opts.id}` };
         if (events === 0) {
             await sleep(stepMs);
@@ -85,6 +122,10 @@
         res.writeHead(200, { ...headers, "Content-Type": "text/event-stream" });
         for (let at = Number(req.headers["last-event-id"] ?? 0) + 1; at <= events; at++) {
             await sleep(stepMs);
+            if (deadlyPart !== undefined && parts.slice(0, -1).includes(deadlyPart)) {
+                await this.crash();
+                return;
+            }
             res.write(`id: ${at}\ndata: ${id}\n\n`);
         }
         res.end();
