Quarantine prompt parts that crash targets

Callers saw 502 and broken streams for as long as requests with one prompt part came: each crashed a target, was sent to a second one, and crashed that too. Every instance saw a few crashes only and knew nothing of parts, and a crash loses every stream of its target, so that it accuses all their parts.

A request that is lost before its answer began, at a target that refuses connections from then on, now accuses its shared parts, once for each part and start of a target. An answer that begins refutes all accusations of its parts. Two instances for each part, chosen by rendezvous, collect the accusations, ask up to 64 peers for answers from the second crash on, and quarantine a part at the third. Crashes within 100 ms count once, so that targets lost together convict nothing. The decision goes to all peers, of which each refuses it if an answer has begun there. Requests with the part are refused as not run, before the first and before every further send. A request is not sent to a second target while another crash speaks against one of its parts.

--- a/packages/relay/src/instance/relay-instance.ts
+++ b/packages/relay/src/instance/relay-instance.ts
@@ -10,6 +10,8 @@
 import { AffinityPlacement } from "../policy/affinity-placement.js";
 import { OverloadGuard } from "../policy/overload-guard.js";
 import { sampleInstances } from "../policy/sample-instances.js";
+import { ConnectCrashCheck } from "../quarantine/connect-crash-check.js";
+import { PartQuarantine } from "../quarantine/part-quarantine.js";
 import { Relay } from "../relay.js";
 import { TargetDirectory } from "../targets/target-directory.js";
 import { TargetFollower } from "../targets/target-follower.js";
@@ -67,6 +69,7 @@
     private readonly follower: TargetFollower;
     private readonly relay: Relay;
     private readonly budgets: FleetBudgets;
+    private readonly parts: PartQuarantine;
     /** Resolves once requests are accepted. */
     readonly ready: Promise<void>;
     private resolveReady: () => void = () => undefined;
@@ -103,6 +106,12 @@
             getPrepaid: team => this.documents.current()?.findTeam(team)?.prepaidTokens ?? 0,
             log: (event, fields) => this.log.write(event, fields),
         });
+        this.parts = new PartQuarantine({
+            hub,
+            crashes: new ConnectCrashCheck(),
+            log: this.log,
+            count: name => this.metrics.add(name),
+        });
         this.relay = new Relay({
             documents: this.documents,
             selector: new TargetSelector({
@@ -116,6 +125,7 @@
             getRetries: service => this.shares.getRetries(service),
             overload: this.overload,
             freshness: this.freshness,
+            parts: this.parts,
             log: this.log,
             meter: this.metrics,
             random: Math.random,
@@ -166,6 +176,7 @@
             peers: this.hub.peers(),
             targets: this.directory.list().map(getTargetView),
             budgets: this.budgets.list(),
+            quarantine: this.parts.view,
         };
     }
 
@@ -232,6 +243,7 @@
         startOverloadWatch({ ...parseAddress(cfg.callers), guard: this.overload, log });
         this.follower.start();
         this.budgets.serve();
+        this.parts.serve();
         hub.setPeerAddresses(cfg.seeds.map(parseAddress));
         await Promise.all([this.callerPort, ...this.statusPorts].map(port => port.start()));
         log.write("instance started", { instance: cfg.instance, incarnation: hub.self().incarnation });
--- a/packages/relay/src/instance/relay-state.ts
+++ b/packages/relay/src/instance/relay-state.ts
@@ -1,5 +1,6 @@
 import type { BudgetView } from "@ospreyreel/budgets";
 import type { InstanceInfo } from "@ospreyreel/types";
+import type { QuarantineView } from "../quarantine/part-quarantine.js";
 import type { TargetState } from "../targets/target-state.js";
 
 /** One target in the state dump. */
@@ -25,6 +26,7 @@
     readonly targets: readonly TargetView[];
     /** Budgets that this instance owns. */
     readonly budgets: readonly BudgetView[];
+    readonly quarantine: QuarantineView;
 }
 
 /** Returns a target's entry in the state dump. */
--- /dev/null
+++ b/packages/relay/src/quarantine/accusation-table.ts
@@ -0,0 +1,91 @@
+import { BoundedMap } from "./bounded-map.js";
+
+/** A crash of a target in which a request with the part was lost before its answer began. */
+export interface AccusingCrash {
+    /** Names one start of one target. */
+    readonly crash: string;
+    /** Monotonic time of the crash, in milliseconds. */
+    readonly atMs: number;
+    /** Other shared parts of the lost requests. */
+    readonly others: readonly string[];
+    /** Number of shared parts that follow this one in the prompt. */
+    readonly followers: number;
+}
+
+/** Evidence against one part. */
+export interface PartEvidence {
+    /** Number of separate crashes. */
+    readonly crashes: number;
+    /** Time of the first crash, in milliseconds. */
+    readonly firstAtMs: number;
+    /** Smallest number of shared parts that followed this one in a prompt. */
+    readonly followers: number;
+}
+
+const NO_EVIDENCE: PartEvidence = { crashes: 0, firstAtMs: 0, followers: 0 };
+
+/** Maximum number of accused parts. */
+const MAX_PARTS = 4_096;
+
+/** Maximum number of crashes that are kept for one part. */
+const MAX_CRASHES_PER_PART = 16;
+
+/** Time for which a crash counts against a part, in milliseconds. */
+const CRASH_TTL_MS = 600_000;
+
+/** Crashes closer to each other than this may have one common cause and count once, in milliseconds. */
+const MIN_CRASH_GAP_MS = 100;
+
+/** Crashes by part of the lost requests' prompts. */
+export class AccusationTable {
+    private readonly crashes = new BoundedMap<readonly AccusingCrash[]>(MAX_PARTS);
+
+    /** Number of accused parts. */
+    get size(): number {
+        return this.crashes.size;
+    }
+
+    /** Adds a crash; returns whether it is new for the part. */
+    add(part: string, added: AccusingCrash): boolean {
+        const known = this.crashes.get(part) ?? [];
+        const same = known.find(({ crash }) => crash === added.crash);
+        const merged = same === undefined ? added : {
+            ...same,
+            others: [...new Set([...same.others, ...added.others])],
+            followers: Math.min(same.followers, added.followers),
+        };
+        const rest = known.filter(crash => crash !== same && added.atMs - crash.atMs < CRASH_TTL_MS);
+        this.crashes.set(part, [...rest, merged].slice(-MAX_CRASHES_PER_PART));
+        return same === undefined;
+    }
+
+    /** Removes the crashes up to a time; an answer with the part has begun since. */
+    removeUntil(part: string, atMs: number): void {
+        const left = (this.crashes.get(part) ?? []).filter(crash => crash.atMs > atMs);
+        if (left.length === 0) {
+            this.crashes.delete(part);
+        }
+        else {
+            this.crashes.set(part, left);
+        }
+    }
+
+    /** Evidence by the crashes that no other part of the lost requests explains. */
+    getEvidence(part: string, explains: (part: string) => boolean): PartEvidence {
+        const open = (this.crashes.get(part) ?? []).filter(({ others }) => !others.some(explains))
+            .toSorted((a, b) => a.atMs - b.atMs);
+        const [first] = open;
+        if (first === undefined) {
+            return NO_EVIDENCE;
+        }
+        let crashes = 1;
+        let lastCountedAtMs = first.atMs;
+        for (const { atMs } of open) {
+            if (atMs - lastCountedAtMs >= MIN_CRASH_GAP_MS) {
+                crashes += 1;
+                lastCountedAtMs = atMs;
+            }
+        }
+        return { crashes, firstAtMs: first.atMs, followers: Math.min(...open.map(({ followers }) => followers)) };
+    }
+}
--- /dev/null
+++ b/packages/relay/src/quarantine/part-collector.ts
@@ -0,0 +1,142 @@
+import type { PeerHub } from "@ospreyreel/peer";
+import type { PartAccusation } from "@ospreyreel/types";
+import { setTimeout as sleep } from "node:timers/promises";
+import type { RelayLog } from "../relay-log.js";
+import { AccusationTable, type PartEvidence } from "./accusation-table.js";
+import type { DecisionBook } from "./decision-book.js";
+
+/** Options of {@link PartCollector}. */
+export interface PartCollectorOptions {
+    readonly hub: Pick<PeerHub, "request" | "peers">;
+    readonly book: DecisionBook;
+    readonly nowMs: () => number;
+    readonly log: RelayLog;
+    /** Returns a random number in [0, 1). */
+    readonly random: () => number;
+    /** Quarantines a part by its evidence. */
+    readonly quarantine: (part: string, evidence: PartEvidence) => void;
+    /** Waits, in milliseconds; a timer by default. */
+    readonly wait?: (ms: number) => Promise<void>;
+}
+
+/** Number of separate crashes from which other instances are asked for answers with the part. */
+const CRASHES_TO_ASK = 2;
+
+/** Number of separate crashes that quarantine a part for which no answer has begun since the first of them. */
+const CRASHES_TO_QUARANTINE = 3;
+
+/** Maximum number of peers that are asked for answers; in a large fleet a random sample. */
+const MAX_ASKED_PEERS = 64;
+
+/** Timeout of one question, in milliseconds. */
+const ASK_TIMEOUT_MS = 150;
+
+/**
+ * Time for which a part waits for each part that follows it in the prompt, in milliseconds. A part that fewer requests
+ * share is decided first, and then explains the crashes that speak against the parts before it.
+ */
+const WAIT_PER_FOLLOWER_MS = 150;
+
+/** Collects the accusations of parts from all instances, and quarantines parts that crash targets. */
+export class PartCollector {
+    private readonly table = new AccusationTable();
+    private readonly asking = new Map<string, Promise<void>>();
+    private readonly deciding = new Set<string>();
+    private readonly wait: (ms: number) => Promise<void>;
+
+    constructor(private readonly opts: PartCollectorOptions) {
+        this.wait = opts.wait ?? (ms => sleep(ms, undefined, { ref: false }));
+    }
+
+    /** Number of accused parts. */
+    get accusedParts(): number {
+        return this.table.size;
+    }
+
+    /** Adds accusations; returns how many separate crashes speak against each of the parts. */
+    async accuse(accusations: readonly PartAccusation[]): Promise<readonly number[]> {
+        const { book, nowMs } = this.opts;
+        const added = accusations.filter(({ part, crash, msAgo, others, followers }) =>
+            this.table.add(part, { crash, atMs: nowMs() - msAgo, others, followers })
+        );
+        await this.removeRefuted(accusations.map(({ part }) => part), added.map(({ part }) => part));
+        for (const part of new Set(added.map(accusation => accusation.part))) {
+            const { crashes, followers } = this.getEvidence(part);
+            const isTrial = book.table.getPhase(part, nowMs()) === "trial";
+            if (crashes >= CRASHES_TO_QUARANTINE || (isTrial && crashes > 0)) {
+                void this.decide(part, isTrial ? 1 : CRASHES_TO_QUARANTINE, isTrial ? 0 : followers);
+            }
+        }
+        return accusations.map(({ part }) => this.getEvidence(part).crashes);
+    }
+
+    /** Forgets the crashes that speak against a part; an answer with it has begun. */
+    clear(part: string): void {
+        this.table.removeUntil(part, this.opts.nowMs());
+    }
+
+    private async decide(part: string, minCrashes: number, followers: number): Promise<void> {
+        if (this.deciding.has(part)) {
+            return;
+        }
+        this.deciding.add(part);
+        try {
+            if (followers > 0) {
+                await this.wait(followers * WAIT_PER_FOLLOWER_MS);
+                await this.removeRefuted([part], [part]);
+            }
+            const evidence = this.getEvidence(part);
+            const isQuarantined = this.opts.book.table.getPhase(part, this.opts.nowMs()) === "quarantined";
+            if (evidence.crashes >= minCrashes && !isQuarantined) {
+                this.opts.quarantine(part, evidence);
+            }
+        }
+        finally {
+            this.deciding.delete(part);
+        }
+    }
+
+    /** Removes crashes before the last answer with the part, as known here and, for suspected parts, at other instances. */
+    private async removeRefuted(parts: readonly string[], accused: readonly string[]): Promise<void> {
+        const { book, nowMs } = this.opts;
+        book.findAnswered(parts).forEach(({ part, msAgo }) => this.table.removeUntil(part, nowMs() - msAgo));
+        const suspected = [...new Set(accused)].filter(part => this.getEvidence(part).crashes >= CRASHES_TO_ASK);
+        if (suspected.length > 0) {
+            const asked = this.ask(suspected);
+            suspected.forEach(part => this.asking.set(part, asked));
+            await asked;
+            suspected.filter(part => this.asking.get(part) === asked).forEach(part => this.asking.delete(part));
+            this.logSuspected(suspected);
+        }
+        await Promise.all(parts.map(part => this.asking.get(part) ?? Promise.resolve()));
+    }
+
+    private async ask(parts: readonly string[]): Promise<void> {
+        const { hub, nowMs, random } = this.opts;
+        const peers = hub.peers().map(({ incarnation }) => ({ incarnation, at: random() }))
+            .toSorted((a, b) => a.at - b.at)
+            .slice(0, MAX_ASKED_PEERS);
+        await Promise.all(peers.map(async ({ incarnation }) => {
+            try {
+                const { answered } = await hub.request(incarnation, "parts.answered", { parts }, ASK_TIMEOUT_MS);
+                answered.forEach(({ part, msAgo }) => this.table.removeUntil(part, nowMs() - msAgo));
+            }
+            catch {
+                // The answers of the other peers count.
+            }
+        }));
+    }
+
+    private getEvidence(part: string): PartEvidence {
+        return this.table.getEvidence(part, other => this.opts.book.isActive(other));
+    }
+
+    private logSuspected(parts: readonly string[]): void {
+        for (const part of parts) {
+            const { crashes } = this.getEvidence(part);
+            if (crashes >= CRASHES_TO_ASK) {
+                this.opts.log.write("part suspected", { part, crashes });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/packages/relay/src/quarantine/part-quarantine.ts
@@ -0,0 +1,249 @@
+import type { PeerHub } from "@ospreyreel/peer";
+import type { PartAccusation, PartDecision } from "@ospreyreel/types";
+import type { RelayLog } from "../relay-log.js";
+import { getSharedParts, type RelayRequest } from "../relay-request.js";
+import type { Target } from "../targets/target.js";
+import type { PartEvidence } from "./accusation-table.js";
+import { BoundedMap } from "./bounded-map.js";
+import type { CrashCheck } from "./crash-check.js";
+import { DecisionBook } from "./decision-book.js";
+import { DecisionSpreader } from "./decision-spreader.js";
+import { PartCollector } from "./part-collector.js";
+import { PartCollectors } from "./part-collectors.js";
+import { type BlockedPart, PartGate } from "./part-gate.js";
+import { getQuarantineMs } from "./quarantine-table.js";
+
+/** Options of {@link PartQuarantine}. */
+export interface PartQuarantineOptions {
+    readonly hub: PeerHub;
+    readonly crashes: CrashCheck;
+    readonly log: RelayLog;
+    /** Adds one to a counter. */
+    readonly count: (name: string) => void;
+    /** Called for each new decision of this instance. */
+    readonly onDecision?: (decision: PartDecision) => void;
+    /** Monotonic time in milliseconds; `performance.now` by default. */
+    readonly nowMs?: () => number;
+    /** Returns a random number in [0, 1); `Math.random` by default. */
+    readonly random?: () => number;
+    /** Waits, in milliseconds; a timer by default. */
+    readonly wait?: (ms: number) => Promise<void>;
+}
+
+/** Quarantine in the state dump. */
+export interface QuarantineView {
+    /** Parts whose requests are refused. */
+    readonly parts: readonly PartDecision[];
+    /** Number of parts for which this instance collects accusations. */
+    readonly accusedParts: number;
+}
+
+interface Trial {
+    readonly request: string;
+    readonly endsAtMs: number;
+}
+
+const MAX_TRIALS = 256;
+
+/** Time after which a trial without an outcome no longer excludes another one, in milliseconds. */
+const TRIAL_TIMEOUT_MS = 5_000;
+
+/** Retry-after time where a part is tried by another request, in seconds. */
+const TRIAL_RETRY_AFTER_S = 1;
+
+/** Timeout of a report to a collector, in milliseconds. */
+const REPORT_TIMEOUT_MS = 300;
+
+/** Maximum number of remembered reports. */
+const MAX_REPORTS = 2_048;
+
+const MS_PER_S = 1_000;
+
+const getCrashKey = ({ id, startedAtMs }: Target): string => `${id}@${startedAtMs ?? ""}`;
+
+/**
+ * Learns which prompt parts crash targets, together with all other instances, and refuses requests that have one.
+ *
+ * A request that is lost in a crash of its target accuses its shared parts; an answer that begins refutes all
+ * accusations of its parts. Two instances for each part collect the accusations.
+ */
+export class PartQuarantine extends PartGate {
+    private readonly book: DecisionBook;
+    private readonly collector: PartCollector;
+    private readonly collectors: PartCollectors;
+    private readonly spreader: DecisionSpreader;
+    private readonly reports = new BoundedMap<Promise<number>>(MAX_REPORTS);
+    private readonly trials = new BoundedMap<Trial>(MAX_TRIALS);
+    private readonly nowMs: () => number;
+
+    constructor(private readonly opts: PartQuarantineOptions) {
+        super();
+        const { hub, log, count, nowMs = () => performance.now(), random = Math.random, wait } = opts;
+        this.nowMs = nowMs;
+        this.book = new DecisionBook({ nowMs, log, count });
+        this.collectors = new PartCollectors({ hub, nowMs });
+        this.spreader = new DecisionSpreader({ hub, book: this.book, onAnswered: part => this.clear(part, "answer") });
+        this.collector = new PartCollector({
+            hub,
+            book: this.book,
+            nowMs,
+            log,
+            random,
+            quarantine: (part, evidence) => this.quarantine(part, evidence),
+            ...(wait === undefined ? {} : { wait }),
+        });
+    }
+
+    /** Starts responding to other instances. */
+    serve(): void {
+        const { hub } = this.opts;
+        hub.handle("parts.accuse", async ({ accusations }) => ({ crashes: await this.collector.accuse(accusations) }));
+        hub.handle("parts.answered", ({ parts }) => Promise.resolve({ answered: this.book.findAnswered(parts) }));
+        hub.handle(
+            "parts.decide",
+            ({ decisions }, from) => Promise.resolve({ answered: this.receive(decisions, from.instance) }),
+        );
+        hub.handle("parts.list", () => Promise.resolve({ decisions: this.book.listActive() }));
+    }
+
+    /** Current state, for the state dump. */
+    get view(): QuarantineView {
+        return { parts: this.book.listActive(), accusedParts: this.collector.accusedParts };
+    }
+
+    /** Applies decisions from elsewhere; returns the answers that have begun since and speak against them. */
+    receive(
+        decisions: readonly PartDecision[],
+        source: string,
+    ): readonly { readonly part: string; readonly msAgo: number; }[] {
+        decisions.filter(({ isCleared }) => isCleared).forEach(({ part }) => this.collector.clear(part));
+        return decisions.map(decision => this.book.receive(decision, source)).filter(answer => answer !== undefined);
+    }
+
+    override getBlockedPart(req: RelayRequest): BlockedPart | undefined {
+        if (this.book.table.isEmpty) {
+            return undefined;
+        }
+        const nowMs = this.nowMs();
+        for (const part of getSharedParts(req)) {
+            const phase = this.book.table.getPhase(part, nowMs);
+            const untilMs = this.book.table.get(part, nowMs)?.untilMs ?? nowMs;
+            if (phase === "quarantined") {
+                return { part, retryAfterS: (untilMs - nowMs) / MS_PER_S };
+            }
+            if (phase === "trial" && !this.isTrial(part, req.id)) {
+                return { part, retryAfterS: TRIAL_RETRY_AFTER_S };
+            }
+        }
+        return undefined;
+    }
+
+    override recordBegun(req: RelayRequest): void {
+        const parts = getSharedParts(req);
+        this.book.answers.record(parts, this.nowMs());
+        if (!this.book.table.isEmpty) {
+            parts.filter(part => this.book.isActive(part)).forEach(part => this.clear(part, "answer"));
+        }
+    }
+
+    override async recordLoss(req: RelayRequest, target: Target): Promise<boolean> {
+        const parts = getSharedParts(req);
+        if (parts.length === 0) {
+            return true;
+        }
+        const lostAtMs = this.nowMs();
+        if (!await this.opts.crashes.hasCrashed(target)) {
+            return true;
+        }
+        // A part that is known to crash targets explains the crash.
+        const active = parts.filter(part => this.book.isActive(part));
+        const accused = active.length > 0 ? active : parts;
+        const crash = getCrashKey(target);
+        const crashes = await Promise.all(accused.map(part =>
+            this.report({
+                part,
+                crash,
+                msAgo: this.nowMs() - lostAtMs,
+                others: parts.filter(other => other !== part),
+                followers: parts.length - 1 - parts.indexOf(part),
+            })
+        ));
+        return active.length === 0 && crashes.every(count => count <= 1);
+    }
+
+    /** Reports an accusation to its collectors, once for each part and crash; returns the number of crashes. */
+    private report(accusation: PartAccusation): Promise<number> {
+        const key = `${accusation.part} ${accusation.crash}`;
+        const known = this.reports.get(key);
+        if (known !== undefined) {
+            return known;
+        }
+        this.opts.count("parts_accused");
+        const report = this.reportOnce(accusation);
+        this.reports.set(key, report);
+        return report;
+    }
+
+    private async reportOnce(accusation: PartAccusation): Promise<number> {
+        const { hub } = this.opts;
+        const self = hub.self().incarnation;
+        const counts = await Promise.all(
+            this.collectors.choose(accusation.part).map(async ({ incarnation }) => {
+                const accusations = [accusation];
+                if (incarnation === self) {
+                    return await this.collector.accuse(accusations);
+                }
+                try {
+                    return (await hub.request(incarnation, "parts.accuse", { accusations }, REPORT_TIMEOUT_MS)).crashes;
+                }
+                catch {
+                    // The other collector has the report.
+                    return [];
+                }
+            }),
+        );
+        return Math.max(0, ...counts.flat());
+    }
+
+    private isTrial(part: string, request: string): boolean {
+        const nowMs = this.nowMs();
+        const running = this.trials.get(part);
+        if (running !== undefined && nowMs < running.endsAtMs) {
+            return running.request === request;
+        }
+        if (!this.collectors.isFirst(part)) {
+            return false;
+        }
+        this.trials.set(part, { request, endsAtMs: nowMs + TRIAL_TIMEOUT_MS });
+        this.opts.log.write("part tried", { part, request });
+        return true;
+    }
+
+    private quarantine(part: string, { crashes, firstAtMs }: PartEvidence): void {
+        const nowMs = this.nowMs();
+        const strikes = (this.book.table.get(part, nowMs)?.strikes ?? 0) + 1;
+        const untilMs = nowMs + getQuarantineMs(strikes);
+        const entry = { isCleared: false, changedAtMs: nowMs, untilMs, strikes, sinceMs: firstAtMs };
+        this.decide(part, entry, `${crashes} crashes`);
+    }
+
+    private clear(part: string, source: string): void {
+        const nowMs = this.nowMs();
+        this.collector.clear(part);
+        if (this.book.isActive(part)) {
+            const entry = { isCleared: true, changedAtMs: nowMs, untilMs: nowMs, strikes: 0, sinceMs: nowMs };
+            this.decide(part, entry, source);
+        }
+    }
+
+    private decide(part: string, entry: Parameters<DecisionBook["apply"]>[1], source: string): void {
+        if (!this.book.apply(part, entry, source)) {
+            return;
+        }
+        const decision = this.book.getDecision(part);
+        if (decision !== undefined) {
+            this.opts.onDecision?.(decision);
+        }
+        void this.spreader.spread(part);
+    }
+}
--- a/packages/relay/src/relay-attempts.ts
+++ b/packages/relay/src/relay-attempts.ts
@@ -42,7 +42,11 @@
     private mayHaveRun = false;
 
     constructor(private readonly opts: RelayOptions, private readonly request: AdmittedRequest) {
-        this.stream = new StreamRelay(request.caller, request.req.lastEventId);
+        this.stream = new StreamRelay({
+            caller: request.caller,
+            afterEvent: request.req.lastEventId,
+            onFirstEvent: () => opts.parts.recordBegun(request.req),
+        });
     }
 
     /** Summary of the sends for the request's log line. */
@@ -74,6 +78,10 @@
         if (this.opts.freshness.isOutdated) {
             return { kind: "end", end: this.failRequest("viewOutdated") };
         }
+        const blocked = this.opts.parts.getBlockedPart(req);
+        if (blocked !== undefined) {
+            return { kind: "end", end: this.failRequest("partQuarantined", blocked.retryAfterS) };
+        }
         const state = this.opts.selector.select(req, route, service, this.tried);
         if (state === undefined) {
             return { kind: "end", end: this.failRequest("noTarget") };
@@ -126,7 +134,7 @@
             case "failed":
                 this.sends += 1;
                 this.mayHaveRun = true;
-                return this.handleFailure(state, outcome.cause);
+                return await this.handleFailure(state, outcome.cause);
             case "answer":
                 this.sends += 1;
                 this.mayHaveRun = true;
@@ -134,16 +142,20 @@
         }
     }
 
-    private handleFailure(state: TargetState, cause: string, hasBegun = false): Step {
+    private async handleFailure(state: TargetState, cause: string): Promise<Step> {
         if (this.request.clock.endReason !== undefined) {
             return { kind: "end", end: this.expireRequest() };
         }
         state.health.recordFailure(performance.now());
         this.logSend(state, "failed", cause);
-        if (!hasBegun) {
+        if (this.stream.eventCount === 0) {
             this.opts.meter.recordEndBeforeAnswer(this.request.admission.service);
+            const mayRepeat = this.opts.parts.recordLoss(this.request.req, state.target);
+            if (!this.canRepeat() || !await mayRepeat) {
+                return { kind: "end", end: this.failRequest("targetFailed") };
+            }
         }
-        if (this.request.isRepeatable && this.canRetry()) {
+        if (this.canRepeat()) {
             return RETRY_STEP;
         }
         return { kind: "end", end: this.failRequest("targetFailed") };
@@ -168,9 +180,7 @@
         firstByteMs: number,
     ): Promise<Step> {
         const { caller, clock } = this.request;
-        const eventsBefore = this.stream.eventCount;
         const result = await this.stream.relay(head, body);
-        const hasBegun = this.stream.eventCount > eventsBefore;
         if (result.kind === "complete") {
             state.health.recordResponse(false, firstByteMs);
             caller.endStream();
@@ -181,7 +191,7 @@
         }
         const cause = result.kind === "cut" ? result.cause : "events out of order";
         if (clock.endReason === undefined && result.kind === "cut") {
-            const step = this.handleFailure(state, cause, hasBegun);
+            const step = await this.handleFailure(state, cause);
             if (step.kind === "again" || !this.stream.isStarted) {
                 return step;
             }
@@ -207,11 +217,14 @@
             }
         }
         catch (err) {
-            return this.handleFailure(state, err instanceof Error ? err.message : String(err));
+            return await this.handleFailure(state, err instanceof Error ? err.message : String(err));
         }
         const isError = head.status >= HTTP_ERROR_FROM;
         state.health.recordResponse(isError, firstByteMs);
-        if (isError && !this.stream.isStarted && this.request.isRepeatable && this.canRetry()) {
+        if (head.status >= HTTP_OK_FROM && head.status < HTTP_OK_BELOW) {
+            this.opts.parts.recordBegun(this.request.req);
+        }
+        if (isError && !this.stream.isStarted && this.canRepeat()) {
             this.logSend(state, "error answer", String(head.status));
             return RETRY_STEP;
         }
@@ -228,9 +241,14 @@
         return this.sends < admission.route.maxAttempts && clock.endReason === undefined;
     }
 
+    private canRepeat(): boolean {
+        return this.request.isRepeatable && this.canRetry();
+    }
+
     /** Ends the request without another target. Only a request that no target ran may be reported as not run. */
     private failRequest(
-        reason: "noTarget" | "overloaded" | "targetFailed" | "viewOutdated",
+        reason: "noTarget" | "overloaded" | "partQuarantined" | "targetFailed" | "viewOutdated",
+        retryAfterS = DEFAULT_RETRY_AFTER_S,
     ): AttemptsResult | RelayRefusal {
         if (this.stream.isStarted) {
             this.request.caller.abortStream();
@@ -239,7 +257,7 @@
         if (this.mayHaveRun) {
             return { reason: "targetFailed" };
         }
-        return { reason: reason === "targetFailed" ? "noTarget" : reason, retryAfterS: DEFAULT_RETRY_AFTER_S };
+        return { reason: reason === "targetFailed" ? "noTarget" : reason, retryAfterS };
     }
 
     private expireRequest(): AttemptsResult | RelayRefusal {
--- a/packages/relay/src/relay-refusal.ts
+++ b/packages/relay/src/relay-refusal.ts
@@ -4,6 +4,7 @@
     | "viewOutdated"
     | "overloaded"
     | "noTarget"
+    | "partQuarantined"
     | "budgetUnavailable"
     | "timedOutUnsent"
     | "noSuchRoute"
@@ -27,6 +28,7 @@
     viewOutdated: 503,
     overloaded: 503,
     noTarget: 503,
+    partQuarantined: 503,
     budgetUnavailable: 503,
     timedOutUnsent: 503,
     noSuchRoute: 404,
--- a/packages/relay/src/relay.test.ts
+++ b/packages/relay/src/relay.test.ts
@@ -9,6 +9,7 @@
 import { createRequest } from "./fixtures/plain-protocol.js";
 import { AffinityPlacement } from "./policy/affinity-placement.js";
 import { RetryAllowance } from "./policy/retry-allowance.js";
+import { type BlockedPart, OpenPartGate, PartGate } from "./quarantine/part-gate.js";
 import type { RelayRequest } from "./relay-request.js";
 import { Relay } from "./relay.js";
 import { TargetDirectory } from "./targets/target-directory.js";
@@ -58,6 +59,7 @@
     disconnectsAfterMs?: number | "before",
     overloadedForS?: number,
     viewIsOutdated = false,
+    parts: PartGate = new OpenPartGate(),
 ) => {
     const documents = new DocumentHolder();
     const teams = [{ name: "team-1", keys: ["key-1"], priority: undefined, prepaidTokens: 1_000 }];
@@ -92,6 +94,7 @@
         getRetries: () => allowance,
         overload: { getRefusal: () => overloadedForS },
         freshness: view,
+        parts,
         log,
         meter: {
             recordEnd: () => undefined,
@@ -318,3 +321,81 @@
     t.like(cut.lines[0], { event: "send without answer", parts: "a b", events: 1 });
     t.deepEqual(cut.endsBeforeAnswer, []);
 });
+
+class RecordingPartGate extends PartGate {
+    readonly calls: string[] = [];
+
+    constructor(private readonly mayRepeat: boolean, private blocked?: BlockedPart) {
+        super();
+    }
+
+    override getBlockedPart(): BlockedPart | undefined {
+        return this.blocked;
+    }
+
+    override recordBegun(): void {
+        this.calls.push("begun");
+    }
+
+    override recordLoss(): Promise<boolean> {
+        this.calls.push("lost");
+        return Promise.resolve(this.mayRepeat);
+    }
+
+    /** Blocks a part from now on. */
+    block(blocked: BlockedPart): void {
+        this.blocked = blocked;
+    }
+}
+
+const serveThrough = (parts: PartGate, outcomes: readonly Outcome[], route: Partial<RelayRoute> = {}) =>
+    serve(
+        outcomes,
+        { kind: "streaming", isResumable: true, ...route },
+        GENERATION,
+        undefined,
+        undefined,
+        undefined,
+        false,
+        parts,
+    );
+
+test("a request with a quarantined part is refused as not run, and never sent", async t => {
+    const parts = new RecordingPartGate(true, { part: "a", retryAfterS: 40 });
+    const { caller, port, lines } = await serveThrough(parts, [respond(["id: 1\n\n"])]);
+    t.deepEqual(caller.refusal, { reason: "partQuarantined", retryAfterS: 40 });
+    t.is(port.calls.length, 0);
+    t.like(lines.at(-1), { event: "request refused", reason: "partQuarantined", part: "a" });
+});
+
+test("a request whose part is quarantined after its first send is not sent again", async t => {
+    const parts = new RecordingPartGate(true);
+    const blocking: Outcome = () => {
+        parts.block({ part: "a", retryAfterS: 40 });
+        return { kind: "not_run", reason: "full" };
+    };
+    const { caller, port } = await serveThrough(parts, [blocking, respond(["id: 1\n\n"])]);
+    t.is(port.calls.length, 1);
+    t.deepEqual(caller.refusal, { reason: "partQuarantined", retryAfterS: 40 });
+});
+
+test("a request that was lost in a crash like others with its parts is not sent to a second target", async t => {
+    const parts = new RecordingPartGate(false);
+    const { caller, port } = await serveThrough(parts, [respond([], true), respond(["id: 1\n\n"])]);
+    t.is(port.calls.length, 1);
+    t.is(caller.refusal?.reason, "targetFailed");
+    t.deepEqual(parts.calls, ["lost"]);
+});
+
+test("a stream that breaks after its first event proves its parts sound", async t => {
+    const parts = new RecordingPartGate(false);
+    const { caller } = await serveThrough(parts, [respond(["id: 1\n\n"], true), respond(["id: 2\n\n"])]);
+    t.is(caller.ended, "complete");
+    t.deepEqual(parts.calls, ["begun"]);
+});
+
+test("an error answer of a target neither proves nor accuses the parts of its request", async t => {
+    const parts = new RecordingPartGate(true);
+    await serveThrough(parts, [respond(["error"], false, 500)], { maxAttempts: 1 });
+    t.deepEqual(parts.calls, []);
+});
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -4,6 +4,7 @@
 import type { DocumentHolder } from "./document/document-holder.js";
 import type { OverloadGuard } from "./policy/overload-guard.js";
 import type { RetryAllowance } from "./policy/retry-allowance.js";
+import type { PartGate } from "./quarantine/part-gate.js";
 import { type AttemptsResult, RelayAttempts } from "./relay-attempts.js";
 import type { LogFields, RelayLog } from "./relay-log.js";
 import type { RefusalReason, RelayRefusal } from "./relay-refusal.js";
@@ -34,6 +35,8 @@
     readonly overload: Pick<OverloadGuard, "getRefusal">;
     /** Tells whether the desired state and the targets known here may be too old to decide by. */
     readonly freshness: Pick<ViewFreshness, "isOutdated" | "ageMs">;
+    /** Keeps requests with a prompt part that crashes targets away from them. */
+    readonly parts: PartGate;
     readonly log: RelayLog;
     readonly meter: RelayMeter;
     /** Returns a random number in [0, 1). */
@@ -98,6 +101,12 @@
             return;
         }
         const { route, service, team = "", priority } = admission;
+        const blocked = this.opts.parts.getBlockedPart(req);
+        if (blocked !== undefined) {
+            const { part, retryAfterS } = blocked;
+            this.refuse(req, caller, service, { reason: "partQuarantined", retryAfterS }, { team, part });
+            return;
+        }
         this.opts.getRetries(service).recordRequest();
         const waitsMs = Math.min(route.timeoutMs, req.waitsMs ?? route.timeoutMs);
         const clock = new RequestClock(req.arrivedAtMs + waitsMs, caller.disconnectSignal);
--- a/packages/relay/src/stream/stream-relay.ts
+++ b/packages/relay/src/stream/stream-relay.ts
@@ -9,6 +9,15 @@
     /** The events do not continue after the earlier ones. */
     | { readonly kind: "out_of_order"; };
 
+/** Options of {@link StreamRelay}. */
+export interface StreamRelayOptions {
+    readonly caller: CallerExchange;
+    /** Id of the last event that the caller has already; undefined where it has none. */
+    readonly afterEvent: number | undefined;
+    /** Called when the first event has arrived. */
+    readonly onFirstEvent: () => void;
+}
+
 /** Relays the events of one request's stream to its caller, from one target or from several in sequence. */
 export class StreamRelay {
     private started = false;
@@ -16,8 +25,8 @@
     private lastId: number | undefined;
     private events = 0;
 
-    constructor(private readonly caller: CallerExchange, afterEvent: number | undefined) {
-        this.lastId = afterEvent;
+    constructor(private readonly opts: StreamRelayOptions) {
+        this.lastId = opts.afterEvent;
     }
 
     /** Whether the head was sent to the caller. */
@@ -47,9 +56,12 @@
                 if (!this.acceptIds(ids)) {
                     return { kind: "out_of_order" };
                 }
+                if (this.events === 0) {
+                    this.opts.onFirstEvent();
+                }
                 this.events += count;
                 this.start(head);
-                this.caller.sendEvents(bytes);
+                this.opts.caller.sendEvents(bytes);
             }
         }
         catch (err) {
@@ -69,7 +81,7 @@
         if (!this.started) {
             this.started = true;
             this.isFramed = head.isFramed;
-            this.caller.startStream(head);
+            this.opts.caller.startStream(head);
         }
     }
 
--- a/packages/types/src/peer-requests.ts
+++ b/packages/types/src/peer-requests.ts
@@ -199,6 +199,40 @@
     readonly heldMs?: number;
 };
 
+/** A prompt part of a request that was lost in a crash of its target, before its answer began. */
+export interface PartAccusation {
+    readonly part: string;
+    /** Names one start of one target. */
+    readonly crash: string;
+    /** Time since the crash, in milliseconds. */
+    readonly msAgo: number;
+    /** Other parts of the prompt that other requests may have too. */
+    readonly others: readonly string[];
+    /** Number of such parts that follow this one in the prompt. */
+    readonly followers: number;
+}
+
+/** A prompt part for which an answer has begun. */
+export interface AnsweredPart {
+    readonly part: string;
+    /** Time since the last answer began, in milliseconds. */
+    readonly msAgo: number;
+}
+
+/** Quarantine of a prompt part that crashes targets, or its end. */
+export interface PartDecision {
+    readonly part: string;
+    readonly isCleared: boolean;
+    /** Time since the decision, in milliseconds. */
+    readonly msAgo: number;
+    /** Remaining time of the quarantine, in milliseconds; not above 0 where it has ended. */
+    readonly leftMs: number;
+    /** Number of quarantines of the part in sequence. */
+    readonly strikes: number;
+    /** Time since the first crash that the decision is based on, in milliseconds. */
+    readonly sinceMsAgo: number;
+}
+
 /** Requests between instances by kind, with the types of request and response. */
 export interface PeerRequests {
     readonly "copy.open": { readonly req: CopyOpenRequest; readonly res: CopyResponse; };
@@ -239,6 +273,26 @@
         readonly req: { readonly targets: readonly string[]; };
         readonly res: Record<string, never>;
     };
+    /** Reports accusations to a collector; the response has the number of crashes that speak against each part. */
+    readonly "parts.accuse": {
+        readonly req: { readonly accusations: readonly PartAccusation[]; };
+        readonly res: { readonly crashes: readonly number[]; };
+    };
+    /** Asks for which of the parts an answer has begun. */
+    readonly "parts.answered": {
+        readonly req: { readonly parts: readonly string[]; };
+        readonly res: { readonly answered: readonly AnsweredPart[]; };
+    };
+    /** Announces decisions; the response has the parts for which an answer has begun since the first crash. */
+    readonly "parts.decide": {
+        readonly req: { readonly decisions: readonly PartDecision[]; };
+        readonly res: { readonly answered: readonly AnsweredPart[]; };
+    };
+    /** Asks for all decisions in force. */
+    readonly "parts.list": {
+        readonly req: Record<string, never>;
+        readonly res: { readonly decisions: readonly PartDecision[]; };
+    };
 }
 
 /** Kinds of requests between instances. */
