Let instances that start later know quarantined prompt parts

An instance that started, or was out of reach while a part was quarantined, sent requests with the part to targets again until it saw the crashes itself. Peers now announce their quarantines to an instance that joins, and each decision is kept in the KV service, read once at the start, so that it outlives all instances.

--- a/packages/relay/src/instance/relay-instance.ts
+++ b/packages/relay/src/instance/relay-instance.ts
@@ -11,6 +11,7 @@
 import { OverloadGuard } from "../policy/overload-guard.js";
 import { sampleInstances } from "../policy/sample-instances.js";
 import { ConnectCrashCheck } from "../quarantine/connect-crash-check.js";
+import { DecisionStore } from "../quarantine/decision-store.js";
 import { PartQuarantine } from "../quarantine/part-quarantine.js";
 import { Relay } from "../relay.js";
 import { TargetDirectory } from "../targets/target-directory.js";
@@ -70,6 +71,7 @@
     private readonly relay: Relay;
     private readonly budgets: FleetBudgets;
     private readonly parts: PartQuarantine;
+    private readonly decisions: DecisionStore;
     /** Resolves once requests are accepted. */
     readonly ready: Promise<void>;
     private resolveReady: () => void = () => undefined;
@@ -106,11 +108,13 @@
             getPrepaid: team => this.documents.current()?.findTeam(team)?.prepaidTokens ?? 0,
             log: (event, fields) => this.log.write(event, fields),
         });
+        this.decisions = new DecisionStore({ kv: this.kv, log: this.log });
         this.parts = new PartQuarantine({
             hub,
             crashes: new ConnectCrashCheck(),
             log: this.log,
             count: name => this.metrics.add(name),
+            onDecision: decision => void this.decisions.save(decision),
         });
         this.relay = new Relay({
             documents: this.documents,
@@ -244,6 +248,7 @@
         this.follower.start();
         this.budgets.serve();
         this.parts.serve();
+        void this.decisions.load().then(decisions => this.parts.receive(decisions, "kv"));
         hub.setPeerAddresses(cfg.seeds.map(parseAddress));
         await Promise.all([this.callerPort, ...this.statusPorts].map(port => port.start()));
         log.write("instance started", { instance: cfg.instance, incarnation: hub.self().incarnation });
--- a/packages/relay/src/quarantine/part-quarantine.ts
+++ b/packages/relay/src/quarantine/part-quarantine.ts
@@ -1,5 +1,5 @@
 import type { PeerHub } from "@ospreyreel/peer";
-import type { PartAccusation, PartDecision } from "@ospreyreel/types";
+import type { InstanceInfo, PartAccusation, PartDecision } from "@ospreyreel/types";
 import type { RelayLog } from "../relay-log.js";
 import { getSharedParts, type RelayRequest } from "../relay-request.js";
 import type { Target } from "../targets/target.js";
@@ -57,6 +57,9 @@
 /** Maximum number of remembered reports. */
 const MAX_REPORTS = 2_048;
 
+/** Largest number of peers that all inform an instance that joins; in a larger fleet two of them do. */
+const MAX_INFORMING_PEERS = 16;
+
 const MS_PER_S = 1_000;
 
 const getCrashKey = ({ id, startedAtMs }: Target): string => `${id}@${startedAtMs ?? ""}`;
@@ -103,7 +106,11 @@
             "parts.decide",
             ({ decisions }, from) => Promise.resolve({ answered: this.receive(decisions, from.instance) }),
         );
-        hub.handle("parts.list", () => Promise.resolve({ decisions: this.book.listActive() }));
+        void hub.changes().observe(({ kind, info }) => {
+            if (kind === "joined") {
+                void this.informPeer(info);
+            }
+        });
     }
 
     /** Current state, for the state dump. */
@@ -171,6 +178,27 @@
         return active.length === 0 && crashes.every(count => count <= 1);
     }
 
+    /** Announces all decisions to an instance that has started or was out of reach. */
+    private async informPeer({ incarnation, instance }: InstanceInfo): Promise<void> {
+        const { hub } = this.opts;
+        const decisions = this.book.listActive();
+        const isSmallFleet = hub.peers().length <= MAX_INFORMING_PEERS;
+        const self = hub.self().instance;
+        if (
+            decisions.length === 0
+            || !(isSmallFleet || this.collectors.choose(instance).some(peer => peer.instance === self))
+        ) {
+            return;
+        }
+        try {
+            const { answered } = await hub.request(incarnation, "parts.decide", { decisions }, REPORT_TIMEOUT_MS);
+            answered.forEach(({ part }) => this.clear(part, "answer"));
+        }
+        catch (err) {
+            this.opts.log.write("peer not notified", { peer: instance, cause: String(err) });
+        }
+    }
+
     /** Reports an accusation to its collectors, once for each part and crash; returns the number of crashes. */
     private report(accusation: PartAccusation): Promise<number> {
         const key = `${accusation.part} ${accusation.crash}`;
--- a/packages/types/src/peer-requests.ts
+++ b/packages/types/src/peer-requests.ts
@@ -288,11 +288,6 @@
         readonly req: { readonly decisions: readonly PartDecision[]; };
         readonly res: { readonly answered: readonly AnsweredPart[]; };
     };
-    /** Asks for all decisions in force. */
-    readonly "parts.list": {
-        readonly req: Record<string, never>;
-        readonly res: { readonly decisions: readonly PartDecision[]; };
-    };
 }
 
 /** Kinds of requests between instances. */
