--- a/packages/bench/src/platform/deadly-part.test.ts
+++ b/packages/bench/src/platform/deadly-part.test.ts
@@ -66,3 +66,38 @@
     const served = later.filter(call => call.answer.status === 200);
     t.true(served.length >= later.length / 2, `${served.length} of ${later.length} sound requests served`);
 });
+
+test.serial("a quarantined part is not sent to targets after all instances were killed and started again", async t => {
+    const fleet = await PlatformFleet.start({
+        count: 2,
+        modelCount: 4,
+        models: { deadlyPart: DEADLY_PART, stepMs: 20 },
+    });
+    t.teardown(() => fleet.close());
+    const askDeadly = async (index: number): Promise<CallerAnswer | undefined> => {
+        const instance = fleet.instances[index % fleet.instances.length];
+        const headers = { "prompt-prefix": `${SHARED_PART}:20,${DEADLY_PART}:20,e${index}:20` };
+        return instance === undefined ? undefined : await fleet.ask(instance, 60, headers);
+    };
+    await sendEvery(fleet, DEADLY_INTERVAL_MS, performance.now() + LEARNT_WITHIN_MS, index => [
+        SHARED_PART,
+        DEADLY_PART,
+        `d${index}`,
+    ]);
+    t.is((await askDeadly(0))?.status, 503);
+    fleet.instances.forEach(instance => instance.process.kill("SIGKILL"));
+    await Promise.all(fleet.instances.map(instance => fleet.restart(instance)));
+    const before = fleet.ran.length;
+    await sleep(1_000);
+    for (let index = 1; index <= 6; index++) {
+        const answer = await askDeadly(index);
+        t.is(answer?.status, 503);
+        t.true((answer?.retryAfterS ?? 0) > 10);
+    }
+    t.is(fleet.ran.length, before);
+    const [first] = fleet.instances;
+    const sound = first === undefined
+        ? undefined
+        : await fleet.ask(first, 60, { "prompt-prefix": `${SHARED_PART}:20,c:20` });
+    t.is(sound?.status, 200);
+});
