--- a/packages/relay/src/quarantine/accusation-table.ts
+++ b/packages/relay/src/quarantine/accusation-table.ts
@@ -30,6 +30,9 @@
 /** Maximum number of crashes that are kept for one part. */
 const MAX_CRASHES_PER_PART = 16;
 
+/** Maximum number of other parts that are kept for one crash. */
+const MAX_OTHERS = 128;
+
 /** Time for which a crash counts against a part, in milliseconds. */
 const CRASH_TTL_MS = 600_000;
 
@@ -51,7 +54,7 @@
         const same = known.find(({ crash }) => crash === added.crash);
         const merged = same === undefined ? added : {
             ...same,
-            others: [...new Set([...same.others, ...added.others])],
+            others: [...new Set([...same.others, ...added.others])].slice(0, MAX_OTHERS),
             followers: Math.min(same.followers, added.followers),
         };
         const rest = known.filter(crash => crash !== same && added.atMs - crash.atMs < CRASH_TTL_MS);
--- a/packages/relay/src/relay-request.ts
+++ b/packages/relay/src/relay-request.ts
@@ -34,7 +34,10 @@
     readonly lastEventId: number | undefined;
 }
 
+/** Maximum number of prompt parts of one request that are watched; limits what a long prompt header costs. */
+const MAX_SHARED_PARTS = 64;
+
 /** Ids of the prompt parts that other requests may have too: all but the last one, each once. */
 export const getSharedParts = ({ generation }: Pick<RelayRequest, "generation">): readonly string[] => [
-    ...new Set(generation?.parts.slice(0, -1).map(part => part.id)),
+    ...new Set(generation?.parts.slice(0, -1).slice(0, MAX_SHARED_PARTS).map(part => part.id)),
 ];
