Treat an unframed stream without events as lost

A target that crashes when it begins an unframed answer ends its connection after the head. The stream was relayed as complete without any event, and the crash did not count as a lost request. Such an end cannot be told from a cut, so the request is now lost before its answer began. The test failed before (one send and an empty stream).

--- a/packages/relay/src/relay.test.ts
+++ b/packages/relay/src/relay.test.ts
@@ -399,3 +399,12 @@
     await serveThrough(parts, [respond(["error"], false, 500)], { maxAttempts: 1 });
     t.deepEqual(parts.calls, []);
 });
+
+test("a stream without a length that ends before its first event is lost, not complete", async t => {
+    const parts = new RecordingPartGate(true);
+    const ended: Outcome = () => ({ kind: "answer", head: { ...HEAD, isFramed: false }, body: createBody([]) });
+    const { caller, port } = await serveThrough(parts, [ended, respond(["id: 1\n\n"])]);
+    t.is(port.calls.length, 2);
+    t.is(caller.events, "id: 1\n\n");
+    t.deepEqual(parts.calls, ["lost", "begun"]);
+});
--- a/packages/relay/src/stream/stream-relay.ts
+++ b/packages/relay/src/stream/stream-relay.ts
@@ -47,6 +47,7 @@
     /** Relays events as they arrive; the head is sent with the first one. */
     async relay(head: ResponseHead, body: AsyncIterable<Buffer>): Promise<StreamRelayResult> {
         const splitter = new EventSplitter();
+        const eventsBefore = this.events;
         try {
             for await (const chunk of body) {
                 const { bytes, count, ids } = splitter.push(chunk);
@@ -70,6 +71,9 @@
         if (splitter.pendingBytes > 0) {
             return { kind: "cut", cause: "the stream ends within an event" };
         }
+        if (!head.isFramed && this.events === eventsBefore) {
+            return { kind: "cut", cause: "the connection ended before the first event" };
+        }
         if (this.started && this.isFramed && !head.isFramed) {
             return { kind: "cut", cause: "the end of an unframed stream cannot be distinguished from a cut" };
         }
