Drop an unwritten quarantine once its part was cleared

While the KV service is unavailable both writes are repeated, and the older one could come last: instances that started later refused sound requests.

--- a/packages/relay/src/quarantine/decision-store.test.ts
+++ b/packages/relay/src/quarantine/decision-store.test.ts
@@ -13,11 +13,11 @@
     sinceMsAgo: 500,
 };
 
-const createStore = (startUnixMs = 1_000_000) => {
+const createStore = (startUnixMs = 1_000_000, wait: () => Promise<void> = () => Promise.resolve()) => {
     const kv = new MemoryKv();
     const log = new MemoryLog();
     const clock = { unixMs: startUnixMs };
-    const store = new DecisionStore({ kv, log, unixMs: () => clock.unixMs, wait: () => Promise.resolve() });
+    const store = new DecisionStore({ kv, log, unixMs: () => clock.unixMs, wait });
     return { kv, log, clock, store };
 };
 
@@ -61,3 +61,17 @@
     await store.save(decision);
     t.like(log.lines.at(-1), { event: "quarantine not written" });
 });
+
+test("a quarantine that could not be written is not written after the part was cleared", async t => {
+    let isFirstWait = true;
+    const { kv, store } = createStore(undefined, async () => {
+        if (isFirstWait) {
+            isFirstWait = false;
+            kv.pickOutcome = () => "ok";
+            await store.save({ ...decision, isCleared: true });
+        }
+    });
+    kv.pickOutcome = () => "refused";
+    await store.save(decision);
+    t.deepEqual(await store.load(), []);
+});
--- a/packages/relay/src/quarantine/decision-store.ts
+++ b/packages/relay/src/quarantine/decision-store.ts
@@ -2,6 +2,7 @@
 import type { PartDecision } from "@ospreyreel/types";
 import { setTimeout as sleep } from "node:timers/promises";
 import type { RelayLog } from "../relay-log.js";
+import { BoundedMap } from "./bounded-map.js";
 
 /** Options of {@link DecisionStore}. */
 export interface DecisionStoreOptions {
@@ -50,6 +51,7 @@
 
 /** Keeps quarantines in the KV service, for instances that start while no other one runs. */
 export class DecisionStore {
+    private readonly latest = new BoundedMap<PartDecision>(MAX_ENTRIES);
     private readonly unixMs: () => number;
     private readonly wait: (ms: number) => Promise<void>;
 
@@ -58,11 +60,19 @@
         this.wait = opts.wait ?? (ms => sleep(ms, undefined, { ref: false }));
     }
 
-    /** Writes a decision, or removes the entry of a part that was cleared. Does not throw. */
-    async save({ part, isCleared, leftMs, strikes }: PartDecision): Promise<void> {
+    /**
+     * Writes a decision, or removes the entry of a part that was cleared; a later decision replaces one that is not
+     * written yet. Does not throw.
+     */
+    async save(decision: PartDecision): Promise<void> {
+        const { part, isCleared, leftMs, strikes } = decision;
+        this.latest.set(part, decision);
         const key = PREFIX + part;
         const stored: StoredQuarantine = { leftMs, endsAtMs: this.unixMs() + leftMs, strikes };
         await this.repeat("quarantine not written", async () => {
+            if (this.latest.get(part) !== decision) {
+                return;
+            }
             const change = isCleared
                 ? { deletes: [{ key }] }
                 : { puts: [{ key, value: Buffer.from(JSON.stringify(stored)) }] };
