--- a/packages/bench/src/platform/deadly-part.test.ts
+++ b/packages/bench/src/platform/deadly-part.test.ts
@@ -59,7 +59,7 @@
     const crashes = fleet.models.flatMap(model => model.crashedAtMs).toSorted((a, b) => a - b);
     const fifthAtMs = crashes[CRASHES_TO_LEARN - 1];
     const fromMs = fifthAtMs === undefined ? startedAtMs + LEARNT_WITHIN_MS : fifthAtMs + CONTACT_MS;
-    t.log(`${crashes.length} crashes, the fifth after ${Math.round((fifthAtMs ?? 0) - startedAtMs)} ms`);
+    t.log(`crashes after ${crashes.map(atMs => Math.round(atMs - startedAtMs)).join(", ")} ms`);
     const laterSends = fleet.ran.filter(({ parts, atMs }) => parts.includes(DEADLY_PART) && atMs > fromMs);
     t.true(laterSends.length <= MAX_LATER_SENDS, `${laterSends.length} later sends`);
     const later = sound.filter(call => call.startedAtMs > fromMs);
