--- a/packages/relay/src/relay-attempts.ts
+++ b/packages/relay/src/relay-attempts.ts
@@ -1,4 +1,5 @@
 import type { ResponseHead } from "./caller-exchange.js";
+import type { LogFields } from "./relay-log.js";
 import type { RelayRefusal } from "./relay-refusal.js";
 import { getSharedParts } from "./relay-request.js";
 import type { AdmittedRequest, RelayOptions } from "./relay.js";
@@ -40,6 +41,7 @@
     private lastTarget = "";
     private failedConnects = 0;
     private mayHaveRun = false;
+    private blockedPart: string | undefined;
 
     constructor(private readonly opts: RelayOptions, private readonly request: AdmittedRequest) {
         this.stream = new StreamRelay({
@@ -50,8 +52,13 @@
     }
 
     /** Summary of the sends for the request's log line. */
-    get trace(): { readonly target: string; readonly sends: number; readonly events: number; } {
-        return { target: this.lastTarget, sends: this.sends, events: this.stream.eventCount };
+    get trace(): LogFields {
+        return {
+            target: this.lastTarget,
+            sends: this.sends,
+            events: this.stream.eventCount,
+            ...(this.blockedPart === undefined ? {} : { part: this.blockedPart }),
+        };
     }
 
     /** Sends the request until it gets a response or may not be sent again. */
@@ -80,6 +87,7 @@
         }
         const blocked = this.opts.parts.getBlockedPart(req);
         if (blocked !== undefined) {
+            this.blockedPart = blocked.part;
             return { kind: "end", end: this.failRequest("partQuarantined", blocked.retryAfterS) };
         }
         const state = this.opts.selector.select(req, route, service, this.tried);
@@ -148,19 +156,22 @@
         }
         state.health.recordFailure(performance.now());
         this.logSend(state, "failed", cause);
-        if (this.stream.eventCount === 0) {
-            this.opts.meter.recordEndBeforeAnswer(this.request.admission.service);
-            const mayRepeat = this.opts.parts.recordLoss(this.request.req, state.target);
-            if (!this.canRepeat() || !await mayRepeat) {
-                return { kind: "end", end: this.failRequest("targetFailed") };
-            }
-        }
-        if (this.canRepeat()) {
+        const isSafe = this.recordLoss(state);
+        if (this.canRepeat() && await isSafe) {
             return RETRY_STEP;
         }
         return { kind: "end", end: this.failRequest("targetFailed") };
     }
 
+    /** Records a lost send; returns whether another one is unlikely to crash its target. */
+    private async recordLoss(state: TargetState): Promise<boolean> {
+        if (this.stream.eventCount > 0) {
+            return true;
+        }
+        this.opts.meter.recordEndBeforeAnswer(this.request.admission.service);
+        return await this.opts.parts.recordLoss(this.request.req, state.target);
+    }
+
     private async relayResponse(
         state: TargetState,
         head: ResponseHead,
--- a/packages/relay/src/relay.test.ts
+++ b/packages/relay/src/relay.test.ts
@@ -374,9 +374,10 @@
         parts.block({ part: "a", retryAfterS: 40 });
         return { kind: "not_run", reason: "full" };
     };
-    const { caller, port } = await serveThrough(parts, [blocking, respond(["id: 1\n\n"])]);
+    const { caller, port, lines } = await serveThrough(parts, [blocking, respond(["id: 1\n\n"])]);
     t.is(port.calls.length, 1);
     t.deepEqual(caller.refusal, { reason: "partQuarantined", retryAfterS: 40 });
+    t.like(lines.at(-1), { event: "request refused", part: "a", sends: 1 });
 });
 
 test("a request that was lost in a crash like others with its parts is not sent to a second target", async t => {
