--- a/packages/bench/src/platform/graceful-stop.test.ts
+++ b/packages/bench/src/platform/graceful-stop.test.ts
@@ -31,7 +31,7 @@
 const isWhole = ({ answer }: Call): boolean => answer.status === 200 && answer.body.includes(`id: ${MODEL_EVENTS}\n`);
 
 test.serial("a request that arrives late in a stop is not accepted, and none is cut at its end", async t => {
-    const fleet = await PlatformFleet.start({ modelStepMs: MODEL_STEP_MS, stopWithinS: STOP_WITHIN_S });
+    const fleet = await PlatformFleet.start({ models: { stepMs: MODEL_STEP_MS }, stopWithinS: STOP_WITHIN_S });
     t.teardown(() => fleet.close());
     const [instance] = fleet.instances;
     if (instance === undefined) {
@@ -58,7 +58,7 @@
 });
 
 test.serial("a request on a connection that is kept until late in a stop is refused as not run", async t => {
-    const fleet = await PlatformFleet.start({ modelStepMs: LONG_MODEL_STEP_MS, stopWithinS: STOP_WITHIN_S });
+    const fleet = await PlatformFleet.start({ models: { stepMs: LONG_MODEL_STEP_MS }, stopWithinS: STOP_WITHIN_S });
     t.teardown(() => fleet.close());
     const [instance] = fleet.instances;
     if (instance === undefined) {
--- a/packages/bench/src/platform/platform-fleet.ts
+++ b/packages/bench/src/platform/platform-fleet.ts
@@ -1,6 +1,7 @@
 import {
     type FaultProxy,
     PlatformStoreStandIn,
+    type PlatformTargetOptions,
     PlatformTargetStandIn,
     type RunRequest,
     startFaultProxy,
@@ -36,12 +37,15 @@
     readonly prepaid?: number;
     /** Puts a proxy that injects faults between each instance and the store. */
     readonly withStoreProxies?: boolean;
-    /** Time between two events of a model's answer, in milliseconds; 5 by default. */
-    readonly modelStepMs?: number;
     /** Time from SIGTERM to the end of an instance, in seconds; 8 by default. */
     readonly stopWithinS?: number;
+    readonly modelCount?: number;
+    /** How the model targets work. */
+    readonly models?: Pick<PlatformTargetOptions, "stepMs" | "deadlyPart" | "downMs">;
 }
 
+const DEFAULT_MODEL_COUNT = 2;
+
 /** Settings of one instance on the platform. */
 type RelaySettingsJson = Readonly<Record<string, unknown>>;
 
@@ -95,16 +99,25 @@
     private readonly agent = new Agent({ pipelining: 1 });
     private requests = 0;
 
-    private constructor(stepMs: number) {
-        this.models = [1, 2].map(at =>
-            new PlatformTargetStandIn({ id: `model-${at}`, service: "model", events: MODEL_EVENTS, stepMs })
+    private constructor({ modelCount = DEFAULT_MODEL_COUNT, models = {} }: PlatformFleetOptions) {
+        this.models = [...Array(modelCount).keys()].map(at =>
+            new PlatformTargetStandIn({
+                id: `model-${at + 1}`,
+                service: "model",
+                events: MODEL_EVENTS,
+                stepMs: 5,
+                ...models,
+            })
         );
+        this.models.forEach(target => {
+            target.onRestart = () => this.store.put(...target.getEntry());
+        });
     }
 
     /** Starts everything and resolves once all instances take requests. */
     static async start(opts: PlatformFleetOptions = {}): Promise<PlatformFleet> {
-        const { count = 3, prepaid = PREPAID, withStoreProxies = false, modelStepMs = 5, stopWithinS = 8 } = opts;
-        const fleet = new PlatformFleet(modelStepMs);
+        const { count = 3, prepaid = PREPAID, withStoreProxies = false, stopWithinS = 8 } = opts;
+        const fleet = new PlatformFleet(opts);
         const store = await fleet.store.start();
         for (const target of [fleet.plain, ...fleet.models]) {
             await target.start();
