Refuse late requests of a stop with 503 instead of closing the port

What callers saw: requests that ended with a failed connection, which promises nothing, so that callers do not repeat what may run only once.

--- a/packages/relay/src/http/http-caller-port.ts
+++ b/packages/relay/src/http/http-caller-port.ts
@@ -89,15 +89,10 @@
         return this.open;
     }
 
-    /** Accepts no new connections; open ones are still served. */
-    stopListening(): void {
-        stopListening(this.server);
-    }
-
     /** Stops listening, waits up to `flushMs` milliseconds until the last responses are sent, and closes all connections. */
     async close(flushMs: number): Promise<void> {
         this.drain();
-        this.stopListening();
+        stopListening(this.server);
         const endsAtMs = performance.now() + flushMs;
         while (this.open > 0 && performance.now() < endsAtMs) {
             await sleep(FLUSH_POLL_MS);
--- a/packages/relay/src/instance/relay-instance.ts
+++ b/packages/relay/src/instance/relay-instance.ts
@@ -308,8 +308,6 @@
     /** Resolves when no caller may use this instance any more and all requests have ended, or when the window ends. */
     private async waitForRequests({ servesUntilMs, endsAtMs }: StopWindow): Promise<void> {
         await sleep(servesUntilMs - performance.now());
-        // A caller that is refused a connection takes another address at once; one that gets 503 may come back here.
-        this.callerPort.stopListening();
         while (performance.now() < endsAtMs && this.callerPort.openExchanges > 0) {
             await sleep(POLL_INTERVAL_MS);
         }
