Limit the responses that an instance holds in memory

Targets with large responses, or callers that do not read them, could exhaust the memory of an instance (350 MB on the users' platform), whose process is then killed with all its requests.

Cause: a complete response may have 16 MiB, and nothing limited their sum; a response stayed in memory for as long as its caller kept the connection without reading. Class: a limit for each, none for all.

Change: responses being read and not yet taken by their callers, and the incomplete events of streams, count towards 64 MiB. A response may hold at most as much as is still free, so that many large ones never leave nothing for small ones. Beyond that it counts as failed (502, or sent again where allowed). A caller that reads nothing of its complete response for 30 s, as in the product, is disconnected. The gauge `ospreyreel_held_response_bytes` shows the sum.

Evidence: without the limit, 12 callers that do not read 15 MB each make the instance hold 180,000,000 bytes (slow-caller.test); with it less than 64 MiB, and a small response is still served.

Not tested: the 30 s themselves, and the share of incomplete events.

--- a/packages/relay/src/caller-exchange.ts
+++ b/packages/relay/src/caller-exchange.ts
@@ -16,8 +16,8 @@
     /** Aborts when the caller has disconnected. */
     abstract readonly disconnectSignal: AbortSignal;
 
-    /** Sends a complete response of a target. */
-    abstract sendResponse(head: ResponseHead, body: Buffer): void;
+    /** Sends a complete response of a target; resolves when the response is no longer held in memory. */
+    abstract sendResponse(head: ResponseHead, body: Buffer): Promise<void>;
 
     /** Starts a stream with a target's response head. */
     abstract startStream(head: ResponseHead): void;
--- a/packages/relay/src/http/http-caller-exchange.ts
+++ b/packages/relay/src/http/http-caller-exchange.ts
@@ -7,6 +7,9 @@
 /** Maximum time in which a caller can read the rest of an aborted stream, in milliseconds. */
 const ABORT_FLUSH_MS = 1_000;
 
+/** Maximum time in which a caller reads nothing of a complete response, in milliseconds. */
+const STALL_TIMEOUT_MS = 30_000;
+
 /** Options of {@link HttpCallerExchange}. */
 export interface HttpCallerExchangeOptions {
     readonly req: IncomingMessage;
@@ -44,10 +47,17 @@
         return this.disconnect.signal;
     }
 
-    override sendResponse(head: ResponseHead, body: Buffer): void {
+    override sendResponse(head: ResponseHead, body: Buffer): Promise<void> {
+        const { res } = this.opts;
         const framing = head.isFramed ? ["Content-Length", String(body.length)] : this.delimitByClose();
         this.opts.res.writeHead(head.status, [...head.headers.flat(), ...framing, ...this.getCloseHeader()]);
-        this.opts.res.end(body);
+        if (res.destroyed) {
+            return Promise.resolve();
+        }
+        const ended = new Promise<void>(resolve => res.once("close", () => resolve()));
+        res.setTimeout(STALL_TIMEOUT_MS, () => res.destroy());
+        res.end(body);
+        return ended;
     }
 
     override startStream(head: ResponseHead): void {
--- a/packages/relay/src/instance/relay-instance.ts
+++ b/packages/relay/src/instance/relay-instance.ts
@@ -207,6 +207,7 @@
         switch (path) {
             case METRICS_PATH:
                 Object.entries(this.freshness.gauges).forEach(([name, value]) => this.metrics.set(name, value));
+                this.metrics.set("held_response_bytes", this.relay.heldResponseBytes);
                 return { status: 200, body: await this.metrics.getText() };
             case STATE_PATH:
                 return { status: 200, contentType: "application/json", body: JSON.stringify(this.state) };
--- a/packages/relay/src/relay-attempts.ts
+++ b/packages/relay/src/relay-attempts.ts
@@ -36,9 +36,11 @@
     private lastTarget = "";
     private failedConnects = 0;
     private mayHaveRun = false;
+    /** Whether the caller's connection still holds the response. */
+    private isSending = false;
 
     constructor(private readonly opts: RelayOptions, private readonly request: AdmittedRequest) {
-        this.stream = new StreamRelay(request.caller, request.req.lastEventId);
+        this.stream = new StreamRelay(request.caller, request.req.lastEventId, request.held);
     }
 
     /** Summary of the sends for the request's log line. */
@@ -58,6 +60,9 @@
         }
         finally {
             this.request.hold?.settle(this.getUsedTokens());
+            if (!this.isSending) {
+                this.request.held.release();
+            }
         }
     }
 
@@ -191,9 +196,13 @@
         body: AsyncIterable<Buffer>,
         firstByteMs: number,
     ): Promise<Step> {
+        const { caller, held } = this.request;
         const chunks: Buffer[] = [];
+        let bytes = 0;
         try {
             for await (const chunk of body) {
+                bytes += chunk.length;
+                held.resize(bytes);
                 chunks.push(chunk);
             }
         }
@@ -207,10 +216,11 @@
             return RETRY_STEP;
         }
         if (this.stream.isStarted) {
-            this.request.caller.abortStream();
+            caller.abortStream();
             return { kind: "end", end: "broken" };
         }
-        this.request.caller.sendResponse(head, Buffer.concat(chunks));
+        this.isSending = true;
+        void caller.sendResponse(head, Buffer.concat(chunks)).then(() => held.release());
         return { kind: "end", end: "answered" };
     }
 
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -9,6 +9,7 @@
 import type { RefusalReason, RelayRefusal } from "./relay-refusal.js";
 import type { RelayRequest } from "./relay-request.js";
 import { RequestClock } from "./request-clock.js";
+import { type HeldResponse, ResponseMemory } from "./response-memory.js";
 import type { TargetPort } from "./targets/target-port.js";
 import type { TargetSelector } from "./targets/target-selector.js";
 import type { ViewFreshness } from "./watch/view-freshness.js";
@@ -55,11 +56,14 @@
     readonly clock: RequestClock;
     readonly hold: BudgetHold | undefined;
     readonly isRepeatable: boolean;
+    /** What is held in memory of the response. */
+    readonly held: HeldResponse;
 }
 
 /** Sends each request to a target of its route and relays the response, or refuses the request. */
 export class Relay {
     private open = 0;
+    private readonly memory = new ResponseMemory();
 
     constructor(private readonly opts: RelayOptions) {}
 
@@ -68,6 +72,11 @@
         return this.open;
     }
 
+    /** Bytes of all responses that are held in memory. */
+    get heldResponseBytes(): number {
+        return this.memory.heldBytes;
+    }
+
     /** Serves one request; does not throw. */
     async serve(req: RelayRequest, caller: CallerExchange): Promise<void> {
         this.open += 1;
@@ -112,7 +121,15 @@
                 this.refuse(req, caller, service, { reason: "overloaded", retryAfterS }, { team, priority });
                 return;
             }
-            const request = { req, admission, caller, clock, hold: held, isRepeatable: isRepeatable(route) };
+            const request = {
+                req,
+                admission,
+                caller,
+                clock,
+                hold: held,
+                isRepeatable: isRepeatable(route),
+                held: this.memory.open(),
+            };
             const attempts = new RelayAttempts(this.opts, request);
             const result = await attempts.run();
             if (typeof result !== "string") {
--- a/packages/relay/src/stream/stream-relay.ts
+++ b/packages/relay/src/stream/stream-relay.ts
@@ -1,4 +1,5 @@
 import type { CallerExchange, ResponseHead } from "../caller-exchange.js";
+import type { HeldResponse } from "../response-memory.js";
 import { EventSplitter } from "./event-splitter.js";
 
 /** Outcome of relaying one target's stream. */
@@ -16,7 +17,11 @@
     private lastId: number | undefined;
     private events = 0;
 
-    constructor(private readonly caller: CallerExchange, afterEvent: number | undefined) {
+    constructor(
+        private readonly caller: CallerExchange,
+        afterEvent: number | undefined,
+        private readonly held: HeldResponse,
+    ) {
         this.lastId = afterEvent;
     }
 
@@ -45,6 +50,7 @@
         try {
             for await (const chunk of body) {
                 const { bytes, count, ids } = splitter.push(chunk);
+                this.held.resize(splitter.pendingBytes);
                 if (count === 0) {
                     continue;
                 }
