Charge and judge a stream by its events, not by its comments and blank lines

Callers were charged output tokens for comments that only keep a stream open, and a complete stream with one more blank line after its last event was taken for broken: aborted, or sent to another target.

Cause: every blank line ended an event, and any byte after the last one was an incomplete event. Class: a protocol's filler taken for content.

Change: blocks without a field are relayed but not counted; a rest of line ends only is relayed and is no incomplete event.

--- a/packages/relay/src/http/unframed-response.test.ts
+++ b/packages/relay/src/http/unframed-response.test.ts
@@ -221,3 +221,10 @@
     const { text } = await readUntilEnd(await openCaller(path.callerPort, requests));
     t.regex(text, /one[^]*two[^]*three$/);
 });
+
+test("blank lines after the last event do not make a stream broken", async t => {
+    const path = await start(t, [chunked("id: 1\n\n", "\n")], STREAM);
+    const { text } = await requestOnce(path.callerPort);
+    t.true(text.endsWith("0\r\n\r\n"));
+    t.is(text.split("\r\n\r\n").at(1)?.includes("id: 1\n\n"), true);
+});
--- a/packages/relay/src/relay.test.ts
+++ b/packages/relay/src/relay.test.ts
@@ -221,6 +221,12 @@
     t.deepEqual(gate.settled, [110]);
 });
 
+test("a budget is not charged for comments of a stream", async t => {
+    const gate = new RecordingGate();
+    await serve([respond([": ping\n\n", "id: 1\n\n: ping\n\n"])], { kind: "streaming" }, GENERATION, gate);
+    t.deepEqual(gate.settled, [105]);
+});
+
 test("a prompt is charged once if its stream was resumed", async t => {
     const gate = new RecordingGate();
     const outcomes = [respond(["id: 1\n\n"], true), respond(["id: 2\n\n"])];
--- a/packages/relay/src/stream/event-splitter.test.ts
+++ b/packages/relay/src/stream/event-splitter.test.ts
@@ -46,3 +46,25 @@
     splitter.push(Buffer.alloc(MAX_EVENT_BYTES, "x"));
     t.throws(() => splitter.push(Buffer.from("x")), { message: /exceeds/ });
 });
+
+test("comments and blank lines are returned, but not counted as events", t => {
+    const splitter = new EventSplitter();
+    const text = ": ping\n\n\n\nid: 1\n: comment\ndata: a\n\n: ping\r\n\r\n";
+    const split = splitter.push(Buffer.from(text));
+    t.is(split.bytes.toString(), text);
+    t.is(split.count, 1);
+    t.deepEqual(split.ids, [1]);
+});
+
+test("a stream may end after blank lines, but not within a comment or an event", t => {
+    const finish = (text: string): string | undefined => {
+        const splitter = new EventSplitter();
+        splitter.push(Buffer.from(text));
+        return splitter.finish()?.toString();
+    };
+    t.is(finish("id: 1\n\n"), "");
+    t.is(finish("id: 1\n\n\n"), "\n");
+    t.is(finish("id: 1\r\n\r\n\r\n"), "\r\n");
+    t.is(finish("id: 1\n\n: ping"), undefined);
+    t.is(finish("id: 1\n\ndata: a\n"), undefined);
+});
--- a/packages/relay/src/stream/event-splitter.ts
+++ b/packages/relay/src/stream/event-splitter.ts
@@ -3,9 +3,9 @@
 
 /** Complete events from a stream of server-sent events. */
 export interface SplitEvents {
-    /** Bytes of the complete events, blank lines included; empty where none is complete. */
+    /** Bytes of the complete events and comments, blank lines included; empty where none is complete. */
     readonly bytes: Buffer;
-    /** Number of events. */
+    /** Number of events, without comments. */
     readonly count: number;
     /** Ids in order; an event without a numeric id is left out. */
     readonly ids: readonly number[];
@@ -24,6 +24,9 @@
     return -1;
 };
 
+/** Whether a block has a field; one of comments and blank lines only keeps a connection alive. */
+const hasField = (block: Buffer): boolean => /^[^:\r\n]/m.test(block.toString("latin1"));
+
 const readId = (event: Buffer): number | undefined => {
     const match = /^id: ?(\d+)\r?$/m.exec(event.toString("latin1"));
     return match === null ? undefined : Number(match[1]);
@@ -64,7 +67,7 @@
             if (id !== undefined) {
                 ids.push(id);
             }
-            count += 1;
+            count += hasField(bytes.subarray(start, end)) ? 1 : 0;
             start = end;
         }
         this.remainder = [];
@@ -73,6 +76,12 @@
         return { bytes: bytes.subarray(0, start), count, ids };
     }
 
+    /** Ends the stream and returns its last bytes; undefined if it ends within an event. */
+    finish(): Buffer | undefined {
+        const rest = Buffer.concat(this.remainder);
+        return rest.every(byte => byte === LF || byte === CR) ? rest : undefined;
+    }
+
     private keep(bytes: Buffer): void {
         if (bytes.length > 0) {
             this.remainder.push(bytes);
--- a/packages/relay/src/stream/stream-relay.ts
+++ b/packages/relay/src/stream/stream-relay.ts
@@ -51,7 +51,7 @@
             for await (const chunk of body) {
                 const { bytes, count, ids } = splitter.push(chunk);
                 this.held.resize(splitter.pendingBytes);
-                if (count === 0) {
+                if (bytes.length === 0) {
                     continue;
                 }
                 if (!this.acceptIds(ids)) {
@@ -65,13 +65,17 @@
         catch (err) {
             return { kind: "cut", cause: err instanceof Error ? err.message : String(err) };
         }
-        if (splitter.pendingBytes > 0) {
+        const rest = splitter.finish();
+        if (rest === undefined) {
             return { kind: "cut", cause: "the stream ends within an event" };
         }
         if (this.started && this.isFramed && !head.isFramed) {
             return { kind: "cut", cause: "the end of an unframed stream cannot be distinguished from a cut" };
         }
         this.start(head);
+        if (rest.length > 0) {
+            await this.caller.sendEvents(rest, signal);
+        }
         return { kind: "complete" };
     }
 
