Report a copy of a request also while its key is looked up

Cause: an instance that searches for a key reports `pending` to others that ask it, and did so even where it holds the copy of the running request. While the first instance does not answer, of two instances that search at the same time the one without the copy learns nothing but `pending` from the other. Where its incarnation sorts first it runs the request, and the other one, which knows the copy, refuses with `in_progress_elsewhere`. The fault is of one state that hides a more informative one.

Change: a key that waits for its lookups is reported as sealed, copied or billed where the ledger knows it, and as pending otherwise.

What remains: where the copy holder does not answer either, nobody knows of the run, and an idempotent request runs again.

--- a/packages/router/src/request-coordinator.ts
+++ b/packages/router/src/request-coordinator.ts
@@ -75,7 +75,7 @@
     getKeyStatus(req: KeyLookupRequest): KeyStatus {
         const { registry, ledger } = this.opts;
         const state = registry.getState(req.team, req.requestKey);
-        if (state !== "none") {
+        if (state === "running" || state === "finished") {
             return { state };
         }
         if (ledger.findSealed(req.budget, req.team, req.requestKey) !== undefined) {
@@ -85,7 +85,7 @@
         if (copied !== undefined) {
             return { state: "copied", holder: copied.copy.holder };
         }
-        return { state: ledger.findBilled(req.budget, req.team, req.requestKey) === undefined ? "none" : "billed" };
+        return { state: ledger.findBilled(req.budget, req.team, req.requestKey) === undefined ? state : "billed" };
     }
 
     private getContext(call: CallerRequest): RequestContext {
