Wait for a budget whose owner or claim is late instead of refusing

What callers saw: 503 with `budgetUnavailable` on a busy machine, with targets and tokens free.

Cause: a draw was given up after 100 ms for a claim and 250 ms for the owner's response, and an owner that missed one draw was not asked again for 400 ms; every request that waited was refused, however much of its own time was left and though the claim went on.

Evidence: the test now shows the bodies of the refusals and, with ROARR_LOG=true, the instances' logs.

Change: the requests that wait for a budget repeat the draw while the KV service responds, up to a second for the oldest of them. Once one has waited in vain, all are refused, and further ones wait for one draw only, until a draw is answered.

--- a/packages/bench/src/platform/platform-fleet.test.ts
+++ b/packages/bench/src/platform/platform-fleet.test.ts
@@ -66,7 +66,9 @@
         const instance = fleet.instances[at % fleet.instances.length];
         answers.push(instance === undefined ? undefined : await fleet.ask(instance, 470));
     }
-    t.deepEqual(answers.map(answer => answer?.status), [...Array<number>(10).fill(200), 402, 402]);
+    const refused = answers.filter(answer => answer?.status !== 200).map(answer => answer?.body);
+    const wanted = [...Array<number>(10).fill(200), 402, 402];
+    t.deepEqual(answers.map(answer => answer?.status), wanted, `${refused.join("\n")}\n${fleet.logTails}`);
     t.is(fleet.models.flatMap(model => model.ran).length, 10);
     fleet.store.put("op/config", createPlatformDocument(3, 5_500));
     const [first] = fleet.instances;
--- a/packages/bench/src/platform/platform-fleet.ts
+++ b/packages/bench/src/platform/platform-fleet.ts
@@ -134,6 +134,11 @@
         return [this.plain, ...this.models].flatMap(target => target.ran);
     }
 
+    /** Ends of what the instances logged; empty unless `ROARR_LOG` is `true`. */
+    get logTails(): string {
+        return this.instances.map(instance => `${instance.name}:\n${instance.process.stdoutTail}`).join("\n");
+    }
+
     /** An id for a request that no other one has. */
     nextId(): string {
         this.requests += 1;
--- a/packages/budgets/src/borrowed-budget.ts
+++ b/packages/budgets/src/borrowed-budget.ts
@@ -1,4 +1,5 @@
 import type { BudgetDrawRequest, BudgetDrawResponse } from "@ospreyreel/types";
+import { setTimeout as sleep } from "node:timers/promises";
 import { UsageMeter } from "./usage-meter.js";
 
 /** Outcome of {@link BorrowedBudget.hold}. */
@@ -8,8 +9,18 @@
 
 const HELD: HoldResult = { kind: "held" };
 
+/** Options of {@link BorrowedBudget}. */
+export interface BorrowedBudgetOptions {
+    readonly name: string;
+    /** Sends a draw to the budget's owner; does not throw. */
+    readonly draw: (req: BudgetDrawRequest) => Promise<BudgetDrawResponse>;
+    /** Whether the KV service responds, so that a missing owner is replaced soon. */
+    readonly isKvAvailable: () => boolean;
+}
+
 interface Waiter {
     readonly tokens: number;
+    readonly arrivedAtMs: number;
     readonly resolve: (result: HoldResult) => void;
 }
 
@@ -26,6 +37,15 @@
 const RETURN_DELAY_MS = 1_000;
 const SCARCE_RETURN_DELAY_MS = 50;
 
+/**
+ * Longest wait of a request for an owner that does not respond, in milliseconds: two draws and the time for which an
+ * owner that did not respond is not tried. Owner and KV service may be late by that much on a busy machine.
+ */
+const MAX_WAIT_MS = 1_000;
+
+/** Time after a draw without a usable response until the next one, in milliseconds. */
+const RETRY_DELAY_MS = 50;
+
 /** One budget at a borrower: its local tokens and the exchanges with the budget's owner. */
 export class BorrowedBudget {
     private readonly meter = new UsageMeter();
@@ -39,12 +59,11 @@
     /** Smallest number of tokens that the owner rejected recently, and until when it is not requested again. */
     private shortage = { tokens: 0, untilMs: 0 };
     private exchanging = false;
+    /** Whether a request waited in vain since the last usable response; further requests do not wait then. */
+    private isUnavailable = false;
     private returnTimer: NodeJS.Timeout | undefined;
 
-    constructor(
-        private readonly name: string,
-        private readonly draw: (req: BudgetDrawRequest) => Promise<BudgetDrawResponse>,
-    ) {}
+    constructor(private readonly opts: BorrowedBudgetOptions) {}
 
     /** Local tokens that no request holds. */
     get freeTokens(): number {
@@ -63,7 +82,7 @@
             return Promise.resolve({ kind: "exhausted" });
         }
         return new Promise(resolve => {
-            this.waiters.push({ tokens, resolve });
+            this.waiters.push({ tokens, arrivedAtMs: performance.now(), resolve });
             this.startExchanges();
         });
     }
@@ -103,6 +122,13 @@
             const response = await this.exchange(Math.max(0, needed + this.retainedTokens), Math.max(0, minimum));
             this.serveWaiters();
             const refusal = getRefusal(response);
+            if (refusal.kind === "unavailable") {
+                if (this.mayWait()) {
+                    await sleep(RETRY_DELAY_MS);
+                    continue;
+                }
+                this.isUnavailable ||= this.longestWaitMs >= MAX_WAIT_MS;
+            }
             const refused = requesting.filter(waiter => this.waiters.includes(waiter));
             if (refusal.kind === "exhausted" && refused.length > 0) {
                 const tokens = Math.min(...refused.map(waiter => waiter.tokens));
@@ -117,11 +143,12 @@
 
     private async exchange(want: number, least: number): Promise<BudgetDrawResponse> {
         this.seq += 1;
-        const { name, seq, epoch, received, returned } = this;
-        const response = await this.draw({ budget: name, seq, epoch, received, returned, want, least });
+        const { seq, epoch, received, returned } = this;
+        const response = await this.opts.draw({ budget: this.opts.name, seq, epoch, received, returned, want, least });
         if (response.kind !== "granted" && response.kind !== "exhausted") {
             return response;
         }
+        this.isUnavailable = false;
         if (response.epoch !== this.epoch) {
             // Tokens left of an earlier epoch count as spent in this one too, so they are returned in this epoch.
             this.epoch = response.epoch;
@@ -136,6 +163,17 @@
         return response;
     }
 
+    /** Time since the oldest waiting request arrived, in milliseconds; 0 where none waits. */
+    private get longestWaitMs(): number {
+        const [oldest] = this.waiters;
+        return oldest === undefined ? 0 : performance.now() - oldest.arrivedAtMs;
+    }
+
+    /** Whether the waiting requests may go on waiting after a draw without a usable response. */
+    private mayWait(): boolean {
+        return !this.isUnavailable && this.opts.isKvAvailable() && this.longestWaitMs < MAX_WAIT_MS;
+    }
+
     private serveWaiters(): void {
         for (const waiter of this.waiters.slice()) {
             if (waiter.tokens <= this.free) {
--- a/packages/budgets/src/fleet-budgets.test.ts
+++ b/packages/budgets/src/fleet-budgets.test.ts
@@ -163,3 +163,42 @@
         t.true(held >= 95_000 - used, `with ${pair.join(" and ")} only ${held} of ${100_000 - used} could be used`);
     }));
 });
+
+test("a request waits for a claim while the KV service responds late", async t => {
+    const fleet = createFleet(1_000);
+    const instances = startAll(fleet, 3);
+    instances.forEach(({ kv }) => kv.pause = () => sleep(100));
+    const held = await Promise.all(instances.map(({ budgets }) => budgets.hold("team", 100)));
+    t.deepEqual(held.map(result => result.kind), ["held", "held", "held"]);
+});
+
+test("a request waits for an owner that responds late for a moment", async t => {
+    const fleet = createFleet(1_000);
+    const instances = startAll(fleet, 3);
+    await instances[0]?.budgets.hold("team", 100);
+    const owner = instances.find(({ budgets }) => budgets.list().length > 0);
+    const other = instances.find(instance => instance !== owner);
+    if (other === undefined) {
+        return t.fail();
+    }
+    other.hub.input.delayMs = 400;
+    const holding = other.budgets.hold("team", 100);
+    await sleep(300);
+    other.hub.input.delayMs = 0;
+    t.is((await holding).kind, "held");
+});
+
+test("once a budget is known to be unavailable, requests are refused without a wait until it is available again", async t => {
+    const fleet = createFleet(1_000);
+    const [only] = startAll(fleet, 1);
+    if (only === undefined) {
+        return t.fail();
+    }
+    only.kv.disconnect();
+    t.is((await only.budgets.hold("team", 100)).kind, "unavailable");
+    const startedAtMs = performance.now();
+    t.is((await only.budgets.hold("team", 100)).kind, "unavailable");
+    t.true(performance.now() - startedAtMs < 300);
+    only.kv.reconnect();
+    t.is((await only.budgets.hold("team", 100)).kind, "held");
+});
--- a/packages/budgets/src/fleet-budgets.ts
+++ b/packages/budgets/src/fleet-budgets.ts
@@ -21,9 +21,11 @@
     private readonly finder: OwnerFinder;
     private readonly borrowed = new Map<string, BorrowedBudget>();
     private readonly hub: PeerHub;
+    private readonly isKvAvailable: () => boolean;
 
     constructor(opts: BudgetOwnerOptions) {
         this.hub = opts.hub;
+        this.isKvAvailable = opts.isKvAvailable;
         this.owner = new BudgetOwner(opts);
         this.finder = new OwnerFinder({ hub: opts.hub, owner: this.owner });
     }
@@ -64,7 +66,11 @@
     }
 
     private getBorrowed(budget: string): BorrowedBudget {
-        const known = this.borrowed.get(budget) ?? new BorrowedBudget(budget, req => this.finder.draw(req));
+        const known = this.borrowed.get(budget) ?? new BorrowedBudget({
+            name: budget,
+            draw: req => this.finder.draw(req),
+            isKvAvailable: this.isKvAvailable,
+        });
         this.borrowed.set(budget, known);
         return known;
     }
--- a/packages/relay/src/relay.test.ts
+++ b/packages/relay/src/relay.test.ts
@@ -24,6 +24,9 @@
 
 type Outcome = (call: TargetCall, directory: TargetDirectory, view: View) => TargetOutcome | Promise<TargetOutcome>;
 
+/** Time that a caller waits in tests of requests whose time ends, in milliseconds. */
+const SHORT_WAIT_MS = 300;
+
 const HEAD = { status: 200, headers: [], isFramed: true };
 
 /** Time after which a stopping instance ends its requests in these tests, in milliseconds. */
@@ -325,6 +328,26 @@
     t.is(caller.refusal?.reason, "budgetExhausted");
 });
 
+/** A gate that decides only after the request's time has ended. */
+class LateGate extends RecordingGate {
+    override async hold(): Promise<BudgetDecision> {
+        await sleep(2 * SHORT_WAIT_MS);
+        return await super.hold();
+    }
+}
+
+test("a request whose time ends while its budget is decided is refused at once, is not sent and costs nothing", async t => {
+    const gate = new LateGate();
+    const startedAtMs = performance.now();
+    const req = { ...GENERATION, arrivedAtMs: startedAtMs, waitsMs: SHORT_WAIT_MS };
+    const { caller, port } = await serve([], {}, req, gate);
+    t.true(performance.now() - startedAtMs < 2 * SHORT_WAIT_MS);
+    t.like(caller.refusal, { reason: "timedOutUnsent" });
+    t.deepEqual(port.calls, []);
+    await sleep(2 * SHORT_WAIT_MS);
+    t.deepEqual(gate.settled, [0]);
+});
+
 test("an exhausted budget and an unavailable budget are refused with different reasons", async t => {
     const exhausted = await serve([full], {}, GENERATION, new RefusingGate({ kind: "exhausted" }));
     t.is(exhausted.caller.refusal?.reason, "budgetExhausted");
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -131,7 +131,7 @@
         const clock = new RequestClock(deadlineMs, caller.disconnectSignal);
         this.clocks.add(clock);
         try {
-            const held = await this.holdBudget(req, admission);
+            const held = await this.holdBudget(req, admission, clock);
             if (held !== undefined && "reason" in held) {
                 this.refuse(req, caller, service, held, { team, tokens: getMaxTokens(req) });
                 return;
@@ -162,12 +162,19 @@
     private async holdBudget(
         req: RelayRequest,
         admission: Admission,
+        clock: RequestClock,
     ): Promise<BudgetHold | RelayRefusal | undefined> {
         const { generation } = req;
         if (generation === undefined || admission.team === undefined || !admission.isPrepaid) {
             return undefined;
         }
-        const decision = await this.opts.budgets.hold(admission.team, getMaxTokens(req));
+        const deciding = this.opts.budgets.hold(admission.team, getMaxTokens(req));
+        const decision = await Promise.race([deciding, clock.ended]);
+        if (decision === undefined) {
+            void deciding.then(late => late.kind === "held" ? late.hold.settle(0) : undefined);
+            // A request whose time has ended is not sent.
+            return undefined;
+        }
         switch (decision.kind) {
             case "held":
                 return decision.hold;
--- a/packages/relay/src/request-clock.ts
+++ b/packages/relay/src/request-clock.ts
@@ -6,6 +6,11 @@
     private readonly controller = new AbortController();
     private readonly timer: NodeJS.Timeout;
     private reason: ClockEndReason | undefined;
+    private resolveEnded: () => void = () => undefined;
+    /** Resolves when the time has ended. */
+    readonly ended = new Promise<undefined>(resolve => {
+        this.resolveEnded = () => resolve(undefined);
+    });
     private readonly onDisconnect = (): void => this.end("caller_left");
 
     constructor(private readonly endsAtMs: number, private readonly disconnectSignal: AbortSignal) {
@@ -47,5 +52,6 @@
     private end(reason: ClockEndReason): void {
         this.reason ??= reason;
         this.controller.abort();
+        this.resolveEnded();
     }
 }
