Refuse as overloaded only while the event loop is busy

What callers saw: 503 with `overloaded` from an instance that gets one request at a time, on a machine that others keep busy.

Cause: the overload guard judges by how long new connections wait. Where other processes take the processor, connections wait although all of them are handled before the event loop idles; no request is in the way of another, and to refuse one shortens no wait.

Evidence: the new test of platform-fleet.test.ts suspends an instance for 100 of every 102 ms and sends it two requests a second.

Change: a sample of the guard holds the share of time in which the event loop waited for work, too. From a tenth on the wait counts as zero.

How the guard acts under a true overload of a whole process was not measured for this commit.

--- a/packages/bench/src/platform/platform-fleet.test.ts
+++ b/packages/bench/src/platform/platform-fleet.test.ts
@@ -3,6 +3,9 @@
 import { request } from "undici";
 import { type CallerAnswer, createPlatformDocument, PlatformFleet, type PlatformInstance } from "./platform-fleet.js";
 
+/** Time after its start from which an instance may refuse as overloaded, in milliseconds. */
+const OVERLOAD_WARM_UP_MS = 5_500;
+
 const start = async (): Promise<readonly [PlatformFleet, PlatformInstance, PlatformInstance]> => {
     const fleet = await PlatformFleet.start();
     const [first, second] = fleet.instances;
@@ -75,6 +78,24 @@
     t.true(await until(async () => first !== undefined && (await fleet.ask(first, 470)).status === 200, 2_000));
 });
 
+test.serial("an instance that others take the processor from refuses nothing while it keeps up with its requests", async t => {
+    const [fleet, first] = await start();
+    t.teardown(() => fleet.close());
+    await sleep(OVERLOAD_WARM_UP_MS);
+    const running = [];
+    for (let turn = 0; turn < 60; turn++) {
+        first.process.kill("SIGSTOP");
+        await sleep(100);
+        first.process.kill("SIGCONT");
+        await sleep(2);
+        if (turn % 5 === 0) {
+            running.push(fleet.call(first, "/plain/a"));
+        }
+    }
+    const answers = await Promise.all(running);
+    t.deepEqual(answers.filter(answer => answer.status !== 200).map(answer => answer.body), [], fleet.logTails);
+});
+
 test.serial("an outage of the store stops neither requests nor budgets, and a killed instance comes back", async t => {
     const [fleet, first, second] = await start();
     t.teardown(() => fleet.close());
--- a/packages/relay/src/instance/start-overload-watch.ts
+++ b/packages/relay/src/instance/start-overload-watch.ts
@@ -8,14 +8,20 @@
     readonly log: RelayLog;
 }
 
-/** Reports the wait of new connections to the guard, and logs when it starts and stops refusing. */
+const PERCENT = 100;
+
+/** Reports the wait of new connections and the idle time of the event loop to the guard, and logs when it starts and stops refusing. */
 export const startOverloadWatch = ({ guard, log, ...port }: OverloadWatchOptions): void => {
+    let last = performance.eventLoopUtilization();
     new InputDelayMeter(port).start(delayMs => {
         const wasRefusing = guard.isRefusing;
-        guard.recordInputDelay(delayMs);
+        const current = performance.eventLoopUtilization();
+        const idleShare = 1 - performance.eventLoopUtilization(current, last).utilization;
+        last = current;
+        guard.recordSample({ inputDelayMs: delayMs, idleShare });
         if (guard.isRefusing !== wasRefusing) {
             const event = guard.isRefusing ? "callers wait too long" : "callers are taken in time again";
-            log.write(event, { delayMs: Math.round(delayMs) });
+            log.write(event, { delayMs: Math.round(delayMs), idlePercent: Math.round(idleShare * PERCENT) });
         }
     });
 };
--- a/packages/relay/src/policy/overload-guard.test.ts
+++ b/packages/relay/src/policy/overload-guard.test.ts
@@ -52,6 +52,7 @@
     let nowMs = 0;
     let longestWaitMs = 0;
     let availableCapacity = 0;
+    let idleMs = 0;
     // A separate generator, so that the same requests arrive with and without the guard.
     const guard = new OverloadGuard({ nowMs: () => nowMs, random: createRandom(2) });
     const processRequest = ({ team, sinceMs }: QueuedRequest): number => {
@@ -74,9 +75,12 @@
             queue.shift();
             availableCapacity -= processRequest(next);
         }
+        idleMs += queue.length === 0 ? 1 : 0;
         if (nowMs % SAMPLE_INTERVAL_MS === 0) {
             // A probe queues like a request, so it measures the wait of the oldest one.
-            guard.recordInputDelay(nowMs - (queue[0]?.sinceMs ?? nowMs));
+            const inputDelayMs = nowMs - (queue[0]?.sinceMs ?? nowMs);
+            guard.recordSample({ inputDelayMs, idleShare: idleMs / SAMPLE_INTERVAL_MS });
+            idleMs = 0;
         }
     }
     return { sent, served, longestWaitMs };
@@ -114,10 +118,18 @@
 test("urgent requests are refused less often than others", t => {
     const guard = new OverloadGuard({ nowMs: () => 0, random: createRandom(2) });
     for (let sample = 0; sample < 5; sample++) {
-        guard.recordInputDelay(300);
+        guard.recordSample({ inputDelayMs: 300, idleShare: 0 });
     }
     const [urgent = 0, other = 0] = [0, 3].map(priority =>
         Array.from({ length: 400 }, () => guard.getRefusal("a", priority)).filter(after => after !== undefined).length
     );
     t.true(urgent < other, `${urgent} and ${other}`);
 });
+
+test("waits of new connections refuse nothing while the event loop is partly idle", t => {
+    const guard = new OverloadGuard({ nowMs: () => 0, random: () => 0 });
+    for (let sample = 0; sample < 5; sample++) {
+        guard.recordSample({ inputDelayMs: 1_000, idleShare: 0.3 });
+    }
+    t.is(guard.getRefusal("a", 3), undefined);
+});
--- a/packages/relay/src/policy/overload-guard.ts
+++ b/packages/relay/src/policy/overload-guard.ts
@@ -1,5 +1,13 @@
 import { TeamShares } from "./team-shares.js";
 
+/** A sample of the instance's load. */
+export interface LoadSample {
+    /** Time for which new connections wait until they are accepted, in milliseconds. */
+    readonly inputDelayMs: number;
+    /** Share of the time since the last sample in which the event loop waited for work, 0 to 1. */
+    readonly idleShare: number;
+}
+
 /** Options of {@link OverloadGuard}. */
 export interface OverloadGuardOptions {
     /** Monotonic time in milliseconds. */
@@ -13,6 +21,12 @@
  */
 const INPUT_DELAY_THRESHOLD_MS = 100;
 
+/**
+ * Share of idle time of the event loop from which waits do not count. What waits is then handled before the loop idles, so
+ * the wait comes from other processes on the machine, and to refuse requests would not shorten it.
+ */
+const MIN_IDLE_SHARE = 0.1;
+
 /**
  * Maximum change of the refusal level with each sample. After a second at twice the threshold, half of the largest
  * team's requests are refused.
@@ -26,7 +40,7 @@
 const RETRY_AFTER_S = 1;
 
 /**
- * Decides which requests an overloaded instance refuses, by how long new connections wait. Without it all requests
+ * Decides which requests an overloaded instance refuses, by how long new connections wait while it is busy. Without it all requests
  * wait until their callers have disconnected, and the work for them is lost. A team is refused in proportion to its
  * traffic relative to the largest team's, so that one team cannot starve the others; urgent requests are refused less.
  */
@@ -41,11 +55,10 @@
         return this.level > 0;
     }
 
-    /**
-     * Records how long new connections wait until they are accepted, in milliseconds; to be called five times a second.
-     */
-    recordInputDelay(delayMs: number): void {
-        const excess = Math.min(1, delayMs / INPUT_DELAY_THRESHOLD_MS - 1);
+    /** Records a sample; to be called five times a second. */
+    recordSample({ inputDelayMs, idleShare }: LoadSample): void {
+        const waitMs = idleShare < MIN_IDLE_SHARE ? inputDelayMs : 0;
+        const excess = Math.min(1, waitMs / INPUT_DELAY_THRESHOLD_MS - 1);
         this.level = Math.min(1, Math.max(0, this.level + LEVEL_STEP * excess));
     }
 
