Tell a deadly prompt part from a sound one that was lost beside it

Only parts of the same prompt explained each other's crashes. Decisions now carry their crashes: a part under quarantine explains them for every part that was in no more of them, a part that was in few crashes waits 100 ms for one that was in more, and of two decided at the same time the one with fewer is released.

--- a/packages/relay/src/quarantine/accusation-table.ts
+++ b/packages/relay/src/quarantine/accusation-table.ts
@@ -6,23 +6,23 @@
     readonly crash: string;
     /** Monotonic time of the crash, in milliseconds. */
     readonly atMs: number;
-    /** Other shared parts of the lost requests. */
-    readonly others: readonly string[];
     /** Number of shared parts that follow this one in the prompt. */
     readonly followers: number;
 }
 
 /** Evidence against one part. */
 export interface PartEvidence {
-    /** Number of separate crashes. */
-    readonly crashes: number;
+    /** Number of separate crashes; those close to each other count once. */
+    readonly separateCrashes: number;
+    /** All crashes. */
+    readonly crashes: readonly string[];
     /** Time of the first crash, in milliseconds. */
     readonly firstAtMs: number;
     /** Smallest number of shared parts that followed this one in a prompt. */
     readonly followers: number;
 }
 
-const NO_EVIDENCE: PartEvidence = { crashes: 0, firstAtMs: 0, followers: 0 };
+const NO_EVIDENCE: PartEvidence = { separateCrashes: 0, crashes: [], firstAtMs: 0, followers: 0 };
 
 /** Maximum number of accused parts. */
 const MAX_PARTS = 4_096;
@@ -30,9 +30,6 @@
 /** Maximum number of crashes that are kept for one part. */
 const MAX_CRASHES_PER_PART = 16;
 
-/** Maximum number of other parts that are kept for one crash. */
-const MAX_OTHERS = 128;
-
 /** Time for which a crash counts against a part, in milliseconds. */
 const CRASH_TTL_MS = 600_000;
 
@@ -52,11 +49,8 @@
     add(part: string, added: AccusingCrash): boolean {
         const known = this.crashes.get(part) ?? [];
         const same = known.find(({ crash }) => crash === added.crash);
-        const merged = same === undefined ? added : {
-            ...same,
-            others: [...new Set([...same.others, ...added.others])].slice(0, MAX_OTHERS),
-            followers: Math.min(same.followers, added.followers),
-        };
+        const followers = Math.min(added.followers, same?.followers ?? added.followers);
+        const merged = { ...(same ?? added), followers };
         const rest = known.filter(crash => crash !== same && added.atMs - crash.atMs < CRASH_TTL_MS);
         this.crashes.set(part, [...rest, merged].slice(-MAX_CRASHES_PER_PART));
         return same === undefined;
@@ -73,22 +67,28 @@
         }
     }
 
-    /** Evidence by the crashes that no other part of the lost requests explains. */
-    getEvidence(part: string, explains: (part: string) => boolean): PartEvidence {
-        const open = (this.crashes.get(part) ?? []).filter(({ others }) => !others.some(explains))
+    /** Evidence by the crashes that no part under quarantine explains. */
+    getEvidence(part: string, isExplained: (crash: string, crashCount: number) => boolean): PartEvidence {
+        const known = this.crashes.get(part) ?? [];
+        const open = known.filter(({ crash }) => !isExplained(crash, known.length))
             .toSorted((a, b) => a.atMs - b.atMs);
         const [first] = open;
         if (first === undefined) {
             return NO_EVIDENCE;
         }
-        let crashes = 1;
+        let separateCrashes = 1;
         let lastCountedAtMs = first.atMs;
         for (const { atMs } of open) {
             if (atMs - lastCountedAtMs >= MIN_CRASH_GAP_MS) {
-                crashes += 1;
+                separateCrashes += 1;
                 lastCountedAtMs = atMs;
             }
         }
-        return { crashes, firstAtMs: first.atMs, followers: Math.min(...open.map(({ followers }) => followers)) };
+        return {
+            separateCrashes,
+            crashes: known.map(({ crash }) => crash),
+            firstAtMs: first.atMs,
+            followers: Math.min(...open.map(({ followers }) => followers)),
+        };
     }
 }
--- a/packages/relay/src/quarantine/decision-book.ts
+++ b/packages/relay/src/quarantine/decision-book.ts
@@ -3,6 +3,17 @@
 import { AnswerMemory } from "./answer-memory.js";
 import { type QuarantineEntry, QuarantineTable } from "./quarantine-table.js";
 
+/** Smallest time between two decisions about one part, in milliseconds. */
+const MIN_CHANGE_GAP_MS = 1;
+
+const explains = (by: string, explaining: QuarantineEntry, part: string, entry: QuarantineEntry): boolean => {
+    const isSubset = entry.crashes.length > 0 && entry.crashes.every(crash => explaining.crashes.includes(crash));
+    if (!isSubset || entry.crashes.length < explaining.crashes.length) {
+        return isSubset;
+    }
+    return entry.followers > explaining.followers || (entry.followers === explaining.followers && part < by);
+};
+
 /** Options of {@link DecisionBook}. */
 export interface DecisionBookOptions {
     readonly nowMs: () => number;
@@ -45,13 +56,13 @@
      */
     receive(decision: PartDecision, source: string): AnsweredPart | undefined {
         const nowMs = this.opts.nowMs();
-        const { part, isCleared, msAgo, leftMs, strikes, sinceMsAgo } = decision;
+        const { part, isCleared, msAgo, leftMs, strikes, sinceMsAgo, crashes, followers } = decision;
         const begunAtMs = this.answers.getBegunAtMs(part);
         if (!isCleared && begunAtMs !== undefined && begunAtMs >= nowMs - sinceMsAgo) {
             return { part, msAgo: nowMs - begunAtMs };
         }
         const times = { changedAtMs: nowMs - msAgo, untilMs: nowMs + leftMs, sinceMs: nowMs - sinceMsAgo };
-        this.apply(part, { isCleared, strikes, ...times }, source);
+        this.apply(part, { isCleared, strikes, crashes, followers, ...times }, source);
         return undefined;
     }
 
@@ -66,6 +77,8 @@
             leftMs: entry.untilMs - nowMs,
             strikes: entry.strikes,
             sinceMsAgo: nowMs - entry.sinceMs,
+            crashes: entry.crashes,
+            followers: entry.followers,
         };
     }
 
@@ -74,12 +87,40 @@
         return this.table.get(part, this.opts.nowMs())?.changedAtMs;
     }
 
+    /** Time for the next decision about a part, in milliseconds: now, and later than the last one. */
+    getNextChangeAtMs(part: string): number {
+        const lastAtMs = this.getChangedAtMs(part) ?? Number.NEGATIVE_INFINITY;
+        return Math.max(this.opts.nowMs(), lastAtMs + MIN_CHANGE_GAP_MS);
+    }
+
     /** Decisions by which requests are refused. */
     listActive(): readonly PartDecision[] {
         return this.table.listActive(this.opts.nowMs()).map(([part]) => this.getDecision(part))
             .filter(decision => decision !== undefined);
     }
 
+    /**
+     * Whether a part under quarantine explains a crash that speaks against another part: it was in flight as well, and in
+     * no fewer crashes than the other one.
+     */
+    isExplained(part: string, crash: string, crashCount: number): boolean {
+        return this.table.listActive(this.opts.nowMs()).some(([other, { crashes }]) =>
+            other !== part && crashes.length >= crashCount && crashes.includes(crash)
+        );
+    }
+
+    /**
+     * Parts under quarantine that another one explains: it was in all of their crashes, and in more. Of two parts with the
+     * same crashes the one that more requests share is released; if it crashes targets, its next crash tells.
+     */
+    listExplained(by: string): readonly string[] {
+        const active = this.table.listActive(this.opts.nowMs());
+        const explaining = active.find(([part]) => part === by)?.[1];
+        return explaining === undefined ? [] : active
+            .filter(([part, entry]) => part !== by && explains(by, explaining, part, entry))
+            .map(([part]) => part);
+    }
+
     /** Whether requests with a part are refused. */
     isActive(part: string): boolean {
         return this.table.getPhase(part, this.opts.nowMs()) !== "none";
--- a/packages/relay/src/quarantine/decision-store.test.ts
+++ b/packages/relay/src/quarantine/decision-store.test.ts
@@ -11,6 +11,8 @@
     leftMs: 60_000,
     strikes: 2,
     sinceMsAgo: 500,
+    crashes: ["t@1"],
+    followers: 0,
 };
 
 const createStore = (startUnixMs = 1_000_000, wait: () => Promise<void> = () => Promise.resolve()) => {
--- a/packages/relay/src/quarantine/decision-store.ts
+++ b/packages/relay/src/quarantine/decision-store.ts
@@ -107,6 +107,8 @@
             leftMs,
             strikes: stored.strikes,
             sinceMsAgo: READ_AGE_MS,
+            crashes: [],
+            followers: 0,
         };
     }
 
--- a/packages/relay/src/quarantine/part-collector.ts
+++ b/packages/relay/src/quarantine/part-collector.ts
@@ -31,6 +31,12 @@
 /** Timeout of one question, in milliseconds. */
 const ASK_TIMEOUT_MS = 150;
 
+/** Number of crashes from which a part need not wait for others that may have been in more of them. */
+const SURE_CRASHES = 5;
+
+/** Time for which a part that was in fewer crashes waits, in milliseconds. */
+const DOUBT_WAIT_MS = 100;
+
 /**
  * Time for which a part waits for each part that follows it in the prompt, in milliseconds. A part that fewer requests
  * share is decided first, and then explains the crashes that speak against the parts before it.
@@ -56,18 +62,21 @@
     /** Adds accusations; returns how many separate crashes speak against each of the parts. */
     async accuse(accusations: readonly PartAccusation[]): Promise<readonly number[]> {
         const { book, nowMs } = this.opts;
-        const added = accusations.filter(({ part, crash, msAgo, others, followers }) =>
-            this.table.add(part, { crash, atMs: nowMs() - msAgo, others, followers })
+        const added = accusations.filter(({ part, crash, msAgo, followers }) =>
+            this.table.add(part, { crash, atMs: nowMs() - msAgo, followers })
         );
         await this.removeRefuted(accusations.map(({ part }) => part), added.map(({ part }) => part));
         for (const part of new Set(added.map(accusation => accusation.part))) {
-            const { crashes, followers } = this.getEvidence(part);
             const isTrial = book.table.getPhase(part, nowMs()) === "trial";
-            if (crashes >= CRASHES_TO_QUARANTINE || (isTrial && crashes > 0)) {
-                void this.decide(part, isTrial ? 1 : CRASHES_TO_QUARANTINE, isTrial ? 0 : followers);
+            const evidence = this.getEvidence(part);
+            if (isTrial && evidence.separateCrashes > 0) {
+                this.opts.quarantine(part, evidence);
+            }
+            else if (evidence.separateCrashes >= CRASHES_TO_QUARANTINE) {
+                void this.decide(part);
             }
         }
-        return accusations.map(({ part }) => this.getEvidence(part).crashes);
+        return accusations.map(({ part }) => this.getEvidence(part).separateCrashes);
     }
 
     /** Forgets the crashes that speak against a part; an answer with it has begun. */
@@ -75,19 +84,20 @@
         this.table.removeUntil(part, this.opts.nowMs());
     }
 
-    private async decide(part: string, minCrashes: number, followers: number): Promise<void> {
+    private async decide(part: string): Promise<void> {
         if (this.deciding.has(part)) {
             return;
         }
         this.deciding.add(part);
         try {
-            if (followers > 0) {
-                await this.wait(followers * WAIT_PER_FOLLOWER_MS);
+            const { crashes, followers } = this.getEvidence(part);
+            const waitMs = followers * WAIT_PER_FOLLOWER_MS + (crashes.length < SURE_CRASHES ? DOUBT_WAIT_MS : 0);
+            if (waitMs > 0) {
+                await this.wait(waitMs);
                 await this.removeRefuted([part], [part]);
             }
             const evidence = this.getEvidence(part);
-            const isQuarantined = this.opts.book.table.getPhase(part, this.opts.nowMs()) === "quarantined";
-            if (evidence.crashes >= minCrashes && !isQuarantined) {
+            if (evidence.separateCrashes >= CRASHES_TO_QUARANTINE && !this.opts.book.isActive(part)) {
                 this.opts.quarantine(part, evidence);
             }
         }
@@ -100,7 +110,9 @@
     private async removeRefuted(parts: readonly string[], accused: readonly string[]): Promise<void> {
         const { book, nowMs } = this.opts;
         book.findAnswered(parts).forEach(({ part, msAgo }) => this.table.removeUntil(part, nowMs() - msAgo));
-        const suspected = [...new Set(accused)].filter(part => this.getEvidence(part).crashes >= CRASHES_TO_ASK);
+        const suspected = [...new Set(accused)].filter(part =>
+            this.getEvidence(part).separateCrashes >= CRASHES_TO_ASK
+        );
         if (suspected.length > 0) {
             const asked = this.ask(suspected);
             suspected.forEach(part => this.asking.set(part, asked));
@@ -128,14 +140,15 @@
     }
 
     private getEvidence(part: string): PartEvidence {
-        return this.table.getEvidence(part, other => this.opts.book.isActive(other));
+        const { book } = this.opts;
+        return this.table.getEvidence(part, (crash, crashCount) => book.isExplained(part, crash, crashCount));
     }
 
     private logSuspected(parts: readonly string[]): void {
         for (const part of parts) {
-            const { crashes } = this.getEvidence(part);
-            if (crashes >= CRASHES_TO_ASK) {
-                this.opts.log.write("part suspected", { part, crashes });
+            const { separateCrashes, crashes } = this.getEvidence(part);
+            if (separateCrashes >= CRASHES_TO_ASK) {
+                this.opts.log.write("part suspected", { part, crashes: crashes.length });
             }
         }
     }
--- a/packages/relay/src/quarantine/part-quarantine.ts
+++ b/packages/relay/src/quarantine/part-quarantine.ts
@@ -85,7 +85,7 @@
         this.nowMs = nowMs;
         this.book = new DecisionBook({ nowMs, log, count });
         this.collectors = new PartCollectors({ hub, nowMs });
-        this.spreader = new DecisionSpreader({ hub, book: this.book, onAnswered: part => this.clear(part, "answer") });
+        this.spreader = new DecisionSpreader({ hub, book: this.book, onAnswered: part => this.refute(part) });
         this.collector = new PartCollector({
             hub,
             book: this.book,
@@ -123,8 +123,11 @@
         decisions: readonly PartDecision[],
         source: string,
     ): readonly { readonly part: string; readonly msAgo: number; }[] {
-        decisions.filter(({ isCleared }) => isCleared).forEach(({ part }) => this.collector.clear(part));
-        return decisions.map(decision => this.book.receive(decision, source)).filter(answer => answer !== undefined);
+        const answered = decisions.map(decision => this.book.receive(decision, source));
+        decisions.flatMap(({ part }) => this.book.listExplained(part).map(explained => ({ part, explained })))
+            .filter(({ explained }) => this.collectors.isFirst(explained))
+            .forEach(({ part, explained }) => this.clear(explained, `explained by ${part}`));
+        return answered.filter(answer => answer !== undefined);
     }
 
     override getBlockedPart(req: RelayRequest): BlockedPart | undefined {
@@ -149,7 +152,7 @@
         const parts = getSharedParts(req);
         this.book.answers.record(parts, this.nowMs());
         if (!this.book.table.isEmpty) {
-            parts.filter(part => this.book.isActive(part)).forEach(part => this.clear(part, "answer"));
+            parts.filter(part => this.book.isActive(part)).forEach(part => this.refute(part));
         }
     }
 
@@ -171,7 +174,6 @@
                 part,
                 crash,
                 msAgo: this.nowMs() - lostAtMs,
-                others: parts.filter(other => other !== part),
                 followers: parts.length - 1 - parts.indexOf(part),
             })
         ));
@@ -192,7 +194,7 @@
         }
         try {
             const { answered } = await hub.request(incarnation, "parts.decide", { decisions }, REPORT_TIMEOUT_MS);
-            answered.forEach(({ part }) => this.clear(part, "answer"));
+            answered.forEach(({ part }) => this.refute(part));
         }
         catch (err) {
             this.opts.log.write("peer not notified", { peer: instance, cause: String(err) });
@@ -247,19 +249,27 @@
         return true;
     }
 
-    private quarantine(part: string, { crashes, firstAtMs }: PartEvidence): void {
+    private quarantine(part: string, { crashes, firstAtMs, followers }: PartEvidence): void {
         const nowMs = this.nowMs();
         const strikes = (this.book.table.get(part, nowMs)?.strikes ?? 0) + 1;
         const untilMs = nowMs + getQuarantineMs(strikes);
-        const entry = { isCleared: false, changedAtMs: nowMs, untilMs, strikes, sinceMs: firstAtMs };
-        this.decide(part, entry, `${crashes} crashes`);
+        const times = { changedAtMs: this.book.getNextChangeAtMs(part), untilMs, sinceMs: firstAtMs };
+        const entry = { isCleared: false, strikes, crashes, followers, ...times };
+        this.decide(part, entry, `${crashes.length} crashes`);
+        this.book.listExplained(part).forEach(explained => this.clear(explained, `explained by ${part}`));
+    }
+
+    /** Ends the quarantine of a part for which an answer has begun. */
+    private refute(part: string): void {
+        this.collector.clear(part);
+        this.clear(part, "answer");
     }
 
     private clear(part: string, source: string): void {
         const nowMs = this.nowMs();
-        this.collector.clear(part);
         if (this.book.isActive(part)) {
-            const entry = { isCleared: true, changedAtMs: nowMs, untilMs: nowMs, strikes: 0, sinceMs: nowMs };
+            const times = { changedAtMs: this.book.getNextChangeAtMs(part), untilMs: nowMs, sinceMs: nowMs };
+            const entry = { isCleared: true, strikes: 0, crashes: [], followers: 0, ...times };
             this.decide(part, entry, source);
         }
     }
--- a/packages/relay/src/quarantine/quarantine-table.ts
+++ b/packages/relay/src/quarantine/quarantine-table.ts
@@ -11,6 +11,10 @@
     readonly strikes: number;
     /** Time of the first crash that the decision is based on. */
     readonly sinceMs: number;
+    /** Crashes that the decision is based on. */
+    readonly crashes: readonly string[];
+    /** Smallest number of shared parts that followed this one in a prompt. */
+    readonly followers: number;
 }
 
 /** Whether requests with a part are refused. */
--- a/packages/types/src/peer-requests.ts
+++ b/packages/types/src/peer-requests.ts
@@ -206,9 +206,7 @@
     readonly crash: string;
     /** Time since the crash, in milliseconds. */
     readonly msAgo: number;
-    /** Other parts of the prompt that other requests may have too. */
-    readonly others: readonly string[];
-    /** Number of such parts that follow this one in the prompt. */
+    /** Number of parts that follow this one in the prompt and that other requests may have too. */
     readonly followers: number;
 }
 
@@ -231,6 +229,10 @@
     readonly strikes: number;
     /** Time since the first crash that the decision is based on, in milliseconds. */
     readonly sinceMsAgo: number;
+    /** Crashes that the decision is based on. */
+    readonly crashes: readonly string[];
+    /** Number of parts that follow this one in a prompt and that other requests may have too. */
+    readonly followers: number;
 }
 
 /** Requests between instances by kind, with the types of request and response. */
