--- a/packages/bench/src/faults/soak-main.ts
+++ b/packages/bench/src/faults/soak-main.ts
@@ -7,6 +7,8 @@
     readonly "first-seed": number;
     readonly "parallel": number;
     readonly "fleet": string;
+    readonly "instances": number;
+    readonly "logs"?: string;
 }
 
 /** What a seed's result says, whichever fleet it was played on. */
@@ -21,9 +23,10 @@
 }
 
 /** Fleets that seeds can be played on: the product's own daemons, or instances on the users' platform. */
-const FLEETS: Readonly<Record<string, (seed: number) => Promise<SoakResult>>> = {
+const FLEETS: Readonly<Record<string, (seed: number, opts: SoakArguments) => Promise<SoakResult>>> = {
     daemon: runSeed,
-    platform: playPlatformSeed,
+    platform: (seed, { instances, logs }) =>
+        playPlatformSeed(seed, { instances: Number(instances) || undefined, logFolder: logs }),
 };
 
 const say = (line: string): void => void process.stdout.write(`${line}\n`);
@@ -51,7 +54,7 @@
     const work = async (): Promise<void> => {
         for (let seed = pending.shift(); seed !== undefined; seed = pending.shift()) {
             try {
-                const result = await playSeed(seed);
+                const result = await playSeed(seed, opts);
                 report(result);
                 if (!result.verdict.ok) {
                     broken.push(seed);
@@ -76,6 +79,8 @@
     .option("--seeds", "How many seeds to run", 10)
     .option("--first-seed", "First seed; a single seed is replayed with --seeds 1", 1)
     .option("--fleet", "What to play on: daemon or platform", "daemon")
+    .option("--instances", "Instances of each fleet on the platform; 0 draws three to six", 0)
+    .option("--logs", "Folder for the logs of instances on the platform and for traces of what broke a promise")
     .option("--parallel", "Fleets at once, about ten processes each", 3)
     .action(run)
     .parse(process.argv);
--- a/packages/bench/src/platform/platform-fleet.ts
+++ b/packages/bench/src/platform/platform-fleet.ts
@@ -11,12 +11,19 @@
 import { join } from "node:path";
 import { Agent, request } from "undici";
 import { getFreePorts } from "../rig/free-ports.js";
-import { type RigProcess, startProcess as startRigProcess } from "../rig/rig-process.js";
+import { RigProcess } from "../rig/rig-process.js";
 
 const MAIN = createRequire(import.meta.url).resolve("@ospreyreel/platform/main");
 
 const PORTS_EACH = 5;
 const PREPAID = 100_000;
+/** Time that a caller waits for addresses, in milliseconds. */
+const DIRECTORY_TIMEOUT_MS = 1_000;
+
+const READY_TIMEOUT_MS = 30_000;
+
+/** Peers that the settings of an instance name. */
+const MAX_SEEDS = 3;
 
 /** Events of a model's answer, and tokens of each; together what the question allows. */
 export const MODEL_EVENTS = 6;
@@ -27,13 +34,36 @@
 export interface PlatformFleetOptions {
     readonly count?: number;
     readonly prepaid?: number;
-    /** Puts a proxy that injects faults between each instance and the store. */
-    readonly withStoreProxies?: boolean;
+    /** Puts proxies that inject faults between the store, callers and targets and the instances; false by default. */
+    readonly withProxies?: boolean;
+    /** Time for which callers may keep addresses, in seconds; half a second by default. */
+    readonly addressTtlS?: number;
+    /** Takes the lines that the instances write. */
+    readonly onLine?: (instance: string, line: string) => void;
 }
 
+/** Time in which an instance ends after SIGTERM, in seconds; `graceS` of the users' sites. */
+export const STOP_WITHIN_S = 8;
+
 /** Settings of one instance on the platform. */
 type RelaySettingsJson = Readonly<Record<string, unknown>>;
 
+/** Addresses that an instance tells callers. */
+export interface AddressAnswer {
+    readonly addresses: readonly string[];
+    readonly ttlS: number;
+}
+
+/** What varies between desired states. */
+export interface PlatformDocumentOptions {
+    readonly version: number;
+    readonly prepaid?: number;
+    /** Time-out of the model routes; 4,000 by default. */
+    readonly modelTimeoutMs?: number;
+    /** Whether there is the route `new`; from the second version on by default. */
+    readonly hasNewRoute?: boolean;
+}
+
 /** One instance that runs as a process of its own. */
 export interface PlatformInstance {
     readonly name: string;
@@ -41,7 +71,9 @@
     readonly callers: string;
     readonly readiness: string;
     readonly directory: string;
+    readonly peer: string;
     readonly metrics: string;
+    readonly settings: RelaySettingsJson;
     process: RigProcess;
 }
 
@@ -52,17 +84,23 @@
     readonly retryAfterS: number | undefined;
 }
 
-/** A desired state of the platform with a plain, a model and a public route. */
-export const createPlatformDocument = (version: number, prepaid = PREPAID): unknown => {
+/** A desired state of the platform with plain, model and public routes. */
+export const createPlatformDocument = (version: number, prepaid = PREPAID): unknown =>
+    createDocument({ version, prepaid });
+
+const createDocument = (
+    { version, prepaid = PREPAID, modelTimeoutMs = 4_000, hasNewRoute = version > 1 }: PlatformDocumentOptions,
+): unknown => {
     const route = { host: "users.example", timeoutMs: 4_000, targetLatencyMs: 300, maxAttempts: 2 };
-    const stream = { kind: "streaming", resumable: true, sticky: true, gapAimMs: 300 };
+    const stream = { kind: "streaming", timeoutMs: modelTimeoutMs, sticky: true, gapAimMs: 300, service: "model" };
     return {
         version,
         routes: [
             { ...route, name: "plain", prefix: "/plain/", kind: "idempotent", service: "plain" },
             { ...route, name: "once", prefix: "/once/", kind: "non_idempotent", service: "plain" },
-            { ...route, ...stream, name: "model", prefix: "/model/", service: "model" },
-            ...(version > 1 ? [{ ...route, name: "new", prefix: "/new/", kind: "idempotent", service: "plain" }] : []),
+            { ...route, ...stream, name: "model", prefix: "/model/", resumable: true },
+            { ...route, ...stream, name: "fixed", prefix: "/fixed/" },
+            ...(hasNewRoute ? [{ ...route, name: "new", prefix: "/new/", kind: "idempotent", service: "plain" }] : []),
         ],
         services: [
             { name: "plain", healthPath: "/health", maxConns: 100 },
@@ -83,39 +121,56 @@
     readonly instances: PlatformInstance[] = [];
     /** One for each instance, if asked for. */
     readonly storeProxies: FaultProxy[] = [];
+    /** Between callers and each instance, if asked for. */
+    readonly callerProxies: FaultProxy[] = [];
+    /** Before the plain target and the models, if asked for. */
+    readonly targetProxies: FaultProxy[] = [];
     private readonly agent = new Agent({ pipelining: 1 });
     private requests = 0;
+    private withProxies = false;
+    private document: unknown;
+    private onLine: PlatformFleetOptions["onLine"];
 
     /** Starts everything and resolves once all instances take requests. */
     static async start(opts: PlatformFleetOptions = {}): Promise<PlatformFleet> {
-        const { count = 3, prepaid = PREPAID, withStoreProxies = false } = opts;
+        const { count = 3, prepaid = PREPAID, withProxies = false, addressTtlS = 0.5 } = opts;
         const fleet = new PlatformFleet();
+        fleet.withProxies = withProxies;
+        fleet.onLine = opts.onLine;
         const store = await fleet.store.start();
-        for (const target of [fleet.plain, ...fleet.models]) {
-            await target.start();
-            fleet.store.put(...target.getEntry());
+        for (const at of fleet.targets.keys()) {
+            await fleet.startTarget(at);
         }
         fleet.apply(1, prepaid);
-        if (withStoreProxies) {
-            fleet.storeProxies.push(...await startStoreProxies(store, count));
-        }
-        const storeFor = fleet.storeProxies.map(({ address }) => `${address.host}:${address.port}`);
         const ports = await getFreePorts(count * PORTS_EACH);
         const addresses = ports.map(port => `127.0.0.1:${port}`);
+        if (withProxies) {
+            const callers = [...Array(count).keys()].map(at => addresses[at * PORTS_EACH] ?? "");
+            fleet.storeProxies.push(...await startProxies(callers.map(() => store)));
+            fleet.callerProxies.push(...await startProxies(callers));
+        }
+        const storeFor = fleet.storeProxies.map(({ address }) => `${address.host}:${address.port}`);
         const folder = await mkdtemp(join(tmpdir(), "ospreyreel-platform-"));
         const seeds = [...Array(count).keys()].map(at => addresses[at * PORTS_EACH + 3] ?? "");
-        fleet.instances.push(
-            ...await Promise.all([...Array(count).keys()].map(async at => {
-                const own = addresses.slice(at * PORTS_EACH, (at + 1) * PORTS_EACH);
-                return await startInstance(folder, `instance-${at}`, `zone-${at}`, own, seeds, storeFor[at] ?? store);
-            })),
-        );
+        for (const at of Array(count).keys()) {
+            const own = addresses.slice(at * PORTS_EACH, (at + 1) * PORTS_EACH);
+            const kv = { address: storeFor[at] ?? store };
+            fleet.instances.push(
+                await fleet.createInstance(folder, at, own, { seeds: seeds.slice(0, MAX_SEEDS), kv, addressTtlS }),
+            );
+        }
+        await Promise.all(fleet.instances.map(instance => instance.process.awaitReady(READY_TIMEOUT_MS)));
         return fleet;
     }
 
+    /** All targets, the plain one first. */
+    get targets(): readonly PlatformTargetStandIn[] {
+        return [this.plain, ...this.models];
+    }
+
     /** Requests that the targets ran. */
     get ran(): readonly RunRequest[] {
-        return [this.plain, ...this.models].flatMap(target => target.ran);
+        return this.targets.flatMap(target => target.ran);
     }
 
     /** An id for a request that no other one has. */
@@ -125,26 +180,46 @@
     }
 
     /** Writes a desired state. */
-    apply(version: number, prepaid: number): void {
-        this.store.put("op/config", createPlatformDocument(version, prepaid));
+    apply(version: number, prepaid: number, opts: Omit<PlatformDocumentOptions, "version" | "prepaid"> = {}): void {
+        this.document = createDocument({ version, prepaid, ...opts });
+        this.store.put("op/config", this.document);
+    }
+
+    /** Writes the desired state and the targets' entries again, as operators and targets do after a restore. */
+    writeAgain(): void {
+        this.store.put("op/config", this.document);
+        this.targets.forEach((_, at) => this.announce(at));
     }
 
     /** Has a model target say that it leaves. */
     announceLeaving(model: number): void {
-        const target = this.models[model];
-        if (target !== undefined) {
-            this.store.put(...target.getEntry("draining"));
-        }
+        this.announce(model + 1, "draining");
     }
 
     /** Crashes a model target and starts it again under its id at another address. */
     async rebirth(model: number): Promise<void> {
-        const target = this.models[model];
+        await this.models[model]?.close();
+        await this.startTarget(model + 1);
+    }
+
+    private announce(at: number, state: "ready" | "draining" = "ready"): void {
+        const target = this.targets[at];
         if (target !== undefined) {
-            await target.close();
-            await target.start();
-            this.store.put(...target.getEntry());
+            this.store.put(...target.getEntry(state, this.targetProxies[at]?.address));
+        }
+    }
+
+    private async startTarget(at: number): Promise<void> {
+        const target = this.targets[at];
+        if (target === undefined) {
+            return;
+        }
+        await target.start();
+        if (this.withProxies) {
+            await this.targetProxies[at]?.close();
+            this.targetProxies[at] = await startFaultProxy({ target: target.address });
         }
+        this.announce(at);
     }
 
     /** Sends a caller's request to an instance; status 0 where the connection broke. */
@@ -190,59 +265,93 @@
 
     /** Addresses that an instance tells callers; empty where it tells none. */
     async resolve(instance: PlatformInstance): Promise<readonly string[]> {
+        return (await this.resolveWithTtl(instance))?.addresses ?? [];
+    }
+
+    /** Addresses that an instance tells callers with their time to live; undefined where it tells none. */
+    async resolveWithTtl(instance: PlatformInstance): Promise<AddressAnswer | undefined> {
         const url = `http://${instance.directory}/ospreyreel/resolve?name=users.example&region=r&zone=z`;
-        const res = await request(url, { dispatcher: this.agent });
-        const body = await res.body.text();
-        return res.statusCode === 200 ? (JSON.parse(body) as { readonly addresses: string[]; }).addresses : [];
+        try {
+            const signal = AbortSignal.timeout(DIRECTORY_TIMEOUT_MS);
+            const res = await request(url, { dispatcher: this.agent, signal });
+            const body = await res.body.text();
+            return res.statusCode === 200 ? JSON.parse(body) as AddressAnswer : undefined;
+        }
+        catch {
+            return undefined;
+        }
+    }
+
+    /** The address of the proxy before an address of an instance, where there is one. */
+    toProxied(callers: string): string {
+        const proxy = this.callerProxies[this.instances.findIndex(instance => instance.callers === callers)];
+        return proxy === undefined ? callers : `${proxy.address.host}:${proxy.address.port}`;
+    }
+
+    /** Writes the settings file of an instance again, with other peers. */
+    async changeSettings(instance: PlatformInstance): Promise<void> {
+        const seeds = this.instances.slice(-MAX_SEEDS).map(({ peer }) => peer);
+        await writeFile(instance.settingsFile, JSON.stringify({ ...instance.settings, seeds }));
     }
 
     /** Starts an instance again with the same settings. */
     async restart(instance: PlatformInstance): Promise<void> {
-        instance.process = await startProcess(instance.settingsFile);
+        await this.spawn(instance).awaitReady(READY_TIMEOUT_MS);
+    }
+
+    /** Starts an instance again and does not wait until it is ready. */
+    spawn(instance: PlatformInstance): RigProcess {
+        instance.process = this.startProcess(instance.name, instance.settingsFile);
+        return instance.process;
     }
 
     /** Ends everything that was started. */
     async close(): Promise<void> {
         this.instances.forEach(instance => instance.process.kill("SIGKILL"));
         await this.agent.destroy();
-        await Promise.all([this.plain, ...this.models, this.store, ...this.storeProxies].map(part => part.close()));
+        const proxies = [...this.storeProxies, ...this.callerProxies, ...this.targetProxies];
+        await Promise.all([...this.targets, this.store, ...proxies].map(part => part.close()));
     }
-}
 
-const startStoreProxies = async (store: string, count: number): Promise<readonly FaultProxy[]> => {
-    const [host = "", port = ""] = store.split(":");
-    const target = { host, port: Number(port) };
-    return await Promise.all([...Array(count).keys()].map(() => startFaultProxy({ target })));
-};
+    private startProcess(name: string, settingsFile: string): RigProcess {
+        return new RigProcess({
+            script: MAIN,
+            env: { OSPREYREEL_SETTINGS: settingsFile, ...(this.onLine === undefined ? {} : { ROARR_LOG: "true" }) },
+            onLine: line => this.onLine?.(name, line),
+        });
+    }
 
-const startProcess = (settingsFile: string): Promise<RigProcess> =>
-    startRigProcess({ script: MAIN, env: { OSPREYREEL_SETTINGS: settingsFile } });
-
-const startInstance = async (
-    folder: string,
-    name: string,
-    zone: string,
-    [callers = "", readiness = "", directory = "", peer = "", metrics = ""]: readonly string[],
-    seeds: readonly string[],
-    store: string,
-): Promise<PlatformInstance> => {
-    const settings: RelaySettingsJson = {
-        instance: name,
-        availabilityZone: zone,
-        region: "region-1",
-        callers,
-        readiness,
-        directory,
-        peer,
-        metrics,
-        sharedKey: "platform-fleet",
-        seeds,
-        kv: { address: store },
-        retries: { ratio: 0.2, windowS: 10, slack: 50 },
-        stopWithinS: 8,
-        addressTtlS: 0.5,
-    };
-    const settingsFile = join(folder, `${name}.jsonc`);
-    await writeFile(settingsFile, `// ${name}\n${JSON.stringify(settings)}`);
-    return { name, settingsFile, callers, readiness, directory, metrics, process: await startProcess(settingsFile) };
-};
+    private async createInstance(
+        folder: string,
+        at: number,
+        [callers = "", readiness = "", directory = "", peer = "", metrics = ""]: readonly string[],
+        varying: RelaySettingsJson,
+    ): Promise<PlatformInstance> {
+        const name = `instance-${at}`;
+        const settings: RelaySettingsJson = {
+            instance: name,
+            availabilityZone: `zone-${at}`,
+            region: "region-1",
+            callers,
+            readiness,
+            directory,
+            peer,
+            metrics,
+            sharedKey: "platform-fleet",
+            retries: { ratio: 0.2, windowS: 10, slack: 50 },
+            stopWithinS: STOP_WITHIN_S,
+            ...varying,
+        };
+        const settingsFile = join(folder, `${name}.jsonc`);
+        await writeFile(settingsFile, `// ${name}\n${JSON.stringify(settings)}`);
+        const process = this.startProcess(name, settingsFile);
+        return { name, settingsFile, callers, readiness, directory, peer, metrics, settings, process };
+    }
+}
+
+/** Starts a proxy before each of the addresses. */
+const startProxies = async (addresses: readonly string[]): Promise<readonly FaultProxy[]> =>
+    await Promise.all(addresses.map(async address => {
+        const [host = "", port = ""] = address.split(":");
+        return await startFaultProxy({ target: { host, port: Number(port) } });
+    }));
--- /dev/null
+++ b/packages/bench/src/platform/soak/fault-timeline.ts
@@ -0,0 +1,91 @@
+/** A graceful stop; times are monotonic, in milliseconds. */
+export interface StopRecord {
+    readonly instance: string;
+    readonly termAtMs: number;
+    readonly endedAtMs: number;
+    readonly code: number | undefined;
+    /** Whether the process was frozen or killed in that time. */
+    readonly wasDisturbed: boolean;
+    /** Whether the process was told to stop before it was ready; it may not have handled signals yet. */
+    readonly wasStarting: boolean;
+}
+
+/** A time in which something was the matter with a part of the fleet. */
+interface Span {
+    readonly part: string;
+    readonly fromMs: number;
+    toMs: number;
+}
+
+/** A desired state that was written. */
+interface Version {
+    readonly atMs: number;
+    readonly modelTimeoutMs: number;
+    readonly hasNewRoute: boolean;
+}
+
+/** Time for which a disturbance excuses what comes after it, in milliseconds; `contactMs` of the users' sites. */
+const CONTACT_MS = 3_000;
+
+/** Time within which a desired state comes into force, in milliseconds; `configDeadlineMs` of the users' sites. */
+const CONFIG_DEADLINE_MS = 2_000;
+
+/** Time for which a leaving target is still sent requests, in milliseconds; `drainMs` of the users' sites. */
+const DRAIN_MS = 2_000;
+
+/** Name of the store as a part that can be disturbed; others are instances and targets. */
+export const STORE_PART = "store";
+
+/** What was done to a fleet, and when. */
+export class FaultTimeline {
+    readonly stops: StopRecord[] = [];
+    /** Targets that had said that they leave. */
+    private readonly leaves: Span[] = [];
+    /** Faults that nobody planned. */
+    private readonly disturbances: Span[] = [];
+    private readonly versions: Version[] = [];
+
+    /** Records the start of a disturbance; returns what records its end. */
+    disturb(parts: readonly string[]): () => void {
+        return begin(this.disturbances, parts);
+    }
+
+    /** Records that a target said that it leaves; returns what records its end. */
+    leave(target: string): () => void {
+        return begin(this.leaves, [target]);
+    }
+
+    /** Whether a target had said so long enough before that no request may reach it. */
+    hasLeft(target: string, atMs: number): boolean {
+        return this.leaves.some(({ part, fromMs, toMs }) => part === target && atMs > fromMs + DRAIN_MS && atMs < toMs);
+    }
+
+    /** Records a desired state. */
+    addVersion(version: Omit<Version, "atMs">): void {
+        this.versions.push({ ...version, atMs: performance.now() });
+    }
+
+    /** Whether a part was without disturbance from some time before the one time until the other. */
+    isCalm(part: string, fromMs: number, toMs: number): boolean {
+        return !this.overlaps(part, fromMs - CONTACT_MS, toMs);
+    }
+
+    /** Whether a part was disturbed between two times. */
+    overlaps(part: string, fromMs: number, toMs: number): boolean {
+        return this.disturbances.some(other => other.part === part && other.fromMs <= toMs && other.toMs >= fromMs);
+    }
+
+    /** Desired states that may have decided about a request in that time. */
+    getVersions(fromMs: number, toMs: number): readonly Version[] {
+        return this.versions.filter(({ atMs }, index) =>
+            atMs <= toMs && (this.versions[index + 1]?.atMs ?? Infinity) + CONFIG_DEADLINE_MS >= fromMs
+        );
+    }
+}
+
+const begin = (spans: Span[], parts: readonly string[]): () => void => {
+    const fromMs = performance.now();
+    const begun = parts.map(part => ({ part, fromMs, toMs: Infinity }));
+    spans.push(...begun);
+    return () => begun.forEach(span => span.toMs = performance.now());
+};
--- a/packages/bench/src/platform/soak/judge-platform.ts
+++ b/packages/bench/src/platform/soak/judge-platform.ts
@@ -1,13 +1,18 @@
-import { MODEL_EVENTS, MODEL_TOKENS, MODEL_TOKENS_EACH, type PlatformFleet } from "../platform-fleet.js";
-import type { PlatformCall } from "./platform-call.js";
+import type { RunRequest } from "@ospreyreel/stand-ins";
+import { MODEL_EVENTS, MODEL_TOKENS, MODEL_TOKENS_EACH, type PlatformFleet, STOP_WITHIN_S } from "../platform-fleet.js";
+import type { FaultTimeline, StopRecord } from "./fault-timeline.js";
+import { STORE_PART } from "./fault-timeline.js";
+import type { DirectoryAnswer, PlatformCall } from "./platform-call.js";
+import { DEADLINE_MS } from "./send-call.js";
 
 /** What a verdict is made from. */
 export interface PlatformEvidence {
-    readonly fleet: Pick<PlatformFleet, "ran">;
+    readonly fleet: Pick<PlatformFleet, "ran" | "instances">;
+    readonly timeline: FaultTimeline;
     readonly calls: readonly PlatformCall[];
+    readonly directoryAnswers: readonly DirectoryAnswer[];
     /** Most tokens that the team had ever prepaid. */
     readonly prepaid: number;
-    readonly exitCodes: readonly (number | undefined)[];
     /** Instances that did not serve all kinds of requests by the newest desired state some time after the last fault. */
     readonly notRecovered: readonly string[];
 }
@@ -17,56 +22,211 @@
     readonly ok: boolean;
     readonly violations: Readonly<Record<string, number>>;
     readonly figures: Readonly<Record<string, number>>;
+    /** What each violation was seen on. */
+    readonly traces: Readonly<Record<string, readonly unknown[]>>;
 }
 
 /** Statuses of the instance's own that say that nothing has run. */
 const NOT_RUN = [401, 402, 404, 503];
 
+/** Refusals of the instance's own that a proper request gets only where a desired state says so. */
+const DENIALS = [400, 401, 403, 404, 413, 431];
+
+/** Routes on which a request may run once at most. */
+const RUN_ONCE = ["once", "fixed"];
+
+/** Requests on models; they have no own time-out. */
+const MODEL_KINDS = ["model", "fixed"];
+
+/** Time-out of the other routes, in milliseconds. */
+const PLAIN_TIMEOUT_MS = 4_000;
+
+const STOP_WITHIN_MS = STOP_WITHIN_S * 1_000;
+
+/** Time after which a call whose connection ends has been read for certain, in milliseconds; `lossSlackMs`. */
+const LOSS_SLACK_MS = 200;
+
+/** Time from SIGTERM in which a request may still be sent and be cut at the end of the stop, in milliseconds. */
+const SENT_EARLY_MS = 3_000;
+
+/** Share of the stop after which a target that is still at work may be cut off. */
+const LAST_PART_FROM = 5 / 6;
+
+/** Time in which a request that is refused gets its refusal, in milliseconds. */
+const REFUSED_WITHIN_MS = 500;
+
+/** Time in which the other instances stop naming one that leaves, in milliseconds. */
+const UNNAMED_WITHIN_MS = 1_000;
+
+/** Timers of a process may end this much early, in milliseconds. */
+const TIMER_SLACK_MS = 5;
+
 const getEvents = (body: string): readonly string[] => body.match(/^id: \d+\ndata: .*$/gm) ?? [];
 
-const isWhole = ({ kind, id, answer: { body } }: PlatformCall): boolean => {
-    if (kind !== "model") {
-        return body === `answer to ${id}`;
+const isWhole = ({ kind, id, body, paddingBytes }: PlatformCall): boolean => {
+    if (!MODEL_KINDS.includes(kind)) {
+        return body === `answer to ${id}${"x".repeat(paddingBytes)}`;
     }
     const expected = [...Array(MODEL_EVENTS).keys()].map(at => `id: ${at + 1}\ndata: ${id}`);
     return getEvents(body).join("|") === expected.join("|");
 };
 
 /** Tokens that a caller certainly got: the prompt's once, and each event's. */
-const getTokens = ({ promptTokens, answer: { status, body } }: PlatformCall): number => {
+const getTokens = ({ promptTokens, status, body }: PlatformCall): number => {
     const events = getEvents(body).length;
     return status === 200 && events > 0 ? promptTokens + Math.min(MODEL_TOKENS, events * MODEL_TOKENS_EACH) : 0;
 };
 
 /** Compares what targets ran with what callers saw. */
-export const judgePlatform = (
-    { fleet, calls, prepaid, exitCodes, notRecovered }: PlatformEvidence,
-): PlatformVerdict => {
-    const runs = new Map<string, number>();
-    fleet.ran.forEach(({ id }) => runs.set(id, (runs.get(id) ?? 0) + 1));
-    const answered = calls.filter(call => call.answer.status === 200);
-    const got = answered.filter(call => call.kind === "model").reduce((sum, call) => sum + getTokens(call), 0);
-    const violations = {
-        overspentTokens: Math.max(0, got - prepaid),
-        answersNotWhole: answered.filter(call => !isWhole(call)).length,
-        ranTwice: calls.filter(call => call.kind === "once" && (runs.get(call.id) ?? 0) > 1).length,
-        ranThoughNotRun:
-            calls.filter(call =>
-                call.kind === "once" && NOT_RUN.includes(call.answer.status) && (runs.get(call.id) ?? 0) > 0
-            ).length,
-        withoutTimeToComeBack: calls.filter(({ answer }) => answer.status === 503 && answer.retryAfterS === undefined)
-            .length,
-        stopsThatFailed: exitCodes.filter(code => code !== 0).length,
-        notRecovered: notRecovered.length,
-    };
+class PlatformJudge {
+    private readonly runs = new Map<string, RunRequest[]>();
+
+    constructor(private readonly evidence: PlatformEvidence) {
+        evidence.fleet.ran.forEach(run => this.runs.set(run.id, [...this.getRuns(run.id), run]));
+    }
+
+    /** What broke each promise. */
+    listViolations(): Readonly<Record<string, readonly unknown[]>> {
+        const { calls, prepaid, notRecovered, timeline, directoryAnswers } = this.evidence;
+        const answered = calls.filter(call => call.end === "answered");
+        const served = answered.filter(call => call.status === 200);
+        const refused = answered.filter(call => call.status === 503);
+        const got = calls.filter(call => MODEL_KINDS.includes(call.kind))
+            .reduce((sum, call) => sum + getTokens(call), 0);
+        return {
+            overspentTokens: got > prepaid ? [{ got, prepaid }] : [],
+            answersNotWhole: this.describe(served.filter(call => !isWhole(call))),
+            ranTwice: this.describe(
+                calls.filter(({ kind, id }) => RUN_ONCE.includes(kind) && this.getRuns(id).length > 1),
+            ),
+            ranThoughNotRun: this.describe(
+                calls.filter(({ kind, id, status }) =>
+                    RUN_ONCE.includes(kind) && NOT_RUN.includes(status ?? 0) && this.getRuns(id).length > 0
+                ),
+            ),
+            withoutTimeToComeBack: this.describe(refused.filter(call => call.retryAfterS === undefined)),
+            refusedLate: this.describe(refused.filter(call => this.isRefusedLate(call))),
+            lost: this.describe(calls.filter(call => call.end === "cut" && this.isLost(call))),
+            overdue: this.describe(calls.filter(call => call.end === "overdue" && this.isCalm(call))),
+            denied: this.describe(answered.filter(call => this.isDenied(call))),
+            servedThoughRemoved: this.describe(served.filter(call => this.isRemoved(call))),
+            ranOnLeavingTarget: this.describe(calls.filter(call => this.ranOnLeavingTarget(call))),
+            stopsThatFailed: timeline.stops.filter(stop => !this.hasStoppedWell(stop)),
+            leavingNamed: directoryAnswers.filter(answer => this.namesLeaving(answer)),
+            notRecovered,
+        };
+    }
+
+    private getRuns(id: string): readonly RunRequest[] {
+        return this.runs.get(id) ?? [];
+    }
+
+    private describe(calls: readonly PlatformCall[]): readonly unknown[] {
+        return calls.map(call => ({ ...call, body: call.body.slice(0, 200), runs: this.getRuns(call.id) }));
+    }
+
+    /** Whether instance and targets of a call were without unplanned faults. */
+    private isCalm({ id, instance, sentAtMs, endedAtMs }: PlatformCall): boolean {
+        const { timeline } = this.evidence;
+        return timeline.isCalm(instance, sentAtMs, endedAtMs)
+            && this.getRuns(id).every(({ target }) => timeline.isCalm(target, sentAtMs, endedAtMs));
+    }
+
+    private isLost(call: PlatformCall): boolean {
+        const { id, sentAtMs, bodySentAtMs = Infinity, endedAtMs } = call;
+        const wasRead = this.getRuns(id).length > 0 || endedAtMs - bodySentAtMs > LOSS_SLACK_MS;
+        const lastedMs = endedAtMs - sentAtMs + TIMER_SLACK_MS;
+        return wasRead && this.isCalm(call) && lastedMs < this.getTimeoutMs(call) && !this.mayBeCutByStop(call);
+    }
+
+    private getTimeoutMs({ kind, sentAtMs, endedAtMs }: PlatformCall): number {
+        const versions = this.evidence.timeline.getVersions(sentAtMs, endedAtMs);
+        const routeMs = MODEL_KINDS.includes(kind)
+            ? Math.min(...versions.map(({ modelTimeoutMs }) => modelTimeoutMs))
+            : PLAIN_TIMEOUT_MS;
+        return Math.min(DEADLINE_MS[kind], routeMs);
+    }
+
+    /** A stop may cut what was sent soon after its start and is still at work in its last part. */
+    private mayBeCutByStop({ id, instance, sentAtMs, endedAtMs }: PlatformCall): boolean {
+        return this.evidence.timeline.stops.some(stop =>
+            stop.instance === instance
+            && stop.termAtMs <= endedAtMs
+            && sentAtMs <= stop.termAtMs + SENT_EARLY_MS
+            && this.getRuns(id).some(({ startedAtMs, end }) =>
+                startedAtMs <= stop.endedAtMs
+                && (end?.atMs ?? Infinity) >= stop.termAtMs + LAST_PART_FROM * STOP_WITHIN_MS
+            )
+        );
+    }
+
+    private isRefusedLate(call: PlatformCall): boolean {
+        const { sentAtMs, bodySentAtMs = Infinity, endedAtMs } = call;
+        return endedAtMs - bodySentAtMs > REFUSED_WITHIN_MS
+            && this.isCalm(call)
+            && this.evidence.timeline.isCalm(STORE_PART, sentAtMs, endedAtMs);
+    }
+
+    private isDenied(call: PlatformCall): boolean {
+        const isAllowed = call.kind !== "new" || this.getNewRoute(call).every(Boolean);
+        return isAllowed && DENIALS.includes(call.status ?? 0);
+    }
+
+    private isRemoved(call: PlatformCall): boolean {
+        return call.kind === "new"
+            && !this.getNewRoute(call).some(Boolean)
+            && this.isCalm(call)
+            && this.evidence.timeline.isCalm(STORE_PART, call.sentAtMs, call.endedAtMs);
+    }
+
+    private getNewRoute({ sentAtMs, endedAtMs }: PlatformCall): readonly boolean[] {
+        return this.evidence.timeline.getVersions(sentAtMs, endedAtMs).map(({ hasNewRoute }) => hasNewRoute);
+    }
+
+    private ranOnLeavingTarget(call: PlatformCall): boolean {
+        const { timeline } = this.evidence;
+        return this.isCalm(call)
+            && timeline.isCalm(STORE_PART, call.sentAtMs, call.endedAtMs)
+            && this.getRuns(call.id).some(({ target, startedAtMs }) => timeline.hasLeft(target, startedAtMs));
+    }
+
+    private hasStoppedWell({ termAtMs, endedAtMs, code, wasDisturbed, wasStarting }: StopRecord): boolean {
+        const isInTime = endedAtMs - termAtMs <= STOP_WITHIN_MS;
+        return wasDisturbed || (isInTime && (code === 0 || (wasStarting && code === undefined)));
+    }
+
+    private namesLeaving({ instance, askedAtMs, atMs, addresses }: DirectoryAnswer): boolean {
+        const { timeline, fleet } = this.evidence;
+        return timeline.stops.some(stop =>
+            addresses.includes(fleet.instances.find(({ name }) => name === stop.instance)?.callers ?? "")
+            && askedAtMs > stop.termAtMs + UNNAMED_WITHIN_MS
+            && atMs < stop.endedAtMs
+            && timeline.isCalm(instance, askedAtMs, atMs)
+            && timeline.isCalm(stop.instance, stop.termAtMs, atMs)
+        );
+    }
+}
+
+const countBy = (prefix: string, names: readonly string[]): Readonly<Record<string, number>> => {
+    const counts: Record<string, number> = {};
+    names.forEach(name => counts[`${prefix}${name}`] = (counts[`${prefix}${name}`] ?? 0) + 1);
+    return counts;
+};
+
+/** Judges what was seen while a schedule was played. */
+export const judgePlatform = (evidence: PlatformEvidence): PlatformVerdict => {
+    const { calls, timeline, directoryAnswers, prepaid } = evidence;
+    const traces = new PlatformJudge(evidence).listViolations();
+    const violations = Object.fromEntries(Object.entries(traces).map(([name, seen]) => [name, seen.length]));
     const figures = {
         calls: calls.length,
-        answered: answered.length,
-        refused: calls.filter(call => call.answer.status === 503).length,
-        exhausted: calls.filter(call => call.answer.status === 402).length,
-        broken: calls.filter(call => call.answer.status === 0).length,
-        gotTokens: got,
+        onKeptConnections: calls.filter(call => call.usedKeptConnection).length,
+        ...countBy("", calls.map(call => call.end)),
+        ...countBy("status", calls.flatMap(call => call.end === "answered" ? [String(call.status)] : [])),
+        stops: timeline.stops.length,
+        longestStopMs: Math.round(Math.max(0, ...timeline.stops.map(stop => stop.endedAtMs - stop.termAtMs))),
+        directoryAnswers: directoryAnswers.length,
         prepaidTokens: prepaid,
     };
-    return { ok: Object.values(violations).every(count => count === 0), violations, figures };
+    return { ok: Object.values(violations).every(count => count === 0), violations, figures, traces };
 };
--- a/packages/bench/src/platform/soak/platform-call.ts
+++ b/packages/bench/src/platform/soak/platform-call.ts
@@ -1,12 +1,44 @@
-import type { CallerAnswer } from "../platform-fleet.js";
+/** A kind of request to a fleet on the platform; `fixed` streams may not be resumed. */
+export type PlatformCallKind = "plain" | "once" | "model" | "fixed" | "new";
 
-/** A kind of request to a fleet on the platform. */
-export type PlatformCallKind = "plain" | "once" | "model";
+/** How a call ended, as its caller saw it. */
+export type CallEnd =
+    /** A whole response came. */
+    | "answered"
+    /** The connection ended before that. */
+    | "cut"
+    /** No connection was made. */
+    | "unreachable"
+    /** The caller disconnected. */
+    | "callerLeft"
+    /** There was no whole response some time after the deadline. */
+    | "overdue";
 
-/** One request and what its caller saw. */
+/** One request and what its caller saw; times are monotonic, in milliseconds. */
 export interface PlatformCall {
     readonly kind: PlatformCallKind;
     readonly id: string;
     readonly promptTokens: number;
-    readonly answer: CallerAnswer;
+    /** Padding of the answer that was asked for. */
+    readonly paddingBytes: number;
+    /** Name of the instance. */
+    readonly instance: string;
+    readonly usedKeptConnection: boolean;
+    readonly sentAtMs: number;
+    /** When the last byte of the body was written. */
+    readonly bodySentAtMs: number | undefined;
+    readonly endedAtMs: number;
+    readonly end: CallEnd;
+    /** Undefined before the head of a response. */
+    readonly status: number | undefined;
+    readonly body: string;
+    readonly retryAfterS: number | undefined;
+}
+
+/** Addresses that an instance told a caller. */
+export interface DirectoryAnswer {
+    readonly instance: string;
+    readonly askedAtMs: number;
+    readonly atMs: number;
+    readonly addresses: readonly string[];
 }
--- /dev/null
+++ b/packages/bench/src/platform/soak/platform-caller.ts
@@ -0,0 +1,117 @@
+import { Agent } from "node:http";
+import { setTimeout as sleep } from "node:timers/promises";
+import { RandomSource } from "../../faults/random-source.js";
+import { type AddressAnswer, type PlatformFleet, type PlatformInstance } from "../platform-fleet.js";
+import type { DirectoryAnswer, PlatformCall } from "./platform-call.js";
+import { sendCall } from "./send-call.js";
+
+/** Options of a {@link PlatformCaller}. */
+export interface PlatformCallerOptions {
+    readonly fleet: PlatformFleet;
+    readonly seed: number;
+    readonly onCall: (call: PlatformCall) => void;
+    readonly onDirectoryAnswer: (answer: DirectoryAnswer) => void;
+}
+
+/** Longest pause between two requests, in milliseconds. */
+const LONGEST_PAUSE_MS = 250;
+
+const LONGEST_PROMPT = 600;
+
+/** Instances that are asked for addresses before a caller waits. */
+const DIRECTORY_TRIES = 3;
+const DIRECTORY_RETRY_MS = 100;
+const MS_PER_S = 1_000;
+
+/** Answer of a target that does not fit into the buffers of a connection, in bytes. */
+const LARGE_BYTES = 4_000_000;
+
+/** One caller: asks for addresses, keeps them for a time and sends one request after the other. */
+export class PlatformCaller {
+    private readonly random: RandomSource;
+    private readonly agent: Agent;
+    private readonly keepsConnections: boolean;
+    /** Times to live for which addresses are used; without end, they are kept until they fail. */
+    private readonly lifetimes: number;
+    private addresses: readonly string[] = [];
+    private addressesEndAtMs = 0;
+    private last: string | undefined;
+
+    constructor(private readonly opts: PlatformCallerOptions) {
+        this.random = new RandomSource(opts.seed);
+        this.keepsConnections = this.random.pick([true, true, true, false]);
+        this.agent = new Agent({ keepAlive: this.keepsConnections, maxSockets: 1 });
+        this.lifetimes = this.random.pick([1, 3, Infinity]);
+    }
+
+    /** Sends requests until the signal aborts. */
+    async run(ended: AbortSignal): Promise<void> {
+        while (!ended.aborted) {
+            const address = await this.pickAddress();
+            if (address === undefined) {
+                await sleep(DIRECTORY_RETRY_MS);
+                continue;
+            }
+            const call = await this.send(address);
+            this.opts.onCall(call);
+            if (call.end === "unreachable" || call.end === "cut" || call.end === "overdue") {
+                this.addresses = this.addresses.filter(other => other !== address);
+            }
+            await sleep(this.random.int(0, LONGEST_PAUSE_MS));
+        }
+        this.agent.destroy();
+    }
+
+    /** Stays with the address of its open connection while that is among those in use. */
+    private async pickAddress(): Promise<string | undefined> {
+        if (this.addresses.length === 0 || performance.now() > this.addressesEndAtMs) {
+            await this.askDirectory();
+        }
+        if (this.addresses.length === 0) {
+            return undefined;
+        }
+        if (!this.keepsConnections || this.last === undefined || !this.addresses.includes(this.last)) {
+            this.last = this.random.pick(this.addresses);
+        }
+        return this.last;
+    }
+
+    private async askDirectory(): Promise<void> {
+        const { fleet, onDirectoryAnswer } = this.opts;
+        for (let at = 0; at < DIRECTORY_TRIES; at++) {
+            const instance = this.random.pick(fleet.instances);
+            const askedAtMs = performance.now();
+            const answer: AddressAnswer | undefined = await fleet.resolveWithTtl(instance);
+            if (answer !== undefined) {
+                const atMs = performance.now();
+                onDirectoryAnswer({ instance: instance.name, askedAtMs, atMs, addresses: answer.addresses });
+                this.addresses = answer.addresses;
+                this.addressesEndAtMs = atMs + answer.ttlS * MS_PER_S * this.lifetimes;
+                return;
+            }
+        }
+    }
+
+    private async send(address: string): Promise<PlatformCall> {
+        const { fleet } = this.opts;
+        const { random, agent } = this;
+        const kind = random.pick(["plain", "once", "model", "model", "fixed", "new"] as const);
+        const isLarge = (kind === "plain" || kind === "once") && random.int(1, 10) === 1;
+        return await sendCall({
+            kind,
+            id: fleet.nextId(),
+            promptTokens: random.int(1, LONGEST_PROMPT),
+            paddingBytes: isLarge ? LARGE_BYTES : 0,
+            instance: getInstance(fleet, address)?.name ?? "",
+            address: fleet.toProxied(address),
+            agent,
+            stepMs: kind === "model" || kind === "fixed" ? random.pick([5, 20, 150, 300, 900]) : random.pick([2, 50]),
+            bodyPauseMs: random.pick([0, 0, 0, 0, 50, 300]),
+            readPauseMs: random.pick([0, 0, 0, 0, 1_000]),
+            leavesAfterMs: random.int(1, 12) === 1 ? random.int(1, 2_000) : undefined,
+        });
+    }
+}
+
+const getInstance = (fleet: PlatformFleet, address: string): PlatformInstance | undefined =>
+    fleet.instances.find(instance => instance.callers === address);
--- a/packages/bench/src/platform/soak/platform-schedule-run.ts
+++ b/packages/bench/src/platform/soak/platform-schedule-run.ts
@@ -1,22 +1,86 @@
-import type { ProxyFaults } from "@ospreyreel/stand-ins";
+import type { FaultProxy, ProxyFaults } from "@ospreyreel/stand-ins";
 import { setTimeout as sleep } from "node:timers/promises";
-import type { PlatformFleet } from "../platform-fleet.js";
-import type { PlatformFault, PlatformScheduleEntry } from "./platform-schedule.js";
+import type { PlatformFleet, PlatformInstance } from "../platform-fleet.js";
+import { type FaultTimeline, STORE_PART } from "./fault-timeline.js";
+import type { PlatformFault, PlatformScheduleEntry, StopKind } from "./platform-schedule.js";
+
+/** Signal that follows a SIGTERM. */
+const NEXT_SIGNAL: Readonly<Record<StopKind, NodeJS.Signals | undefined>> = {
+    stop: undefined,
+    stopTwice: "SIGTERM",
+    stopThenReload: "SIGHUP",
+    freezeInStop: "SIGSTOP",
+    killInStop: "SIGKILL",
+};
+
+/** Time after which a process that does not end after SIGTERM is killed, in milliseconds. */
+const STOP_TIMEOUT_MS = 15_000;
+
+const READY_TIMEOUT_MS = 30_000;
+
+/** Time for which the store is away before it comes back from an older copy, in milliseconds. */
+const RESTORE_MS = 300;
+
+/** Time-outs of the model routes in turn, in milliseconds. */
+const MODEL_TIMEOUTS_MS = [12_000, 5_000, 12_000, 3_000] as const;
+
+/** Faults that signals to processes bring about. */
+type ProcessFault = Extract<
+    PlatformFault,
+    { readonly kind: "kill" | "killAll" | "freeze" | StopKind | "rollingStop" | "stopInStart" | "reload"; }
+>;
+
+/** Version that is written first; the fleet is started with an earlier one. */
+const FIRST_WRITTEN = 2;
+
+/** Options of a {@link PlatformScheduleRun}. */
+export interface ScheduleRunOptions {
+    readonly fleet: PlatformFleet;
+    readonly timeline: FaultTimeline;
+    readonly prepaid: number;
+}
+
+/** What comes with a SIGTERM. */
+interface StopOptions {
+    readonly next?: NodeJS.Signals | undefined;
+    /** Time until the next signal, in milliseconds. */
+    readonly gapMs?: number;
+    /** Time for which a process is frozen, in milliseconds. */
+    readonly ms?: number;
+    readonly isStarting?: boolean;
+}
 
 /** Brings the faults of a schedule about; all are over when {@link run} resolves. */
 export class PlatformScheduleRun {
-    /** Exit codes of processes that were told to stop. */
-    readonly exitCodes: (number | undefined)[] = [];
-    private readonly away = new Set<number>();
+    private readonly fleet: PlatformFleet;
+    private readonly timeline: FaultTimeline;
+    /** Instances that a fault has ended or told to stop. */
+    private readonly away = new Set<PlatformInstance>();
     private version = 1;
+    private prepaidTokens: number;
 
-    constructor(private readonly fleet: PlatformFleet, private prepaidTokens: number) {}
+    constructor({ fleet, timeline, prepaid }: ScheduleRunOptions) {
+        this.fleet = fleet;
+        this.timeline = timeline;
+        this.prepaidTokens = prepaid;
+    }
 
     /** Tokens prepaid in the last desired state. */
     get prepaid(): number {
         return this.prepaidTokens;
     }
 
+    /** Writes the next desired state; odd versions lack a route. */
+    writeDocument(tokens = 0): void {
+        this.version += 1;
+        this.prepaidTokens += tokens;
+        const modelTimeoutMs = MODEL_TIMEOUTS_MS[(this.version - FIRST_WRITTEN) % MODEL_TIMEOUTS_MS.length]
+            ?? MODEL_TIMEOUTS_MS[0];
+        const hasNewRoute = this.version % 2 === 0;
+        this.timeline.addVersion({ modelTimeoutMs, hasNewRoute });
+        this.fleet.apply(this.version, this.prepaidTokens, { modelTimeoutMs, hasNewRoute });
+    }
+
     /** Runs all entries side by side, then ends what overlapping entries left. */
     async run(schedule: readonly PlatformScheduleEntry[]): Promise<void> {
         await Promise.all(schedule.map(async ({ startMs, durationMs, fault }) => {
@@ -25,104 +89,207 @@
         }));
         const { fleet } = this;
         fleet.store.endFaults();
-        await Promise.all(fleet.storeProxies.map(proxy => proxy.setFaults({ mode: "pass", delayMs: 0 })));
+        const proxies = [...fleet.storeProxies, ...fleet.callerProxies, ...fleet.targetProxies];
+        await Promise.all(proxies.map(proxy => proxy.setFaults({ mode: "pass", delayMs: 0 })));
         fleet.instances.forEach(instance => instance.process.kill("SIGCONT"));
     }
 
-    private async hold(fault: PlatformFault, durationMs: number): Promise<void> {
+    private async hold(fault: PlatformFault, ms: number): Promise<void> {
         const { fleet } = this;
-        const { faults } = fleet.store;
         switch (fault.kind) {
             case "kill":
+                return await this.restartAfter([fault.instance], ms, instance => this.kill(instance));
+            case "killAll":
+                return await this.restartAfter([...fleet.instances.keys()], ms, instance => this.kill(instance));
+            case "freeze":
+                return await this.freeze(this.getInstances([fault.instance]), ms);
             case "stop":
+            case "stopTwice":
+            case "stopThenReload":
+            case "freezeInStop":
+            case "killInStop":
                 return await this.restartAfter(
                     [fault.instance],
-                    fault.kind === "kill" ? "SIGKILL" : "SIGTERM",
-                    durationMs,
+                    ms,
+                    instance => this.stop(instance, { next: NEXT_SIGNAL[fault.kind], gapMs: fault.gapMs, ms }),
                 );
-            case "killAll":
-                return await this.restartAfter([...fleet.instances.keys()], "SIGKILL", durationMs);
-            case "freeze":
-                fleet.instances[fault.instance]?.process.kill("SIGSTOP");
-                await sleep(durationMs);
-                fleet.instances[fault.instance]?.process.kill("SIGCONT");
+            case "rollingStop":
+                await Promise.all(fault.instances.map(async (at, order) => {
+                    await sleep(order * fault.gapMs);
+                    await this.restartAfter([at], ms, instance => this.stop(instance));
+                }));
                 return;
+            case "stopInStart":
+                return await this.restartAfter([fault.instance], ms, async instance => {
+                    await this.kill(instance);
+                    await this.stopInStart(instance, fault.gapMs);
+                });
             case "reload":
-                fleet.instances[fault.instance]?.process.kill("SIGHUP");
+                await Promise.all(
+                    this.getInstances([fault.instance]).map(async instance => {
+                        await fleet.changeSettings(instance);
+                        instance.process.kill("SIGHUP");
+                    }),
+                );
                 return;
+            default:
+                return await this.holdAround(fault, ms);
+        }
+    }
+
+    /** Faults of links, store, targets and desired states. */
+    private async holdAround(fault: Exclude<PlatformFault, ProcessFault>, ms: number): Promise<void> {
+        const { fleet, timeline } = this;
+        const { faults, items } = fleet.store;
+        switch (fault.kind) {
             case "cutStore":
-                return await this.throughProxies(fault.instances, { mode: fault.mode }, { mode: "pass" }, durationMs);
             case "slowStore":
-                return await this.throughProxies(
-                    fault.instances,
-                    { delayMs: fault.delayMs },
-                    { delayMs: 0 },
-                    durationMs,
+                return await this.disturbLinks([STORE_PART], pick(fleet.storeProxies, fault.instances), fault, ms);
+            case "cutCallers":
+            case "slowCallers":
+                return await this.disturbLinks(
+                    this.getInstances([fault.instance]).map(({ name }) => name),
+                    pick(fleet.callerProxies, [fault.instance]),
+                    fault,
+                    ms,
+                );
+            case "cutTarget":
+            case "slowTarget":
+                return await this.disturbLinks(
+                    pick(fleet.targets, [fault.target]).map(({ id }) => id),
+                    pick(fleet.targetProxies, [fault.target]),
+                    fault,
+                    ms,
                 );
             case "storeSilent":
-                return await holdFor(durationMs, on => faults.silent = on);
+                return await this.disturbStore(ms, on => faults.silent = on);
             case "storeBusy":
-                return await holdFor(durationMs, on => faults.busy = on);
+                return await this.disturbStore(ms, on => faults.busy = on);
             case "storeLosesReplies":
-                return await holdFor(durationMs, on => faults.losesReplies = on);
+                return await this.disturbStore(ms, on => faults.losesReplies = on);
             case "storeLate":
-                return await holdFor(durationMs, on => faults.lateMs = on ? fault.lateMs : 0);
+                return await this.disturbStore(ms, on => faults.lateMs = on ? fault.lateMs : 0);
             case "storeForgets":
-                return fleet.store.items.forget();
-            case "targetLeaves":
-                return await this.leaveAndRestart(fault.target, durationMs);
+                return await this.disturbStore(0, () => items.forget());
+            case "storeOlderCopy": {
+                const copy = items.copy();
+                await sleep(ms);
+                await this.disturbStore(RESTORE_MS, on => faults.silent = on);
+                fleet.store.restore(copy);
+                return fleet.writeAgain();
+            }
+            case "targetLeaves": {
+                const end = timeline.leave(fleet.models[fault.target]?.id ?? "");
+                fleet.announceLeaving(fault.target);
+                await sleep(ms);
+                await this.rebirth(fault.target);
+                return end();
+            }
             case "targetReborn":
-                return await fleet.rebirth(fault.target);
+                return await this.rebirth(fault.target);
             case "topUp":
-                this.version += 1;
-                this.prepaidTokens += fault.tokens;
-                return fleet.apply(this.version, this.prepaidTokens);
+                return this.writeDocument(fault.tokens);
+            case "documents":
+                for (let at = 0; at < fault.count; at++) {
+                    this.writeDocument();
+                    await sleep(fault.gapMs);
+                }
+                return;
         }
     }
 
+    private getInstances(indexes: readonly number[]): readonly PlatformInstance[] {
+        return pick(this.fleet.instances, indexes);
+    }
+
     /** Ends processes that no other fault has ended, and starts each again after the time. */
-    private async restartAfter(indexes: readonly number[], signal: NodeJS.Signals, ms: number): Promise<void> {
-        const taken = indexes.filter(index => !this.away.has(index));
-        taken.forEach(index => this.away.add(index));
-        await Promise.all(taken.map(async index => {
-            const instance = this.fleet.instances[index];
-            if (instance === undefined) {
-                return;
-            }
-            if (signal === "SIGTERM") {
-                this.exitCodes.push((await instance.process.stop()).code);
-            }
-            else {
-                instance.process.kill(signal);
-            }
+    private async restartAfter(
+        indexes: readonly number[],
+        ms: number,
+        end: (instance: PlatformInstance) => Promise<void>,
+    ): Promise<void> {
+        const taken = this.getInstances(indexes).filter(instance => !this.away.has(instance));
+        taken.forEach(instance => this.away.add(instance));
+        await Promise.all(taken.map(async instance => {
+            await end(instance);
             await sleep(ms);
             await this.fleet.restart(instance);
-            this.away.delete(index);
+            this.away.delete(instance);
         }));
     }
 
-    private async throughProxies(
-        indexes: readonly number[],
-        begun: Partial<ProxyFaults>,
-        ended: Partial<ProxyFaults>,
-        ms: number,
+    private async kill(instance: PlatformInstance): Promise<void> {
+        const end = this.timeline.disturb([instance.name]);
+        instance.process.kill("SIGKILL");
+        await instance.process.exited;
+        end();
+    }
+
+    private async freeze(instances: readonly PlatformInstance[], ms: number): Promise<void> {
+        const end = this.timeline.disturb(instances.map(({ name }) => name));
+        instances.forEach(instance => instance.process.kill("SIGSTOP"));
+        await sleep(ms);
+        instances.forEach(instance => instance.process.kill("SIGCONT"));
+        end();
+    }
+
+    private async stop(
+        instance: PlatformInstance,
+        { next, gapMs = 0, ms = 0, isStarting = false }: StopOptions = {},
     ): Promise<void> {
-        const proxies = this.fleet.storeProxies.filter((_, index) => indexes.includes(index));
-        await Promise.all(proxies.map(proxy => proxy.setFaults(begun)));
+        const { process, name } = instance;
+        const termAtMs = performance.now();
+        process.kill("SIGTERM");
+        const timer = setTimeout(() => process.kill("SIGKILL"), STOP_TIMEOUT_MS);
+        if (next !== undefined) {
+            await Promise.race([sleep(gapMs), process.exited]);
+            await (next === "SIGSTOP" ? this.freeze([instance], ms) : undefined);
+            await (next === "SIGKILL" ? this.kill(instance) : undefined);
+            process.kill(next === "SIGSTOP" ? "SIGCONT" : next);
+        }
+        const { code } = await process.exited;
+        clearTimeout(timer);
+        const endedAtMs = performance.now();
+        const wasDisturbed = this.timeline.overlaps(name, termAtMs, endedAtMs);
+        this.timeline.stops.push({ instance: name, termAtMs, endedAtMs, code, wasDisturbed, wasStarting: isStarting });
+    }
+
+    /** A process that has not yet set its handlers ends by the signal; one that has ends in time. */
+    private async stopInStart(instance: PlatformInstance, gapMs: number): Promise<void> {
+        const process = this.fleet.spawn(instance);
+        const ready = process.awaitReady(READY_TIMEOUT_MS).catch(() => undefined);
+        await sleep(gapMs);
+        await this.stop(instance, { isStarting: true });
+        await ready;
+    }
+
+    private async rebirth(model: number): Promise<void> {
+        const end = this.timeline.disturb(pick(this.fleet.models, [model]).map(({ id }) => id));
+        await this.fleet.rebirth(model);
+        end();
+    }
+
+    private async disturbStore(ms: number, set: (on: boolean) => void): Promise<void> {
+        const end = this.timeline.disturb([STORE_PART]);
+        set(true);
         await sleep(ms);
-        await Promise.all(proxies.map(proxy => proxy.setFaults(ended)));
+        set(false);
+        end();
     }
 
-    /** A target that said that it leaves ends; only another start of it takes requests again. */
-    private async leaveAndRestart(target: number, ms: number): Promise<void> {
-        this.fleet.announceLeaving(target);
+    private async disturbLinks(
+        parts: readonly string[],
+        proxies: readonly FaultProxy[],
+        { mode = "pass", delayMs = 0 }: Partial<ProxyFaults>,
+        ms: number,
+    ): Promise<void> {
+        const end = this.timeline.disturb(parts);
+        await Promise.all(proxies.map(proxy => proxy.setFaults({ mode, delayMs })));
         await sleep(ms);
-        await this.fleet.rebirth(target);
+        await Promise.all(proxies.map(proxy => proxy.setFaults({ mode: "pass", delayMs: 0 })));
+        end();
     }
 }
 
-const holdFor = async (ms: number, set: (on: boolean) => void): Promise<void> => {
-    set(true);
-    await sleep(ms);
-    set(false);
-};
+const pick = <T>(items: readonly T[], indexes: readonly number[]): readonly T[] =>
+    items.filter((_, index) => indexes.includes(index));
--- a/packages/bench/src/platform/soak/platform-schedule.ts
+++ b/packages/bench/src/platform/soak/platform-schedule.ts
@@ -2,54 +2,91 @@
 import { drawEntries, type ScheduleBounds, type TimedFault } from "../../faults/draw-entries.js";
 import type { RandomSource } from "../../faults/random-source.js";
 
+/** Signals that follow a SIGTERM of the same process. */
+export type StopKind = "stop" | "stopTwice" | "stopThenReload" | "freezeInStop" | "killInStop";
+
 /** One fault of a fleet on the platform. */
 export type PlatformFault =
-    /** A process is killed, told to stop or paused, and started or continued at the fault's end. */
-    | { readonly kind: "kill" | "stop" | "freeze"; readonly instance: number; }
+    /** A process is killed or paused, and started or continued at the fault's end. */
+    | { readonly kind: "kill" | "freeze"; readonly instance: number; }
+    /** A process is told to stop, with another signal some time after, and started again once it has ended. */
+    | { readonly kind: StopKind; readonly instance: number; readonly gapMs: number; }
+    /** Processes are told to stop, one after the other. */
+    | { readonly kind: "rollingStop"; readonly instances: readonly number[]; readonly gapMs: number; }
+    /** A process is killed, started and told to stop some time after its start. */
+    | { readonly kind: "stopInStart"; readonly instance: number; readonly gapMs: number; }
     /** All processes are killed at once. */
     | { readonly kind: "killAll"; }
     /** Connections of instances to the store go through a proxy in this mode. */
     | { readonly kind: "cutStore"; readonly instances: readonly number[]; readonly mode: ProxyMode; }
     | { readonly kind: "slowStore"; readonly instances: readonly number[]; readonly delayMs: number; }
+    /** Connections of callers to an instance. */
+    | { readonly kind: "cutCallers"; readonly instance: number; readonly mode: ProxyMode; }
+    | { readonly kind: "slowCallers"; readonly instance: number; readonly delayMs: number; }
+    /** Connections of all instances to a target. */
+    | { readonly kind: "cutTarget"; readonly target: number; readonly mode: ProxyMode; }
+    | { readonly kind: "slowTarget"; readonly target: number; readonly delayMs: number; }
     | { readonly kind: "storeSilent" | "storeBusy" | "storeLosesReplies" | "storeForgets"; }
     /** Writes take effect this much later and are not answered. */
     | { readonly kind: "storeLate"; readonly lateMs: number; }
+    /** The store comes back with what it held at the fault's start. */
+    | { readonly kind: "storeOlderCopy"; }
     /** A model target announces that it leaves and ends, or crashes at once; it starts again at another address. */
     | { readonly kind: "targetLeaves" | "targetReborn"; readonly target: number; }
     /** A new desired state with more tokens. */
     | { readonly kind: "topUp"; readonly tokens: number; }
-    /** The settings file is written again and the process told of it. */
+    /** New desired states in quick succession, with a route added and removed and with other time-outs. */
+    | { readonly kind: "documents"; readonly count: number; readonly gapMs: number; }
+    /** The settings file is written with other peers and the process told of it. */
     | { readonly kind: "reload"; readonly instance: number; };
 
 /** One entry of a schedule. */
 export type PlatformScheduleEntry = TimedFault<PlatformFault>;
 
-/** With the longest fault, a seed's load lasts about eight seconds. */
-const BOUNDS: ScheduleBounds = { faults: [3, 7], longestStartMs: 4_000, durationMs: [200, 4_000] };
+/** With the longest fault and the longest stop, a seed's load lasts about twenty seconds. */
+const BOUNDS: ScheduleBounds = { faults: [3, 8], longestStartMs: 5_000, durationMs: [200, 4_000] };
 
 const KINDS = [
     "kill",
-    "kill",
-    "stop",
     "freeze",
     "freeze",
     "killAll",
-    "cutStore",
+    "stop",
+    "stop",
+    "stopTwice",
+    "stopThenReload",
+    "freezeInStop",
+    "killInStop",
+    "rollingStop",
+    "rollingStop",
+    "stopInStart",
     "cutStore",
     "cutStore",
     "slowStore",
+    "cutCallers",
+    "slowCallers",
+    "cutTarget",
+    "slowTarget",
     "storeSilent",
     "storeBusy",
     "storeLosesReplies",
     "storeLate",
     "storeForgets",
+    "storeOlderCopy",
     "targetLeaves",
     "targetReborn",
     "topUp",
+    "documents",
+    "documents",
     "reload",
 ] as const satisfies readonly PlatformFault["kind"][];
 
 const CUT_MODES: readonly ProxyMode[] = ["cut", "stall", "halfOpen", "dropClientToServer", "dropServerToClient"];
+const DELAYS_MS = [20, 100, 400] as const;
+
+/** The plain target and the models. */
+const TARGETS = 3;
+const MODELS = 2;
 
 const createFault = (random: RandomSource, instances: number): PlatformFault => {
     const kind = random.pick(KINDS);
@@ -57,21 +94,40 @@
     const all = [...Array(instances).keys()];
     switch (kind) {
         case "kill":
-        case "stop":
         case "freeze":
         case "reload":
             return { kind, instance };
+        case "stop":
+        case "stopTwice":
+        case "stopThenReload":
+        case "freezeInStop":
+        case "killInStop":
+            return { kind, instance, gapMs: random.int(0, 7_000) };
+        case "rollingStop":
+            return { kind, instances: all.filter(() => random.int(0, 2) > 0), gapMs: random.int(0, 2_000) };
+        case "stopInStart":
+            return { kind, instance, gapMs: random.int(100, 1_000) };
         case "cutStore":
             return { kind, instances: random.pick([[instance], all, all.slice(1)]), mode: random.pick(CUT_MODES) };
         case "slowStore":
-            return { kind, instances: random.pick([[instance], all]), delayMs: random.pick([20, 100, 400]) };
+            return { kind, instances: random.pick([[instance], all]), delayMs: random.pick(DELAYS_MS) };
+        case "cutCallers":
+            return { kind, instance, mode: random.pick(CUT_MODES) };
+        case "slowCallers":
+            return { kind, instance, delayMs: random.pick(DELAYS_MS) };
+        case "cutTarget":
+            return { kind, target: random.int(0, TARGETS - 1), mode: random.pick(CUT_MODES) };
+        case "slowTarget":
+            return { kind, target: random.int(0, TARGETS - 1), delayMs: random.pick(DELAYS_MS) };
         case "storeLate":
             return { kind, lateMs: random.pick([200, 1_000, 3_000]) };
         case "targetLeaves":
         case "targetReborn":
-            return { kind, target: random.int(0, 1) };
+            return { kind, target: random.int(0, MODELS - 1) };
         case "topUp":
             return { kind, tokens: random.int(500, 20_000) };
+        case "documents":
+            return { kind, count: random.int(2, 6), gapMs: random.pick([20, 200, 1_000]) };
         default:
             return { kind };
     }
--- a/packages/bench/src/platform/soak/play-platform-seed.ts
+++ b/packages/bench/src/platform/soak/play-platform-seed.ts
@@ -1,11 +1,35 @@
+import { createWriteStream } from "node:fs";
+import { writeFile } from "node:fs/promises";
+import { join } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
 import { RandomSource } from "../../faults/random-source.js";
 import { PlatformFleet } from "../platform-fleet.js";
+import { FaultTimeline } from "./fault-timeline.js";
 import { judgePlatform, type PlatformVerdict } from "./judge-platform.js";
 import { runPlatformLoad } from "./platform-load.js";
 import { PlatformScheduleRun } from "./platform-schedule-run.js";
 import { createPlatformSchedule, type PlatformScheduleEntry } from "./platform-schedule.js";
 
+/** A schedule with the fleet that it is played on. */
+export interface PlatformScenario {
+    /** Seed of the callers' draws. */
+    readonly seed: number;
+    readonly count: number;
+    /** Callers for each instance. */
+    readonly callersEach: number;
+    readonly prepaid: number;
+    readonly schedule: readonly PlatformScheduleEntry[];
+    /** Folder for the instances' lines and for what broke a promise; none by default. */
+    readonly logFolder?: string | undefined;
+}
+
+/** What varies between runs of the same seed. */
+export interface PlatformSeedOptions {
+    /** Instances; drawn by default. */
+    readonly instances?: number | undefined;
+    readonly logFolder?: string | undefined;
+}
+
 /** One seed's schedule and what came of it. */
 export interface PlatformSeedResult {
     readonly seed: number;
@@ -16,39 +40,68 @@
 /** Prepaid tokens: more than all calls take, about half of that, or a tenth. */
 const PREPAID = [1_000_000, 30_000, 6_000] as const;
 
+const CALLERS_EACH = [4, 8, 16] as const;
+
+/** Time to live of addresses, in seconds; as deployed. */
+const ADDRESS_TTL_S = 2;
+
 /** Time in which a fleet serves all again once the faults are over, in milliseconds; `recoveryS` of the users' sites. */
 const RECOVERY_MS = 12_000;
 const ASK_AGAIN_MS = 200;
 
+/** Time for which callers go on after the last fault, in milliseconds. */
+const CALM_MS = 500;
+
 /** Version of the desired state that is written last, higher than any of a schedule. */
-const LAST_VERSION = 100;
+const LAST_VERSION = 1_000;
 
 /** Plays the schedule of a seed under load on a fleet of its own and judges. */
-export const playPlatformSeed = async (seed: number): Promise<PlatformSeedResult> => {
+export const playPlatformSeed = async (seed: number, opts: PlatformSeedOptions = {}): Promise<PlatformSeedResult> => {
     const random = new RandomSource(seed);
-    const count = random.int(3, 6);
+    const drawn = random.int(3, 6);
+    const count = opts.instances ?? drawn;
     const prepaid = random.pick(PREPAID);
     const schedule = createPlatformSchedule(random, count);
-    const fleet = await PlatformFleet.start({ count, prepaid, withStoreProxies: true });
+    const callersEach = random.pick(CALLERS_EACH);
+    return await playPlatformScenario({ seed, count, callersEach, prepaid, schedule, logFolder: opts.logFolder });
+};
+
+/** Plays a schedule under load on a fleet of its own and judges. */
+export const playPlatformScenario = async (scenario: PlatformScenario): Promise<PlatformSeedResult> => {
+    const { seed, count, callersEach, prepaid, schedule, logFolder } = scenario;
+    const log = logFolder === undefined ? undefined : createWriteStream(join(logFolder, `seed-${seed}.log`));
+    const onLine = (instance: string, line: string): void =>
+        void log?.write(`${Math.round(performance.now())} ${instance} ${line}\n`);
+    const fleet = await PlatformFleet.start({
+        count,
+        prepaid,
+        withProxies: true,
+        addressTtlS: ADDRESS_TTL_S,
+        ...(log === undefined ? {} : { onLine }),
+    });
     try {
-        const run = new PlatformScheduleRun(fleet, prepaid);
+        const timeline = new FaultTimeline();
+        const run = new PlatformScheduleRun({ fleet, timeline, prepaid });
+        run.writeDocument();
         const ended = new AbortController();
-        const load = runPlatformLoad({ fleet, seed, ended: ended.signal });
+        const load = runPlatformLoad({ fleet, seed, callersEach, ended: ended.signal });
         await run.run(schedule);
+        await sleep(CALM_MS);
         ended.abort();
-        const calls = await load;
+        const seen = await load;
         // Enough for the checks of recovery, which come after the load's calls were counted.
         fleet.apply(LAST_VERSION, run.prepaid + 1_000_000);
         const notRecovered = await findNotRecovered(fleet);
-        const { exitCodes } = run;
-        return {
-            seed,
-            schedule,
-            verdict: judgePlatform({ fleet, calls, prepaid: run.prepaid, exitCodes, notRecovered }),
-        };
+        const verdict = judgePlatform({ fleet, timeline, ...seen, prepaid: run.prepaid, notRecovered });
+        if (logFolder !== undefined && !verdict.ok) {
+            const evidence = { scenario, traces: verdict.traces, timeline };
+            await writeFile(join(logFolder, `seed-${seed}.json`), JSON.stringify(evidence, undefined, 1));
+        }
+        return { seed, schedule, verdict };
     }
     finally {
         await fleet.close();
+        log?.end();
     }
 };
 
--- /dev/null
+++ b/packages/bench/src/platform/soak/send-call.ts
@@ -0,0 +1,113 @@
+import { STAND_IN_HEADERS } from "@ospreyreel/stand-ins";
+import { type Agent, type ClientRequest, type IncomingMessage, request } from "node:http";
+import { setTimeout as sleep } from "node:timers/promises";
+import { MODEL_TOKENS } from "../platform-fleet.js";
+import type { CallEnd, PlatformCall } from "./platform-call.js";
+
+/** How a caller sends one request and reads the response. */
+export interface CallPlan extends Pick<PlatformCall, "kind" | "id" | "promptTokens" | "paddingBytes" | "instance"> {
+    /** Host and port to connect to. */
+    readonly address: string;
+    readonly agent: Agent;
+    readonly stepMs: number;
+    /** Pause between two pieces of the body; 0 to send it at once. */
+    readonly bodyPauseMs: number;
+    /** Time before the response is read on after its head. */
+    readonly readPauseMs: number;
+    /** Time after which the caller disconnects. */
+    readonly leavesAfterMs: number | undefined;
+}
+
+/** Time that a caller waits for each kind of request, in milliseconds; those of the users' sheets. */
+export const DEADLINE_MS = { plain: 4_000, once: 4_000, new: 4_000, model: 12_000, fixed: 12_000 } as const;
+
+/** Time after the deadline at which a call counts as overdue, in milliseconds. */
+const OVERDUE_AFTER_MS = 500;
+
+const BODY = ["how ", "does ", "it ", "work?"] as const;
+
+const getHeaders = (plan: CallPlan): Readonly<Record<string, string>> => ({
+    "host": "users.example",
+    "attempt-id": plan.id,
+    "deadline-ms": String(DEADLINE_MS[plan.kind]),
+    "authorization": "Bearer key-1",
+    [STAND_IN_HEADERS.stepMs]: String(plan.stepMs),
+    [STAND_IN_HEADERS.bytes]: String(plan.paddingBytes),
+    ...(plan.kind === "model" || plan.kind === "fixed"
+        ? { "model": "m", "token-counts": `${plan.promptTokens},${MODEL_TOKENS}` }
+        : {}),
+});
+
+const sendBody = async (req: ClientRequest, pauseMs: number): Promise<void> => {
+    if (pauseMs === 0) {
+        req.end(BODY.join(""));
+        return;
+    }
+    for (const part of BODY) {
+        req.write(part);
+        await sleep(pauseMs);
+    }
+    req.end();
+};
+
+/** Sends one request; resolves with what its caller saw. */
+export const sendCall = async (plan: CallPlan): Promise<PlatformCall> => {
+    const { kind, id, promptTokens, paddingBytes, instance, address, agent } = plan;
+    const [host = "", port = ""] = address.split(":");
+    const sentAtMs = performance.now();
+    const req = request({ host, port, agent, method: "POST", path: `/${kind}/x`, headers: getHeaders(plan) });
+    let bodySentAtMs: number | undefined;
+    let isConnected = false;
+    let gaveUp: CallEnd | undefined;
+    let res: IncomingMessage | undefined;
+    const parts: Buffer[] = [];
+    req.on("socket", socket => {
+        isConnected = !socket.connecting;
+        if (!isConnected) {
+            socket.once("connect", () => isConnected = true);
+        }
+    });
+    req.once("finish", () => bodySentAtMs = performance.now());
+    const giveUp = (end: CallEnd): void => {
+        gaveUp ??= end;
+        req.destroy();
+    };
+    const timers = [setTimeout(() => giveUp("overdue"), DEADLINE_MS[kind] + OVERDUE_AFTER_MS)];
+    if (plan.leavesAfterMs !== undefined) {
+        timers.push(setTimeout(() => giveUp("callerLeft"), plan.leavesAfterMs));
+    }
+    const ended = new Promise<CallEnd>(resolve => {
+        req.on("error", () => undefined);
+        req.once("close", () => {
+            // A response that has begun says itself how it ends.
+            if (res === undefined) {
+                resolve(gaveUp ?? (isConnected ? "cut" : "unreachable"));
+            }
+        });
+        req.once("response", head => {
+            res = head;
+            head.on("error", () => undefined);
+            head.once("close", () => resolve(gaveUp ?? (head.complete ? "answered" : "cut")));
+            setTimeout(() => head.on("data", (part: Buffer) => parts.push(part)), plan.readPauseMs);
+        });
+    });
+    void sendBody(req, plan.bodyPauseMs);
+    const end = await ended;
+    timers.forEach(clearTimeout);
+    const retryAfter = res?.headers["retry-after"];
+    return {
+        kind,
+        id,
+        promptTokens,
+        paddingBytes,
+        instance,
+        usedKeptConnection: req.reusedSocket,
+        sentAtMs,
+        bodySentAtMs,
+        endedAtMs: performance.now(),
+        end,
+        status: res?.statusCode,
+        body: Buffer.concat(parts).toString(),
+        retryAfterS: retryAfter === undefined ? undefined : Number(retryAfter),
+    };
+};
--- a/packages/bench/src/rig/rig-process.ts
+++ b/packages/bench/src/rig/rig-process.ts
@@ -30,6 +30,8 @@
     readonly readyTimeoutMs?: number;
     /** Longest wait for an end after SIGTERM, before SIGKILL; 60,000 by default. */
     readonly stopTimeoutMs?: number;
+    /** Takes each line of standard output after the ready line. */
+    readonly onLine?: (line: string) => void;
     /** Stops the process when a test is over. */
     readonly cleanup?: Cleanup;
 }
@@ -47,12 +49,14 @@
     readonly exited: Promise<ExitStatus>;
     private readonly child: ChildProcess;
     private readonly stopTimeoutMs: number;
+    private readonly onLine: (line: string) => void;
     private stderr = "";
     private stdout = "";
     private readyMessage: ReadyMessage | undefined;
 
     constructor(opts: ProcessOptions) {
         this.stopTimeoutMs = opts.stopTimeoutMs ?? 60_000;
+        this.onLine = opts.onLine ?? (() => undefined);
         const args = [...opts.nodeArgs ?? [], opts.script, ...opts.args ?? []];
         this.child = spawn(process.execPath, args, {
             env: { ...process.env, ...opts.env },
@@ -130,6 +134,7 @@
                         resolve(JSON.parse(line) as ReadyMessage);
                     }
                     else {
+                        this.onLine(line);
                         this.stdout = `${this.stdout}${line}\n`.slice(-MAX_TAIL_CHARS);
                     }
                 });
--- a/packages/stand-ins/src/platform/platform-store-stand-in.ts
+++ b/packages/stand-ins/src/platform/platform-store-stand-in.ts
@@ -1,6 +1,6 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { type JsonServer, parseJson, readText, sendJson, startJsonServer } from "../http-json/json-server.js";
-import { StoreItems, type StoreTxn } from "./store-items.js";
+import { type StoreCopy, StoreItems, type StoreTxn } from "./store-items.js";
 
 /** What the store does wrong at the moment. */
 export interface StoreFaults {
@@ -25,6 +25,8 @@
     /** Calls by kind. */
     readonly calls = new Map<string, number>();
     private server: JsonServer | undefined;
+    /** Rises by one with each restart from an older copy. */
+    private era = 1;
 
     /** Listens on a free port; returns IP:PORT. */
     async start(): Promise<string> {
@@ -42,6 +44,12 @@
         Object.assign(this.faults, NO_FAULTS);
     }
 
+    /** Continues from an older copy; what was written since is lost. */
+    restore(copy: StoreCopy): void {
+        this.era += 1;
+        this.items.restore(copy);
+    }
+
     /** Writes JSON under a key, as operators and targets do. */
     put(key: string, value: unknown): void {
         this.putBytes(key, Buffer.from(JSON.stringify(value)));
@@ -58,6 +66,7 @@
     }
 
     private async answer(req: IncomingMessage, res: ServerResponse): Promise<void> {
+        res.setHeader("Store-Era", String(this.era));
         const url = new URL(req.url ?? "/", "http://store");
         const body = parseJson(await readText(req));
         this.calls.set(url.pathname, (this.calls.get(url.pathname) ?? 0) + 1);
--- a/packages/stand-ins/src/platform/platform-target-stand-in.ts
+++ b/packages/stand-ins/src/platform/platform-target-stand-in.ts
@@ -1,3 +1,4 @@
+import type { Address } from "@ospreyreel/types";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
 import { type JsonServer, readText, startJsonServer } from "../http-json/json-server.js";
@@ -10,8 +11,23 @@
     readonly body: string;
     readonly waitsMs: number;
     readonly hadKey: boolean;
+    /** Id of the target. */
+    readonly target: string;
+    /** Monotonic time of its start in milliseconds. */
+    readonly startedAtMs: number;
+    /** Undefined while the target is at work on it. */
+    readonly end: RunEnd | undefined;
 }
 
+/** When and how a target's work on a request ended. */
+export interface RunEnd {
+    readonly atMs: number;
+    readonly how: "complete" | "disconnected" | "crashed";
+}
+
+/** Headers with which a caller sets how long a target takes and how much it answers. */
+export const STAND_IN_HEADERS = { stepMs: "stand-in-step-ms", bytes: "stand-in-bytes" } as const;
+
 /** How a target works. */
 export interface PlatformTargetOptions {
     readonly id: string;
@@ -23,15 +39,32 @@
     readonly stepMs?: number;
 }
 
+const DEFAULT_STEP_MS = 2;
+
 /** A worker of the users' platform, by its published protocol. */
 export class PlatformTargetStandIn {
-    readonly ran: RunRequest[] = [];
+    private readonly runs: { -readonly [K in keyof RunRequest]: RunRequest[K]; }[] = [];
     private server: JsonServer | undefined;
     /** Unix time of this start in milliseconds; tells it from earlier ones under the same id. */
     private born = 0;
 
     constructor(private readonly opts: PlatformTargetOptions) {}
 
+    /** Requests that it ran, in all its starts. */
+    get ran(): readonly RunRequest[] {
+        return this.runs;
+    }
+
+    /** Id of the target. */
+    get id(): string {
+        return this.opts.id;
+    }
+
+    /** Where it listens. */
+    get address(): Address {
+        return this.server?.address ?? { host: "", port: 0 };
+    }
+
     /** Listens on a free port. */
     async start(): Promise<void> {
         this.server = await startJsonServer((req, res) => this.answer(req, res));
@@ -40,16 +73,17 @@
 
     /** Stops listening and cuts what runs. */
     async close(): Promise<void> {
+        const end: RunEnd = { atMs: performance.now(), how: "crashed" };
+        this.runs.filter(run => run.end === undefined).forEach(run => run.end = end);
         await this.server?.close();
     }
 
-    /** Key and value of its entry in the store. */
-    getEntry(state: "ready" | "draining" = "ready"): readonly [string, unknown] {
+    /** Key and value of its entry in the store; it names another address where a proxy stands before the target. */
+    getEntry(state: "ready" | "draining" = "ready", address = this.address): readonly [string, unknown] {
         const { id, service, zone = "zone-a" } = this.opts;
-        const address = `${this.server?.address.host}:${this.server?.address.port}`;
         return [`servers/${id}`, {
             service,
-            address,
+            address: `${address.host}:${address.port}`,
             zone,
             version: "v1",
             slots: 8,
@@ -67,26 +101,39 @@
             res.writeHead(421, { "Instance-Id": this.opts.id }).end();
             return;
         }
-        this.ran.push({
-            id,
-            team: req.headers["tenant"]?.toString(),
-            path: req.url ?? "",
-            body,
-            waitsMs: Number(req.headers["deadline-ms"]),
-            hadKey: req.headers.authorization !== undefined,
-        });
-        const { events = 0, stepMs = 2 } = this.opts;
+        this.recordRun(req, res, body);
+        const { events = 0 } = this.opts;
+        const stepMs = Number(req.headers[STAND_IN_HEADERS.stepMs] ?? this.opts.stepMs ?? DEFAULT_STEP_MS);
         const headers = { "Attempt-Id": id, "Response-Seal": `seal-${this.opts.id}` };
         if (events === 0) {
             await sleep(stepMs);
-            res.writeHead(200, headers).end(`answer to ${id}`);
+            const padding = "x".repeat(Number(req.headers[STAND_IN_HEADERS.bytes] ?? 0));
+            res.writeHead(200, headers).end(`answer to ${id}${padding}`);
             return;
         }
         res.writeHead(200, { ...headers, "Content-Type": "text/event-stream" });
-        for (let at = Number(req.headers["last-event-id"] ?? 0) + 1; at <= events; at++) {
+        for (let at = Number(req.headers["last-event-id"] ?? 0) + 1; at <= events && !res.destroyed; at++) {
             await sleep(stepMs);
             res.write(`id: ${at}\ndata: ${id}\n\n`);
         }
         res.end();
     }
+
+    private recordRun(req: IncomingMessage, res: ServerResponse, body: string): void {
+        const run: (typeof this.runs)[number] = {
+            id: String(req.headers["attempt-id"]),
+            team: req.headers["tenant"]?.toString(),
+            path: req.url ?? "",
+            body,
+            waitsMs: Number(req.headers["deadline-ms"]),
+            hadKey: req.headers.authorization !== undefined,
+            target: this.opts.id,
+            startedAtMs: performance.now(),
+            end: undefined,
+        };
+        this.runs.push(run);
+        res.once("close", () => {
+            run.end ??= { atMs: performance.now(), how: res.writableFinished ? "complete" : "disconnected" };
+        });
+    }
 }
--- a/packages/stand-ins/src/platform/store-items.ts
+++ b/packages/stand-ins/src/platform/store-items.ts
@@ -20,10 +20,17 @@
     readonly remove: readonly string[];
 }
 
+/** The store's content at some time. */
+export interface StoreCopy {
+    readonly items: ReadonlyMap<string, StoreItem>;
+    readonly history: readonly StoreEvent[];
+    readonly revision: number;
+}
+
 /** Keys with one counter of revisions and a history that can be forgotten. */
 export class StoreItems {
     readonly changes = new EventEmitter().setMaxListeners(0);
-    private readonly items = new Map<string, StoreItem>();
+    private items = new Map<string, StoreItem>();
     private history: StoreEvent[] = [];
     private forgottenUpTo = 0;
     private at = 1;
@@ -44,9 +51,9 @@
             .sort((a, b) => a.key < b.key ? -1 : 1);
     }
 
-    /** Changes under a prefix after a revision; undefined where they are forgotten. */
+    /** Changes under a prefix after a revision; undefined where they are forgotten or the revision does not exist. */
     since(prefix: string, after: number): readonly StoreEvent[] | undefined {
-        return after < this.forgottenUpTo
+        return after < this.forgottenUpTo || after > this.at
             ? undefined
             : this.history.filter(event => event.revision > after && event.key.startsWith(prefix));
     }
@@ -57,6 +64,20 @@
         this.history = [];
     }
 
+    /** Copies the content. */
+    copy(): StoreCopy {
+        return { items: new Map(this.items), history: [...this.history], revision: this.at };
+    }
+
+    /** Goes back to a copy; what was written since is lost, and its revisions are assigned again. */
+    restore({ items, history, revision }: StoreCopy): void {
+        this.items = new Map(items);
+        this.history = [...history];
+        this.at = revision;
+        this.forgottenUpTo = Math.min(this.forgottenUpTo, revision);
+        this.changes.emit("change");
+    }
+
     /** Writes if all conditions hold; returns whether they did. */
     apply(txn: StoreTxn): boolean {
         if (txn.expectedRevision.some(({ key, revision }) => (this.get(key)?.revision ?? 0) !== revision)) {
