--- a/packages/bench/src/platform/platform-fleet.ts
+++ b/packages/bench/src/platform/platform-fleet.ts
@@ -36,6 +36,10 @@
     readonly prepaid?: number;
     /** Puts proxies that inject faults between the store, callers and targets and the instances; false by default. */
     readonly withProxies?: boolean;
+    /** Time between two events of a model's answer, in milliseconds; 5 by default. */
+    readonly modelStepMs?: number;
+    /** Time from SIGTERM to the end of an instance, in seconds; {@link STOP_WITHIN_S} by default. */
+    readonly stopWithinS?: number;
     /** Time for which callers may keep addresses, in seconds; half a second by default. */
     readonly addressTtlS?: number;
     /** Takes the lines that the instances write. */
@@ -115,9 +119,7 @@
 export class PlatformFleet {
     readonly store = new PlatformStoreStandIn();
     readonly plain = new PlatformTargetStandIn({ id: "plain-1", service: "plain" });
-    readonly models = [1, 2].map(at =>
-        new PlatformTargetStandIn({ id: `model-${at}`, service: "model", events: MODEL_EVENTS, stepMs: 5 })
-    );
+    readonly models: readonly PlatformTargetStandIn[];
     readonly instances: PlatformInstance[] = [];
     /** One for each instance, if asked for. */
     readonly storeProxies: FaultProxy[] = [];
@@ -131,10 +133,17 @@
     private document: unknown;
     private onLine: PlatformFleetOptions["onLine"];
 
+    private constructor(stepMs: number) {
+        this.models = [1, 2].map(at =>
+            new PlatformTargetStandIn({ id: `model-${at}`, service: "model", events: MODEL_EVENTS, stepMs })
+        );
+    }
+
     /** Starts everything and resolves once all instances take requests. */
     static async start(opts: PlatformFleetOptions = {}): Promise<PlatformFleet> {
-        const { count = 3, prepaid = PREPAID, withProxies = false, addressTtlS = 0.5 } = opts;
-        const fleet = new PlatformFleet();
+        const { count = 3, prepaid = PREPAID, withProxies = false } = opts;
+        const { modelStepMs = 5, stopWithinS = STOP_WITHIN_S, addressTtlS = 0.5 } = opts;
+        const fleet = new PlatformFleet(modelStepMs);
         fleet.withProxies = withProxies;
         fleet.onLine = opts.onLine;
         const store = await fleet.store.start();
@@ -155,9 +164,8 @@
         for (const at of Array(count).keys()) {
             const own = addresses.slice(at * PORTS_EACH, (at + 1) * PORTS_EACH);
             const kv = { address: storeFor[at] ?? store };
-            fleet.instances.push(
-                await fleet.createInstance(folder, at, own, { seeds: seeds.slice(0, MAX_SEEDS), kv, addressTtlS }),
-            );
+            const varying = { seeds: seeds.slice(0, MAX_SEEDS), kv, addressTtlS, stopWithinS };
+            fleet.instances.push(await fleet.createInstance(folder, at, own, varying));
         }
         await Promise.all(fleet.instances.map(instance => instance.process.awaitReady(READY_TIMEOUT_MS)));
         return fleet;
@@ -339,7 +347,6 @@
             metrics,
             sharedKey: "platform-fleet",
             retries: { ratio: 0.2, windowS: 10, slack: 50 },
-            stopWithinS: STOP_WITHIN_S,
             ...varying,
         };
         const settingsFile = join(folder, `${name}.jsonc`);
--- a/packages/bench/src/platform/soak/judge-platform.ts
+++ b/packages/bench/src/platform/soak/judge-platform.ts
@@ -161,8 +161,8 @@
     }
 
     private isRefusedLate(call: PlatformCall): boolean {
-        const { sentAtMs, bodySentAtMs = Infinity, endedAtMs } = call;
-        return endedAtMs - bodySentAtMs > REFUSED_WITHIN_MS
+        const { sentAtMs, bodySentAtMs = Infinity, headAtMs = Infinity, endedAtMs } = call;
+        return headAtMs - bodySentAtMs > REFUSED_WITHIN_MS
             && this.isCalm(call)
             && this.evidence.timeline.isCalm(STORE_PART, sentAtMs, endedAtMs);
     }
--- a/packages/bench/src/platform/soak/platform-call.ts
+++ b/packages/bench/src/platform/soak/platform-call.ts
@@ -27,6 +27,8 @@
     readonly sentAtMs: number;
     /** When the last byte of the body was written. */
     readonly bodySentAtMs: number | undefined;
+    /** When the head of the response came. */
+    readonly headAtMs: number | undefined;
     readonly endedAtMs: number;
     readonly end: CallEnd;
     /** Undefined before the head of a response. */
--- a/packages/bench/src/platform/soak/send-call.ts
+++ b/packages/bench/src/platform/soak/send-call.ts
@@ -57,6 +57,7 @@
     const sentAtMs = performance.now();
     const req = request({ host, port, agent, method: "POST", path: `/${kind}/x`, headers: getHeaders(plan) });
     let bodySentAtMs: number | undefined;
+    let headAtMs: number | undefined;
     let isConnected = false;
     let gaveUp: CallEnd | undefined;
     let res: IncomingMessage | undefined;
@@ -86,6 +87,7 @@
         });
         req.once("response", head => {
             res = head;
+            headAtMs = performance.now();
             head.on("error", () => undefined);
             head.once("close", () => resolve(gaveUp ?? (head.complete ? "answered" : "cut")));
             setTimeout(() => head.on("data", (part: Buffer) => parts.push(part)), plan.readPauseMs);
@@ -104,6 +106,7 @@
         usedKeptConnection: req.reusedSocket,
         sentAtMs,
         bodySentAtMs,
+        headAtMs,
         endedAtMs: performance.now(),
         end,
         status: res?.statusCode,
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -4,6 +4,7 @@
 import type { DocumentHolder } from "./document/document-holder.js";
 import type { OverloadGuard } from "./policy/overload-guard.js";
 import type { RetryAllowance } from "./policy/retry-allowance.js";
+import type { StopWindow } from "./policy/stop-window.js";
 import { type AttemptsResult, RelayAttempts } from "./relay-attempts.js";
 import type { LogFields, RelayLog } from "./relay-log.js";
 import type { RefusalReason, RelayRefusal } from "./relay-refusal.js";
@@ -41,6 +42,9 @@
 /** Retry-after time where this instance's view is outdated, in seconds; other instances can serve at once. */
 const OUTDATED_RETRY_AFTER_S = 0.5;
 
+/** Retry-after time where this instance is leaving, in seconds; other instances can serve at once. */
+const LEAVING_RETRY_AFTER_S = 0.1;
+
 const isRefusal = (admitted: Admission | RelayRefusal): admitted is RelayRefusal => "reason" in admitted;
 
 /** Maximum number of tokens that a request may use; 0 where it requests no generation. */
@@ -60,6 +64,9 @@
 /** Sends each request to a target of its route and relays the response, or refuses the request. */
 export class Relay {
     private open = 0;
+    private acceptedAtMs = Number.NEGATIVE_INFINITY;
+    private stopWindow: StopWindow | undefined;
+    private readonly clocks = new Set<RequestClock>();
 
     constructor(private readonly opts: RelayOptions) {}
 
@@ -68,6 +75,23 @@
         return this.open;
     }
 
+    /** Monotonic time at which the last request was accepted, in milliseconds. */
+    get lastAcceptedAtMs(): number {
+        return this.acceptedAtMs;
+    }
+
+    /** Accepts from now on only the requests that the window allows. */
+    limitTo(window: StopWindow): void {
+        this.stopWindow = window;
+    }
+
+    /** Ends the requests in progress as if their time were over; returns how many there were. */
+    expireOpenRequests(): number {
+        const { size } = this.clocks;
+        this.clocks.forEach(clock => clock.expire());
+        return size;
+    }
+
     /** Serves one request; does not throw. */
     async serve(req: RelayRequest, caller: CallerExchange): Promise<void> {
         this.open += 1;
@@ -98,7 +122,14 @@
         const { route, service, team = "", priority } = admission;
         this.opts.getRetries(service).recordRequest();
         const waitsMs = Math.min(route.timeoutMs, req.waitsMs ?? route.timeoutMs);
-        const clock = new RequestClock(req.arrivedAtMs + waitsMs, caller.disconnectSignal);
+        const deadlineMs = req.arrivedAtMs + waitsMs;
+        if (this.stopWindow?.isAccepting(performance.now(), deadlineMs) === false) {
+            const refusal = { reason: "leaving", retryAfterS: LEAVING_RETRY_AFTER_S } as const;
+            this.refuse(req, caller, service, refusal, { team });
+            return;
+        }
+        const clock = new RequestClock(deadlineMs, caller.disconnectSignal);
+        this.clocks.add(clock);
         try {
             const held = await this.holdBudget(req, admission);
             if (held !== undefined && "reason" in held) {
@@ -112,6 +143,7 @@
                 this.refuse(req, caller, service, { reason: "overloaded", retryAfterS }, { team, priority });
                 return;
             }
+            this.acceptedAtMs = performance.now();
             const request = { req, admission, caller, clock, hold: held, isRepeatable: isRepeatable(route) };
             const attempts = new RelayAttempts(this.opts, request);
             const result = await attempts.run();
@@ -122,6 +154,7 @@
             this.logEnd(req, result, { team, ...attempts.trace }, service);
         }
         finally {
+            this.clocks.delete(clock);
             clock.stop();
         }
     }
