Measure how slow the machine is beside the soak, and what instances accepted

Two checks of the soak failed for reasons of its own. A refusal counted as late that the instance had sent after 176 ms, on a machine whose load was 19 on 8 cores. The proxy now tells which connections reached its target, and the platform's question whether an instance is ready, asked five times a second, shows how slow the machine was at that time; that time is taken off the wait of a refusal. The same answers show whether a leaving instance says that it is ready. The store that comes back from an older copy has cut its connections and takes a new desired state before watches are back. A soak that is told to end ends its processes.

--- a/packages/bench/src/faults/soak-main.ts
+++ b/packages/bench/src/faults/soak-main.ts
@@ -74,6 +74,11 @@
     process.exitCode = broken.length + failed.length === 0 ? 0 : 1;
 };
 
+// Without a handler, the processes of the fleets would outlive this one.
+for (const signal of ["SIGTERM", "SIGINT"] as const) {
+    process.once(signal, () => process.exit(1));
+}
+
 sade("ospreyreel-soak", true)
     .describe("Runs random schedules of faults against fleets of real processes and judges each by the oracle.")
     .option("--seeds", "How many seeds to run", 10)
--- a/packages/bench/src/platform/soak/judge-platform.ts
+++ b/packages/bench/src/platform/soak/judge-platform.ts
@@ -3,6 +3,7 @@
 import type { FaultTimeline, StopRecord } from "./fault-timeline.js";
 import { STORE_PART } from "./fault-timeline.js";
 import type { DirectoryAnswer, PlatformCall } from "./platform-call.js";
+import type { ReadinessAnswer } from "./readiness-probe.js";
 import { DEADLINE_MS } from "./send-call.js";
 
 /** What a verdict is made from. */
@@ -11,6 +12,7 @@
     readonly timeline: FaultTimeline;
     readonly calls: readonly PlatformCall[];
     readonly directoryAnswers: readonly DirectoryAnswer[];
+    readonly readiness: readonly ReadinessAnswer[];
     /** Most tokens that the team had ever prepaid. */
     readonly prepaid: number;
     /** Instances that did not serve all kinds of requests by the newest desired state some time after the last fault. */
@@ -58,6 +60,11 @@
 /** Time in which the other instances stop naming one that leaves, in milliseconds. */
 const UNNAMED_WITHIN_MS = 1_000;
 
+/** Time in which an instance that leaves stops saying that it is ready, in milliseconds. */
+const UNREADY_WITHIN_MS = 1_000;
+
+const HTTP_OK = 200;
+
 /** Timers of a process may end this much early, in milliseconds. */
 const TIMER_SLACK_MS = 5;
 
@@ -113,6 +120,7 @@
             ranOnLeavingTarget: this.describe(calls.filter(call => this.ranOnLeavingTarget(call))),
             stopsThatFailed: timeline.stops.filter(stop => !this.hasStoppedWell(stop)),
             leavingNamed: directoryAnswers.filter(answer => this.namesLeaving(answer)),
+            readyWhileLeaving: this.evidence.readiness.filter(answer => this.isReadyWhileLeaving(answer)),
             notRecovered,
         };
     }
@@ -162,11 +170,27 @@
 
     private isRefusedLate(call: PlatformCall): boolean {
         const { sentAtMs, bodySentAtMs = Infinity, headAtMs = Infinity, endedAtMs } = call;
-        return headAtMs - bodySentAtMs > REFUSED_WITHIN_MS
+        return headAtMs - bodySentAtMs - this.getProbeMs(call) > REFUSED_WITHIN_MS
             && this.isCalm(call)
             && this.evidence.timeline.isCalm(STORE_PART, sentAtMs, endedAtMs);
     }
 
+    /** Longest time that the instance, on this machine, took to say whether it is ready, around a call. */
+    private getProbeMs({ instance, sentAtMs, endedAtMs }: PlatformCall): number {
+        const probes = this.evidence.readiness.filter(probe =>
+            probe.instance === instance && probe.askedAtMs <= endedAtMs && probe.atMs >= sentAtMs
+        );
+        return Math.max(0, ...probes.map(({ askedAtMs, atMs }) => atMs - askedAtMs));
+    }
+
+    private isReadyWhileLeaving({ instance, askedAtMs, atMs, status }: ReadinessAnswer): boolean {
+        return status === HTTP_OK
+            && this.evidence.timeline.stops.some(stop =>
+                stop.instance === instance && askedAtMs > stop.termAtMs + UNREADY_WITHIN_MS && atMs < stop.endedAtMs
+                && !stop.wasDisturbed
+            );
+    }
+
     private isDenied(call: PlatformCall): boolean {
         const isAllowed = call.kind !== "new" || this.getNewRoute(call).every(Boolean);
         return isAllowed && DENIALS.includes(call.status ?? 0);
@@ -226,6 +250,9 @@
         stops: timeline.stops.length,
         longestStopMs: Math.round(Math.max(0, ...timeline.stops.map(stop => stop.endedAtMs - stop.termAtMs))),
         directoryAnswers: directoryAnswers.length,
+        slowestProbeMs: Math.round(
+            Math.max(0, ...evidence.readiness.map(({ askedAtMs, atMs }) => atMs - askedAtMs)),
+        ),
         prepaidTokens: prepaid,
     };
     return { ok: Object.values(violations).every(count => count === 0), violations, figures, traces };
--- a/packages/bench/src/platform/soak/platform-caller.ts
+++ b/packages/bench/src/platform/soak/platform-caller.ts
@@ -1,7 +1,7 @@
 import { Agent } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
 import { RandomSource } from "../../faults/random-source.js";
-import { type AddressAnswer, type PlatformFleet, type PlatformInstance } from "../platform-fleet.js";
+import { type AddressAnswer, type PlatformFleet, type PlatformInstance, toAddress } from "../platform-fleet.js";
 import type { DirectoryAnswer, PlatformCall } from "./platform-call.js";
 import { sendCall } from "./send-call.js";
 
@@ -96,6 +96,7 @@
         const { fleet } = this.opts;
         const { random, agent } = this;
         const kind = random.pick(["plain", "once", "model", "model", "fixed", "new"] as const);
+        const proxy = fleet.getCallerProxy(address);
         const isLarge = (kind === "plain" || kind === "once") && random.int(1, 10) === 1;
         return await sendCall({
             kind,
@@ -103,7 +104,8 @@
             promptTokens: random.int(1, LONGEST_PROMPT),
             paddingBytes: isLarge ? LARGE_BYTES : 0,
             instance: getInstance(fleet, address)?.name ?? "",
-            address: fleet.toProxied(address),
+            address: proxy?.address ?? toAddress(address),
+            wasAccepted: port => proxy?.hasReachedTarget(port) ?? true,
             agent,
             stepMs: kind === "model" || kind === "fixed" ? random.pick([5, 20, 150, 300, 900]) : random.pick([2, 50]),
             bodyPauseMs: random.pick([0, 0, 0, 0, 50, 300]),
--- a/packages/bench/src/platform/soak/platform-schedule-run.ts
+++ b/packages/bench/src/platform/soak/platform-schedule-run.ts
@@ -174,9 +174,16 @@
             case "storeOlderCopy": {
                 const copy = items.copy();
                 await sleep(ms);
-                await this.disturbStore(RESTORE_MS, on => faults.silent = on);
-                fleet.store.restore(copy);
-                return fleet.writeAgain();
+                await this.disturbStore(RESTORE_MS, on => {
+                    if (on) {
+                        fleet.store.cutConnections();
+                        fleet.store.restore(copy);
+                        this.writeDocument();
+                        fleet.writeAgain();
+                    }
+                    faults.busy = on;
+                });
+                return;
             }
             case "targetLeaves": {
                 const end = timeline.leave(fleet.models[fault.target]?.id ?? "");
--- a/packages/bench/src/platform/soak/play-platform-seed.ts
+++ b/packages/bench/src/platform/soak/play-platform-seed.ts
@@ -9,6 +9,7 @@
 import { runPlatformLoad } from "./platform-load.js";
 import { PlatformScheduleRun } from "./platform-schedule-run.js";
 import { createPlatformSchedule, type PlatformScheduleEntry } from "./platform-schedule.js";
+import { probeReadiness } from "./readiness-probe.js";
 
 /** A schedule with the fleet that it is played on. */
 export interface PlatformScenario {
@@ -85,14 +86,16 @@
         run.writeDocument();
         const ended = new AbortController();
         const load = runPlatformLoad({ fleet, seed, callersEach, ended: ended.signal });
+        const probes = probeReadiness(fleet, ended.signal);
         await run.run(schedule);
         await sleep(CALM_MS);
         ended.abort();
         const seen = await load;
+        const readiness = await probes;
         // Enough for the checks of recovery, which come after the load's calls were counted.
         fleet.apply(LAST_VERSION, run.prepaid + 1_000_000);
         const notRecovered = await findNotRecovered(fleet);
-        const verdict = judgePlatform({ fleet, timeline, ...seen, prepaid: run.prepaid, notRecovered });
+        const verdict = judgePlatform({ fleet, timeline, ...seen, readiness, prepaid: run.prepaid, notRecovered });
         if (logFolder !== undefined && !verdict.ok) {
             const evidence = { scenario, traces: verdict.traces, timeline };
             await writeFile(join(logFolder, `seed-${seed}.json`), JSON.stringify(evidence, undefined, 1));
--- a/packages/stand-ins/src/fault-proxy/fault-proxy.ts
+++ b/packages/stand-ins/src/fault-proxy/fault-proxy.ts
@@ -22,6 +22,8 @@
     private readonly target: Address;
     private readonly faultSwitch = new FaultSwitch();
     private readonly connections = new Set<ProxyConnection>();
+    /** The last connection from each port of clients. */
+    private readonly byClientPort = new Map<number, ProxyConnection>();
     private readonly main: Listener;
     private readonly control = new Listener(createHttpServer((req, res) => void this.serveControl(req, res)));
     private mainAddress: Address = { host: "127.0.0.1", port: 0 };
@@ -53,6 +55,11 @@
         return this.connections.size;
     }
 
+    /** Whether the target has accepted the last connection from a client's port; the proxy itself accepts all. */
+    hasReachedTarget(clientPort: number): boolean {
+        return this.byClientPort.get(clientPort)?.hasReachedTarget === true;
+    }
+
     /** Starts to listen. */
     async open(port: number, withControl: boolean): Promise<void> {
         this.mainAddress = await this.main.open(port);
@@ -85,6 +92,7 @@
     private async carry(socket: Socket): Promise<void> {
         const connection = new ProxyConnection(socket, this.target, this.faultSwitch);
         this.connections.add(connection);
+        this.byClientPort.set(socket.remotePort ?? 0, connection);
         await connection.run();
         this.connections.delete(connection);
     }
--- a/packages/stand-ins/src/fault-proxy/proxy-connection.ts
+++ b/packages/stand-ins/src/fault-proxy/proxy-connection.ts
@@ -17,6 +17,7 @@
     private readonly faults: FaultSwitch;
     private readonly ended = new AbortController();
     private server: Socket | undefined;
+    private isConnected = false;
 
     constructor(client: Socket, target: Address, faults: FaultSwitch) {
         this.client = client;
@@ -42,6 +43,11 @@
         }
     }
 
+    /** Whether the target has accepted the connection. */
+    get hasReachedTarget(): boolean {
+        return this.isConnected;
+    }
+
     /** Destroys both sides at once. */
     destroy(): void {
         this.ended.abort();
@@ -56,6 +62,7 @@
         // Failures are seen by whoever waits for the socket at the time; unheard ones must not end the process.
         server.on("error", () => undefined);
         await once(server, "connect", { signal: this.ended.signal });
+        this.isConnected = true;
         return server;
     }
 
--- a/packages/stand-ins/src/http-json/json-server.ts
+++ b/packages/stand-ins/src/http-json/json-server.ts
@@ -17,6 +17,8 @@
     readonly address: Address;
     readonly url: string;
     readonly close: () => Promise<void>;
+    /** Destroys open connections and goes on listening. */
+    readonly cutConnections: () => void;
 }
 
 const KEEP_ALIVE_MS = 60_000;
@@ -80,5 +82,6 @@
         address: { host, port: bound.port },
         url: `http://${host}:${bound.port}`,
         close: () => closeServer(server),
+        cutConnections: () => server.closeAllConnections(),
     };
 };
--- a/packages/stand-ins/src/platform/platform-store-stand-in.ts
+++ b/packages/stand-ins/src/platform/platform-store-stand-in.ts
@@ -44,6 +44,11 @@
         Object.assign(this.faults, NO_FAULTS);
     }
 
+    /** Cuts all connections; new ones are accepted. */
+    cutConnections(): void {
+        this.server?.cutConnections();
+    }
+
     /** Continues from an older copy; what was written since is lost. */
     restore(copy: StoreCopy): void {
         this.era += 1;
