--- a/packages/bench/src/platform/platform-fleet.ts
+++ b/packages/bench/src/platform/platform-fleet.ts
@@ -318,6 +318,7 @@
     /** Ends everything that was started. */
     async close(): Promise<void> {
         this.instances.forEach(instance => instance.process.kill("SIGKILL"));
+        await Promise.all(this.instances.map(instance => instance.process.exited));
         await this.agent.destroy();
         const proxies = [...this.storeProxies, ...this.callerProxies, ...this.targetProxies];
         await Promise.all([...this.targets, this.store, ...proxies].map(part => part.close()));
--- a/packages/bench/src/platform/soak/judge-platform.ts
+++ b/packages/bench/src/platform/soak/judge-platform.ts
@@ -169,10 +169,13 @@
     }
 
     private isRefusedLate(call: PlatformCall): boolean {
+        const { timeline, fleet } = this.evidence;
         const { sentAtMs, bodySentAtMs = Infinity, headAtMs = Infinity, endedAtMs } = call;
+        // A refusal may have waited for any instance, which may own the budget.
+        const parts = [STORE_PART, ...fleet.instances.map(({ name }) => name)];
         return headAtMs - bodySentAtMs - this.getProbeMs(call) > REFUSED_WITHIN_MS
             && this.isCalm(call)
-            && this.evidence.timeline.isCalm(STORE_PART, sentAtMs, endedAtMs);
+            && parts.every(part => timeline.isCalm(part, sentAtMs, endedAtMs));
     }
 
     /** Longest time that the instance, on this machine, took to say whether it is ready, around a call. */
--- a/packages/bench/src/platform/soak/play-platform-seed.ts
+++ b/packages/bench/src/platform/soak/play-platform-seed.ts
@@ -71,8 +71,11 @@
 export const playPlatformScenario = async (scenario: PlatformScenario): Promise<PlatformSeedResult> => {
     const { seed, count, callersEach, prepaid, schedule, logFolder } = scenario;
     const log = logFolder === undefined ? undefined : createWriteStream(join(logFolder, `seed-${seed}.log`));
-    const onLine = (instance: string, line: string): void =>
-        void log?.write(`${Math.round(performance.now())} ${instance} ${line}\n`);
+    const onLine = (instance: string, line: string): void => {
+        if (log?.writable === true) {
+            log.write(`${Math.round(performance.now())} ${instance} ${line}\n`);
+        }
+    };
     const fleet = await PlatformFleet.start({
         count,
         prepaid,
