--- a/packages/bench/src/platform/platform-fleet.ts
+++ b/packages/bench/src/platform/platform-fleet.ts
@@ -1,6 +1,7 @@
 import {
     type FaultProxy,
     PlatformStoreStandIn,
+    type PlatformTargetOptions,
     PlatformTargetStandIn,
     type RunRequest,
     startFaultProxy,
@@ -44,8 +45,9 @@
     readonly prepaid?: number;
     /** Puts proxies that inject faults between the store, callers and targets and the instances; false by default. */
     readonly withProxies?: boolean;
-    /** Time between two events of a model's answer, in milliseconds; 5 by default. */
-    readonly modelStepMs?: number;
+    readonly modelCount?: number;
+    /** How the model targets work. */
+    readonly models?: Pick<PlatformTargetOptions, "stepMs" | "deadlyPart" | "downMs">;
     /** Time from SIGTERM to the end of an instance, in seconds; {@link STOP_WITHIN_S} by default. */
     readonly stopWithinS?: number;
     /** Time for which callers may keep addresses, in seconds; half a second by default. */
@@ -54,6 +56,8 @@
     readonly onLine?: (instance: string, line: string) => void;
 }
 
+const DEFAULT_MODEL_COUNT = 2;
+
 /** Time in which an instance ends after SIGTERM, in seconds; `graceS` of the users' sites. */
 export const STOP_WITHIN_S = 8;
 
@@ -141,17 +145,26 @@
     private document: unknown;
     private onLine: PlatformFleetOptions["onLine"];
 
-    private constructor(stepMs: number) {
-        this.models = [1, 2].map(at =>
-            new PlatformTargetStandIn({ id: `model-${at}`, service: "model", events: MODEL_EVENTS, stepMs })
+    private constructor({ modelCount = DEFAULT_MODEL_COUNT, models = {} }: PlatformFleetOptions) {
+        this.models = [...Array(modelCount).keys()].map(at =>
+            new PlatformTargetStandIn({
+                id: `model-${at + 1}`,
+                service: "model",
+                events: MODEL_EVENTS,
+                stepMs: 5,
+                ...models,
+            })
         );
+        this.models.forEach((target, at) => {
+            target.onRestart = () => this.announce(at + 1);
+        });
     }
 
     /** Starts everything and resolves once all instances take requests. */
     static async start(opts: PlatformFleetOptions = {}): Promise<PlatformFleet> {
         const { count = 3, prepaid = PREPAID, withProxies = false } = opts;
-        const { modelStepMs = 5, stopWithinS = STOP_WITHIN_S, addressTtlS = 0.5 } = opts;
-        const fleet = new PlatformFleet(modelStepMs);
+        const { stopWithinS = STOP_WITHIN_S, addressTtlS = 0.5 } = opts;
+        const fleet = new PlatformFleet(opts);
         fleet.withProxies = withProxies;
         fleet.onLine = opts.onLine;
         const store = await fleet.store.start();
--- a/packages/bench/src/platform/soak/judge-platform.ts
+++ b/packages/bench/src/platform/soak/judge-platform.ts
@@ -164,8 +164,8 @@
             stop.instance === instance
             && stop.termAtMs <= endedAtMs
             && sentAtMs <= stop.termAtMs + SENT_EARLY_MS
-            && this.getRuns(id).some(({ startedAtMs, end }) =>
-                startedAtMs <= stop.endedAtMs
+            && this.getRuns(id).some(({ atMs, end }) =>
+                atMs <= stop.endedAtMs
                 && (end?.atMs ?? Infinity) >= stop.termAtMs + LAST_PART_FROM * STOP_WITHIN_MS
             )
         );
@@ -215,7 +215,7 @@
         const { timeline } = this.evidence;
         return this.isCalm(call)
             && timeline.isCalm(STORE_PART, call.sentAtMs, call.endedAtMs)
-            && this.getRuns(call.id).some(({ target, startedAtMs }) => timeline.hasLeft(target, startedAtMs));
+            && this.getRuns(call.id).some(({ target, atMs }) => timeline.hasLeft(target, atMs));
     }
 
     private hasStoppedWell({ termAtMs, endedAtMs, code, wasDisturbed, wasStarting }: StopRecord): boolean {
--- a/packages/relay/src/http/http-caller-port.ts
+++ b/packages/relay/src/http/http-caller-port.ts
@@ -1,12 +1,14 @@
+import { lingerOnClose } from "@ospreyreel/peer";
 import { once } from "node:events";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import { type AddressInfo, Server as TcpServer } from "node:net";
+import { type AddressInfo, Server as TcpServer, type Socket } from "node:net";
 import { setImmediate as nextTurn, setTimeout as sleep } from "node:timers/promises";
 import type { CallerExchange } from "../caller-exchange.js";
 import type { CallerBounds } from "../document/relay-document.js";
 import type { RelayRequest } from "../relay-request.js";
 import type { CallerProtocol, DecodedHead } from "./caller-protocol.js";
 import { HttpCallerExchange } from "./http-caller-exchange.js";
+import { PipelineOrder } from "./pipeline-order.js";
 
 /** Options of {@link HttpCallerPort}. */
 export interface HttpCallerPortOptions {
@@ -41,8 +43,11 @@
 /** The port for callers. */
 export class HttpCallerPort {
     private readonly server: Server;
+    private readonly order = new PipelineOrder();
     private isDraining = false;
     private open = 0;
+    /** Connections that are closed after a refusal. */
+    private readonly closing = new WeakSet<Socket>();
 
     constructor(private readonly opts: HttpCallerPortOptions) {
         this.server = createServer({
@@ -51,6 +56,7 @@
             requestTimeout: 0,
             noDelay: true,
         });
+        lingerOnClose(this.server);
         this.server.on("request", (req, res) => void this.serve(req, res));
         this.updateBounds();
     }
@@ -83,15 +89,10 @@
         return this.open;
     }
 
-    /** Accepts no new connections; open ones are still served. */
-    stopListening(): void {
-        stopListening(this.server);
-    }
-
     /** Stops listening, waits up to `flushMs` milliseconds until the last responses are sent, and closes all connections. */
     async close(flushMs: number): Promise<void> {
         this.drain();
-        this.stopListening();
+        stopListening(this.server);
         const endsAtMs = performance.now() + flushMs;
         while (this.open > 0 && performance.now() < endsAtMs) {
             await sleep(FLUSH_POLL_MS);
@@ -119,27 +120,34 @@
 
     private async serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
         const arrivedAtMs = performance.now();
+        const { socket } = req;
+        if (this.closing.has(socket) || !socket.writable) {
+            // No response can be sent any more, so the request is not served.
+            req.resume();
+            return;
+        }
         this.countUntilClosed(req, res);
         res.sendDate = false;
+        const turn = this.order.waitForTurn(req.socket, res);
         const { protocol } = this.opts;
-        const refusal = { closes: false };
         const caller = new HttpCallerExchange({
             req,
             res,
             protocol,
-            shouldCloseAfter: () => this.isDraining || refusal.closes,
+            shouldCloseAfter: () => this.isDraining || this.closing.has(socket),
         });
         req.on("error", () => undefined);
         res.on("error", () => undefined);
         const { method = "", url = "", rawHeaders } = req;
         const headBytes = rawHeaders.reduce((sum, text) => sum + text.length + HEADER_SEPARATOR_BYTES, url.length);
         if (headBytes > this.bounds.maxHeaderBytes) {
+            this.closing.add(socket);
             res.writeHead(HTTP_HEADERS_TOO_LARGE, { "Connection": "close" }).end();
             return;
         }
         const head = protocol.decode({ method, target: url, rawHeaders, arrivedAtMs });
         if (head === undefined) {
-            refusal.closes = true;
+            this.closing.add(socket);
             caller.refuse({ reason: "badRequest" });
             return;
         }
@@ -149,8 +157,12 @@
             return;
         }
         if (body === "too_large") {
-            refusal.closes = true;
+            this.closing.add(socket);
             caller.refuse({ reason: "bodyTooLarge" });
+            req.resume();
+            return;
+        }
+        if (!await turn) {
             return;
         }
         await readPendingClose();
@@ -181,7 +193,7 @@
     const chunks: Buffer[] = [];
     let bytes = 0;
     try {
-        for await (const chunk of req as AsyncIterable<Buffer>) {
+        for await (const chunk of req.iterator({ destroyOnReturn: false }) as AsyncIterable<Buffer>) {
             bytes += chunk.length;
             if (bytes > maxBytes) {
                 return "too_large";
--- a/packages/relay/src/http/target-call-handler.ts
+++ b/packages/relay/src/http/target-call-handler.ts
@@ -1,24 +1,47 @@
 import type { Dispatcher } from "undici";
 import type { TargetCall, TargetOutcome } from "../targets/target-port.js";
-import { countHeader, toHeaderPairs } from "./header-list.js";
+import { countHeader, findHeader, toHeaderPairs } from "./header-list.js";
 import { ResponseBody } from "./response-body.js";
+import type { TargetConnection } from "./target-connection.js";
 import type { TargetProtocol } from "./target-protocol.js";
 
 /** Maximum size of a complete or streamed response, in bytes; limits the use of memory. */
 const MAX_RESPONSE_BYTES = 16 * 1_024 * 1_024;
 
+/** Maximum size of the head of a response and of the framing of its first chunks, in bytes. */
+const MAX_FRAMING_BYTES = 65_536;
+
+/** Maximum number of received bytes for one byte of the body; a chunk of one byte takes six. */
+const MAX_FRAMING_RATIO = 16;
+
+/** Maximum size of a body that is read only to reuse its connection, in bytes. */
+const MAX_DISCARDED_BYTES = 65_536;
+
+/** Maximum time to read such a body, in milliseconds. */
+const MAX_DISCARD_MS = 1_000;
+
 const HTTP_FINAL_FROM = 200;
 const HTTP_NO_CONTENT = 204;
 const HTTP_NOT_MODIFIED = 304;
 
 const isFramed = (status: number, headers: readonly (readonly [string, string])[]): boolean =>
     status === HTTP_NO_CONTENT || status === HTTP_NOT_MODIFIED
-    || countHeader(headers, "content-length") > 0 || countHeader(headers, "transfer-encoding") > 0;
+    || countHeader(headers, "content-length") > 0
+    || /(^|,)[ \t]*chunked[ \t]*$/i.test(findHeader(headers, "transfer-encoding") ?? "");
 
 /** Handles one exchange with a target. */
 export class TargetCallHandler implements Dispatcher.DispatchHandler {
-    private readonly body = new ResponseBody();
+    private readonly body = new ResponseBody({
+        pause: () => this.controller?.pause(),
+        resume: () => this.controller?.resume(),
+        abandon: () => this.abort(new Error("the response is not read further")),
+    });
     private controller: Dispatcher.DispatchController | undefined;
+    private connection: TargetConnection | undefined;
+    /** Bytes of the connection before this exchange. */
+    private startedAtBytes = 0;
+    private isFramed = true;
+    private discardTimer: NodeJS.Timeout | undefined;
     private sent = false;
     private settled = false;
     private bytes = 0;
@@ -30,6 +53,11 @@
         private readonly resolve: (outcome: TargetOutcome) => void,
     ) {}
 
+    /** Sets the connection of the exchange. */
+    useConnection(connection: TargetConnection): void {
+        this.connection = connection;
+    }
+
     /** Aborts the exchange and closes its connection. */
     abort(err: Error): void {
         this.aborted ??= err;
@@ -48,6 +76,8 @@
             return;
         }
         this.sent = true;
+        this.startedAtBytes = this.connection?.parsedBytes ?? 0;
+        this.connection?.watch(() => this.checkFraming());
     }
 
     onResponseStart(controller: Dispatcher.DispatchController, status: number): void {
@@ -56,17 +86,19 @@
         }
         const raw = (controller.rawHeaders ?? []) as readonly (Buffer | string)[];
         const headers = toHeaderPairs(raw.map(value => value.toString("latin1")));
+        this.isFramed = isFramed(status, headers);
         const decoded = this.protocol.decode(this.call, status, headers);
         switch (decoded.kind) {
             case "answer":
                 this.settle({
                     kind: "answer",
-                    head: { status, headers: decoded.headers, isFramed: isFramed(status, headers) },
+                    head: { status, headers: decoded.headers, isFramed: this.isFramed },
                     body: this.body,
                 });
                 break;
             case "not_run":
                 this.settle({ kind: "not_run", reason: decoded.reason });
+                this.discardBody();
                 break;
             case "invalid":
                 this.abort(new Error(decoded.cause));
@@ -75,7 +107,7 @@
 
     onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
         this.bytes += chunk.length;
-        if (this.bytes > MAX_RESPONSE_BYTES) {
+        if (this.bytes > (this.discardTimer === undefined ? MAX_RESPONSE_BYTES : MAX_DISCARDED_BYTES)) {
             this.abort(new Error("the response is too large"));
             return;
         }
@@ -83,14 +115,44 @@
     }
 
     onResponseEnd(): void {
+        this.stopWatching();
+        if (!this.isFramed && this.connection?.wasReset === true) {
+            this.body.fail(new Error("the connection was reset"));
+            return;
+        }
         this.body.end();
     }
 
     onResponseError(_controller: Dispatcher.DispatchController, err: Error): void {
+        this.stopWatching();
         this.settle(this.failed(err));
         this.body.fail(err);
     }
 
+    /** Aborts a response of which far more was received than its body, since the HTTP client accepts some parts without end. */
+    private checkFraming(): void {
+        const received = (this.connection?.parsedBytes ?? 0) - this.startedAtBytes;
+        if (received > MAX_FRAMING_BYTES + MAX_FRAMING_RATIO * this.bytes) {
+            this.abort(new Error("the response has too much framing"));
+        }
+    }
+
+    private stopWatching(): void {
+        clearTimeout(this.discardTimer);
+        if (this.sent) {
+            this.connection?.watch(undefined);
+        }
+    }
+
+    /** Reads a body that nobody needs, so that its connection can be reused if the body is short. */
+    private discardBody(): void {
+        this.discardTimer = setTimeout(
+            () => this.abort(new Error("a response without use does not end")),
+            MAX_DISCARD_MS,
+        );
+        this.body.discard();
+    }
+
     private failed(err: Error): TargetOutcome {
         return this.sent ? { kind: "failed", cause: err.message } : { kind: "not_sent", cause: err.message };
     }
--- a/packages/relay/src/relay-attempts.ts
+++ b/packages/relay/src/relay-attempts.ts
@@ -1,5 +1,7 @@
 import type { ResponseHead } from "./caller-exchange.js";
+import type { LogFields } from "./relay-log.js";
 import type { RelayRefusal } from "./relay-refusal.js";
+import { getSharedParts } from "./relay-request.js";
 import type { AdmittedRequest, RelayOptions } from "./relay.js";
 import { StreamRelay } from "./stream/stream-relay.js";
 import type { TargetOutcome } from "./targets/target-port.js";
@@ -24,6 +26,9 @@
 /** Retry-after time of a refusal where no better estimate exists, in seconds. */
 const DEFAULT_RETRY_AFTER_S = 0.5;
 
+/** Maximum number of prompt parts in a log line. */
+const MAX_LOGGED_PARTS = 8;
+
 const HTTP_OK_FROM = 200;
 const HTTP_OK_BELOW = 300;
 const HTTP_ERROR_FROM = 500;
@@ -36,14 +41,24 @@
     private lastTarget = "";
     private failedConnects = 0;
     private mayHaveRun = false;
+    private blockedPart: string | undefined;
 
     constructor(private readonly opts: RelayOptions, private readonly request: AdmittedRequest) {
-        this.stream = new StreamRelay(request.caller, request.req.lastEventId);
+        this.stream = new StreamRelay({
+            caller: request.caller,
+            afterEvent: request.req.lastEventId,
+            onFirstEvent: () => opts.parts.recordBegun(request.req),
+        });
     }
 
     /** Summary of the sends for the request's log line. */
-    get trace(): { readonly target: string; readonly sends: number; readonly events: number; } {
-        return { target: this.lastTarget, sends: this.sends, events: this.stream.eventCount };
+    get trace(): LogFields {
+        return {
+            target: this.lastTarget,
+            sends: this.sends,
+            events: this.stream.eventCount,
+            ...(this.blockedPart === undefined ? {} : { part: this.blockedPart }),
+        };
     }
 
     /** Sends the request until it gets a response or may not be sent again. */
@@ -70,6 +85,11 @@
         if (this.opts.freshness.isOutdated) {
             return { kind: "end", end: this.failRequest("viewOutdated") };
         }
+        const blocked = this.opts.parts.getBlockedPart(req);
+        if (blocked !== undefined) {
+            this.blockedPart = blocked.part;
+            return { kind: "end", end: this.failRequest("partQuarantined", blocked.retryAfterS) };
+        }
         const state = this.opts.selector.select(req, route, service, this.tried);
         if (state === undefined) {
             return { kind: "end", end: this.failRequest("noTarget") };
@@ -122,7 +142,7 @@
             case "failed":
                 this.sends += 1;
                 this.mayHaveRun = true;
-                return this.handleFailure(state, outcome.cause);
+                return await this.handleFailure(state, outcome.cause);
             case "answer":
                 this.sends += 1;
                 this.mayHaveRun = true;
@@ -130,18 +150,28 @@
         }
     }
 
-    private handleFailure(state: TargetState, cause: string): Step {
+    private async handleFailure(state: TargetState, cause: string): Promise<Step> {
         if (this.request.clock.endReason !== undefined) {
             return { kind: "end", end: this.expireRequest() };
         }
         state.health.recordFailure(performance.now());
         this.logSend(state, "failed", cause);
-        if (this.request.isRepeatable && this.canRetry()) {
+        const isSafe = this.recordLoss(state);
+        if (this.canRepeat() && await isSafe) {
             return RETRY_STEP;
         }
         return { kind: "end", end: this.failRequest("targetFailed") };
     }
 
+    /** Records a lost send; returns whether another one is unlikely to crash its target. */
+    private async recordLoss(state: TargetState): Promise<boolean> {
+        if (this.stream.eventCount > 0) {
+            return true;
+        }
+        this.opts.meter.recordEndBeforeAnswer(this.request.admission.service);
+        return await this.opts.parts.recordLoss(this.request.req, state.target);
+    }
+
     private async relayResponse(
         state: TargetState,
         head: ResponseHead,
@@ -161,7 +191,7 @@
         firstByteMs: number,
     ): Promise<Step> {
         const { caller, clock } = this.request;
-        const result = await this.stream.relay(head, body);
+        const result = await this.stream.relay(head, body, clock.signal);
         if (result.kind === "complete") {
             state.health.recordResponse(false, firstByteMs);
             caller.endStream();
@@ -172,7 +202,7 @@
         }
         const cause = result.kind === "cut" ? result.cause : "events out of order";
         if (clock.endReason === undefined && result.kind === "cut") {
-            const step = this.handleFailure(state, cause);
+            const step = await this.handleFailure(state, cause);
             if (step.kind === "again" || !this.stream.isStarted) {
                 return step;
             }
@@ -198,11 +228,14 @@
             }
         }
         catch (err) {
-            return this.handleFailure(state, err instanceof Error ? err.message : String(err));
+            return await this.handleFailure(state, err instanceof Error ? err.message : String(err));
         }
         const isError = head.status >= HTTP_ERROR_FROM;
         state.health.recordResponse(isError, firstByteMs);
-        if (isError && !this.stream.isStarted && this.request.isRepeatable && this.canRetry()) {
+        if (head.status >= HTTP_OK_FROM && head.status < HTTP_OK_BELOW) {
+            this.opts.parts.recordBegun(this.request.req);
+        }
+        if (isError && !this.stream.isStarted && this.canRepeat()) {
             this.logSend(state, "error answer", String(head.status));
             return RETRY_STEP;
         }
@@ -219,9 +252,14 @@
         return this.sends < admission.route.maxAttempts && clock.endReason === undefined;
     }
 
+    private canRepeat(): boolean {
+        return this.request.isRepeatable && this.canRetry();
+    }
+
     /** Ends the request without another target. Only a request that no target ran may be reported as not run. */
     private failRequest(
-        reason: "noTarget" | "overloaded" | "targetFailed" | "viewOutdated",
+        reason: "noTarget" | "overloaded" | "partQuarantined" | "targetFailed" | "viewOutdated",
+        retryAfterS = DEFAULT_RETRY_AFTER_S,
     ): AttemptsResult | RelayRefusal {
         if (this.stream.isStarted) {
             this.request.caller.abortStream();
@@ -230,7 +268,7 @@
         if (this.mayHaveRun) {
             return { reason: "targetFailed" };
         }
-        return { reason: reason === "targetFailed" ? "noTarget" : reason, retryAfterS: DEFAULT_RETRY_AFTER_S };
+        return { reason: reason === "targetFailed" ? "noTarget" : reason, retryAfterS };
     }
 
     private expireRequest(): AttemptsResult | RelayRefusal {
@@ -265,6 +303,8 @@
             outcome,
             cause,
             sends: this.sends,
+            events: this.stream.eventCount,
+            parts: getSharedParts(this.request.req).slice(0, MAX_LOGGED_PARTS).join(" "),
             leftMs: Math.round(this.request.clock.leftMs),
         });
     }
--- a/packages/relay/src/relay.test.ts
+++ b/packages/relay/src/relay.test.ts
@@ -11,6 +11,7 @@
 import { AffinityPlacement } from "./policy/affinity-placement.js";
 import { RetryAllowance } from "./policy/retry-allowance.js";
 import { StopWindow } from "./policy/stop-window.js";
+import { type BlockedPart, OpenPartGate, PartGate } from "./quarantine/part-gate.js";
 import type { RelayRequest } from "./relay-request.js";
 import { Relay } from "./relay.js";
 import { TargetDirectory } from "./targets/target-directory.js";
@@ -63,6 +64,7 @@
     disconnectsAfterMs?: number | "before",
     overloadedForS?: number,
     viewIsOutdated = false,
+    parts: PartGate = new OpenPartGate(),
     stop?: "late" | "expired",
 ) => {
     const documents = new DocumentHolder();
@@ -83,6 +85,7 @@
     const port = new FakeTargetPort(outcomes.map(outcome => call => outcome(call, directory, view)));
     const view = { isOutdated: viewIsOutdated, ageMs: 0 };
     const log = new MemoryLog();
+    const endsBeforeAnswer: string[] = [];
     const allowance = new RetryAllowance({ ratio: 1, slack: 10, windowMs: 10_000, getInstances: () => 1 });
     const relay = new Relay({
         documents,
@@ -97,8 +100,15 @@
         getRetries: () => allowance,
         overload: { getRefusal: () => overloadedForS },
         freshness: view,
+        parts,
         log,
-        meter: { recordEnd: () => undefined, recordSend: () => undefined },
+        meter: {
+            recordEnd: () => undefined,
+            recordSend: () => undefined,
+            recordEndBeforeAnswer: service => {
+                endsBeforeAnswer.push(service);
+            },
+        },
         random: () => 0,
     });
     if (stop === "late") {
@@ -117,7 +127,7 @@
         relay.expireOpenRequests();
     }
     await served;
-    return { caller, port, lines: log.lines };
+    return { caller, port, lines: log.lines, endsBeforeAnswer };
 };
 
 test("an idempotent request whose response is lost is sent to another target", async t => {
@@ -214,7 +224,7 @@
 });
 
 const stopping = (stop: "late" | "expired", outcome: Outcome, route: Partial<RelayRoute> = {}) =>
-    serve([outcome], route, {}, undefined, undefined, undefined, false, stop);
+    serve([outcome], route, {}, undefined, undefined, undefined, false, undefined, stop);
 
 test("a request that arrives too late in a stop is refused before it is sent, and may be sent elsewhere at once", async t => {
     const { caller, port } = await stopping("late", respond(["whole"]));
@@ -343,3 +353,102 @@
     const { lines: refused } = await serve([full], { maxAttempts: 1 });
     t.like(refused.at(-1), { event: "request refused", reason: "overloaded", team: "team-1", sends: 1 });
 });
+
+test("the log line of a lost send tells the shared prompt parts and whether the answer had begun", async t => {
+    const part = (id: string): { readonly id: string; readonly tokens: number; } => ({ id, tokens: 10 });
+    const generation = { promptTokens: 100, maxOutputTokens: 50, parts: [part("a"), part("b"), part("own")] };
+    const lost = await serve([respond([], true)], { kind: "streaming" }, { generation });
+    t.like(lost.lines[0], { event: "send without answer", parts: "a b", events: 0 });
+    t.deepEqual(lost.endsBeforeAnswer, ["service-1"]);
+    const cut = await serve([respond(["id: 1\n\n"], true)], { kind: "streaming" }, { generation });
+    t.like(cut.lines[0], { event: "send without answer", parts: "a b", events: 1 });
+    t.deepEqual(cut.endsBeforeAnswer, []);
+});
+
+class RecordingPartGate extends PartGate {
+    readonly calls: string[] = [];
+
+    constructor(private readonly mayRepeat: boolean, private blocked?: BlockedPart) {
+        super();
+    }
+
+    override getBlockedPart(): BlockedPart | undefined {
+        return this.blocked;
+    }
+
+    override recordBegun(): void {
+        this.calls.push("begun");
+    }
+
+    override recordLoss(): Promise<boolean> {
+        this.calls.push("lost");
+        return Promise.resolve(this.mayRepeat);
+    }
+
+    /** Blocks a part from now on. */
+    block(blocked: BlockedPart): void {
+        this.blocked = blocked;
+    }
+}
+
+const serveThrough = (parts: PartGate, outcomes: readonly Outcome[], route: Partial<RelayRoute> = {}) =>
+    serve(
+        outcomes,
+        { kind: "streaming", isResumable: true, ...route },
+        GENERATION,
+        undefined,
+        undefined,
+        undefined,
+        false,
+        parts,
+    );
+
+test("a request with a quarantined part is refused as not run, and never sent", async t => {
+    const parts = new RecordingPartGate(true, { part: "a", retryAfterS: 40 });
+    const { caller, port, lines } = await serveThrough(parts, [respond(["id: 1\n\n"])]);
+    t.deepEqual(caller.refusal, { reason: "partQuarantined", retryAfterS: 40 });
+    t.is(port.calls.length, 0);
+    t.like(lines.at(-1), { event: "request refused", reason: "partQuarantined", part: "a" });
+});
+
+test("a request whose part is quarantined after its first send is not sent again", async t => {
+    const parts = new RecordingPartGate(true);
+    const blocking: Outcome = () => {
+        parts.block({ part: "a", retryAfterS: 40 });
+        return { kind: "not_run", reason: "full" };
+    };
+    const { caller, port, lines } = await serveThrough(parts, [blocking, respond(["id: 1\n\n"])]);
+    t.is(port.calls.length, 1);
+    t.deepEqual(caller.refusal, { reason: "partQuarantined", retryAfterS: 40 });
+    t.like(lines.at(-1), { event: "request refused", part: "a", sends: 1 });
+});
+
+test("a request that was lost in a crash like others with its parts is not sent to a second target", async t => {
+    const parts = new RecordingPartGate(false);
+    const { caller, port } = await serveThrough(parts, [respond([], true), respond(["id: 1\n\n"])]);
+    t.is(port.calls.length, 1);
+    t.is(caller.refusal?.reason, "targetFailed");
+    t.deepEqual(parts.calls, ["lost"]);
+});
+
+test("a stream that breaks after its first event proves its parts sound", async t => {
+    const parts = new RecordingPartGate(false);
+    const { caller } = await serveThrough(parts, [respond(["id: 1\n\n"], true), respond(["id: 2\n\n"])]);
+    t.is(caller.ended, "complete");
+    t.deepEqual(parts.calls, ["begun"]);
+});
+
+test("an error answer of a target neither proves nor accuses the parts of its request", async t => {
+    const parts = new RecordingPartGate(true);
+    await serveThrough(parts, [respond(["error"], false, 500)], { maxAttempts: 1 });
+    t.deepEqual(parts.calls, []);
+});
+
+test("a stream without a length that ends before its first event is lost, not complete", async t => {
+    const parts = new RecordingPartGate(true);
+    const ended: Outcome = () => ({ kind: "answer", head: { ...HEAD, isFramed: false }, body: createBody([]) });
+    const { caller, port } = await serveThrough(parts, [ended, respond(["id: 1\n\n"])]);
+    t.is(port.calls.length, 2);
+    t.is(caller.events, "id: 1\n\n");
+    t.deepEqual(parts.calls, ["lost", "begun"]);
+});
--- a/packages/relay/src/stream/stream-relay.ts
+++ b/packages/relay/src/stream/stream-relay.ts
@@ -9,6 +9,15 @@
     /** The events do not continue after the earlier ones. */
     | { readonly kind: "out_of_order"; };
 
+/** Options of {@link StreamRelay}. */
+export interface StreamRelayOptions {
+    readonly caller: CallerExchange;
+    /** Id of the last event that the caller has already; undefined where it has none. */
+    readonly afterEvent: number | undefined;
+    /** Called when the first event has arrived. */
+    readonly onFirstEvent: () => void;
+}
+
 /** Relays the events of one request's stream to its caller, from one target or from several in sequence. */
 export class StreamRelay {
     private started = false;
@@ -16,8 +25,8 @@
     private lastId: number | undefined;
     private events = 0;
 
-    constructor(private readonly caller: CallerExchange, afterEvent: number | undefined) {
-        this.lastId = afterEvent;
+    constructor(private readonly opts: StreamRelayOptions) {
+        this.lastId = opts.afterEvent;
     }
 
     /** Whether the head was sent to the caller. */
@@ -35,9 +44,14 @@
         return this.lastId;
     }
 
-    /** Relays events as they arrive; the head is sent with the first one. */
-    async relay(head: ResponseHead, body: AsyncIterable<Buffer>): Promise<StreamRelayResult> {
+    /** Relays events as they arrive, no faster than the caller reads; the head is sent with the first one. */
+    async relay(
+        head: ResponseHead,
+        body: AsyncIterable<Buffer>,
+        signal: AbortSignal,
+    ): Promise<StreamRelayResult> {
         const splitter = new EventSplitter();
+        const eventsBefore = this.events;
         try {
             for await (const chunk of body) {
                 const { bytes, count, ids } = splitter.push(chunk);
@@ -47,9 +61,12 @@
                 if (!this.acceptIds(ids)) {
                     return { kind: "out_of_order" };
                 }
+                if (this.events === 0) {
+                    this.opts.onFirstEvent();
+                }
                 this.events += count;
                 this.start(head);
-                this.caller.sendEvents(bytes);
+                await this.opts.caller.sendEvents(bytes, signal);
             }
         }
         catch (err) {
@@ -58,6 +75,9 @@
         if (splitter.pendingBytes > 0) {
             return { kind: "cut", cause: "the stream ends within an event" };
         }
+        if (!head.isFramed && this.events === eventsBefore) {
+            return { kind: "cut", cause: "the connection ended before the first event" };
+        }
         if (this.started && this.isFramed && !head.isFramed) {
             return { kind: "cut", cause: "the end of an unframed stream cannot be distinguished from a cut" };
         }
@@ -69,7 +89,7 @@
         if (!this.started) {
             this.started = true;
             this.isFramed = head.isFramed;
-            this.caller.startStream(head);
+            this.opts.caller.startStream(head);
         }
     }
 
--- a/packages/stand-ins/src/platform/platform-target-stand-in.ts
+++ b/packages/stand-ins/src/platform/platform-target-stand-in.ts
@@ -13,8 +13,10 @@
     readonly hadKey: boolean;
     /** Id of the target. */
     readonly target: string;
-    /** Monotonic time of its start in milliseconds. */
-    readonly startedAtMs: number;
+    /** Ids of the prompt's parts. */
+    readonly parts: readonly string[];
+    /** Monotonic time of its arrival, in milliseconds. */
+    readonly atMs: number;
     /** Undefined while the target is at work on it. */
     readonly end: RunEnd | undefined;
 }
@@ -37,14 +39,26 @@
     readonly events?: number;
     /** Time for each event or for the whole answer, in milliseconds. */
     readonly stepMs?: number;
+    /** Crashes the target when it begins an answer to a prompt with this part. */
+    readonly deadlyPart?: string;
+    /** Time from a crash to the next start, in milliseconds. */
+    readonly downMs?: number;
 }
 
+/** Time from a crash to the next start where none is given, in milliseconds. */
+const DEFAULT_DOWN_MS = 1_500;
+
 const DEFAULT_STEP_MS = 2;
 
 /** A worker of the users' platform, by its published protocol. */
 export class PlatformTargetStandIn {
     private readonly runs: { -readonly [K in keyof RunRequest]: RunRequest[K]; }[] = [];
+    /** Monotonic times of its crashes, in milliseconds. */
+    readonly crashedAtMs: number[] = [];
+    /** Called after each start that follows a crash. */
+    onRestart: () => void = () => undefined;
     private server: JsonServer | undefined;
+    private stopped = false;
     /** Unix time of this start in milliseconds; tells it from earlier ones under the same id. */
     private born = 0;
 
@@ -67,17 +81,35 @@
 
     /** Listens on a free port. */
     async start(): Promise<void> {
+        this.stopped = false;
         this.server = await startJsonServer((req, res) => this.answer(req, res));
         this.born = Math.max(Date.now(), this.born + 1);
     }
 
     /** Stops listening and cuts what runs. */
     async close(): Promise<void> {
-        const end: RunEnd = { atMs: performance.now(), how: "crashed" };
-        this.runs.filter(run => run.end === undefined).forEach(run => run.end = end);
+        this.stopped = true;
+        this.endRuns();
         await this.server?.close();
     }
 
+    /** Resets all connections, refuses new ones for a time and starts again. */
+    async crash(): Promise<void> {
+        const { server } = this;
+        if (server === undefined) {
+            return;
+        }
+        this.server = undefined;
+        this.crashedAtMs.push(performance.now());
+        this.endRuns();
+        await server.close();
+        await sleep(this.opts.downMs ?? DEFAULT_DOWN_MS);
+        if (!this.stopped) {
+            await this.start();
+            this.onRestart();
+        }
+    }
+
     /** Key and value of its entry in the store; it names another address where a proxy stands before the target. */
     getEntry(state: "ready" | "draining" = "ready", address = this.address): readonly [string, unknown] {
         const { id, service, zone = "zone-a" } = this.opts;
@@ -101,8 +133,9 @@
             res.writeHead(421, { "Instance-Id": this.opts.id }).end();
             return;
         }
-        this.recordRun(req, res, body);
-        const { events = 0 } = this.opts;
+        const parts = String(req.headers["prompt-prefix"] ?? "").split(",").map(part => part.split(":")[0] ?? "");
+        this.recordRun(req, res, { body, parts });
+        const { events = 0, deadlyPart } = this.opts;
         const stepMs = Number(req.headers[STAND_IN_HEADERS.stepMs] ?? this.opts.stepMs ?? DEFAULT_STEP_MS);
         const headers = { "Attempt-Id": id, "Response-Seal": `seal-${this.opts.id}` };
         if (events === 0) {
@@ -114,12 +147,25 @@
         res.writeHead(200, { ...headers, "Content-Type": "text/event-stream" });
         for (let at = Number(req.headers["last-event-id"] ?? 0) + 1; at <= events && !res.destroyed; at++) {
             await sleep(stepMs);
+            if (deadlyPart !== undefined && parts.slice(0, -1).includes(deadlyPart)) {
+                await this.crash();
+                return;
+            }
             res.write(`id: ${at}\ndata: ${id}\n\n`);
         }
         res.end();
     }
 
-    private recordRun(req: IncomingMessage, res: ServerResponse, body: string): void {
+    private endRuns(): void {
+        const end: RunEnd = { atMs: performance.now(), how: "crashed" };
+        this.runs.filter(run => run.end === undefined).forEach(run => run.end = end);
+    }
+
+    private recordRun(
+        req: IncomingMessage,
+        res: ServerResponse,
+        { body, parts }: Pick<RunRequest, "body" | "parts">,
+    ): void {
         const run: (typeof this.runs)[number] = {
             id: String(req.headers["attempt-id"]),
             team: req.headers["tenant"]?.toString(),
@@ -128,7 +174,8 @@
             waitsMs: Number(req.headers["deadline-ms"]),
             hadKey: req.headers.authorization !== undefined,
             target: this.opts.id,
-            startedAtMs: performance.now(),
+            parts,
+            atMs: performance.now(),
             end: undefined,
         };
         this.runs.push(run);
