Send the last responses before a stopping daemon closes connections

What callers would see: a response of the product's own interface that ends in the middle when its instance stops. The same cause as in the relay, found there by its test: close() of an HTTP server closes connections whose response is ended but not sent.

Change: the server stops listening, waits until no response is open, and then closes idle connections; stopListening is shared by both ports. A caller that does not read is closed after the stall timeout, as before.

--- a/packages/peer/src/index.ts
+++ b/packages/peer/src/index.ts
@@ -12,5 +12,6 @@
 export * from "./place-shards.js";
 export * from "./rendezvous-address-order.js";
 export * from "./rendezvous.js";
+export * from "./stop-listening.js";
 export * from "./tcp-peer-hub-options.js";
 export * from "./tcp-peer-hub.js";
--- a/packages/relay/src/http/http-caller-port.test.ts
+++ b/packages/relay/src/http/http-caller-port.test.ts
@@ -72,10 +72,7 @@
         port: 0,
         protocol: new PlainCallerProtocol(),
         getBounds: () => undefined,
-        serve: (_req, caller) => {
-            caller.sendResponse({ status: 200, headers: [], isFramed: true }, LARGE_RESPONSE);
-            return Promise.resolve();
-        },
+        serve: (_req, caller) => caller.sendResponse({ status: 200, headers: [], isFramed: true }, LARGE_RESPONSE),
     });
     await port.start();
     const socket = send(port.listenPort, "a", false);
--- a/packages/relay/src/http/http-caller-port.ts
+++ b/packages/relay/src/http/http-caller-port.ts
@@ -1,7 +1,7 @@
-import { lingerOnClose } from "@ospreyreel/peer";
+import { lingerOnClose, stopListening } from "@ospreyreel/peer";
 import { once } from "node:events";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import { type AddressInfo, Server as TcpServer, type Socket } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
 import { setImmediate as nextTurn, setTimeout as sleep } from "node:timers/promises";
 import type { CallerExchange } from "../caller-exchange.js";
 import type { CallerBounds } from "../document/relay-document.js";
@@ -170,11 +170,6 @@
     }
 }
 
-/** Stops listening only; `close` of an HTTP server also closes connections whose last response is still being sent. */
-const stopListening = (server: Server): void => {
-    TcpServer.prototype.close.call(server);
-};
-
 /** Colon, space and line end of a header, divided between its name and its value. */
 const HEADER_SEPARATOR_BYTES = 2;
 
--- a/packages/router/src/caller-server.ts
+++ b/packages/router/src/caller-server.ts
@@ -1,9 +1,11 @@
 import { OspreyError, toOspreyError } from "@ospreyreel/errors";
-import { lingerOnClose } from "@ospreyreel/peer";
+import { lingerOnClose, stopListening } from "@ospreyreel/peer";
 import type { Counters } from "@ospreyreel/telemetry";
 import type { Address } from "@ospreyreel/types";
+import { once } from "node:events";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { Duplex } from "node:stream";
+import { setTimeout as sleep } from "node:timers/promises";
 import { CallerConnection } from "./caller-connection.js";
 import { createRequestId } from "./get-request-context.js";
 import { HeldBodies } from "./held-bodies.js";
@@ -50,6 +52,9 @@
     readonly connection: CallerConnection;
 }
 
+/** Interval in which a closing server checks whether all responses are sent, in milliseconds. */
+const SENT_POLL_MS = 10;
+
 const HEADERS_TIMEOUT_MS = 10_000;
 const CHECK_INTERVAL_MS = 1_000;
 
@@ -72,6 +77,8 @@
     private readonly stalledResponses: StalledResponses;
     private readonly heldBodies: HeldBodies;
     private closing = false;
+    /** Responses that are not sent completely. */
+    private openResponses = 0;
 
     constructor(private readonly opts: CallerServerOptions) {
         const { maxHeaderBytes, stallTimeoutMs } = opts.limits;
@@ -107,7 +114,11 @@
     /** Stops listening; resolves when the last connection is closed. */
     async close(): Promise<void> {
         this.drain();
-        const closed = new Promise<void>(resolve => this.server.close(() => resolve()));
+        const closed = once(this.server, "close");
+        stopListening(this.server);
+        while (this.openResponses > 0) {
+            await sleep(SENT_POLL_MS);
+        }
         this.server.closeIdleConnections();
         await closed;
         this.stalledResponses.close();
@@ -124,6 +135,8 @@
         const openRequest = connection.add(res);
         const heldBody = this.heldBodies.open();
         this.stalledResponses.add(res);
+        this.openResponses += 1;
+        res.once("close", () => this.openResponses -= 1);
         this.opts.counters.add("caller_requests");
         if (this.closing) {
             connection.closing = true;
