--- a/packages/relay/src/quarantine/decision-book.ts
+++ b/packages/relay/src/quarantine/decision-book.ts
@@ -61,11 +61,21 @@
         if (!isCleared && begunAtMs !== undefined && begunAtMs >= nowMs - sinceMsAgo) {
             return { part, msAgo: nowMs - begunAtMs };
         }
+        if (this.isKnown(decision)) {
+            return undefined;
+        }
         const times = { changedAtMs: nowMs - msAgo, untilMs: nowMs + leftMs, sinceMs: nowMs - sinceMsAgo };
         this.apply(part, { isCleared, strikes, crashes, followers, ...times }, source);
         return undefined;
     }
 
+    /** Whether a quarantine is in force here already; its times differ by the delay of each message. */
+    private isKnown({ part, isCleared, strikes, crashes }: PartDecision): boolean {
+        const known = this.table.get(part, this.opts.nowMs());
+        return !isCleared && known !== undefined && this.isActive(part) && known.strikes === strikes
+            && known.crashes.length >= crashes.length;
+    }
+
     /** The last decision about a part, as other instances receive it. */
     getDecision(part: string): PartDecision | undefined {
         const nowMs = this.opts.nowMs();
