Move the watch of exchanges with targets to the targets package

The product's own client of targets needs what the relay learned about responses: whether a connection was reset, how much framing was parsed, and whether a response is framed. There is one copy of each, in the targets package, which the relay now depends on. No behaviour changes.

--- a/packages/relay/src/http/http-target-port.ts
+++ b/packages/relay/src/http/http-target-port.ts
@@ -1,8 +1,9 @@
+import { HttpTargetClient, type TargetDispatchOptions } from "@ospreyreel/targets";
 import { Pool } from "undici";
 import { type TargetCall, type TargetOutcome, TargetPort } from "../targets/target-port.js";
 import type { Target } from "../targets/target.js";
-import { HttpTargetClient, type TargetDispatchOptions } from "./http-target-client.js";
 import { TargetCallHandler } from "./target-call-handler.js";
+import { createTargetConnector } from "./target-connector.js";
 import type { TargetProtocol } from "./target-protocol.js";
 
 /** Time for which an idle connection is kept open if the target announces no time, in milliseconds. */
@@ -57,7 +58,7 @@
                 body: req.body.length === 0 ? null : req.body,
                 headersTimeout: 0,
                 bodyTimeout: 0,
-                onConnection: connection => handler.useConnection(connection),
+                onConnection: connection => handler.watch.setConnection(connection),
             };
             (call.isRepeatable ? repeatable : singleRun).dispatch(opts, handler);
         });
@@ -98,7 +99,7 @@
 const createPool = (target: Target, keepAliveTimeout: number, keepAliveMaxTimeout: number): Pool =>
     new Pool(`http://${target.host}:${target.port}`, {
         pipelining: 1,
-        factory: (origin, opts) => new HttpTargetClient(origin, opts),
+        factory: (origin, opts) => new HttpTargetClient(origin, opts, onOpen => createTargetConnector({ onOpen })),
         keepAliveTimeout,
         keepAliveMaxTimeout,
         keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
--- a/packages/relay/src/http/target-call-handler.ts
+++ b/packages/relay/src/http/target-call-handler.ts
@@ -1,19 +1,13 @@
+import { ExchangeWatch, isFramed } from "@ospreyreel/targets";
 import type { Dispatcher } from "undici";
 import type { TargetCall, TargetOutcome } from "../targets/target-port.js";
-import { countHeader, findHeader, toHeaderPairs } from "./header-list.js";
+import { findHeader, toHeaderPairs } from "./header-list.js";
 import { ResponseBody } from "./response-body.js";
-import type { TargetConnection } from "./target-connection.js";
 import type { TargetProtocol } from "./target-protocol.js";
 
 /** Maximum size of a complete or streamed response, in bytes; limits the use of memory. */
 const MAX_RESPONSE_BYTES = 16 * 1_024 * 1_024;
 
-/** Maximum size of the head of a response and of the framing of its first chunks, in bytes. */
-const MAX_FRAMING_BYTES = 65_536;
-
-/** Maximum number of received bytes for one byte of the body; a chunk of one byte takes six. */
-const MAX_FRAMING_RATIO = 16;
-
 /** Maximum size of a body that is read only to reuse its connection, in bytes. */
 const MAX_DISCARDED_BYTES = 65_536;
 
@@ -21,14 +15,6 @@
 const MAX_DISCARD_MS = 1_000;
 
 const HTTP_FINAL_FROM = 200;
-const HTTP_NO_CONTENT = 204;
-const HTTP_NOT_MODIFIED = 304;
-
-const isFramed = (status: number, headers: readonly (readonly [string, string])[]): boolean =>
-    status === HTTP_NO_CONTENT || status === HTTP_NOT_MODIFIED
-    || countHeader(headers, "content-length") > 0
-    || /(^|,)[ \t]*chunked[ \t]*$/i.test(findHeader(headers, "transfer-encoding") ?? "");
-
 /** Handles one exchange with a target. */
 export class TargetCallHandler implements Dispatcher.DispatchHandler {
     private readonly body = new ResponseBody({
@@ -36,10 +22,9 @@
         resume: () => this.controller?.resume(),
         abandon: () => this.abort(new Error("the response is not read further")),
     });
+    /** Watches the exchange on its connection. */
+    readonly watch = new ExchangeWatch(err => this.abort(err));
     private controller: Dispatcher.DispatchController | undefined;
-    private connection: TargetConnection | undefined;
-    /** Bytes of the connection before this exchange. */
-    private startedAtBytes = 0;
     private isFramed = true;
     private discardTimer: NodeJS.Timeout | undefined;
     private sent = false;
@@ -53,11 +38,6 @@
         private readonly resolve: (outcome: TargetOutcome) => void,
     ) {}
 
-    /** Sets the connection of the exchange. */
-    useConnection(connection: TargetConnection): void {
-        this.connection = connection;
-    }
-
     /** Aborts the exchange and closes its connection. */
     abort(err: Error): void {
         this.aborted ??= err;
@@ -76,8 +56,7 @@
             return;
         }
         this.sent = true;
-        this.startedAtBytes = this.connection?.parsedBytes ?? 0;
-        this.connection?.watch(() => this.checkFraming());
+        this.watch.start();
     }
 
     onResponseStart(controller: Dispatcher.DispatchController, status: number): void {
@@ -86,7 +65,11 @@
         }
         const raw = (controller.rawHeaders ?? []) as readonly (Buffer | string)[];
         const headers = toHeaderPairs(raw.map(value => value.toString("latin1")));
-        this.isFramed = isFramed(status, headers);
+        this.isFramed = isFramed(
+            status,
+            findHeader(headers, "content-length"),
+            findHeader(headers, "transfer-encoding"),
+        );
         const decoded = this.protocol.decode(this.call, status, headers);
         switch (decoded.kind) {
             case "answer":
@@ -107,6 +90,7 @@
 
     onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
         this.bytes += chunk.length;
+        this.watch.addBody(chunk.length);
         if (this.bytes > (this.discardTimer === undefined ? MAX_RESPONSE_BYTES : MAX_DISCARDED_BYTES)) {
             this.abort(new Error("the response is too large"));
             return;
@@ -116,7 +100,7 @@
 
     onResponseEnd(): void {
         this.stopWatching();
-        if (!this.isFramed && this.connection?.wasReset === true) {
+        if (!this.isFramed && this.watch.wasReset) {
             this.body.fail(new Error("the connection was reset"));
             return;
         }
@@ -129,19 +113,9 @@
         this.body.fail(err);
     }
 
-    /** Aborts a response of which far more was received than its body, since the HTTP client accepts some parts without end. */
-    private checkFraming(): void {
-        const received = (this.connection?.parsedBytes ?? 0) - this.startedAtBytes;
-        if (received > MAX_FRAMING_BYTES + MAX_FRAMING_RATIO * this.bytes) {
-            this.abort(new Error("the response has too much framing"));
-        }
-    }
-
     private stopWatching(): void {
         clearTimeout(this.discardTimer);
-        if (this.sent) {
-            this.connection?.watch(undefined);
-        }
+        this.watch.stop();
     }
 
     /** Reads a body that nobody needs, so that its connection can be reused if the body is short. */
--- a/packages/relay/src/http/target-connector.ts
+++ b/packages/relay/src/http/target-connector.ts
@@ -1,4 +1,5 @@
 import { IoTimeout } from "@ospreyreel/peer";
+import { replaceResetCode } from "@ospreyreel/targets";
 import { connect as connectTcp, type Socket } from "node:net";
 import type { buildConnector } from "undici";
 
@@ -11,19 +12,6 @@
 /** Idle time after which the operating system probes a connection, in milliseconds. */
 const KEEP_ALIVE_PROBE_MS = 1_000;
 
-/** Error code that replaces a connection reset. */
-const RESET_CODE = "ERR_CONNECTION_CUT";
-
-/**
- * Changes the error code of resets before the HTTP client sees them. The client takes a reset for the end of a response
- * without a length, which would make a truncated response look complete.
- */
-const replaceResetCode = (err: NodeJS.ErrnoException): void => {
-    if (err.code === "ECONNRESET") {
-        err.code = RESET_CODE;
-    }
-};
-
 /** Options of {@link createTargetConnector}. */
 export interface TargetConnectorOptions {
     /** Connect timeout, in milliseconds. */
--- a/packages/relay/src/http/http-target-client.ts
+++ b/packages/targets/src/connection/http-target-client.ts
@@ -1,6 +1,6 @@
-import { Client, type Dispatcher } from "undici";
+import type { Socket } from "node:net";
+import { type buildConnector, Client, type Dispatcher } from "undici";
 import { TargetConnection } from "./target-connection.js";
-import { createTargetConnector } from "./target-connector.js";
 
 /** Options of one exchange with a target. */
 export interface TargetDispatchOptions extends Dispatcher.DispatchOptions {
@@ -12,9 +12,14 @@
 export class HttpTargetClient extends Client {
     private readonly connection: TargetConnection;
 
-    constructor(origin: string | URL, opts: Client.Options) {
+    /** `createConnector` returns what opens connections; it calls its argument with each one before the client uses it. */
+    constructor(
+        origin: string | URL,
+        opts: object,
+        createConnector: (onOpen: (socket: Socket) => void) => buildConnector.connector,
+    ) {
         const connection = new TargetConnection();
-        super(origin, { ...opts, connect: createTargetConnector({ onOpen: socket => connection.attach(socket) }) });
+        super(origin, { ...opts, connect: createConnector(socket => connection.attach(socket)) });
         this.connection = connection;
     }
 
