Count stalls of the soak's own process as disturbances

Targets, store, proxies and callers run in the process of the soak. Such times of half a second or more are recorded as disturbances of all parts, and their number is printed.

--- a/packages/bench/src/platform/soak/play-platform-seed.ts
+++ b/packages/bench/src/platform/soak/play-platform-seed.ts
@@ -4,12 +4,13 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { RandomSource } from "../../faults/random-source.js";
 import { PlatformFleet } from "../platform-fleet.js";
-import { FaultTimeline } from "./fault-timeline.js";
+import { FaultTimeline, STORE_PART } from "./fault-timeline.js";
 import { judgePlatform, type PlatformVerdict } from "./judge-platform.js";
 import { runPlatformLoad } from "./platform-load.js";
 import { PlatformScheduleRun } from "./platform-schedule-run.js";
 import { createPlatformSchedule, type PlatformScheduleEntry } from "./platform-schedule.js";
 import { probeReadiness } from "./readiness-probe.js";
+import { watchStalls } from "./stall-watch.js";
 
 /** A schedule with the fleet that it is played on. */
 export interface PlatformScenario {
@@ -85,6 +86,8 @@
     });
     try {
         const timeline = new FaultTimeline();
+        const parts = [...fleet.instances.map(({ name }) => name), ...fleet.targets.map(({ id }) => id), STORE_PART];
+        const endStallWatch = watchStalls(timeline, parts);
         const run = new PlatformScheduleRun({ fleet, timeline, prepaid });
         run.writeDocument();
         const ended = new AbortController();
@@ -98,7 +101,16 @@
         // Enough for the checks of recovery, which come after the load's calls were counted.
         fleet.apply(LAST_VERSION, run.prepaid + 1_000_000);
         const notRecovered = await findNotRecovered(fleet);
-        const verdict = judgePlatform({ fleet, timeline, ...seen, readiness, prepaid: run.prepaid, notRecovered });
+        const rigStalls = endStallWatch();
+        const verdict = judgePlatform({
+            fleet,
+            timeline,
+            rigStalls,
+            ...seen,
+            readiness,
+            prepaid: run.prepaid,
+            notRecovered,
+        });
         if (logFolder !== undefined && !verdict.ok) {
             const evidence = { scenario, traces: verdict.traces, timeline };
             await writeFile(join(logFolder, `seed-${seed}.json`), JSON.stringify(evidence, undefined, 1));
