Leave a tenth of a stop for the end of the process

Cause: requests were ended after 0.94 and responses sent until 0.97 of the stop, which left 0.24 s for the rest: closing links, ending the process, and being late. By its own clock an instance was done 7.78 to 7.83 s after SIGTERM, and the process had ended 0.1 to 0.55 s later.

Change: requests end after 0.9 of the stop, so that 0.56 s are left.

--- a/packages/relay/src/instance/relay-instance.ts
+++ b/packages/relay/src/instance/relay-instance.ts
@@ -50,7 +50,7 @@
 const BUDGET_RELEASE_INTERVAL_MS = 300;
 
 /** Share of the stop time after which running requests are ended, so that the process still ends in order. */
-const STOP_TIME_SHARE = 0.94;
+const STOP_TIME_SHARE = 0.9;
 
 /** Share of the stop time in which the last responses are sent. */
 const FLUSH_TIME_SHARE = 0.03;
