--- a/packages/relay/src/relay.test.ts
+++ b/packages/relay/src/relay.test.ts
@@ -59,17 +59,24 @@
         call.signal.addEventListener("abort", () => resolve({ kind: "failed", cause: "aborted" }));
     });
 
+interface ServeOptions {
+    readonly budgets?: BudgetGate;
+    readonly parts?: PartGate;
+    readonly disconnectsAfterMs?: number | "before";
+    readonly overloadedForS?: number;
+    readonly viewIsOutdated?: boolean;
+    /** Whether the request arrives late in a stop, or still runs at the end of one. */
+    readonly stop?: "late" | "expired";
+}
+
 const serve = async (
     outcomes: readonly Outcome[],
     route: Partial<RelayRoute> = {},
     req: Partial<RelayRequest> = {},
-    budgets: BudgetGate = new OpenBudgetGate(),
-    disconnectsAfterMs?: number | "before",
-    overloadedForS?: number,
-    viewIsOutdated = false,
-    parts: PartGate = new OpenPartGate(),
-    stop?: "late" | "expired",
+    opts: ServeOptions = {},
 ) => {
+    const { budgets = new OpenBudgetGate(), parts = new OpenPartGate() } = opts;
+    const { disconnectsAfterMs, overloadedForS, viewIsOutdated = false, stop } = opts;
     const documents = new DocumentHolder();
     const teams = [{ name: "team-1", keys: ["key-1"], priority: undefined, prepaidTokens: 1_000 }];
     documents.replaceIfNewer(
@@ -214,7 +221,7 @@
 });
 
 test("a caller that disconnected before its request was accepted is not served", async t => {
-    const { caller, port, lines } = await serve([respond(["whole"])], {}, {}, new OpenBudgetGate(), "before");
+    const { caller, port, lines } = await serve([respond(["whole"])], {}, {}, { disconnectsAfterMs: "before" });
     t.deepEqual([port.calls.length, caller.response], [0, undefined]);
     t.like(lines.at(-1), { event: "request ended", result: "caller_left", sends: 0 });
 });
@@ -227,7 +234,7 @@
 });
 
 const stopping = (stop: "late" | "expired", outcome: Outcome, route: Partial<RelayRoute> = {}) =>
-    serve([outcome], route, {}, undefined, undefined, undefined, false, undefined, stop);
+    serve([outcome], route, {}, { stop });
 
 test("a request that arrives too late in a stop is refused before it is sent, and may be sent elsewhere at once", async t => {
     const { caller, port } = await stopping("late", respond(["whole"]));
@@ -256,7 +263,7 @@
 });
 
 test("the call to the target is aborted when the caller disconnects", async t => {
-    const { caller, port } = await serve([unresponsive], {}, {}, new OpenBudgetGate(), 30);
+    const { caller, port } = await serve([unresponsive], {}, {}, { disconnectsAfterMs: 30 });
     t.true(port.calls[0]?.signal.aborted);
     t.is(caller.refusal, undefined);
 });
@@ -273,32 +280,35 @@
 
 test("a budget is charged for the prompt and the events that were relayed", async t => {
     const gate = new RecordingGate();
-    await serve([respond(["id: 1\n\nid: 2\n\n"])], { kind: "streaming" }, GENERATION, gate);
+    await serve([respond(["id: 1\n\nid: 2\n\n"])], { kind: "streaming" }, GENERATION, { budgets: gate });
     t.deepEqual(gate.settled, [110]);
 });
 
 test("a budget is not charged for comments of a stream", async t => {
     const gate = new RecordingGate();
-    await serve([respond([": ping\n\n", "id: 1\n\n: ping\n\n"])], { kind: "streaming" }, GENERATION, gate);
+    await serve([respond([": ping\n\n", "id: 1\n\n: ping\n\n"])], { kind: "streaming" }, GENERATION, { budgets: gate });
     t.deepEqual(gate.settled, [105]);
 });
 
 test("a prompt is charged once if its stream was resumed", async t => {
     const gate = new RecordingGate();
     const outcomes = [respond(["id: 1\n\n"], true), respond(["id: 2\n\n"])];
-    await serve(outcomes, { kind: "streaming", isResumable: true }, GENERATION, gate);
+    await serve(outcomes, { kind: "streaming", isResumable: true }, GENERATION, { budgets: gate });
     t.deepEqual(gate.settled, [110]);
 });
 
 test("nothing is charged for a request that did not run", async t => {
     const gate = new RecordingGate();
-    await serve([full], { kind: "streaming", maxAttempts: 1 }, GENERATION, gate);
+    await serve([full], { kind: "streaming", maxAttempts: 1 }, GENERATION, { budgets: gate });
     t.deepEqual(gate.settled, [0]);
 });
 
 test("a request refused by an overloaded instance is not sent, costs nothing and gets a retry-after time", async t => {
     const gate = new RecordingGate();
-    const { caller, port } = await serve([full], { kind: "streaming" }, GENERATION, gate, undefined, 1);
+    const { caller, port } = await serve([full], { kind: "streaming" }, GENERATION, {
+        budgets: gate,
+        overloadedForS: 1,
+    });
     t.deepEqual(caller.refusal, { reason: "overloaded", retryAfterS: 1 });
     t.deepEqual(gate.settled, [0]);
     t.is(port.calls.length, 0);
@@ -319,10 +329,7 @@
         [full],
         {},
         { path: "/no-such-route/" },
-        undefined,
-        undefined,
-        undefined,
-        true,
+        { viewIsOutdated: true },
     );
     t.deepEqual(caller.refusal, { reason: "viewOutdated", retryAfterS: 0.5 });
     t.is(port.calls.length, 0);
@@ -340,7 +347,7 @@
 
 test("an overloaded instance refuses a team without tokens by its budget", async t => {
     const gate = new RefusingGate({ kind: "exhausted" });
-    const { caller } = await serve([full], {}, GENERATION, gate, undefined, 1);
+    const { caller } = await serve([full], {}, GENERATION, { budgets: gate, overloadedForS: 1 });
     t.is(caller.refusal?.reason, "budgetExhausted");
 });
 
@@ -356,7 +363,7 @@
     const gate = new LateGate();
     const startedAtMs = performance.now();
     const req = { ...GENERATION, arrivedAtMs: startedAtMs, waitsMs: SHORT_WAIT_MS };
-    const { caller, port } = await serve([], {}, req, gate);
+    const { caller, port } = await serve([], {}, req, { budgets: gate });
     t.true(performance.now() - startedAtMs < 2 * SHORT_WAIT_MS);
     t.like(caller.refusal, { reason: "timedOutUnsent" });
     t.deepEqual(port.calls, []);
@@ -365,10 +372,10 @@
 });
 
 test("an exhausted budget and an unavailable budget are refused with different reasons", async t => {
-    const exhausted = await serve([full], {}, GENERATION, new RefusingGate({ kind: "exhausted" }));
+    const exhausted = await serve([full], {}, GENERATION, { budgets: new RefusingGate({ kind: "exhausted" }) });
     t.is(exhausted.caller.refusal?.reason, "budgetExhausted");
     const decision = { kind: "unavailable", retryAfterS: 1, cause: "away" } as const;
-    const unavailable = await serve([full], {}, GENERATION, new RefusingGate(decision));
+    const unavailable = await serve([full], {}, GENERATION, { budgets: new RefusingGate(decision) });
     t.deepEqual(unavailable.caller.refusal, { reason: "budgetUnavailable", retryAfterS: 1 });
     t.is(unavailable.port.calls.length, 0);
 });
@@ -425,11 +432,7 @@
         outcomes,
         { kind: "streaming", isResumable: true, ...route },
         GENERATION,
-        undefined,
-        undefined,
-        undefined,
-        false,
-        parts,
+        { parts },
     );
 
 test("a request with a quarantined part is refused as not run, and never sent", async t => {
