Wait for conditions instead of fixed times in the tests of the callers' port

Three tests failed in some runs at load averages of 15 to 32, where 50 to 200 ms were not enough to read what had been sent. They wait up to 10 s for the same values now and assert the same.

--- a/packages/relay/src/http/http-caller-port.test.ts
+++ b/packages/relay/src/http/http-caller-port.test.ts
@@ -2,6 +2,7 @@
 import { once } from "node:events";
 import { connect, type Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
+import { isDeepStrictEqual } from "node:util";
 import type { CallerBounds } from "../document/relay-document.js";
 import { PlainCallerProtocol } from "../fixtures/plain-protocol.js";
 import type { RelayRequest } from "../relay-request.js";
@@ -20,6 +21,15 @@
 const createMessage = (id: string): string =>
     `POST /x HTTP/1.1\r\nHost: users.example\r\nid: ${id}\r\nContent-Length: ${BODY.length}\r\n\r\n${BODY}`;
 
+/** Waits until a value is as expected, as long as a busy machine may need, and asserts it. */
+const eventuallyIs = async (t: ExecutionContext, read: () => unknown, expected: unknown): Promise<void> => {
+    const endsAtMs = performance.now() + 10_000;
+    while (!isDeepStrictEqual(read(), expected) && performance.now() < endsAtMs) {
+        await sleep(10);
+    }
+    t.deepEqual(read(), expected);
+};
+
 const LARGE_RESPONSE = Buffer.alloc(24 * 1_024 * 1_024, "y");
 
 /** A port that responds to each request immediately and records whether the caller had disconnected by then. */
@@ -52,8 +62,7 @@
     const { callerStates, port } = await open(t);
     ["a", "b", "c"].forEach(id => send(port, id, true));
     const stays = send(port, "d", false);
-    await sleep(200);
-    t.deepEqual(callerStates, { a: "left", b: "left", c: "left", d: "there" });
+    await eventuallyIs(t, () => callerStates, { a: "left", b: "left", c: "left", d: "there" });
     stays.destroy();
 });
 
@@ -87,7 +96,7 @@
     socket.resume();
     await Promise.all([ended, closed]);
     t.true(bytes > LARGE_RESPONSE.length, String(bytes));
-    t.is(port.openExchanges, 0);
+    await eventuallyIs(t, () => port.openExchanges, 0);
 });
 
 test("a body that is still being read keeps its request open", async t => {
@@ -95,13 +104,11 @@
     const socket = connect(port, HOST).on("error", () => undefined);
     const message = createMessage("a");
     socket.write(message.slice(0, -1));
-    await sleep(50);
-    t.is(callers.openExchanges, 1);
+    await eventuallyIs(t, () => callers.openExchanges, 1);
     socket.write(message.slice(-1));
     await once(socket, "data");
     t.deepEqual(callerStates, { a: "there" });
-    await sleep(50);
-    t.is(callers.openExchanges, 0);
+    await eventuallyIs(t, () => callers.openExchanges, 0);
     socket.destroy();
 });
 
@@ -117,11 +124,9 @@
     t.teardown(() => port.close(0));
     const socket = connect(port.listenPort, HOST).on("error", () => undefined);
     socket.write(createMessage("a") + createMessage("b"));
-    await sleep(100);
-    t.is(port.openExchanges, 2);
+    await eventuallyIs(t, () => port.openExchanges, 2);
     socket.destroy();
-    await sleep(100);
-    t.is(port.openExchanges, 0);
+    await eventuallyIs(t, () => port.openExchanges, 0);
 });
 
 /** Sends a head and then parts of a body later than the refusal, as a caller with a slow link does; returns what arrives. */
