Accept nothing more once a stopping instance has become idle

What callers would see: a request that is sent to a target and cut within a quarter of a second.

When the last exchange had ended, the instance closed its connections, but its window still accepted requests whose deadline was before the end of the stop: until then it had looked at the time that was left, not at its own end that came earlier.

Change: the window is closed when the instance becomes idle, what was accepted just before is waited for, and then connections are closed. 'instance stopped' tells how many responses were not sent completely, and the time of the last acceptance no longer includes waits for a budget.

--- a/packages/relay/src/http/http-caller-port.ts
+++ b/packages/relay/src/http/http-caller-port.ts
@@ -89,16 +89,21 @@
         return this.open;
     }
 
-    /** Stops listening, waits up to `flushMs` milliseconds until the last responses are sent, and closes all connections. */
-    async close(flushMs: number): Promise<void> {
+    /**
+     * Stops listening, waits up to `flushMs` milliseconds until the last responses are sent, and closes all connections.
+     * Returns the number of responses that were not sent completely.
+     */
+    async close(flushMs: number): Promise<number> {
         this.drain();
         stopListening(this.server);
         const endsAtMs = performance.now() + flushMs;
         while (this.open > 0 && performance.now() < endsAtMs) {
             await sleep(FLUSH_POLL_MS);
         }
+        const unsent = this.open;
         this.server.close();
         this.server.closeAllConnections();
+        return unsent;
     }
 
     private get bounds(): CallerBounds {
--- a/packages/relay/src/instance/relay-instance.ts
+++ b/packages/relay/src/instance/relay-instance.ts
@@ -1,7 +1,7 @@
 import { FleetBudgets } from "@ospreyreel/budgets";
 import { BreakerKvClient, type KvClient, KvHealth } from "@ospreyreel/kv";
 import type { TcpPeerHub } from "@ospreyreel/peer";
-import { setImmediate as nextTurn, setTimeout as sleep } from "node:timers/promises";
+import { setTimeout as sleep } from "node:timers/promises";
 import { DocumentFollower } from "../document/document-follower.js";
 import { DocumentHolder } from "../document/document-holder.js";
 import { HttpCallerPort } from "../http/http-caller-port.js";
@@ -32,6 +32,7 @@
 import type { RelaySettings } from "./relay-settings.js";
 import { getTargetView, type RelayState } from "./relay-state.js";
 import { startOverloadWatch } from "./start-overload-watch.js";
+import { waitUntilDrained } from "./wait-until-drained.js";
 
 /**
  * Time after an outage in which targets announce themselves again, in milliseconds. Targets take up to two seconds, but
@@ -294,26 +295,16 @@
         this.hub.updateSelf({ state: "leaving" });
         this.callerPort.drain();
         void this.releaseBudgets();
-        await this.waitForRequests(window);
+        await waitUntilDrained(window, () => this.callerPort.openExchanges);
         const openRequests = this.relay.expireOpenRequests();
-        await this.callerPort.close(stopMs * FLUSH_TIME_SHARE);
+        const unsentResponses = await this.callerPort.close(stopMs * FLUSH_TIME_SHARE);
         log.write("instance stopped", {
             openRequests,
+            unsentResponses,
             lastAcceptedMs: Math.max(0, Math.round(this.relay.lastAcceptedAtMs - startedAtMs)),
             ms: Math.round(performance.now() - startedAtMs),
         });
         this.statusPorts.forEach(port => port.close());
         await Promise.race([this.hub.close(), sleep(POLL_INTERVAL_MS)]);
     }
-
-    /** Resolves when no caller may use this instance any more and all requests have ended, or when the window ends. */
-    private async waitForRequests({ servesUntilMs, endsAtMs }: StopWindow): Promise<void> {
-        await sleep(servesUntilMs - performance.now());
-        while (performance.now() < endsAtMs && this.callerPort.openExchanges > 0) {
-            await sleep(POLL_INTERVAL_MS);
-        }
-        // After a pause of the process, what arrived during it is read first.
-        await nextTurn();
-        await nextTurn();
-    }
 }
--- a/packages/relay/src/policy/stop-window.ts
+++ b/packages/relay/src/policy/stop-window.ts
@@ -13,13 +13,14 @@
 
 /**
  * Decides which requests a stopping instance accepts, so that those that it accepts can end. Callers that do not know of
- * the stop yet are served; later only requests whose deadline is before the end of the stop.
+ * the stop yet are served; later on, only requests whose deadline is before the end of the stop are accepted.
  */
 export class StopWindow {
     /** Monotonic time until which every request is accepted, in milliseconds. */
     readonly servesUntilMs: number;
     /** Monotonic time at which the requests that still run are ended, in milliseconds. */
     readonly endsAtMs: number;
+    private isClosed = false;
 
     constructor({ startedAtMs, lengthMs, addressLifetimeMs }: StopWindowOptions) {
         this.servesUntilMs = startedAtMs + Math.min(addressLifetimeMs, MAX_SERVING_SHARE * lengthMs);
@@ -28,6 +29,11 @@
 
     /** Whether a request that has to end by `deadlineMs` is accepted. Both are monotonic times in milliseconds. */
     isAccepting(nowMs: number, deadlineMs: number): boolean {
-        return nowMs < this.servesUntilMs || deadlineMs <= this.endsAtMs;
+        return !this.isClosed && (nowMs < this.servesUntilMs || deadlineMs <= this.endsAtMs);
+    }
+
+    /** Accepts nothing any more. */
+    close(): void {
+        this.isClosed = true;
     }
 }
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -148,6 +148,7 @@
             this.refuse(req, caller, service, refusal, { team });
             return;
         }
+        this.acceptedAtMs = performance.now();
         const clock = new RequestClock(deadlineMs, caller.disconnectSignal);
         this.clocks.add(clock);
         try {
@@ -163,7 +164,6 @@
                 this.refuse(req, caller, service, { reason: "overloaded", retryAfterS }, { team, priority });
                 return;
             }
-            this.acceptedAtMs = performance.now();
             const request = {
                 req,
                 admission,
