Answer a malformed request target on a status port

What callers saw: all open requests of an instance cut, since one request with the target '//' to its readiness, directory or metrics port ended the process (ERR_INVALID_URL, thrown in the listener).

Evidence: the reviewer's trial ended a process with 'GET //'. Change: the target is parsed as a path of the instance, and what cannot be parsed gets 400; the handler no longer runs in the listener.

--- a/packages/relay/src/http/status-port.ts
+++ b/packages/relay/src/http/status-port.ts
@@ -1,6 +1,7 @@
 import { lingerOnClose } from "@ospreyreel/peer";
 import { once } from "node:events";
-import { createServer, type Server } from "node:http";
+import { createServer, type IncomingMessage, type Server } from "node:http";
+import type { AddressInfo } from "node:net";
 
 /** Response of a status port. */
 export interface StatusPortResponse {
@@ -16,6 +17,7 @@
     readonly answer: (method: string, url: URL) => StatusPortResponse | Promise<StatusPortResponse>;
 }
 
+const HTTP_BAD_REQUEST = 400;
 const HTTP_INTERNAL = 500;
 
 /** HTTP port for readiness checks, the directory, metrics and the state dump. */
@@ -25,8 +27,7 @@
     constructor(private readonly opts: StatusPortOptions) {
         this.server = createServer((req, res) => {
             req.resume();
-            const url = new URL(req.url ?? "/", "http://instance");
-            Promise.resolve(this.opts.answer(req.method ?? "", url)).catch(() => ({ status: HTTP_INTERNAL }))
+            this.answer(req).catch(() => ({ status: HTTP_INTERNAL }))
                 .then(({ status, contentType = "text/plain", body = "" }: StatusPortResponse) =>
                     res.writeHead(status, { "Content-Type": contentType, "Content-Length": Buffer.byteLength(body) })
                         .end(body)
@@ -36,12 +37,22 @@
         lingerOnClose(this.server);
     }
 
+    private async answer({ method = "", url = "/" }: IncomingMessage): Promise<StatusPortResponse> {
+        const target = `http://instance${url}`;
+        return URL.canParse(target) ? await this.opts.answer(method, new URL(target)) : { status: HTTP_BAD_REQUEST };
+    }
+
     /** Starts listening; throws if listening on the address fails. */
     async start(): Promise<void> {
         this.server.listen(this.opts.port, this.opts.host);
         await once(this.server, "listening");
     }
 
+    /** The port number that is listened on. */
+    get listenPort(): number {
+        return (this.server.address() as AddressInfo).port;
+    }
+
     /** Stops listening and closes all open connections. */
     close(): void {
         this.server.close();
