Handle SIGHUP from the start of a process on

What callers would see: connections cut by a reload during the start, as the handler was registered only after all ports listened and the default action of SIGHUP ends the process.

--- a/packages/relay/src/instance/run-relay.ts
+++ b/packages/relay/src/instance/run-relay.ts
@@ -28,7 +28,6 @@
 };
 
 const followSettings = (instance: RelayInstance, file: string): void => {
-    process.on("SIGHUP", () => void reload(instance, file));
     let lastModifiedMs: number | undefined;
     setInterval(() => {
         stat(file).then(({ mtimeMs }) => {
@@ -47,6 +46,7 @@
         const starting = RelayInstance.start(cfg, adapter);
         // Callers that know the address may send requests as soon as the port listens.
         process.on("SIGTERM", () => void starting.then(it => it.stop()).then(() => process.exit(0), fail));
+        process.on("SIGHUP", () => void starting.then(it => reload(it, file), fail));
         process.on("SIGINT", () => process.exit(EXIT_FAULT));
         const instance = await starting;
         followSettings(instance, file);
