Answer a request that has arrived behind another one when a stop starts

What callers would see: no answer to a request that the instance had read whole, if it followed another one on its connection when the stop began: the first response said 'Connection: close'.

Change: while the port drains, only the response to the last request that has arrived on a connection closes it. The new test of http-caller-port.test.ts asserts both answers and one 'Connection: close'; with the old rule the second request is dropped by PipelineOrder.

--- a/packages/relay/src/http/http-caller-port.test.ts
+++ b/packages/relay/src/http/http-caller-port.test.ts
@@ -167,3 +167,32 @@
     t.regex(await sendSlowly(port, refused + createMessage("b"), [createMessage("c")]), /^HTTP\/1\.1 431 /);
     t.deepEqual(callerStates, {});
 });
+
+test("a request that has arrived behind another one is answered though the port starts to drain", async t => {
+    const waiting: (() => void)[] = [];
+    const port = new HttpCallerPort({
+        host: HOST,
+        port: 0,
+        protocol: new PlainCallerProtocol(),
+        getBounds: () => undefined,
+        serve: async (req, caller) => {
+            await new Promise<void>(resolve => waiting.push(resolve));
+            await caller.sendResponse({ status: 200, headers: [], isFramed: true }, Buffer.from(`whole ${req.id}`));
+        },
+    });
+    await port.start();
+    t.teardown(() => port.close(0));
+    const chunks: Buffer[] = [];
+    const socket = connect(port.listenPort, HOST).on("data", chunk => chunks.push(chunk)).on("error", () => undefined);
+    socket.write(createMessage("a") + createMessage("b"));
+    await eventuallyIs(t, () => port.openExchanges, 2);
+    port.drain();
+    await eventuallyIs(t, () => waiting.length, 1);
+    waiting[0]?.();
+    await eventuallyIs(t, () => waiting.length, 2);
+    waiting[1]?.();
+    await once(socket, "end");
+    const text = Buffer.concat(chunks).toString();
+    t.regex(text, /whole a[^]*whole b/);
+    t.is(text.match(/Connection: close/gi)?.length, 1);
+});
--- a/packages/relay/src/http/http-caller-port.ts
+++ b/packages/relay/src/http/http-caller-port.ts
@@ -139,7 +139,7 @@
             req,
             res,
             protocol,
-            shouldCloseAfter: () => this.isDraining || this.closing.has(socket),
+            shouldCloseAfter: () => this.closing.has(socket) || (this.isDraining && this.order.isLast(socket, res)),
         });
         req.on("error", () => undefined);
         res.on("error", () => undefined);
