Count crashes after its quarantine for the part that caused them

What callers would see: sound requests refused in place of those that crash targets.

Cause: a quarantine kept the crashes that it was decided on. Requests that were in flight then still crashed targets, a sound part that was lost beside them had more crashes on record, and was taken for the cause.

Change: collectors add later crashes to the quarantine in force. The property without unanswered victims is strict again: no sound request is refused, also where the deadly part is refused as well.

--- a/packages/relay/src/quarantine/part-collector.test.ts
+++ b/packages/relay/src/quarantine/part-collector.test.ts
@@ -18,6 +18,7 @@
         log,
         random: () => 0,
         quarantine: part => quarantined.push(part),
+        extend: () => undefined,
         wait: ms =>
             ms <= 0 ? Promise.resolve() : new Promise(resolve => {
                 waits.push(resolve);
--- a/packages/relay/src/quarantine/part-collector.ts
+++ b/packages/relay/src/quarantine/part-collector.ts
@@ -15,6 +15,8 @@
     readonly random: () => number;
     /** Quarantines a part by its evidence. */
     readonly quarantine: (part: string, evidence: PartEvidence) => void;
+    /** Adds later crashes to the quarantine in force of a part. */
+    readonly extend: (part: string, evidence: PartEvidence) => void;
     /** Waits, in milliseconds; a timer by default. */
     readonly wait?: (ms: number) => Promise<void>;
 }
@@ -72,6 +74,9 @@
             if (isTrial && evidence.separateCrashes > 0) {
                 this.opts.quarantine(part, evidence);
             }
+            else if (book.isActive(part)) {
+                this.opts.extend(part, evidence);
+            }
             else if (evidence.separateCrashes >= CRASHES_TO_QUARANTINE) {
                 void this.decide(part);
             }
--- a/packages/relay/src/quarantine/part-quarantine.test.ts
+++ b/packages/relay/src/quarantine/part-quarantine.test.ts
@@ -29,6 +29,17 @@
     t.is(fleet.countRefusing(["root", "other"]), 0);
 });
 
+test("a sound part that is lost beside requests which were in flight at the decision is not quarantined instead", async t => {
+    const fleet = new QuarantineFleet(8);
+    for (let index = 0; index < 4; index++) {
+        const deadly = createPromptRequest(`deadly-${index}`, ["root", "a", "deadly"]);
+        await fleet.crash([[index, deadly], [index + 1, createPromptRequest(`sound-${index}`, ["root", "a"])]]);
+        await fleet.advance(400);
+    }
+    t.is(fleet.countRefusing(["root", "a", "deadly"]), 8);
+    t.is(fleet.countRefusing(["root", "a"]), 0);
+});
+
 test("a part before others that differ is convicted, and not the others", async t => {
     const fleet = new QuarantineFleet(4);
     for (let index = 0; index < 4; index++) {
@@ -217,14 +228,19 @@
     });
 
 /** Plays one step; returns whether a target crashed. Throws if a sound request was refused. */
-const playStep = async (fleet: QuarantineFleet, step: Step, index: number): Promise<boolean> => {
+const playStep = async (
+    fleet: QuarantineFleet,
+    step: Step,
+    index: number,
+    areVictimsAnswered: boolean,
+): Promise<boolean> => {
     const { member, topic, kind, isAnswered } = step;
     const { parts } = fleet.get(member);
     const sound = createPromptRequest(`sound-${index}`, ["root", `topic-${topic}`]);
     const deadly = createPromptRequest(`deadly-${index}`, ["root", "deadly"]);
     const isRefused = parts.getBlockedPart(kind === "deadly" ? deadly : sound) !== undefined;
-    // A sound part with the same crashes may be taken for the deadly one until the next crash.
-    if (isRefused && kind !== "deadly" && parts.getBlockedPart(deadly) !== undefined) {
+    // Where no answer refutes it, a sound part with the same crashes may be taken for the deadly one until the next crash.
+    if (isRefused && kind !== "deadly" && (areVictimsAnswered || parts.getBlockedPart(deadly) !== undefined)) {
         throw new Error(`a sound request was refused at step ${index}`);
     }
     switch (kind) {
@@ -253,6 +269,7 @@
 /** Plays random steps in a fleet; returns the number of crashes. */
 const playSteps = async (size: number, steps: readonly Step[]): Promise<number> => {
     const fleet = new QuarantineFleet(size);
+    const areVictimsAnswered = steps.every(({ isAnswered }) => isAnswered);
     let crashes = 0;
     for (const [index, step] of steps.entries()) {
         const cut = step.cut === undefined ? undefined : fleet.get(step.cut).hub;
@@ -260,7 +277,7 @@
         if (isCut) {
             fleet.network.disconnect(cut);
         }
-        crashes += await playStep(fleet, step, index) ? 1 : 0;
+        crashes += await playStep(fleet, step, index, areVictimsAnswered) ? 1 : 0;
         if (isCut) {
             fleet.network.reconnect(cut);
             fleet.join(cut);
--- a/packages/relay/src/quarantine/part-quarantine.ts
+++ b/packages/relay/src/quarantine/part-quarantine.ts
@@ -93,6 +93,7 @@
             log,
             random,
             quarantine: (part, evidence) => this.quarantine(part, evidence),
+            extend: (part, evidence) => this.extend(part, evidence),
             ...(wait === undefined ? {} : { wait }),
         });
     }
@@ -259,6 +260,20 @@
         this.book.listExplained(part).forEach(explained => this.clear(explained, `explained by ${part}`));
     }
 
+    /**
+     * Adds the crashes of requests that were in flight at the decision: they are explained by this part, and do not speak
+     * against others.
+     */
+    private extend(part: string, { crashes }: PartEvidence): void {
+        const entry = this.book.table.get(part, this.nowMs());
+        if (entry === undefined || crashes.length <= entry.crashes.length) {
+            return;
+        }
+        const changedAtMs = this.book.getNextChangeAtMs(part);
+        this.decide(part, { ...entry, crashes, changedAtMs }, `${crashes.length} crashes`);
+        this.book.listExplained(part).forEach(explained => this.clear(explained, `explained by ${part}`));
+    }
+
     /** Ends the quarantine of a part for which an answer has begun. */
     private refute(part: string): void {
         this.collector.clear(part);
