Bound the time for which a deadly part waits for those behind it

What operators would see: 10 to 22 crashes before a part with many others behind it, as a system prompt before a long conversation, was quarantined, since it waited 150 ms for each of them. Found by a review.

Evidence: 'a deadly part before a long conversation is quarantined in time', with 60 parts behind it, failed with 12 crashes before. Change: the wait is a second at most.

--- a/packages/relay/src/quarantine/part-collector.ts
+++ b/packages/relay/src/quarantine/part-collector.ts
@@ -45,6 +45,9 @@
  */
 const WAIT_PER_FOLLOWER_MS = 150;
 
+/** Maximum wait for the parts that follow, in milliseconds; a long conversation has many. */
+const MAX_FOLLOWER_WAIT_MS = 1_000;
+
 /** Collects the accusations of parts from all instances, and quarantines parts that crash targets. */
 export class PartCollector {
     private readonly table = new AccusationTable();
@@ -96,7 +99,8 @@
         this.deciding.add(part);
         try {
             const { crashes, followers } = this.getEvidence(part);
-            const waitMs = followers * WAIT_PER_FOLLOWER_MS + (crashes.length < SURE_CRASHES ? DOUBT_WAIT_MS : 0);
+            const followerWaitMs = Math.min(MAX_FOLLOWER_WAIT_MS, followers * WAIT_PER_FOLLOWER_MS);
+            const waitMs = followerWaitMs + (crashes.length < SURE_CRASHES ? DOUBT_WAIT_MS : 0);
             if (waitMs > 0) {
                 await this.wait(waitMs);
                 await this.removeRefuted([part], [part]);
--- a/packages/relay/src/quarantine/part-quarantine.test.ts
+++ b/packages/relay/src/quarantine/part-quarantine.test.ts
@@ -40,6 +40,19 @@
     t.is(fleet.countRefusing(["root", "a"]), 0);
 });
 
+test("a deadly part before a long conversation is quarantined in time", async t => {
+    const fleet = new QuarantineFleet(4);
+    const followers = [...Array(60).keys()];
+    let crashes = 0;
+    while (crashes < 12 && fleet.countRefusing(["deadly"]) < 4) {
+        crashes += 1;
+        const parts = ["deadly", ...followers.map(at => `message-${crashes}-${at}`)];
+        await fleet.crash([[crashes, createPromptRequest(`r-${crashes}`, parts)]]);
+        await fleet.advance(500);
+    }
+    t.true(crashes <= 8, `${crashes} crashes`);
+});
+
 test("a part before others that differ is convicted, and not the others", async t => {
     const fleet = new QuarantineFleet(4);
     for (let index = 0; index < 4; index++) {
