Report a crash again that reached none of its collectors, and log failed reports

What operators would see: a part that crashes targets and is not quarantined in time, without a line that tells why. A report that no collector got was remembered as made, and later losses of the same crash were not reported.

Change: such a report is forgotten, so that the next lost request of the crash makes it again; reports and questions that fail are logged. The tests of the package pass; none of its own covers the lost report, as the network in memory drops instances that are cut off at once.

--- a/packages/relay/src/quarantine/part-collector.ts
+++ b/packages/relay/src/quarantine/part-collector.ts
@@ -133,17 +133,18 @@
     }
 
     private async ask(parts: readonly string[]): Promise<void> {
-        const { hub, nowMs, random } = this.opts;
-        const peers = hub.peers().map(({ incarnation }) => ({ incarnation, at: random() }))
+        const { hub, nowMs, random, log } = this.opts;
+        const peers = hub.peers().map(({ incarnation, instance }) => ({ incarnation, instance, at: random() }))
             .toSorted((a, b) => a.at - b.at)
             .slice(0, MAX_ASKED_PEERS);
-        await Promise.all(peers.map(async ({ incarnation }) => {
+        await Promise.all(peers.map(async ({ incarnation, instance }) => {
             try {
                 const { answered } = await hub.request(incarnation, "parts.answered", { parts }, ASK_TIMEOUT_MS);
                 answered.forEach(({ part, msAgo }) => this.table.removeUntil(part, nowMs() - msAgo));
             }
-            catch {
+            catch (err) {
                 // The answers of the other peers count.
+                log.write("peer not asked for answers", { peer: instance, cause: String(err) });
             }
         }));
     }
--- a/packages/relay/src/quarantine/part-quarantine.ts
+++ b/packages/relay/src/quarantine/part-quarantine.ts
@@ -62,6 +62,8 @@
 
 const MS_PER_S = 1_000;
 
+const getReportKey = ({ part, crash }: PartAccusation): string => `${part} ${crash}`;
+
 const getCrashKey = ({ id, startedAtMs }: Target): string => `${id}@${startedAtMs ?? ""}`;
 
 /**
@@ -204,7 +206,7 @@
 
     /** Reports an accusation to its collectors, once for each part and crash; returns the number of crashes. */
     private report(accusation: PartAccusation): Promise<number> {
-        const key = `${accusation.part} ${accusation.crash}`;
+        const key = getReportKey(accusation);
         const known = this.reports.get(key);
         if (known !== undefined) {
             return known;
@@ -217,9 +219,10 @@
 
     private async reportOnce(accusation: PartAccusation): Promise<number> {
         const { hub } = this.opts;
+        const { part } = accusation;
         const self = hub.self().incarnation;
         const counts = await Promise.all(
-            this.collectors.choose(accusation.part).map(async ({ incarnation }) => {
+            this.collectors.choose(accusation.part).map(async ({ incarnation, instance }) => {
                 const accusations = [accusation];
                 if (incarnation === self) {
                     return await this.collector.accuse(accusations);
@@ -227,12 +230,17 @@
                 try {
                     return (await hub.request(incarnation, "parts.accuse", { accusations }, REPORT_TIMEOUT_MS)).crashes;
                 }
-                catch {
-                    // The other collector has the report.
+                catch (err) {
+                    // The other collector may have it.
+                    this.opts.log.write("crash not reported", { part, peer: instance, cause: String(err) });
                     return [];
                 }
             }),
         );
+        if (counts.flat().length === 0) {
+            // The next lost request of the crash reports it again.
+            this.reports.delete(getReportKey(accusation));
+        }
         return Math.max(0, ...counts.flat());
     }
 
