--- a/packages/budgets/src/fleet-budgets.test.ts
+++ b/packages/budgets/src/fleet-budgets.test.ts
@@ -1,6 +1,8 @@
 import test from "ava";
 import { setTimeout as sleep } from "node:timers/promises";
+import { getShard } from "./budget-shards.js";
 import { type BudgetFleet, type BudgetInstance, createFleet, kill, startInstance } from "./fixtures/budget-fleet.js";
+import { getShardKey } from "./shard-record.js";
 
 const ZONES = ["zone-a", "zone-b", "zone-c"];
 
@@ -88,6 +90,24 @@
     t.true(held.some(tokens => tokens > 0), "nobody took the budget over");
 });
 
+test("an owner whose record the KV service has lost writes it again and forgets no use", async t => {
+    const fleet = createFleet(10_000);
+    const instances = startAll(fleet, 4);
+    await instances[0]?.budgets.hold("team", 1_000);
+    const owner = instances.find(({ budgets }) => budgets.list().length > 0);
+    const [borrower, other] = instances.filter(instance => instance !== owner);
+    if (borrower === undefined || other === undefined) {
+        return t.fail();
+    }
+    t.is((await borrower.budgets.hold("team", 4_000)).kind, "held");
+    kill(borrower);
+    await other.kv.txn({ compares: [], puts: [], deletes: [{ key: getShardKey(getShard("team")) }] });
+    fleet.prepaid = 20_000;
+    // Other instances may keep a few unused tokens for a time.
+    const held = await holdAll(other, 100);
+    t.true(held <= 15_000 && held > 10_000, `${held} held`);
+});
+
 test("releasing budgets at a graceful stop strands no tokens", async t => {
     const fleet = createFleet(1_000);
     const instances = startAll(fleet, 3);
@@ -163,3 +183,42 @@
         t.true(held >= 95_000 - used, `with ${pair.join(" and ")} only ${held} of ${100_000 - used} could be used`);
     }));
 });
+
+test("a request waits for a claim while the KV service responds late", async t => {
+    const fleet = createFleet(1_000);
+    const instances = startAll(fleet, 3);
+    instances.forEach(({ kv }) => kv.pause = () => sleep(100));
+    const held = await Promise.all(instances.map(({ budgets }) => budgets.hold("team", 100)));
+    t.deepEqual(held.map(result => result.kind), ["held", "held", "held"]);
+});
+
+test("a request waits for an owner that responds late for a moment", async t => {
+    const fleet = createFleet(1_000);
+    const instances = startAll(fleet, 3);
+    await instances[0]?.budgets.hold("team", 100);
+    const owner = instances.find(({ budgets }) => budgets.list().length > 0);
+    const other = instances.find(instance => instance !== owner);
+    if (other === undefined) {
+        return t.fail();
+    }
+    other.hub.input.delayMs = 400;
+    const holding = other.budgets.hold("team", 100);
+    await sleep(300);
+    other.hub.input.delayMs = 0;
+    t.is((await holding).kind, "held");
+});
+
+test("once a budget is known to be unavailable, requests are refused without a wait until it is available again", async t => {
+    const fleet = createFleet(1_000);
+    const [only] = startAll(fleet, 1);
+    if (only === undefined) {
+        return t.fail();
+    }
+    only.kv.disconnect();
+    t.is((await only.budgets.hold("team", 100)).kind, "unavailable");
+    const startedAtMs = performance.now();
+    t.is((await only.budgets.hold("team", 100)).kind, "unavailable");
+    t.true(performance.now() - startedAtMs < 300);
+    only.kv.reconnect();
+    t.is((await only.budgets.hold("team", 100)).kind, "held");
+});
--- a/packages/relay/src/instance/relay-instance.ts
+++ b/packages/relay/src/instance/relay-instance.ts
@@ -229,6 +229,7 @@
         switch (path) {
             case METRICS_PATH:
                 Object.entries(this.freshness.gauges).forEach(([name, value]) => this.metrics.set(name, value));
+                this.metrics.set("held_response_bytes", this.relay.heldResponseBytes);
                 return { status: 200, body: await this.metrics.getText() };
             case STATE_PATH:
                 return { status: 200, contentType: "application/json", body: JSON.stringify(this.state) };
@@ -308,8 +309,6 @@
     /** Resolves when no caller may use this instance any more and all requests have ended, or when the window ends. */
     private async waitForRequests({ servesUntilMs, endsAtMs }: StopWindow): Promise<void> {
         await sleep(servesUntilMs - performance.now());
-        // A caller that is refused a connection takes another address at once; one that gets 503 may come back here.
-        this.callerPort.stopListening();
         while (performance.now() < endsAtMs && this.callerPort.openExchanges > 0) {
             await sleep(POLL_INTERVAL_MS);
         }
--- a/packages/relay/src/relay-attempts.ts
+++ b/packages/relay/src/relay-attempts.ts
@@ -42,11 +42,14 @@
     private failedConnects = 0;
     private mayHaveRun = false;
     private blockedPart: string | undefined;
+    /** Whether the caller's connection still holds the response. */
+    private isSending = false;
 
     constructor(private readonly opts: RelayOptions, private readonly request: AdmittedRequest) {
         this.stream = new StreamRelay({
             caller: request.caller,
             afterEvent: request.req.lastEventId,
+            held: request.held,
             onFirstEvent: () => opts.parts.recordBegun(request.req),
         });
     }
@@ -73,6 +76,9 @@
         }
         finally {
             this.request.hold?.settle(this.getUsedTokens());
+            if (!this.isSending) {
+                this.request.held.release();
+            }
         }
     }
 
@@ -221,9 +227,13 @@
         body: AsyncIterable<Buffer>,
         firstByteMs: number,
     ): Promise<Step> {
+        const { caller, held } = this.request;
         const chunks: Buffer[] = [];
+        let bytes = 0;
         try {
             for await (const chunk of body) {
+                bytes += chunk.length;
+                held.resize(bytes);
                 chunks.push(chunk);
             }
         }
@@ -240,10 +250,11 @@
             return RETRY_STEP;
         }
         if (this.stream.isStarted) {
-            this.request.caller.abortStream();
+            caller.abortStream();
             return { kind: "end", end: "broken" };
         }
-        this.request.caller.sendResponse(head, Buffer.concat(chunks));
+        this.isSending = true;
+        void caller.sendResponse(head, Buffer.concat(chunks)).then(() => held.release());
         return { kind: "end", end: "answered" };
     }
 
--- a/packages/relay/src/relay.test.ts
+++ b/packages/relay/src/relay.test.ts
@@ -25,6 +25,9 @@
 
 type Outcome = (call: TargetCall, directory: TargetDirectory, view: View) => TargetOutcome | Promise<TargetOutcome>;
 
+/** Time that a caller waits in tests of requests whose time ends, in milliseconds. */
+const SHORT_WAIT_MS = 300;
+
 const HEAD = { status: 200, headers: [], isFramed: true };
 
 /** Time after which a stopping instance ends its requests in these tests, in milliseconds. */
@@ -274,6 +277,12 @@
     t.deepEqual(gate.settled, [110]);
 });
 
+test("a budget is not charged for comments of a stream", async t => {
+    const gate = new RecordingGate();
+    await serve([respond([": ping\n\n", "id: 1\n\n: ping\n\n"])], { kind: "streaming" }, GENERATION, gate);
+    t.deepEqual(gate.settled, [105]);
+});
+
 test("a prompt is charged once if its stream was resumed", async t => {
     const gate = new RecordingGate();
     const outcomes = [respond(["id: 1\n\n"], true), respond(["id: 2\n\n"])];
@@ -335,6 +344,26 @@
     t.is(caller.refusal?.reason, "budgetExhausted");
 });
 
+/** A gate that decides only after the request's time has ended. */
+class LateGate extends RecordingGate {
+    override async hold(): Promise<BudgetDecision> {
+        await sleep(2 * SHORT_WAIT_MS);
+        return await super.hold();
+    }
+}
+
+test("a request whose time ends while its budget is decided is refused at once, is not sent and costs nothing", async t => {
+    const gate = new LateGate();
+    const startedAtMs = performance.now();
+    const req = { ...GENERATION, arrivedAtMs: startedAtMs, waitsMs: SHORT_WAIT_MS };
+    const { caller, port } = await serve([], {}, req, gate);
+    t.true(performance.now() - startedAtMs < 2 * SHORT_WAIT_MS);
+    t.like(caller.refusal, { reason: "timedOutUnsent" });
+    t.deepEqual(port.calls, []);
+    await sleep(2 * SHORT_WAIT_MS);
+    t.deepEqual(gate.settled, [0]);
+});
+
 test("an exhausted budget and an unavailable budget are refused with different reasons", async t => {
     const exhausted = await serve([full], {}, GENERATION, new RefusingGate({ kind: "exhausted" }));
     t.is(exhausted.caller.refusal?.reason, "budgetExhausted");
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -11,6 +11,7 @@
 import type { RefusalReason, RelayRefusal } from "./relay-refusal.js";
 import type { RelayRequest } from "./relay-request.js";
 import { RequestClock } from "./request-clock.js";
+import { type HeldResponse, ResponseMemory } from "./response-memory.js";
 import type { TargetPort } from "./targets/target-port.js";
 import type { TargetSelector } from "./targets/target-selector.js";
 import type { ViewFreshness } from "./watch/view-freshness.js";
@@ -64,6 +65,8 @@
     readonly clock: RequestClock;
     readonly hold: BudgetHold | undefined;
     readonly isRepeatable: boolean;
+    /** What is held in memory of the response. */
+    readonly held: HeldResponse;
 }
 
 /** Sends each request to a target of its route and relays the response, or refuses the request. */
@@ -72,6 +75,7 @@
     private acceptedAtMs = Number.NEGATIVE_INFINITY;
     private stopWindow: StopWindow | undefined;
     private readonly clocks = new Set<RequestClock>();
+    private readonly memory = new ResponseMemory();
 
     constructor(private readonly opts: RelayOptions) {}
 
@@ -97,6 +101,11 @@
         return size;
     }
 
+    /** Bytes of all responses that are held in memory. */
+    get heldResponseBytes(): number {
+        return this.memory.heldBytes;
+    }
+
     /** Serves one request; does not throw. */
     async serve(req: RelayRequest, caller: CallerExchange): Promise<void> {
         this.open += 1;
@@ -142,7 +151,7 @@
         const clock = new RequestClock(deadlineMs, caller.disconnectSignal);
         this.clocks.add(clock);
         try {
-            const held = await this.holdBudget(req, admission);
+            const held = await this.holdBudget(req, admission, clock);
             if (held !== undefined && "reason" in held) {
                 this.refuse(req, caller, service, held, { team, tokens: getMaxTokens(req) });
                 return;
@@ -155,7 +164,15 @@
                 return;
             }
             this.acceptedAtMs = performance.now();
-            const request = { req, admission, caller, clock, hold: held, isRepeatable: isRepeatable(route) };
+            const request = {
+                req,
+                admission,
+                caller,
+                clock,
+                hold: held,
+                isRepeatable: isRepeatable(route),
+                held: this.memory.open(),
+            };
             const attempts = new RelayAttempts(this.opts, request);
             const result = await attempts.run();
             if (typeof result !== "string") {
@@ -173,12 +190,19 @@
     private async holdBudget(
         req: RelayRequest,
         admission: Admission,
+        clock: RequestClock,
     ): Promise<BudgetHold | RelayRefusal | undefined> {
         const { generation } = req;
         if (generation === undefined || admission.team === undefined || !admission.isPrepaid) {
             return undefined;
         }
-        const decision = await this.opts.budgets.hold(admission.team, getMaxTokens(req));
+        const deciding = this.opts.budgets.hold(admission.team, getMaxTokens(req));
+        const decision = await Promise.race([deciding, clock.ended]);
+        if (decision === undefined) {
+            void deciding.then(late => late.kind === "held" ? late.hold.settle(0) : undefined);
+            // A request whose time has ended is not sent.
+            return undefined;
+        }
         switch (decision.kind) {
             case "held":
                 return decision.hold;
--- a/packages/relay/src/stream/stream-relay.ts
+++ b/packages/relay/src/stream/stream-relay.ts
@@ -1,4 +1,5 @@
 import type { CallerExchange, ResponseHead } from "../caller-exchange.js";
+import type { HeldResponse } from "../response-memory.js";
 import { EventSplitter } from "./event-splitter.js";
 
 /** Outcome of relaying one target's stream. */
@@ -14,6 +15,8 @@
     readonly caller: CallerExchange;
     /** Id of the last event that the caller has already; undefined where it has none. */
     readonly afterEvent: number | undefined;
+    /** Bytes of the response that are held in memory. */
+    readonly held: HeldResponse;
     /** Called when the first event has arrived. */
     readonly onFirstEvent: () => void;
 }
@@ -55,13 +58,14 @@
         try {
             for await (const chunk of body) {
                 const { bytes, count, ids } = splitter.push(chunk);
-                if (count === 0) {
+                this.opts.held.resize(splitter.pendingBytes);
+                if (bytes.length === 0) {
                     continue;
                 }
                 if (!this.acceptIds(ids)) {
                     return { kind: "out_of_order" };
                 }
-                if (this.events === 0) {
+                if (this.events === 0 && count > 0) {
                     this.opts.onFirstEvent();
                 }
                 this.events += count;
@@ -72,7 +76,8 @@
         catch (err) {
             return { kind: "cut", cause: err instanceof Error ? err.message : String(err) };
         }
-        if (splitter.pendingBytes > 0) {
+        const rest = splitter.finish();
+        if (rest === undefined) {
             return { kind: "cut", cause: "the stream ends within an event" };
         }
         if (!head.isFramed && this.events === eventsBefore) {
@@ -82,6 +87,9 @@
             return { kind: "cut", cause: "the end of an unframed stream cannot be distinguished from a cut" };
         }
         this.start(head);
+        if (rest.length > 0) {
+            await this.opts.caller.sendEvents(rest, signal);
+        }
         return { kind: "complete" };
     }
 
