--- a/packages/relay/src/http/http-caller-port.ts
+++ b/packages/relay/src/http/http-caller-port.ts
@@ -1,7 +1,7 @@
-import { lingerOnClose } from "@ospreyreel/peer";
+import { lingerOnClose, stopListening } from "@ospreyreel/peer";
 import { once } from "node:events";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import { type AddressInfo, Server as TcpServer, type Socket } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
 import { setImmediate as nextTurn, setTimeout as sleep } from "node:timers/promises";
 import type { CallerExchange } from "../caller-exchange.js";
 import type { CallerBounds } from "../document/relay-document.js";
@@ -89,16 +89,21 @@
         return this.open;
     }
 
-    /** Stops listening, waits up to `flushMs` milliseconds until the last responses are sent, and closes all connections. */
-    async close(flushMs: number): Promise<void> {
+    /**
+     * Stops listening, waits up to `flushMs` milliseconds until the last responses are sent, and closes all connections.
+     * Returns the number of responses that were not sent completely.
+     */
+    async close(flushMs: number): Promise<number> {
         this.drain();
         stopListening(this.server);
         const endsAtMs = performance.now() + flushMs;
         while (this.open > 0 && performance.now() < endsAtMs) {
             await sleep(FLUSH_POLL_MS);
         }
+        const unsent = this.open;
         this.server.close();
         this.server.closeAllConnections();
+        return unsent;
     }
 
     private get bounds(): CallerBounds {
@@ -134,7 +139,7 @@
             req,
             res,
             protocol,
-            shouldCloseAfter: () => this.isDraining || this.closing.has(socket),
+            shouldCloseAfter: () => this.closing.has(socket) || (this.isDraining && this.order.isLast(socket, res)),
         });
         req.on("error", () => undefined);
         res.on("error", () => undefined);
@@ -170,11 +175,6 @@
     }
 }
 
-/** Stops listening only; `close` of an HTTP server also closes connections whose last response is still being sent. */
-const stopListening = (server: Server): void => {
-    TcpServer.prototype.close.call(server);
-};
-
 /** Colon, space and line end of a header, divided between its name and its value. */
 const HEADER_SEPARATOR_BYTES = 2;
 
--- a/packages/relay/src/quarantine/part-collector.ts
+++ b/packages/relay/src/quarantine/part-collector.ts
@@ -15,6 +15,8 @@
     readonly random: () => number;
     /** Quarantines a part by its evidence. */
     readonly quarantine: (part: string, evidence: PartEvidence) => void;
+    /** Adds later crashes to the quarantine in force of a part. */
+    readonly extend: (part: string, evidence: PartEvidence) => void;
     /** Waits, in milliseconds; a timer by default. */
     readonly wait?: (ms: number) => Promise<void>;
 }
@@ -43,6 +45,9 @@
  */
 const WAIT_PER_FOLLOWER_MS = 150;
 
+/** Maximum wait for the parts that follow, in milliseconds; a long conversation has many. */
+const MAX_FOLLOWER_WAIT_MS = 1_000;
+
 /** Collects the accusations of parts from all instances, and quarantines parts that crash targets. */
 export class PartCollector {
     private readonly table = new AccusationTable();
@@ -72,6 +77,9 @@
             if (isTrial && evidence.separateCrashes > 0) {
                 this.opts.quarantine(part, evidence);
             }
+            else if (book.isActive(part)) {
+                this.opts.extend(part, evidence);
+            }
             else if (evidence.separateCrashes >= CRASHES_TO_QUARANTINE) {
                 void this.decide(part);
             }
@@ -91,7 +99,8 @@
         this.deciding.add(part);
         try {
             const { crashes, followers } = this.getEvidence(part);
-            const waitMs = followers * WAIT_PER_FOLLOWER_MS + (crashes.length < SURE_CRASHES ? DOUBT_WAIT_MS : 0);
+            const followerWaitMs = Math.min(MAX_FOLLOWER_WAIT_MS, followers * WAIT_PER_FOLLOWER_MS);
+            const waitMs = followerWaitMs + (crashes.length < SURE_CRASHES ? DOUBT_WAIT_MS : 0);
             if (waitMs > 0) {
                 await this.wait(waitMs);
                 await this.removeRefuted([part], [part]);
@@ -124,17 +133,18 @@
     }
 
     private async ask(parts: readonly string[]): Promise<void> {
-        const { hub, nowMs, random } = this.opts;
-        const peers = hub.peers().map(({ incarnation }) => ({ incarnation, at: random() }))
+        const { hub, nowMs, random, log } = this.opts;
+        const peers = hub.peers().map(({ incarnation, instance }) => ({ incarnation, instance, at: random() }))
             .toSorted((a, b) => a.at - b.at)
             .slice(0, MAX_ASKED_PEERS);
-        await Promise.all(peers.map(async ({ incarnation }) => {
+        await Promise.all(peers.map(async ({ incarnation, instance }) => {
             try {
                 const { answered } = await hub.request(incarnation, "parts.answered", { parts }, ASK_TIMEOUT_MS);
                 answered.forEach(({ part, msAgo }) => this.table.removeUntil(part, nowMs() - msAgo));
             }
-            catch {
+            catch (err) {
                 // The answers of the other peers count.
+                log.write("peer not asked for answers", { peer: instance, cause: String(err) });
             }
         }));
     }
