--- a/packages/stand-ins/src/platform/platform-target-stand-in.ts
+++ b/packages/stand-ins/src/platform/platform-target-stand-in.ts
@@ -55,6 +55,8 @@
     private readonly runs: { -readonly [K in keyof RunRequest]: RunRequest[K]; }[] = [];
     /** Monotonic times of its crashes, in milliseconds. */
     readonly crashedAtMs: number[] = [];
+    /** Requests a second that it names as its limit in its responses; undefined where it names none. */
+    limitPerS: number | undefined;
     /** Called after each start that follows a crash. */
     onRestart: () => void = () => undefined;
     private server: JsonServer | undefined;
@@ -137,7 +139,8 @@
         this.recordRun(req, res, { body, parts });
         const { events = 0, deadlyPart } = this.opts;
         const stepMs = Number(req.headers[STAND_IN_HEADERS.stepMs] ?? this.opts.stepMs ?? DEFAULT_STEP_MS);
-        const headers = { "Attempt-Id": id, "Response-Seal": `seal-${this.opts.id}` };
+        const limit = this.limitPerS === undefined ? {} : { "Server-Limit": String(this.limitPerS) };
+        const headers = { "Attempt-Id": id, "Response-Seal": `seal-${this.opts.id}`, ...limit };
         if (events === 0) {
             await sleep(stepMs);
             const padding = "x".repeat(Number(req.headers[STAND_IN_HEADERS.bytes] ?? 0));
