Keep the limits of requests a second that targets name, for all instances together

Callers and targets saw: two targets that had named limits of 3 and 2.9 requests a second got 47 and 46 in 4 s, where 23 and 22 are allowed. Cause: the limit in a response was relayed and read nowhere. An instance that kept the whole figure on its own would have changed nothing: each sent one or two requests a second to each target. The class of fault is a limit of the whole fleet that no one holds for the fleet. Change: one instance for each target, chosen by rendezvous, hands out its sends from a token bucket that starts empty; others ask it before each send to a target with a limit, and leave the target out for as long as it tells. The first and the last response with a limit are told to all instances. Where all targets of a service are at their limits, requests are refused at once with 503 targetsLimited and the time of the next send. PartCollectors becomes ResponsibleInstances, which both use; a leaving instance is no longer chosen.

--- a/packages/relay/src/http/target-call-handler.ts
+++ b/packages/relay/src/http/target-call-handler.ts
@@ -77,10 +77,11 @@
                     kind: "answer",
                     head: { status, headers: decoded.headers, isFramed: this.isFramed },
                     body: this.body,
+                    ...(decoded.limit === undefined ? {} : { limit: decoded.limit }),
                 });
                 break;
             case "not_run":
-                this.settle({ kind: "not_run", reason: decoded.reason });
+                this.settle(decoded);
                 this.discardBody();
                 break;
             case "invalid":
--- a/packages/relay/src/http/target-protocol.ts
+++ b/packages/relay/src/http/target-protocol.ts
@@ -1,10 +1,14 @@
-import type { TargetCall } from "../targets/target-port.js";
+import type { NamedLimit, TargetCall } from "../targets/target-port.js";
 
 /** Decoded head of a target's response. */
 export type TargetHead =
     /** A response to the request, with its end-to-end headers. */
-    | { readonly kind: "answer"; readonly headers: readonly (readonly [string, string])[]; }
-    | { readonly kind: "not_run"; readonly reason: "full" | "other_target"; }
+    | {
+        readonly kind: "answer";
+        readonly headers: readonly (readonly [string, string])[];
+        readonly limit?: NamedLimit;
+    }
+    | { readonly kind: "not_run"; readonly reason: "full" | "other_target"; readonly limit?: NamedLimit; }
     /** A response to another request, or one that does not follow the protocol. */
     | { readonly kind: "invalid"; readonly cause: string; };
 
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -32,4 +32,4 @@
 export * from "./targets/target-port.js";
 export * from "./targets/target-selector.js";
 export * from "./targets/target-state.js";
-export type * from "./targets/target.js";
+export * from "./targets/target.js";
--- a/packages/relay/src/instance/fleet-roster.ts
+++ b/packages/relay/src/instance/fleet-roster.ts
@@ -45,6 +45,11 @@
         return inContact + this.listUnreachable(inContact).length + 1;
     }
 
+    /** Share of the fleet that is in contact with this instance, itself included. */
+    get reachableShare(): number {
+        return (this.opts.hub.peers().length + 1) / this.size;
+    }
+
     /** Other instances that accept callers, by the last known state. */
     listAccepting(): readonly InstanceInfo[] {
         const peers = this.opts.hub.peers();
--- a/packages/relay/src/instance/relay-instance.ts
+++ b/packages/relay/src/instance/relay-instance.ts
@@ -7,6 +7,7 @@
 import { HttpCallerPort } from "../http/http-caller-port.js";
 import { HttpTargetPort } from "../http/http-target-port.js";
 import { StatusPort, type StatusPortResponse } from "../http/status-port.js";
+import { FleetSendPermits } from "../limits/fleet-send-permits.js";
 import { AffinityPlacement } from "../policy/affinity-placement.js";
 import { OverloadGuard } from "../policy/overload-guard.js";
 import { sampleInstances } from "../policy/sample-instances.js";
@@ -78,6 +79,7 @@
     private readonly follower: TargetFollower;
     private readonly relay: Relay;
     private readonly budgets: FleetBudgets;
+    private readonly permits: FleetSendPermits;
     private readonly parts: PartQuarantine;
     private readonly decisions: DecisionStore;
     /** Resolves once requests are accepted. */
@@ -116,6 +118,7 @@
             getPrepaid: team => this.documents.current()?.findTeam(team)?.prepaidTokens ?? 0,
             log: (event, fields) => this.log.write(event, fields),
         });
+        this.permits = this.createPermits();
         this.decisions = new DecisionStore({ kv: this.kv, log: this.log });
         this.parts = new PartQuarantine({
             hub,
@@ -137,6 +140,7 @@
             getRetries: service => this.shares.getRetries(service),
             overload: this.overload,
             freshness: this.freshness,
+            permits: this.permits,
             parts: this.parts,
             log: this.log,
             meter: this.metrics,
@@ -208,6 +212,16 @@
         return this.stopping === undefined && this.documents.current() !== undefined && this.follower.isSynced;
     }
 
+    private createPermits(): FleetSendPermits {
+        return new FleetSendPermits({
+            hub: this.hub,
+            directory: this.directory,
+            getReachableShare: () => this.roster.reachableShare,
+            log: this.log,
+            count: name => this.metrics.add(name),
+        });
+    }
+
     private createStatusPorts(): readonly StatusPort[] {
         const { cfg, adapter } = this;
         return [
@@ -256,6 +270,7 @@
         startOverloadWatch({ ...parseAddress(cfg.callers), guard: this.overload, log });
         this.follower.start();
         this.budgets.serve();
+        this.permits.serve();
         this.parts.serve();
         void this.decisions.load().then(decisions => this.parts.receive(decisions, "kv"));
         hub.setPeerAddresses(cfg.seeds.map(parseAddress));
--- a/packages/relay/src/instance/relay-state.ts
+++ b/packages/relay/src/instance/relay-state.ts
@@ -12,6 +12,8 @@
     readonly errorShare: number;
     /** Mean time to the first byte, in milliseconds. */
     readonly firstByteMs: number | undefined;
+    /** Requests a second that it takes from all instances together; undefined where it names no limit. */
+    readonly limitPerS: number | undefined;
 }
 
 /** State dump of an instance, for operators. */
@@ -30,11 +32,12 @@
 }
 
 /** Returns a target's entry in the state dump. */
-export const getTargetView = ({ target, inFlight, health }: TargetState): TargetView => ({
+export const getTargetView = ({ target, inFlight, health, limit }: TargetState): TargetView => ({
     id: target.id,
     service: target.service,
     leaving: target.leaving,
     inFlight,
     errorShare: health.errorShare,
     firstByteMs: health.firstByteMs,
+    limitPerS: limit.perS,
 });
--- /dev/null
+++ b/packages/relay/src/limits/send-permits.ts
@@ -0,0 +1,22 @@
+import type { TargetOutcome } from "../targets/target-port.js";
+import type { TargetState } from "../targets/target-state.js";
+
+/** Keeps the sends to targets within the limits that they name. */
+export abstract class SendPermits {
+    /** Acquires one send to a target; returns false where its limit leaves none now. Does not throw. */
+    abstract acquire(state: TargetState): Promise<boolean>;
+
+    /** Records what the outcome of a send that started at a monotonic time, in milliseconds, says about the limit. */
+    abstract recordOutcome(state: TargetState, outcome: TargetOutcome, startedAtMs: number): void;
+}
+
+/** Allows every send. */
+export class UnlimitedSends extends SendPermits {
+    override acquire(): Promise<boolean> {
+        return Promise.resolve(true);
+    }
+
+    override recordOutcome(): void {
+        // Nothing is remembered.
+    }
+}
--- a/packages/relay/src/quarantine/part-quarantine.ts
+++ b/packages/relay/src/quarantine/part-quarantine.ts
@@ -1,15 +1,15 @@
 import type { PeerHub } from "@ospreyreel/peer";
 import type { InstanceInfo, PartAccusation, PartDecision } from "@ospreyreel/types";
+import { ResponsibleInstances } from "../instance/responsible-instances.js";
 import type { RelayLog } from "../relay-log.js";
 import { getSharedParts, type RelayRequest } from "../relay-request.js";
-import type { Target } from "../targets/target.js";
+import { getStartKey, type Target } from "../targets/target.js";
 import type { PartEvidence } from "./accusation-table.js";
 import { BoundedMap } from "./bounded-map.js";
 import type { CrashCheck } from "./crash-check.js";
 import { DecisionBook } from "./decision-book.js";
 import { DecisionSpreader } from "./decision-spreader.js";
 import { PartCollector } from "./part-collector.js";
-import { PartCollectors } from "./part-collectors.js";
 import { type BlockedPart, PartGate } from "./part-gate.js";
 import { getQuarantineMs } from "./quarantine-table.js";
 
@@ -64,8 +64,6 @@
 
 const getReportKey = ({ part, crash }: PartAccusation): string => `${part} ${crash}`;
 
-const getCrashKey = ({ id, startedAtMs }: Target): string => `${id}@${startedAtMs ?? ""}`;
-
 /**
  * Learns which prompt parts crash targets, together with all other instances, and refuses requests that have one.
  *
@@ -75,7 +73,7 @@
 export class PartQuarantine extends PartGate {
     private readonly book: DecisionBook;
     private readonly collector: PartCollector;
-    private readonly collectors: PartCollectors;
+    private readonly collectors: ResponsibleInstances;
     private readonly spreader: DecisionSpreader;
     private readonly reports = new BoundedMap<Promise<number>>(MAX_REPORTS);
     private readonly trials = new BoundedMap<Trial>(MAX_TRIALS);
@@ -86,7 +84,7 @@
         const { hub, log, count, nowMs = () => performance.now(), random = Math.random, wait } = opts;
         this.nowMs = nowMs;
         this.book = new DecisionBook({ nowMs, log, count });
-        this.collectors = new PartCollectors({ hub, nowMs });
+        this.collectors = new ResponsibleInstances({ hub, nowMs });
         this.spreader = new DecisionSpreader({ hub, book: this.book, onAnswered: part => this.refute(part) });
         this.collector = new PartCollector({
             hub,
@@ -171,7 +169,7 @@
         // A part that is known to crash targets explains the crash.
         const active = parts.filter(part => this.book.isActive(part));
         const accused = active.length > 0 ? active : parts;
-        const crash = getCrashKey(target);
+        const crash = getStartKey(target);
         const crashes = await Promise.all(accused.map(part =>
             this.report({
                 part,
--- a/packages/relay/src/relay-attempts.ts
+++ b/packages/relay/src/relay-attempts.ts
@@ -26,6 +26,11 @@
 /** Retry-after time of a refusal where no better estimate exists, in seconds. */
 const DEFAULT_RETRY_AFTER_S = 0.5;
 
+/** Shortest retry-after time where all targets are at their limits, in seconds. */
+const MIN_LIMIT_RETRY_AFTER_S = 0.1;
+
+const MS_PER_S = 1_000;
+
 /** Maximum number of prompt parts in a log line. */
 const MAX_LOGGED_PARTS = 8;
 
@@ -36,6 +41,8 @@
 /** Sends one request to targets, one after the other. */
 export class RelayAttempts {
     private readonly tried = new Set<string>();
+    /** Targets whose limit left no send for this request. */
+    private readonly limited = new Set<string>();
     private readonly stream: StreamRelay;
     private sends = 0;
     private lastTarget = "";
@@ -96,9 +103,13 @@
             this.blockedPart = blocked.part;
             return { kind: "end", end: this.failRequest("partQuarantined", blocked.retryAfterS) };
         }
-        const state = this.opts.selector.select(req, route, service, this.tried);
+        const state = this.opts.selector.select(req, route, service, new Set([...this.tried, ...this.limited]));
         if (state === undefined) {
-            return { kind: "end", end: this.failRequest("noTarget") };
+            return { kind: "end", end: this.failWithoutTarget() };
+        }
+        if (!await this.opts.permits.acquire(state)) {
+            this.limited.add(state.target.id);
+            return RETRY_STEP;
         }
         if (this.sends > 0 && !this.opts.getRetries(service).tryAcquire()) {
             return { kind: "end", end: this.failRequest("overloaded") };
@@ -120,6 +131,7 @@
                 mayStart: () => !state.target.leaving,
             });
             this.opts.meter.recordSend(outcome.kind, service);
+            this.opts.permits.recordOutcome(state, outcome, startedAtMs);
             return await this.handleOutcome(state, outcome, performance.now() - startedAtMs);
         }
         finally {
@@ -267,9 +279,16 @@
         return this.request.isRepeatable && this.canRetry();
     }
 
+    private failWithoutTarget(): AttemptsResult | RelayRefusal {
+        const waitMs = this.opts.selector.getLimitWaitMs(this.request.admission.service, this.tried);
+        return waitMs === undefined
+            ? this.failRequest("noTarget")
+            : this.failRequest("targetsLimited", Math.max(MIN_LIMIT_RETRY_AFTER_S, waitMs / MS_PER_S));
+    }
+
     /** Ends the request without another target. Only a request that no target ran may be reported as not run. */
     private failRequest(
-        reason: "noTarget" | "overloaded" | "partQuarantined" | "targetFailed" | "viewOutdated",
+        reason: "noTarget" | "overloaded" | "partQuarantined" | "targetFailed" | "targetsLimited" | "viewOutdated",
         retryAfterS = DEFAULT_RETRY_AFTER_S,
     ): AttemptsResult | RelayRefusal {
         if (this.stream.isStarted) {
--- a/packages/relay/src/relay-refusal.ts
+++ b/packages/relay/src/relay-refusal.ts
@@ -5,6 +5,7 @@
     | "viewOutdated"
     | "overloaded"
     | "noTarget"
+    | "targetsLimited"
     | "partQuarantined"
     | "budgetUnavailable"
     | "timedOutUnsent"
@@ -30,6 +31,7 @@
     viewOutdated: 503,
     overloaded: 503,
     noTarget: 503,
+    targetsLimited: 503,
     partQuarantined: 503,
     budgetUnavailable: 503,
     timedOutUnsent: 503,
--- a/packages/relay/src/relay.test.ts
+++ b/packages/relay/src/relay.test.ts
@@ -8,6 +8,7 @@
 import { FakeTargetPort } from "./fixtures/fake-target-port.js";
 import { MemoryLog } from "./fixtures/memory-log.js";
 import { createRequest } from "./fixtures/plain-protocol.js";
+import { UnlimitedSends } from "./limits/send-permits.js";
 import { AffinityPlacement } from "./policy/affinity-placement.js";
 import { RetryAllowance } from "./policy/retry-allowance.js";
 import { StopWindow } from "./policy/stop-window.js";
@@ -110,6 +111,7 @@
         getRetries: () => allowance,
         overload: { getRefusal: () => overloadedForS },
         freshness: view,
+        permits: new UnlimitedSends(),
         parts,
         log,
         meter: {
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -2,6 +2,7 @@
 import type { BudgetGate, BudgetHold } from "./budget-gate.js";
 import type { CallerExchange } from "./caller-exchange.js";
 import type { DocumentHolder } from "./document/document-holder.js";
+import type { SendPermits } from "./limits/send-permits.js";
 import type { OverloadGuard } from "./policy/overload-guard.js";
 import type { RetryAllowance } from "./policy/retry-allowance.js";
 import type { StopWindow } from "./policy/stop-window.js";
@@ -37,6 +38,8 @@
     readonly overload: Pick<OverloadGuard, "getRefusal">;
     /** Tells whether the desired state and the targets known here may be too old to decide by. */
     readonly freshness: Pick<ViewFreshness, "isOutdated" | "ageMs">;
+    /** Keeps the sends to targets within the limits that they name. */
+    readonly permits: SendPermits;
     /** Keeps requests with a prompt part that crashes targets away from them. */
     readonly parts: PartGate;
     readonly log: RelayLog;
--- a/packages/relay/src/targets/target-selector.ts
+++ b/packages/relay/src/targets/target-selector.ts
@@ -45,6 +45,7 @@
         const allowed = states.map((state, index) => ({ state, index }))
             .filter(({ state }) =>
                 !tried.has(state.target.id) && state.inFlight < limit && state.health.isUsable(nowMs)
+                && state.limit.getWaitMs(nowMs) === 0
             );
         const notFull = allowed.filter(({ state }) => !state.health.isFull(nowMs));
         const candidates = notFull.length > 0 ? notFull : allowed;
@@ -64,6 +65,19 @@
         }));
         return candidates[this.opts.placement.choose(numbers)]?.state;
     }
+
+    /**
+     * Shortest time until a target that is only held back by its limit of requests a second may get one, in
+     * milliseconds; undefined where no target is.
+     */
+    getLimitWaitMs(service: string, tried: ReadonlySet<string>): number | undefined {
+        const nowMs = this.now();
+        const waits = this.opts.directory.getServing(service).states
+            .filter(({ target, health }) => !tried.has(target.id) && health.isUsable(nowMs))
+            .map(({ limit }) => limit.getWaitMs(nowMs))
+            .filter(waitMs => waitMs > 0);
+        return waits.length === 0 ? undefined : Math.min(...waits);
+    }
 }
 
 const getSlowness = (firstByteMs: number | undefined, medianMs: number | undefined): number =>
--- a/packages/relay/src/targets/target-state.ts
+++ b/packages/relay/src/targets/target-state.ts
@@ -1,3 +1,4 @@
+import { TargetLimit } from "../limits/target-limit.js";
 import { TargetHealth } from "./target-health.js";
 import type { Target } from "./target.js";
 
@@ -6,6 +7,7 @@
     /** This instance's requests in flight at the target. */
     inFlight = 0;
     readonly health = new TargetHealth();
+    readonly limit = new TargetLimit();
 
     constructor(public target: Target) {}
 
--- a/packages/relay/src/targets/target.ts
+++ b/packages/relay/src/targets/target.ts
@@ -13,3 +13,6 @@
     /** Start time in Unix milliseconds, if announced; a later start under the same id is another target. */
     readonly startedAtMs: number | undefined;
 }
+
+/** Names one start of one target. */
+export const getStartKey = ({ id, startedAtMs }: Target): string => `${id}@${startedAtMs ?? ""}`;
--- a/packages/types/src/peer-requests.ts
+++ b/packages/types/src/peer-requests.ts
@@ -235,6 +235,25 @@
     readonly followers: number;
 }
 
+/** What a response of a target said about its limit of requests a second. */
+export interface TargetLimitSighting {
+    /** Names one start of one target. */
+    readonly target: string;
+    /** Requests a second that it takes from all instances together; undefined where it named no limit any more. */
+    readonly perS: number | undefined;
+    /** Time since the response, in milliseconds. */
+    readonly msAgo: number;
+}
+
+/** Response to a request for a send to a target with a limit. */
+export interface SendPermitResponse {
+    readonly granted: boolean;
+    /** Time after which the next send may be granted, in milliseconds; 0 where this one was. */
+    readonly waitMs: number;
+    /** The newest sighting that the responding instance knows. */
+    readonly limit: TargetLimitSighting;
+}
+
 /** Requests between instances by kind, with the types of request and response. */
 export interface PeerRequests {
     readonly "copy.open": { readonly req: CopyOpenRequest; readonly res: CopyResponse; };
@@ -275,6 +294,16 @@
         readonly req: { readonly targets: readonly string[]; };
         readonly res: Record<string, never>;
     };
+    /** Requests one send to a target from the instance that keeps its limit. */
+    readonly "limits.acquire": {
+        readonly req: { readonly limit: TargetLimitSighting; };
+        readonly res: SendPermitResponse;
+    };
+    /** Reports sightings to the instance that keeps the limits, and from there to all; the response is empty. */
+    readonly "limits.tell": {
+        readonly req: { readonly limits: readonly TargetLimitSighting[]; };
+        readonly res: Record<string, never>;
+    };
     /** Reports accusations to a collector; the response has the number of crashes that speak against each part. */
     readonly "parts.accuse": {
         readonly req: { readonly accusations: readonly PartAccusation[]; };
