Log what lost requests have in common

Cause: unknown from the logs. The lines of lost sends name the request's id, target and cause, but a request that comes again has another id, so that one deadly request cannot be told from overload. Change: the line has a digest of method, host, path, team and body, the same for each time that a request comes.

--- a/packages/relay/src/relay-attempts.ts
+++ b/packages/relay/src/relay-attempts.ts
@@ -1,7 +1,6 @@
 import type { ResponseHead } from "./caller-exchange.js";
 import type { LogFields } from "./relay-log.js";
 import type { RelayRefusal } from "./relay-refusal.js";
-import { getSharedParts } from "./relay-request.js";
 import type { AdmittedRequest, RelayOptions } from "./relay.js";
 import { StreamRelay } from "./stream/stream-relay.js";
 import type { TargetOutcome } from "./targets/target-port.js";
@@ -327,15 +326,17 @@
     }
 
     private logSend(state: TargetState, outcome: string, cause: string): void {
+        const { req, watched, clock } = this.request;
         this.opts.log.write("send without answer", {
-            request: this.request.req.id,
+            request: req.id,
             target: state.target.id,
             outcome,
             cause,
             sends: this.sends,
             events: this.stream.eventCount,
-            parts: getSharedParts(this.request.req).slice(0, MAX_LOGGED_PARTS).join(" "),
-            leftMs: Math.round(this.request.clock.leftMs),
+            parts: watched.sharedParts.slice(0, MAX_LOGGED_PARTS).join(" "),
+            whole: watched.whole,
+            leftMs: Math.round(clock.leftMs),
         });
     }
 }
--- a/packages/relay/src/relay.test.ts
+++ b/packages/relay/src/relay.test.ts
@@ -403,6 +403,23 @@
     t.deepEqual(cut.endsBeforeAnswer, []);
 });
 
+test("the log lines of lost sends of one request tell the same identity, whatever their ids", async t => {
+    const lose = async (req: Partial<RelayRequest>): Promise<unknown> => {
+        const { lines } = await serve([failing], { kind: "non_idempotent" }, req);
+        return lines[0]?.["whole"];
+    };
+    const first = await lose({ id: "request-1", body: Buffer.from("x") });
+    t.regex(String(first), /^request:[0-9a-f]{32}$/);
+    t.is(await lose({ id: "request-2", body: Buffer.from("x") }), first);
+    const others = [{ body: Buffer.from("y") }, { body: Buffer.from("x"), method: "POST" }, {
+        body: Buffer.from("x"),
+        path: "/a/c",
+    }];
+    for (const other of others) {
+        t.not(await lose(other), first);
+    }
+});
+
 class RecordingPartGate extends PartGate {
     readonly calls: string[] = [];
 
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -7,6 +7,7 @@
 import type { RetryAllowance } from "./policy/retry-allowance.js";
 import type { StopWindow } from "./policy/stop-window.js";
 import type { PartGate } from "./quarantine/part-gate.js";
+import { WatchedRequest } from "./quarantine/watched-request.js";
 import { type AttemptsResult, RelayAttempts } from "./relay-attempts.js";
 import type { LogFields, RelayLog } from "./relay-log.js";
 import type { RefusalReason, RelayRefusal } from "./relay-refusal.js";
@@ -68,6 +69,8 @@
     readonly clock: RequestClock;
     readonly hold: BudgetHold | undefined;
     readonly isRepeatable: boolean;
+    /** What of the request may crash targets. */
+    readonly watched: WatchedRequest;
     /** What is held in memory of the response. */
     readonly held: HeldResponse;
 }
@@ -137,6 +140,7 @@
             return;
         }
         const { route, service, team = "", priority } = admission;
+        const watched = new WatchedRequest(req, admission.team);
         const blocked = this.opts.parts.getBlockedPart(req);
         if (blocked !== undefined) {
             const { part, retryAfterS } = blocked;
@@ -174,6 +178,7 @@
                 clock,
                 hold: held,
                 isRepeatable: isRepeatable(route),
+                watched,
                 held: this.memory.open(),
             };
             const attempts = new RelayAttempts(this.opts, request);
