--- a/packages/bench/src/platform/platform-fleet.test.ts
+++ b/packages/bench/src/platform/platform-fleet.test.ts
@@ -34,14 +34,14 @@
     const plain = await fleet.call(first, "/plain/a?b=c", { "tenant": "forged", "kv-hold": "forged" });
     t.is(plain.status, 200);
     t.is(plain.body, "answer to attempt-1");
-    t.like(fleet.plain.ran[0], {
+    t.like(fleet.plain?.ran[0], {
         id: "attempt-1",
         team: "team-1",
         path: "/plain/a?b=c",
         body: "question",
         hadKey: false,
     });
-    t.true((fleet.plain.ran[0]?.waitsMs ?? 0) > 3_500);
+    t.true((fleet.plain?.ran[0]?.waitsMs ?? 0) > 3_500);
     const model = await fleet.ask(first, 100);
     t.is(model.body.match(/^id: \d$/gm)?.length, 6);
     t.is((await fleet.call(first, "/none/")).status, 404);
--- a/packages/bench/src/platform/platform-fleet.ts
+++ b/packages/bench/src/platform/platform-fleet.ts
@@ -45,9 +45,13 @@
     readonly prepaid?: number;
     /** Puts proxies that inject faults between the store, callers and targets and the instances; false by default. */
     readonly withProxies?: boolean;
+    /** Number of targets of the plain service; one by default. */
+    readonly plainCount?: number;
+    /** How the targets of the plain service work. */
+    readonly plains?: Pick<PlatformTargetOptions, "stepMs" | "deadlyBody" | "downMs">;
     readonly modelCount?: number;
     /** How the model targets work. */
-    readonly models?: Pick<PlatformTargetOptions, "stepMs" | "deadlyPart" | "downMs">;
+    readonly models?: Pick<PlatformTargetOptions, "stepMs" | "deadlyPart" | "deadlyBody" | "downMs">;
     /** Time from SIGTERM to the end of an instance, in seconds; {@link STOP_WITHIN_S} by default. */
     readonly stopWithinS?: number;
     /** Time for which callers may keep addresses, in seconds; half a second by default. */
@@ -130,7 +134,8 @@
 /** Instances, targets and the store of a platform, on loopback. */
 export class PlatformFleet {
     readonly store = new PlatformStoreStandIn();
-    readonly plain = new PlatformTargetStandIn({ id: "plain-1", service: "plain" });
+    /** Targets of the plain service. */
+    readonly plains: readonly PlatformTargetStandIn[];
     readonly models: readonly PlatformTargetStandIn[];
     readonly instances: PlatformInstance[] = [];
     /** One for each instance, if asked for. */
@@ -145,7 +150,11 @@
     private document: unknown;
     private onLine: PlatformFleetOptions["onLine"];
 
-    private constructor({ modelCount = DEFAULT_MODEL_COUNT, models = {} }: PlatformFleetOptions) {
+    private constructor(opts: PlatformFleetOptions) {
+        const { plainCount = 1, plains = {}, modelCount = DEFAULT_MODEL_COUNT, models = {} } = opts;
+        this.plains = [...Array(plainCount).keys()].map(at =>
+            new PlatformTargetStandIn({ id: `plain-${at + 1}`, service: "plain", ...plains })
+        );
         this.models = [...Array(modelCount).keys()].map(at =>
             new PlatformTargetStandIn({
                 id: `model-${at + 1}`,
@@ -155,8 +164,8 @@
                 ...models,
             })
         );
-        this.models.forEach((target, at) => {
-            target.onRestart = () => this.announce(at + 1);
+        this.targets.forEach((target, at) => {
+            target.onRestart = () => this.announce(at);
         });
     }
 
@@ -192,9 +201,14 @@
         return fleet;
     }
 
-    /** All targets, the plain one first. */
+    /** The first target of the plain service. */
+    get plain(): PlatformTargetStandIn | undefined {
+        return this.plains[0];
+    }
+
+    /** All targets, the plain ones first. */
     get targets(): readonly PlatformTargetStandIn[] {
-        return [this.plain, ...this.models];
+        return [...this.plains, ...this.models];
     }
 
     /** Requests that the targets ran. */
@@ -227,13 +241,13 @@
 
     /** Has a model target say that it leaves. */
     announceLeaving(model: number): void {
-        this.announce(model + 1, "draining");
+        this.announce(this.plains.length + model, "draining");
     }
 
     /** Crashes a model target and starts it again under its id at another address. */
     async rebirth(model: number): Promise<void> {
         await this.models[model]?.close();
-        await this.startTarget(model + 1);
+        await this.startTarget(this.plains.length + model);
     }
 
     private announce(at: number, state: "ready" | "draining" = "ready"): void {
@@ -257,13 +271,18 @@
     }
 
     /** Sends a caller's request to an instance; status 0 where the connection broke. */
-    async call(instance: PlatformInstance, path: string, headers: Record<string, string> = {}): Promise<CallerAnswer> {
+    async call(
+        instance: PlatformInstance,
+        path: string,
+        headers: Record<string, string> = {},
+        body = "question",
+    ): Promise<CallerAnswer> {
         const id = this.nextId();
         try {
             const res = await request(`http://${instance.callers}${path}`, {
                 method: "POST",
                 dispatcher: this.agent,
-                body: "question",
+                body,
                 headers: { ...CALLER_HEADERS, "attempt-id": id, ...headers },
             });
             const retryAfter = res.headers["retry-after"];
@@ -283,8 +302,9 @@
         instance: PlatformInstance,
         promptTokens: number,
         headers: Record<string, string> = {},
+        body?: string,
     ): Promise<CallerAnswer> {
-        return await this.call(instance, "/model/x", { ...headers, ...getModelHeaders(promptTokens) });
+        return await this.call(instance, "/model/x", { ...headers, ...getModelHeaders(promptTokens) }, body);
     }
 
     /** Headers of a request to a model with a prompt of so many tokens, with a new id. */
--- a/packages/stand-ins/src/platform/platform-target-stand-in.ts
+++ b/packages/stand-ins/src/platform/platform-target-stand-in.ts
@@ -41,6 +41,8 @@
     readonly stepMs?: number;
     /** Crashes the target when it begins an answer to a prompt with this part. */
     readonly deadlyPart?: string;
+    /** Crashes the target when it runs a request with this body. */
+    readonly deadlyBody?: string;
     /** Time from a crash to the next start, in milliseconds. */
     readonly downMs?: number;
 }
@@ -137,12 +139,18 @@
         }
         const parts = String(req.headers["prompt-prefix"] ?? "").split(",").map(part => part.split(":")[0] ?? "");
         this.recordRun(req, res, { body, parts });
-        const { events = 0, deadlyPart } = this.opts;
+        const { events = 0, deadlyPart, deadlyBody } = this.opts;
+        const isDeadly = deadlyBody !== undefined && body === deadlyBody
+            || deadlyPart !== undefined && parts.slice(0, -1).includes(deadlyPart);
         const stepMs = Number(req.headers[STAND_IN_HEADERS.stepMs] ?? this.opts.stepMs ?? DEFAULT_STEP_MS);
         const limit = this.limitPerS === undefined ? {} : { "Server-Limit": String(this.limitPerS) };
         const headers = { "Attempt-Id": id, "Response-Seal": `seal-${this.opts.id}`, ...limit };
         if (events === 0) {
             await sleep(stepMs);
+            if (isDeadly) {
+                await this.crash();
+                return;
+            }
             const padding = "x".repeat(Number(req.headers[STAND_IN_HEADERS.bytes] ?? 0));
             res.writeHead(200, headers).end(`answer to ${id}${padding}`);
             return;
@@ -150,7 +158,7 @@
         res.writeHead(200, { ...headers, "Content-Type": "text/event-stream" });
         for (let at = Number(req.headers["last-event-id"] ?? 0) + 1; at <= events && !res.destroyed; at++) {
             await sleep(stepMs);
-            if (deadlyPart !== undefined && parts.slice(0, -1).includes(deadlyPart)) {
+            if (isDeadly) {
                 await this.crash();
                 return;
             }
