Keep requests that crash each target that runs them away from targets

Callers and targets saw: a request without a prompt crashed all three targets of its service again and again, 12 and 13 times in all, and was sent to targets 6 and 7 times more after three crashes and three seconds, where 3 are allowed. Sound requests were refused while no target was left. Cause: crashes spoke only against shared prompt parts. A request that comes again under another id had nothing in common with itself, so that each restarted target got it at once. Change: a request as a whole is one more part: a digest of method, host, path, team, shared parts and body. Crashes close to each other count for it if it was sent after the one before. It explains the crashes of its prompt parts if these had answers before.

--- a/packages/relay/src/quarantine/accusation-table.ts
+++ b/packages/relay/src/quarantine/accusation-table.ts
@@ -1,4 +1,5 @@
 import { BoundedMap } from "./bounded-map.js";
+import { isWholeRequest } from "./watched-request.js";
 
 /** A crash of a target in which a request with the part was lost before its answer began. */
 export interface AccusingCrash {
@@ -6,6 +7,8 @@
     readonly crash: string;
     /** Monotonic time of the crash, in milliseconds. */
     readonly atMs: number;
+    /** Monotonic time at which the lost request was sent, in milliseconds. */
+    readonly sentAtMs: number;
     /** Number of shared parts that follow this one in the prompt. */
     readonly followers: number;
 }
@@ -36,6 +39,18 @@
 /** Crashes closer to each other than this may have one common cause and count once, in milliseconds. */
 const MIN_CRASH_GAP_MS = 100;
 
+/**
+ * By how much a send may seem to begin before the crash that it followed, in milliseconds: the delays of two messages between
+ * instances.
+ */
+const ORDER_TOLERANCE_MS = 25;
+
+/** Whether one crash has not the same cause as another one before it, however close they are. */
+const isSeparate = (part: string, before: AccusingCrash, { atMs, sentAtMs }: AccusingCrash): boolean =>
+    atMs - before.atMs >= MIN_CRASH_GAP_MS
+    // A whole request that is sent again and meets another crash at once went from target to target.
+    || (isWholeRequest(part) && sentAtMs >= before.atMs - ORDER_TOLERANCE_MS);
+
 /** Crashes by part of the lost requests' prompts. */
 export class AccusationTable {
     private readonly crashes = new BoundedMap<readonly AccusingCrash[]>(MAX_PARTS);
@@ -77,11 +92,11 @@
             return NO_EVIDENCE;
         }
         let separateCrashes = 1;
-        let lastCountedAtMs = first.atMs;
-        for (const { atMs } of open) {
-            if (atMs - lastCountedAtMs >= MIN_CRASH_GAP_MS) {
+        let lastCounted = first;
+        for (const crash of open) {
+            if (crash !== first && isSeparate(part, lastCounted, crash)) {
                 separateCrashes += 1;
-                lastCountedAtMs = atMs;
+                lastCounted = crash;
             }
         }
         return {
--- a/packages/relay/src/quarantine/decision-book.ts
+++ b/packages/relay/src/quarantine/decision-book.ts
@@ -2,6 +2,7 @@
 import type { RelayLog } from "../relay-log.js";
 import { AnswerMemory } from "./answer-memory.js";
 import { type QuarantineEntry, QuarantineTable } from "./quarantine-table.js";
+import { isWholeRequest } from "./watched-request.js";
 
 /** Smallest time between two decisions about one part, in milliseconds. */
 const MIN_CHANGE_GAP_MS = 1;
@@ -11,6 +12,9 @@
     if (!isSubset || entry.crashes.length < explaining.crashes.length) {
         return isSubset;
     }
+    if (isWholeRequest(by) !== isWholeRequest(part)) {
+        return isWholeRequest(by);
+    }
     return entry.followers > explaining.followers || (entry.followers === explaining.followers && part < by);
 };
 
@@ -115,10 +119,18 @@
      */
     isExplained(part: string, crash: string, crashCount: number): boolean {
         return this.table.listActive(this.opts.nowMs()).some(([other, { crashes }]) =>
-            other !== part && crashes.length >= crashCount && crashes.includes(crash)
+            other !== part && crashes.length >= crashCount && crashes.includes(crash) && this.mayExplain(other, part)
         );
     }
 
+    /**
+     * Whether the crashes of one part may be all that speaks against another one. A request that came again and again is not
+     * to hide a deadly part of its prompt: a sound part has had answers before.
+     */
+    private mayExplain(by: string, part: string): boolean {
+        return !isWholeRequest(by) || isWholeRequest(part) || this.answers.getBegunAtMs(part) !== undefined;
+    }
+
     /**
      * Parts under quarantine that another one explains: it was in all of their crashes, and in more. Of two parts with the
      * same crashes the one that more requests share is released; if it crashes targets, its next crash tells.
@@ -127,7 +139,9 @@
         const active = this.table.listActive(this.opts.nowMs());
         const explaining = active.find(([part]) => part === by)?.[1];
         return explaining === undefined ? [] : active
-            .filter(([part, entry]) => part !== by && explains(by, explaining, part, entry))
+            .filter(([part, entry]) =>
+                part !== by && explains(by, explaining, part, entry) && this.mayExplain(by, part)
+            )
             .map(([part]) => part);
     }
 
--- a/packages/relay/src/quarantine/part-collector.test.ts
+++ b/packages/relay/src/quarantine/part-collector.test.ts
@@ -28,7 +28,7 @@
     const accuse = async (part: string, followers: number, crashes: readonly number[]): Promise<void> => {
         for (const crash of crashes) {
             clock.nowMs += 400;
-            await collector.accuse([{ part, crash: `t@${crash}`, msAgo: 0, followers }]);
+            await collector.accuse([{ part, crash: `t@${crash}`, msAgo: 0, ranMs: 0, followers }]);
             await settle();
         }
     };
@@ -72,7 +72,7 @@
     const sure = createCollector();
     for (const crash of [1, 2, 3, 4]) {
         sure.clock.nowMs += 20;
-        await sure.collector.accuse([{ part: "deadly", crash: `t@${crash}`, msAgo: 0, followers: 0 }]);
+        await sure.collector.accuse([{ part: "deadly", crash: `t@${crash}`, msAgo: 0, ranMs: 0, followers: 0 }]);
     }
     sure.clock.nowMs += 200;
     await sure.accuse("deadly", 0, [5, 6]);
--- a/packages/relay/src/quarantine/part-collector.ts
+++ b/packages/relay/src/quarantine/part-collector.ts
@@ -4,6 +4,7 @@
 import type { RelayLog } from "../relay-log.js";
 import { AccusationTable, type PartEvidence } from "./accusation-table.js";
 import type { DecisionBook } from "./decision-book.js";
+import { isWholeRequest } from "./watched-request.js";
 
 /** Options of {@link PartCollector}. */
 export interface PartCollectorOptions {
@@ -39,6 +40,12 @@
 /** Time for which a part that was in fewer crashes waits, in milliseconds. */
 const DOUBT_WAIT_MS = 100;
 
+/**
+ * The same time for a whole request, in milliseconds. It is decided before the parts of its prompt, and then explains
+ * their crashes.
+ */
+const REQUEST_DOUBT_WAIT_MS = 50;
+
 /**
  * Time for which a part waits for each part that follows it in the prompt, in milliseconds. A part that fewer requests
  * share is decided first, and then explains the crashes that speak against the parts before it.
@@ -67,9 +74,10 @@
     /** Adds accusations; returns how many separate crashes speak against each of the parts. */
     async accuse(accusations: readonly PartAccusation[]): Promise<readonly number[]> {
         const { book, nowMs } = this.opts;
-        const added = accusations.filter(({ part, crash, msAgo, followers }) =>
-            this.table.add(part, { crash, atMs: nowMs() - msAgo, followers })
-        );
+        const added = accusations.filter(({ part, crash, msAgo, ranMs, followers }) => {
+            const atMs = nowMs() - msAgo;
+            return this.table.add(part, { crash, atMs, sentAtMs: atMs - ranMs, followers });
+        });
         await this.removeRefuted(accusations.map(({ part }) => part), added.map(({ part }) => part));
         for (const part of new Set(added.map(accusation => accusation.part))) {
             const isTrial = book.table.getPhase(part, nowMs()) === "trial";
@@ -100,7 +108,8 @@
         try {
             const { crashes, followers } = this.getEvidence(part);
             const followerWaitMs = Math.min(MAX_FOLLOWER_WAIT_MS, followers * WAIT_PER_FOLLOWER_MS);
-            const waitMs = followerWaitMs + (crashes.length < SURE_CRASHES ? DOUBT_WAIT_MS : 0);
+            const doubtWaitMs = isWholeRequest(part) ? REQUEST_DOUBT_WAIT_MS : DOUBT_WAIT_MS;
+            const waitMs = followerWaitMs + (crashes.length < SURE_CRASHES ? doubtWaitMs : 0);
             if (waitMs > 0) {
                 await this.wait(waitMs);
                 await this.removeRefuted([part], [part]);
@@ -133,14 +142,17 @@
     }
 
     private async ask(parts: readonly string[]): Promise<void> {
-        const { hub, nowMs, random, log } = this.opts;
+        const { hub, book, nowMs, random, log } = this.opts;
         const peers = hub.peers().map(({ incarnation, instance }) => ({ incarnation, instance, at: random() }))
             .toSorted((a, b) => a.at - b.at)
             .slice(0, MAX_ASKED_PEERS);
         await Promise.all(peers.map(async ({ incarnation, instance }) => {
             try {
                 const { answered } = await hub.request(incarnation, "parts.answered", { parts }, ASK_TIMEOUT_MS);
-                answered.forEach(({ part, msAgo }) => this.table.removeUntil(part, nowMs() - msAgo));
+                for (const { part, msAgo } of answered) {
+                    book.answers.record([part], nowMs() - msAgo);
+                    this.table.removeUntil(part, nowMs() - msAgo);
+                }
             }
             catch (err) {
                 // The answers of the other peers count.
--- a/packages/relay/src/quarantine/part-gate.ts
+++ b/packages/relay/src/quarantine/part-gate.ts
@@ -1,26 +1,27 @@
-import type { RelayRequest } from "../relay-request.js";
 import type { Target } from "../targets/target.js";
+import type { WatchedRequest } from "./watched-request.js";
 
 /** Part because of which a request must not be sent. */
 export interface BlockedPart {
+    /** A prompt part, or the request as a whole. */
     readonly part: string;
     /** Time after which a retry may succeed, in seconds. */
     readonly retryAfterS: number;
 }
 
-/** Keeps requests away from targets whose prompt has a part that crashes targets. */
+/** Keeps requests away from targets that crash them, as a whole or by a part of their prompt. */
 export abstract class PartGate {
     /** Returns the part because of which a request must not be sent; undefined where it may be sent. */
-    abstract getBlockedPart(req: RelayRequest): BlockedPart | undefined;
+    abstract getBlockedPart(watched: WatchedRequest): BlockedPart | undefined;
 
     /** Records that the answer to a request has begun. */
-    abstract recordBegun(req: RelayRequest): void;
+    abstract recordBegun(watched: WatchedRequest): void;
 
     /**
-     * Records that a target lost a request before its answer began. Returns whether the request may be sent to another
+     * Records that a target lost a request before its answer began, some milliseconds after it was sent. Returns whether the request may be sent to another
      * target. Does not throw.
      */
-    abstract recordLoss(req: RelayRequest, target: Target): Promise<boolean>;
+    abstract recordLoss(watched: WatchedRequest, target: Target, ranMs: number): Promise<boolean>;
 }
 
 /** Lets every request pass. */
--- a/packages/relay/src/quarantine/part-quarantine.ts
+++ b/packages/relay/src/quarantine/part-quarantine.ts
@@ -2,7 +2,6 @@
 import type { InstanceInfo, PartAccusation, PartDecision } from "@ospreyreel/types";
 import { ResponsibleInstances } from "../instance/responsible-instances.js";
 import type { RelayLog } from "../relay-log.js";
-import { getSharedParts, type RelayRequest } from "../relay-request.js";
 import { getStartKey, type Target } from "../targets/target.js";
 import type { PartEvidence } from "./accusation-table.js";
 import { BoundedMap } from "./bounded-map.js";
@@ -12,6 +11,7 @@
 import { PartCollector } from "./part-collector.js";
 import { type BlockedPart, PartGate } from "./part-gate.js";
 import { getQuarantineMs } from "./quarantine-table.js";
+import { isWholeRequest, type WatchedRequest } from "./watched-request.js";
 
 /** Options of {@link PartQuarantine}. */
 export interface PartQuarantineOptions {
@@ -60,15 +60,22 @@
 /** Largest number of peers that all inform an instance that joins; in a larger fleet two of them do. */
 const MAX_INFORMING_PEERS = 16;
 
+/** Size of a body up to which each answered request is remembered as a whole, in bytes; limits the work of hashing. */
+const MAX_BODY_BYTES = 65_536;
+
+/** Time for which larger ones are as well after one was suspected, in milliseconds; crashes are forgotten after it. */
+const SUSPICION_TTL_MS = 600_000;
+
 const MS_PER_S = 1_000;
 
 const getReportKey = ({ part, crash }: PartAccusation): string => `${part} ${crash}`;
 
 /**
- * Learns which prompt parts crash targets, together with all other instances, and refuses requests that have one.
+ * Learns which prompt parts and which whole requests crash targets, together with all other instances, and refuses them.
  *
- * A request that is lost in a crash of its target accuses its shared parts; an answer that begins refutes all
- * accusations of its parts. Two instances for each part collect the accusations.
+ * A request that is lost in a crash of its target accuses itself as a whole and its shared parts; an answer that begins
+ * refutes all accusations of them. Two instances for each part collect the accusations. Below, a part is one of a prompt or a
+ * whole request.
  */
 export class PartQuarantine extends PartGate {
     private readonly book: DecisionBook;
@@ -78,6 +85,8 @@
     private readonly reports = new BoundedMap<Promise<number>>(MAX_REPORTS);
     private readonly trials = new BoundedMap<Trial>(MAX_TRIALS);
     private readonly nowMs: () => number;
+    /** Monotonic time at which a whole request was last suspected, in milliseconds. */
+    private suspectedAtMs = Number.NEGATIVE_INFINITY;
 
     constructor(private readonly opts: PartQuarantineOptions) {
         super();
@@ -102,7 +111,10 @@
     serve(): void {
         const { hub } = this.opts;
         hub.handle("parts.accuse", async ({ accusations }) => ({ crashes: await this.collector.accuse(accusations) }));
-        hub.handle("parts.answered", ({ parts }) => Promise.resolve({ answered: this.book.findAnswered(parts) }));
+        hub.handle("parts.answered", ({ parts }) => {
+            this.suspect(parts);
+            return Promise.resolve({ answered: this.book.findAnswered(parts) });
+        });
         hub.handle(
             "parts.decide",
             ({ decisions }, from) => Promise.resolve({ answered: this.receive(decisions, from.instance) }),
@@ -131,41 +143,40 @@
         return answered.filter(answer => answer !== undefined);
     }
 
-    override getBlockedPart(req: RelayRequest): BlockedPart | undefined {
+    override getBlockedPart(watched: WatchedRequest): BlockedPart | undefined {
         if (this.book.table.isEmpty) {
             return undefined;
         }
         const nowMs = this.nowMs();
-        for (const part of getSharedParts(req)) {
+        for (const part of [watched.whole, ...watched.sharedParts]) {
             const phase = this.book.table.getPhase(part, nowMs);
             const untilMs = this.book.table.get(part, nowMs)?.untilMs ?? nowMs;
             if (phase === "quarantined") {
                 return { part, retryAfterS: (untilMs - nowMs) / MS_PER_S };
             }
-            if (phase === "trial" && !this.isTrial(part, req.id)) {
+            if (phase === "trial" && !this.isTrial(part, watched.req.id)) {
                 return { part, retryAfterS: TRIAL_RETRY_AFTER_S };
             }
         }
         return undefined;
     }
 
-    override recordBegun(req: RelayRequest): void {
-        const parts = getSharedParts(req);
+    override recordBegun(watched: WatchedRequest): void {
+        const parts = [...(this.isWholeRemembered(watched) ? [watched.whole] : []), ...watched.sharedParts];
         this.book.answers.record(parts, this.nowMs());
         if (!this.book.table.isEmpty) {
             parts.filter(part => this.book.isActive(part)).forEach(part => this.refute(part));
         }
     }
 
-    override async recordLoss(req: RelayRequest, target: Target): Promise<boolean> {
-        const parts = getSharedParts(req);
-        if (parts.length === 0) {
-            return true;
-        }
+    override async recordLoss(watched: WatchedRequest, target: Target, ranMs: number): Promise<boolean> {
         const lostAtMs = this.nowMs();
         if (!await this.opts.crashes.hasCrashed(target)) {
             return true;
         }
+        const { sharedParts, whole } = watched;
+        const parts = [whole, ...sharedParts];
+        this.suspect(parts);
         // A part that is known to crash targets explains the crash.
         const active = parts.filter(part => this.book.isActive(part));
         const accused = active.length > 0 ? active : parts;
@@ -175,12 +186,24 @@
                 part,
                 crash,
                 msAgo: this.nowMs() - lostAtMs,
-                followers: parts.length - 1 - parts.indexOf(part),
+                ranMs,
+                followers: isWholeRequest(part) ? 0 : sharedParts.length - 1 - sharedParts.indexOf(part),
             })
         ));
         return active.length === 0 && crashes.every(count => count <= 1);
     }
 
+    /** Whether an answer to the request is remembered for the request as a whole; large bodies only while one is suspected. */
+    private isWholeRemembered({ req }: WatchedRequest): boolean {
+        return req.body.length <= MAX_BODY_BYTES || this.nowMs() - this.suspectedAtMs < SUSPICION_TTL_MS;
+    }
+
+    private suspect(parts: readonly string[]): void {
+        if (parts.some(part => isWholeRequest(part))) {
+            this.suspectedAtMs = this.nowMs();
+        }
+    }
+
     /** Announces all decisions to an instance that has started or was out of reach. */
     private async informPeer({ incarnation, instance }: InstanceInfo): Promise<void> {
         const { hub } = this.opts;
@@ -259,7 +282,7 @@
     private quarantine(part: string, { crashes, firstAtMs, followers }: PartEvidence): void {
         const nowMs = this.nowMs();
         const strikes = (this.book.table.get(part, nowMs)?.strikes ?? 0) + 1;
-        const untilMs = nowMs + getQuarantineMs(strikes);
+        const untilMs = nowMs + getQuarantineMs(part, strikes);
         const times = { changedAtMs: this.book.getNextChangeAtMs(part), untilMs, sinceMs: firstAtMs };
         const entry = { isCleared: false, strikes, crashes, followers, ...times };
         this.decide(part, entry, `${crashes.length} crashes`);
--- a/packages/relay/src/quarantine/quarantine-table.ts
+++ b/packages/relay/src/quarantine/quarantine-table.ts
@@ -1,4 +1,5 @@
 import { BoundedMap } from "./bounded-map.js";
+import { isWholeRequest } from "./watched-request.js";
 
 /** Quarantine of one part, or its end; all times are monotonic and in milliseconds. */
 export interface QuarantineEntry {
@@ -39,9 +40,28 @@
 /** Time after a quarantine for which the number of strikes is kept, in milliseconds. */
 const STRIKES_TTL_MS = 1_200_000;
 
+/**
+ * Duration of the first quarantine of a whole request, in milliseconds, and the factor of each that follows it. Nobody but
+ * its caller misses it, and each trial may crash a target.
+ */
+const FIRST_REQUEST_QUARANTINE_MS = 600_000;
+const REQUEST_QUARANTINE_FACTOR = 6;
+
+/** Maximum duration of a whole request's quarantine, and of the time after it, in milliseconds. */
+const MAX_REQUEST_QUARANTINE_MS = 86_400_000;
+
 /** Duration of a quarantine, in milliseconds. */
-export const getQuarantineMs = (strikes: number): number =>
-    Math.min(MAX_QUARANTINE_MS, FIRST_QUARANTINE_MS * 2 ** (strikes - 1));
+export const getQuarantineMs = (part: string, strikes: number): number =>
+    isWholeRequest(part)
+        ? Math.min(
+            MAX_REQUEST_QUARANTINE_MS,
+            FIRST_REQUEST_QUARANTINE_MS * REQUEST_QUARANTINE_FACTOR ** (strikes - 1),
+        )
+        : Math.min(MAX_QUARANTINE_MS, FIRST_QUARANTINE_MS * 2 ** (strikes - 1));
+
+const getTrialPhaseMs = (part: string): number => isWholeRequest(part) ? MAX_REQUEST_QUARANTINE_MS : TRIAL_PHASE_MS;
+
+const getStrikesTtlMs = (part: string): number => isWholeRequest(part) ? MAX_REQUEST_QUARANTINE_MS : STRIKES_TTL_MS;
 
 /** Quarantined parts as known to this instance. */
 export class QuarantineTable {
@@ -65,7 +85,7 @@
     /** Returns the last decision about a part. */
     get(part: string, nowMs: number): QuarantineEntry | undefined {
         const entry = this.entries.get(part);
-        if (entry !== undefined && nowMs >= entry.untilMs + STRIKES_TTL_MS) {
+        if (entry !== undefined && nowMs >= entry.untilMs + getStrikesTtlMs(part)) {
             this.entries.delete(part);
             return undefined;
         }
@@ -75,7 +95,7 @@
     /** Whether requests with a part are refused at a time. */
     getPhase(part: string, nowMs: number): QuarantinePhase {
         const entry = this.get(part, nowMs);
-        if (entry === undefined || entry.isCleared || nowMs >= entry.untilMs + TRIAL_PHASE_MS) {
+        if (entry === undefined || entry.isCleared || nowMs >= entry.untilMs + getTrialPhaseMs(part)) {
             return "none";
         }
         return nowMs < entry.untilMs ? "quarantined" : "trial";
--- a/packages/relay/src/quarantine/watched-request.ts
+++ b/packages/relay/src/quarantine/watched-request.ts
@@ -21,7 +21,7 @@
         return getSharedParts(this.req);
     }
 
-    /** The same for each request with this method, host, path, team and body; computed on first use. */
+    /** The same for each request with this method, host, path, team, shared parts and body; computed on first use. */
     get whole(): string {
         this.digest ??= this.computeDigest();
         return WHOLE_PREFIX + this.digest;
@@ -29,7 +29,11 @@
 
     private computeDigest(): string {
         const { method, host, path, body } = this.req;
-        const head = JSON.stringify([method, host, path, this.team ?? ""]);
+        const head = JSON.stringify([method, host, path, this.team ?? "", ...this.sharedParts]);
         return createHash("sha256").update(head).update(body).digest("hex").slice(0, DIGEST_LENGTH);
     }
 }
+
+/** Why a request is refused that has a part under quarantine. */
+export const getQuarantineReason = (part: string): "partQuarantined" | "requestQuarantined" =>
+    isWholeRequest(part) ? "requestQuarantined" : "partQuarantined";
--- a/packages/relay/src/relay-attempts.ts
+++ b/packages/relay/src/relay-attempts.ts
@@ -1,6 +1,7 @@
 import type { ResponseHead } from "./caller-exchange.js";
+import { getQuarantineReason } from "./quarantine/watched-request.js";
 import type { LogFields } from "./relay-log.js";
-import type { RelayRefusal } from "./relay-refusal.js";
+import type { RefusalReason, RelayRefusal } from "./relay-refusal.js";
 import type { AdmittedRequest, RelayOptions } from "./relay.js";
 import { StreamRelay } from "./stream/stream-relay.js";
 import type { TargetOutcome } from "./targets/target-port.js";
@@ -46,6 +47,8 @@
     private sends = 0;
     private lastTarget = "";
     private failedConnects = 0;
+    /** Monotonic time of the last send, in milliseconds. */
+    private sentAtMs = 0;
     private mayHaveRun = false;
     private blockedPart: string | undefined;
     /** Whether the caller's connection still holds the response. */
@@ -56,7 +59,7 @@
             caller: request.caller,
             afterEvent: request.req.lastEventId,
             held: request.held,
-            onFirstEvent: () => opts.parts.recordBegun(request.req),
+            onFirstEvent: () => opts.parts.recordBegun(request.watched),
         });
     }
 
@@ -97,10 +100,10 @@
         if (this.opts.freshness.isOutdated) {
             return { kind: "end", end: this.failRequest("viewOutdated") };
         }
-        const blocked = this.opts.parts.getBlockedPart(req);
+        const blocked = this.opts.parts.getBlockedPart(this.request.watched);
         if (blocked !== undefined) {
             this.blockedPart = blocked.part;
-            return { kind: "end", end: this.failRequest("partQuarantined", blocked.retryAfterS) };
+            return { kind: "end", end: this.failRequest(getQuarantineReason(blocked.part), blocked.retryAfterS) };
         }
         const state = this.opts.selector.select(req, route, service, new Set([...this.tried, ...this.limited]));
         if (state === undefined) {
@@ -118,6 +121,7 @@
         state.inFlight += 1;
         try {
             const startedAtMs = performance.now();
+            this.sentAtMs = startedAtMs;
             const outcome = await this.opts.port.send({
                 req,
                 target: state.target,
@@ -186,7 +190,11 @@
             return true;
         }
         this.opts.meter.recordEndBeforeAnswer(this.request.admission.service);
-        return await this.opts.parts.recordLoss(this.request.req, state.target);
+        return await this.opts.parts.recordLoss(
+            this.request.watched,
+            state.target,
+            performance.now() - this.sentAtMs,
+        );
     }
 
     private async relayResponse(
@@ -254,7 +262,7 @@
         const isError = head.status >= HTTP_ERROR_FROM;
         state.health.recordResponse(isError, firstByteMs);
         if (head.status >= HTTP_OK_FROM && head.status < HTTP_OK_BELOW) {
-            this.opts.parts.recordBegun(this.request.req);
+            this.opts.parts.recordBegun(this.request.watched);
         }
         if (isError && !this.stream.isStarted && this.canRepeat()) {
             this.logSend(state, "error answer", String(head.status));
@@ -287,7 +295,7 @@
 
     /** Ends the request without another target. Only a request that no target ran may be reported as not run. */
     private failRequest(
-        reason: "noTarget" | "overloaded" | "partQuarantined" | "targetFailed" | "targetsLimited" | "viewOutdated",
+        reason: RefusalReason,
         retryAfterS = DEFAULT_RETRY_AFTER_S,
     ): AttemptsResult | RelayRefusal {
         if (this.stream.isStarted) {
--- a/packages/relay/src/relay-refusal.ts
+++ b/packages/relay/src/relay-refusal.ts
@@ -7,6 +7,7 @@
     | "noTarget"
     | "targetsLimited"
     | "partQuarantined"
+    | "requestQuarantined"
     | "budgetUnavailable"
     | "timedOutUnsent"
     | "noSuchRoute"
@@ -33,6 +34,7 @@
     noTarget: 503,
     targetsLimited: 503,
     partQuarantined: 503,
+    requestQuarantined: 503,
     budgetUnavailable: 503,
     timedOutUnsent: 503,
     noSuchRoute: 404,
--- a/packages/relay/src/relay-request.ts
+++ b/packages/relay/src/relay-request.ts
@@ -34,8 +34,8 @@
     readonly lastEventId: number | undefined;
 }
 
-/** Maximum number of prompt parts of one request that are watched; limits what a long prompt header costs. */
-const MAX_SHARED_PARTS = 64;
+/** Maximum number of prompt parts of one request that are watched, beside the whole request; limits what a long prompt costs. */
+const MAX_SHARED_PARTS = 63;
 
 /** Ids of the prompt parts that other requests may have too: all but the last one, each once. */
 export const getSharedParts = ({ generation }: Pick<RelayRequest, "generation">): readonly string[] => [
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -7,7 +7,7 @@
 import type { RetryAllowance } from "./policy/retry-allowance.js";
 import type { StopWindow } from "./policy/stop-window.js";
 import type { PartGate } from "./quarantine/part-gate.js";
-import { WatchedRequest } from "./quarantine/watched-request.js";
+import { getQuarantineReason, WatchedRequest } from "./quarantine/watched-request.js";
 import { type AttemptsResult, RelayAttempts } from "./relay-attempts.js";
 import type { LogFields, RelayLog } from "./relay-log.js";
 import type { RefusalReason, RelayRefusal } from "./relay-refusal.js";
@@ -141,10 +141,10 @@
         }
         const { route, service, team = "", priority } = admission;
         const watched = new WatchedRequest(req, admission.team);
-        const blocked = this.opts.parts.getBlockedPart(req);
+        const blocked = this.opts.parts.getBlockedPart(watched);
         if (blocked !== undefined) {
             const { part, retryAfterS } = blocked;
-            this.refuse(req, caller, service, { reason: "partQuarantined", retryAfterS }, { team, part });
+            this.refuse(req, caller, service, { reason: getQuarantineReason(part), retryAfterS }, { team, part });
             return;
         }
         this.opts.getRetries(service).recordRequest();
--- a/packages/types/src/peer-requests.ts
+++ b/packages/types/src/peer-requests.ts
@@ -199,13 +199,15 @@
     readonly heldMs?: number;
 };
 
-/** A prompt part of a request that was lost in a crash of its target, before its answer began. */
+/** A prompt part, or the whole, of a request that was lost in a crash of its target before its answer began. */
 export interface PartAccusation {
     readonly part: string;
     /** Names one start of one target. */
     readonly crash: string;
     /** Time since the crash, in milliseconds. */
     readonly msAgo: number;
+    /** Time from the send of the request to the crash, in milliseconds. */
+    readonly ranMs: number;
     /** Number of parts that follow this one in the prompt and that other requests may have too. */
     readonly followers: number;
 }
