--- a/packages/relay/src/quarantine/decision-book.ts
+++ b/packages/relay/src/quarantine/decision-book.ts
@@ -133,7 +133,8 @@
 
     /**
      * Parts under quarantine that another one explains: it was in all of their crashes, and in more. Of two parts with the
-     * same crashes the one that more requests share is released; if it crashes targets, its next crash tells.
+     * same crashes the one that more requests share is released, and a whole request is shared by none; if the released one
+     * crashes targets, its next crash tells.
      */
     listExplained(by: string): readonly string[] {
         const active = this.table.listActive(this.opts.nowMs());
--- a/packages/relay/src/quarantine/part-gate.ts
+++ b/packages/relay/src/quarantine/part-gate.ts
@@ -18,8 +18,8 @@
     abstract recordBegun(watched: WatchedRequest): void;
 
     /**
-     * Records that a target lost a request before its answer began, some milliseconds after it was sent. Returns whether the request may be sent to another
-     * target. Does not throw.
+     * Records that a target lost a request before its answer began, some milliseconds after it was sent. Returns whether
+     * the request may be sent to another target. Does not throw.
      */
     abstract recordLoss(watched: WatchedRequest, target: Target, ranMs: number): Promise<boolean>;
 }
