Play limits of targets in the soak on the platform

Callers saw: nothing; a test only. Cause: no run under random faults had a target that names a limit of requests a second. Change: a fault of the soak names limits of 0 to 12 a second for eight seconds and more; the judge counts what the target got in each window of 4 s without faults at instances and target.

--- a/packages/bench/src/platform/soak/fault-timeline.ts
+++ b/packages/bench/src/platform/soak/fault-timeline.ts
@@ -15,6 +15,14 @@
     toMs: number;
 }
 
+/** A time in which a target named a limit of requests a second. */
+export interface LimitSpan {
+    readonly target: string;
+    readonly perS: number;
+    readonly fromMs: number;
+    readonly toMs: number;
+}
+
 /** A desired state that was written. */
 interface Version {
     readonly atMs: number;
@@ -37,6 +45,8 @@
 /** What was done to a fleet, and when. */
 export class FaultTimeline {
     readonly stops: StopRecord[] = [];
+    /** Limits that targets named, once they are over. */
+    readonly limits: LimitSpan[] = [];
     /** Targets that had said that they leave. */
     private readonly leaves: Span[] = [];
     /** Faults that nobody planned. */
@@ -63,6 +73,12 @@
         return this.leaves.some(({ part, fromMs, toMs }) => part === target && atMs > fromMs + DRAIN_MS && atMs < toMs);
     }
 
+    /** Records that a target names a limit; returns what records its end. */
+    limit(target: string, perS: number): () => void {
+        const fromMs = performance.now();
+        return () => this.limits.push({ target, perS, fromMs, toMs: performance.now() });
+    }
+
     /** Records a desired state. */
     addVersion(version: Omit<Version, "atMs">): void {
         this.versions.push({ ...version, atMs: performance.now() });
--- a/packages/bench/src/platform/soak/judge-platform.ts
+++ b/packages/bench/src/platform/soak/judge-platform.ts
@@ -1,6 +1,6 @@
 import type { RunRequest } from "@ospreyreel/stand-ins";
 import { MODEL_EVENTS, MODEL_TOKENS, MODEL_TOKENS_EACH, type PlatformFleet, STOP_WITHIN_S } from "../platform-fleet.js";
-import type { FaultTimeline, StopRecord } from "./fault-timeline.js";
+import type { FaultTimeline, LimitSpan, StopRecord } from "./fault-timeline.js";
 import { STORE_PART } from "./fault-timeline.js";
 import type { DirectoryAnswer, PlatformCall } from "./platform-call.js";
 import type { ReadinessAnswer } from "./readiness-probe.js";
@@ -68,6 +68,10 @@
 /** Time in which an instance that leaves stops saying that it is ready, in milliseconds. */
 const UNREADY_WITHIN_MS = 1_000;
 
+/** Time after which a limit of a target must hold, and the window in which its requests are counted, in milliseconds. */
+const LIMIT_AFTER_MS = 3_000;
+const LIMIT_WINDOW_MS = 4_000;
+
 const HTTP_OK = 200;
 
 /** Timers of a process may end this much early, in milliseconds. */
@@ -122,6 +126,7 @@
             overdue: this.describe(calls.filter(call => call.end === "overdue" && this.isCalm(call))),
             denied: this.describe(answered.filter(call => this.isDenied(call))),
             servedThoughRemoved: this.describe(served.filter(call => this.isRemoved(call))),
+            limitsExceeded: timeline.limits.flatMap(limit => this.listExceeded(limit)),
             ranOnLeavingTarget: this.describe(calls.filter(call => this.ranOnLeavingTarget(call))),
             stopsThatFailed: timeline.stops.filter(stop => !this.hasStoppedWell(stop)),
             leavingNamed: directoryAnswers.filter(answer => this.namesLeaving(answer)),
@@ -220,6 +225,25 @@
             && this.getRuns(call.id).some(({ target, atMs }) => timeline.hasLeft(target, atMs));
     }
 
+    /** Windows of a limit in which its target got too much, while the target and all instances were without faults. */
+    private listExceeded({ target, perS, fromMs, toMs }: LimitSpan): readonly unknown[] {
+        const { timeline, fleet } = this.evidence;
+        const parts = [target, ...fleet.instances.map(({ name }) => name)];
+        const times = fleet.ran.filter(run => run.target === target).map(({ atMs }) => atMs);
+        return times.map(startMs => ({ startMs, endMs: startMs + LIMIT_WINDOW_MS }))
+            .filter(({ startMs, endMs }) =>
+                startMs >= fromMs + LIMIT_AFTER_MS && endMs <= toMs
+                && parts.every(part => timeline.isCalm(part, startMs, endMs))
+            )
+            .map(window => ({
+                ...window,
+                target,
+                perS,
+                sends: times.filter(at => at >= window.startMs && at < window.endMs).length,
+            }))
+            .filter(({ sends }) => sends > 1.5 * perS * LIMIT_WINDOW_MS / 1_000 + 5);
+    }
+
     private hasStoppedWell({ instance, termAtMs, endedAtMs, code, wasStarting }: StopRecord): boolean {
         const isInTime = endedAtMs - termAtMs <= STOP_WITHIN_MS;
         return this.evidence.timeline.overlaps(instance, termAtMs, endedAtMs)
@@ -261,6 +285,7 @@
         rigStalls: evidence.rigStalls,
         slowestProbeMs: Math.round(Math.max(0, ...evidence.readiness.map(({ callerPathMs }) => callerPathMs))),
         prepaidTokens: prepaid,
+        limits: timeline.limits.length,
     };
     return { ok: Object.values(violations).every(count => count === 0), violations, figures, traces };
 };
--- a/packages/bench/src/platform/soak/platform-schedule-run.ts
+++ b/packages/bench/src/platform/soak/platform-schedule-run.ts
@@ -24,6 +24,9 @@
 /** Time-outs of the model routes in turn, in milliseconds. */
 const MODEL_TIMEOUTS_MS = [12_000, 5_000, 12_000, 3_000] as const;
 
+/** Shortest time for which a target names a limit, in milliseconds: it must hold after three seconds, for four. */
+const MIN_LIMIT_MS = 8_000;
+
 /** Faults that signals to processes bring about. */
 type ProcessFault = Extract<
     PlatformFault,
@@ -94,6 +97,18 @@
         fleet.instances.forEach(instance => instance.process.kill("SIGCONT"));
     }
 
+    private async limit(target: number, perS: number, ms: number): Promise<void> {
+        const model = this.fleet.models[target];
+        if (model === undefined || model.limitPerS !== undefined) {
+            return;
+        }
+        const end = this.timeline.limit(model.id, perS);
+        model.limitPerS = perS;
+        await sleep(ms + MIN_LIMIT_MS);
+        end();
+        model.limitPerS = undefined;
+    }
+
     private async hold(fault: PlatformFault, ms: number): Promise<void> {
         const { fleet } = this;
         switch (fault.kind) {
@@ -194,6 +209,8 @@
             }
             case "targetReborn":
                 return await this.rebirth(fault.target);
+            case "targetLimit":
+                return await this.limit(fault.target, fault.perS, ms);
             case "topUp":
                 return this.writeDocument(fault.tokens);
             case "documents":
--- a/packages/bench/src/platform/soak/platform-schedule.ts
+++ b/packages/bench/src/platform/soak/platform-schedule.ts
@@ -33,6 +33,8 @@
     | { readonly kind: "storeOlderCopy"; }
     /** A model target announces that it leaves and ends, or crashes at once; it starts again at another address. */
     | { readonly kind: "targetLeaves" | "targetReborn"; readonly target: number; }
+    /** A model target names a limit of requests a second, for some seconds longer than the fault lasts. */
+    | { readonly kind: "targetLimit"; readonly target: number; readonly perS: number; }
     /** A new desired state with more tokens. */
     | { readonly kind: "topUp"; readonly tokens: number; }
     /** New desired states in quick succession, with a route added and removed and with other time-outs. */
@@ -75,6 +77,8 @@
     "storeOlderCopy",
     "targetLeaves",
     "targetReborn",
+    "targetLimit",
+    "targetLimit",
     "topUp",
     "documents",
     "documents",
@@ -82,6 +86,7 @@
 ] as const satisfies readonly PlatformFault["kind"][];
 
 const CUT_MODES: readonly ProxyMode[] = ["cut", "stall", "halfOpen", "dropClientToServer", "dropServerToClient"];
+const LIMITS_PER_S = [0, 0.5, 2.9, 12] as const;
 const DELAYS_MS = [20, 100, 400] as const;
 
 /** The plain target and the models. */
@@ -124,6 +129,8 @@
         case "targetLeaves":
         case "targetReborn":
             return { kind, target: random.int(0, MODELS - 1) };
+        case "targetLimit":
+            return { kind, target: random.int(0, MODELS - 1), perS: random.pick(LIMITS_PER_S) };
         case "topUp":
             return { kind, tokens: random.int(500, 20_000) };
         case "documents":
