--- a/packages/relay/src/limits/permit-keeper.ts
+++ b/packages/relay/src/limits/permit-keeper.ts
@@ -1,5 +1,5 @@
 import type { SendPermitResponse, TargetLimitSighting } from "@ospreyreel/types";
-import { BoundedMap } from "../quarantine/bounded-map.js";
+import { BoundedMap } from "../bounded-map.js";
 
 /** Options of {@link PermitKeeper}. */
 export interface PermitKeeperOptions {
--- a/packages/relay/src/quarantine/accusation-table.ts
+++ b/packages/relay/src/quarantine/accusation-table.ts
@@ -1,4 +1,4 @@
-import { BoundedMap } from "./bounded-map.js";
+import { BoundedMap } from "../bounded-map.js";
 import { isWholeRequest } from "./watched-request.js";
 
 /** A crash of a target in which a request with the part was lost before its answer began. */
--- a/packages/relay/src/quarantine/answer-memory.ts
+++ b/packages/relay/src/quarantine/answer-memory.ts
@@ -1,4 +1,4 @@
-import { BoundedMap } from "./bounded-map.js";
+import { BoundedMap } from "../bounded-map.js";
 import { isWholeRequest } from "./watched-request.js";
 
 /** Maximum number of remembered parts, and of whole requests. */
--- a/packages/relay/src/quarantine/decision-store.ts
+++ b/packages/relay/src/quarantine/decision-store.ts
@@ -2,7 +2,7 @@
 import type { PartDecision } from "@ospreyreel/types";
 import { setTimeout as sleep } from "node:timers/promises";
 import type { RelayLog } from "../relay-log.js";
-import { BoundedMap } from "./bounded-map.js";
+import { BoundedMap } from "../bounded-map.js";
 
 /** Options of {@link DecisionStore}. */
 export interface DecisionStoreOptions {
--- a/packages/relay/src/quarantine/quarantine-table.ts
+++ b/packages/relay/src/quarantine/quarantine-table.ts
@@ -1,4 +1,4 @@
-import { BoundedMap } from "./bounded-map.js";
+import { BoundedMap } from "../bounded-map.js";
 import { isWholeRequest } from "./watched-request.js";
 
 /** Quarantine of one part, or its end; all times are monotonic and in milliseconds. */
