--- a/packages/relay/src/quarantine/decision-store.ts
+++ b/packages/relay/src/quarantine/decision-store.ts
@@ -1,8 +1,8 @@
 import type { KvClient, KvEntry } from "@ospreyreel/kv";
 import type { PartDecision } from "@ospreyreel/types";
 import { setTimeout as sleep } from "node:timers/promises";
-import type { RelayLog } from "../relay-log.js";
 import { BoundedMap } from "../bounded-map.js";
+import type { RelayLog } from "../relay-log.js";
 
 /** Options of {@link DecisionStore}. */
 export interface DecisionStoreOptions {
--- a/packages/relay/src/quarantine/part-quarantine.ts
+++ b/packages/relay/src/quarantine/part-quarantine.ts
@@ -1,10 +1,10 @@
 import type { PeerHub } from "@ospreyreel/peer";
 import type { InstanceInfo, PartAccusation, PartDecision } from "@ospreyreel/types";
+import { BoundedMap } from "../bounded-map.js";
 import { ResponsibleInstances } from "../instance/responsible-instances.js";
 import type { RelayLog } from "../relay-log.js";
 import { getStartKey, type Target } from "../targets/target.js";
 import type { PartEvidence } from "./accusation-table.js";
-import { BoundedMap } from "../bounded-map.js";
 import type { CrashCheck } from "./crash-check.js";
 import { DecisionBook } from "./decision-book.js";
 import { DecisionSpreader } from "./decision-spreader.js";
