--- a/packages/bench/src/platform/soak/judge-platform.ts
+++ b/packages/bench/src/platform/soak/judge-platform.ts
@@ -72,6 +72,11 @@
 const LIMIT_AFTER_MS = 3_000;
 const LIMIT_WINDOW_MS = 4_000;
 
+/** What a target may get in a window: so many times what its limit allows, and so many requests more. */
+const LIMIT_FACTOR = 1.5;
+const LIMIT_SLACK_REQUESTS = 5;
+const MS_PER_S = 1_000;
+
 const HTTP_OK = 200;
 
 /** Timers of a process may end this much early, in milliseconds. */
@@ -230,6 +235,7 @@
         const { timeline, fleet } = this.evidence;
         const parts = [target, ...fleet.instances.map(({ name }) => name)];
         const times = fleet.ran.filter(run => run.target === target).map(({ atMs }) => atMs);
+        const maxSends = LIMIT_FACTOR * perS * LIMIT_WINDOW_MS / MS_PER_S + LIMIT_SLACK_REQUESTS;
         return times.map(startMs => ({ startMs, endMs: startMs + LIMIT_WINDOW_MS }))
             .filter(({ startMs, endMs }) =>
                 startMs >= fromMs + LIMIT_AFTER_MS && endMs <= toMs
@@ -241,7 +247,7 @@
                 perS,
                 sends: times.filter(at => at >= window.startMs && at < window.endMs).length,
             }))
-            .filter(({ sends }) => sends > 1.5 * perS * LIMIT_WINDOW_MS / 1_000 + 5);
+            .filter(({ sends }) => sends > maxSends);
     }
 
     private hasStoppedWell({ instance, termAtMs, endedAtMs, code, wasStarting }: StopRecord): boolean {
--- a/packages/bench/src/platform/soak/platform-schedule-run.ts
+++ b/packages/bench/src/platform/soak/platform-schedule-run.ts
@@ -24,7 +24,7 @@
 /** Time-outs of the model routes in turn, in milliseconds. */
 const MODEL_TIMEOUTS_MS = [12_000, 5_000, 12_000, 3_000] as const;
 
-/** Shortest time for which a target names a limit, in milliseconds: it must hold after three seconds, for four. */
+/** Shortest time for which a target names a limit, in milliseconds; the limit must hold after three seconds, for four. */
 const MIN_LIMIT_MS = 8_000;
 
 /** Faults that signals to processes bring about. */
--- a/packages/bench/src/platform/soak/regressions.ts
+++ b/packages/bench/src/platform/soak/regressions.ts
@@ -50,4 +50,50 @@
             ],
         },
     },
+    {
+        // The desired state that was written meanwhile came into force 4.5 s after the store was back. The cause is not known.
+        title: "a route that was removed while the store came back from an older copy is refused in time",
+        scenario: {
+            seed: 126,
+            count: 4,
+            callersEach: 4,
+            prepaid: PLENTY,
+            schedule: [
+                {
+                    startMs: 165,
+                    durationMs: 3_340,
+                    fault: { kind: "cutStore", instances: [3], mode: "dropClientToServer" },
+                },
+                { startMs: 484, durationMs: 3_342, fault: { kind: "storeOlderCopy" } },
+                { startMs: 1_045, durationMs: 1_415, fault: { kind: "targetLeaves", target: 0 } },
+                { startMs: 1_672, durationMs: 922, fault: { kind: "stop", instance: 3, gapMs: 6_689 } },
+                { startMs: 2_518, durationMs: 1_483, fault: { kind: "cutTarget", target: 2, mode: "cut" } },
+                { startMs: 3_260, durationMs: 634, fault: { kind: "storeSilent" } },
+            ],
+        },
+    },
+    {
+        // The instance got the request 0.6 s after its caller sent it, and counted the time-out from then. The cause of the delay is not known.
+        title: "a request whose connection is accepted late is answered by its route's time-out",
+        scenario: {
+            seed: 133,
+            count: 5,
+            callersEach: 16,
+            prepaid: 30_000,
+            schedule: [
+                { startMs: 578, durationMs: 2_952, fault: { kind: "targetLeaves", target: 1 } },
+                { startMs: 658, durationMs: 1_591, fault: { kind: "storeLate", lateMs: 3_000 } },
+                { startMs: 1_094, durationMs: 796, fault: { kind: "documents", count: 4, gapMs: 1_000 } },
+                {
+                    startMs: 1_308,
+                    durationMs: 3_522,
+                    fault: { kind: "cutTarget", target: 0, mode: "dropClientToServer" },
+                },
+                { startMs: 2_309, durationMs: 596, fault: { kind: "slowTarget", target: 1, delayMs: 20 } },
+                { startMs: 3_553, durationMs: 1_910, fault: { kind: "stop", instance: 3, gapMs: 5_677 } },
+                { startMs: 3_822, durationMs: 3_402, fault: { kind: "documents", count: 2, gapMs: 1_000 } },
+                { startMs: 4_231, durationMs: 685, fault: { kind: "slowTarget", target: 2, delayMs: 100 } },
+            ],
+        },
+    },
 ];
