Show that streams are joined from two versions of a target's software

What callers saw: streams whose first events are of one version and whose rest is of another, within one answer and when they resumed a broken stream. Cause (suspected): nothing in the relay knows the version of a target.

--- a/packages/bench/src/platform/platform-fleet.ts
+++ b/packages/bench/src/platform/platform-fleet.ts
@@ -51,7 +51,9 @@
     readonly plains?: Pick<PlatformTargetOptions, "stepMs" | "deadlyBody" | "downMs">;
     readonly modelCount?: number;
     /** How the model targets work. */
-    readonly models?: Pick<PlatformTargetOptions, "stepMs" | "deadlyPart" | "deadlyBody" | "downMs">;
+    readonly models?: Pick<PlatformTargetOptions, "events" | "stepMs" | "deadlyPart" | "deadlyBody" | "downMs">;
+    /** Software versions of the model targets, which then name them in their events; all the same by default. */
+    readonly modelVersions?: readonly string[];
     /** Time from SIGTERM to the end of an instance, in seconds; {@link STOP_WITHIN_S} by default. */
     readonly stopWithinS?: number;
     /** Time for which callers may keep addresses, in seconds; half a second by default. */
@@ -151,7 +153,8 @@
     private onLine: PlatformFleetOptions["onLine"];
 
     private constructor(opts: PlatformFleetOptions) {
-        const { plainCount = 1, plains = {}, modelCount = DEFAULT_MODEL_COUNT, models = {} } = opts;
+        const { plainCount = 1, plains = {}, models = {}, modelVersions = [] } = opts;
+        const { modelCount = Math.max(DEFAULT_MODEL_COUNT, modelVersions.length) } = opts;
         this.plains = [...Array(plainCount).keys()].map(at =>
             new PlatformTargetStandIn({ id: `plain-${at + 1}`, service: "plain", ...plains })
         );
@@ -161,6 +164,7 @@
                 service: "model",
                 events: MODEL_EVENTS,
                 stepMs: 5,
+                ...getVersion(modelVersions[at]),
                 ...models,
             })
         );
@@ -397,6 +401,9 @@
     }
 }
 
+const getVersion = (version: string | undefined): Pick<PlatformTargetOptions, "version"> =>
+    version === undefined ? {} : { version };
+
 /** Parses HOST:PORT. */
 export const toAddress = (text: string): Address => {
     const [host = "", port = ""] = text.split(":");
--- a/packages/stand-ins/src/platform/platform-target-stand-in.ts
+++ b/packages/stand-ins/src/platform/platform-target-stand-in.ts
@@ -35,6 +35,8 @@
     readonly id: string;
     readonly service: string;
     readonly zone?: string;
+    /** Version of its software; it is in each event if given. "v1" is announced otherwise. */
+    readonly version?: string;
     /** Events of a stream; 0 for a plain service. */
     readonly events?: number;
     /** Time for each event or for the whole answer, in milliseconds. */
@@ -52,6 +54,8 @@
 
 const DEFAULT_STEP_MS = 2;
 
+const DEFAULT_VERSION = "v1";
+
 /** A worker of the users' platform, by its published protocol. */
 export class PlatformTargetStandIn {
     private readonly runs: { -readonly [K in keyof RunRequest]: RunRequest[K]; }[] = [];
@@ -116,12 +120,12 @@
 
     /** Key and value of its entry in the store; it names another address where a proxy stands before the target. */
     getEntry(state: "ready" | "draining" = "ready", address = this.address): readonly [string, unknown] {
-        const { id, service, zone = "zone-a" } = this.opts;
+        const { id, service, zone = "zone-a", version = DEFAULT_VERSION } = this.opts;
         return [`servers/${id}`, {
             service,
             address: `${address.host}:${address.port}`,
             zone,
-            version: "v1",
+            version,
             slots: 8,
             state,
             coldRemainingMs: 0,
@@ -139,7 +143,7 @@
         }
         const parts = String(req.headers["prompt-prefix"] ?? "").split(",").map(part => part.split(":")[0] ?? "");
         this.recordRun(req, res, { body, parts });
-        const { events = 0, deadlyPart, deadlyBody } = this.opts;
+        const { events = 0, version = "", deadlyPart, deadlyBody } = this.opts;
         const isDeadly = deadlyBody !== undefined && body === deadlyBody
             || deadlyPart !== undefined && parts.slice(0, -1).includes(deadlyPart);
         const stepMs = Number(req.headers[STAND_IN_HEADERS.stepMs] ?? this.opts.stepMs ?? DEFAULT_STEP_MS);
@@ -162,7 +166,7 @@
                 await this.crash();
                 return;
             }
-            res.write(`id: ${at}\ndata: ${id}\n\n`);
+            res.write(`id: ${at}\ndata: ${[id, version].join(" ").trim()}\n\n`);
         }
         res.end();
     }
