Continue a stream only at the version that began it

What callers saw: whole answers joined from two software versions of a target, with nothing in them to show it, within one answer and when they resumed a stream. Cause: nothing in the relay knew the version of a target. The rest of a begun stream went to any target, and an instance that was asked to resume one knew nothing of the attempt that began it. Change: a target has a version. A stream is bound to it by its first event. Each instance keeps the origins of its streams, while several versions serve also at up to three others, and a small record in the KV service names the versions of each service for instances that start after all were killed. Log lines, counters and the state dump name versions, which the record could not tell apart before. Why it works: a stream goes on only where its version is certain, by a mark or since no other version has served for a minute.

--- a/packages/relay/src/instance/relay-instance.ts
+++ b/packages/relay/src/instance/relay-instance.ts
@@ -19,6 +19,9 @@
 import { TargetDirectory } from "../targets/target-directory.js";
 import { TargetFollower } from "../targets/target-follower.js";
 import { TargetSelector } from "../targets/target-selector.js";
+import { FleetStreamOrigins } from "../versions/fleet-stream-origins.js";
+import { VersionHistory } from "../versions/version-history.js";
+import { VersionRecord } from "../versions/version-record.js";
 import { ViewFreshness } from "../watch/view-freshness.js";
 import { BoundedLog } from "./bounded-log.js";
 import { createRelayHub } from "./create-relay-hub.js";
@@ -32,6 +35,7 @@
 import { RelayMetrics } from "./relay-metrics.js";
 import type { RelaySettings } from "./relay-settings.js";
 import { getTargetView, type RelayState } from "./relay-state.js";
+import { ResponsibleInstances } from "./responsible-instances.js";
 import { startOverloadWatch } from "./start-overload-watch.js";
 import { waitUntilDrained } from "./wait-until-drained.js";
 
@@ -80,6 +84,9 @@
     private readonly relay: Relay;
     private readonly budgets: FleetBudgets;
     private readonly permits: FleetSendPermits;
+    private readonly versions: VersionHistory;
+    private readonly versionRecord: VersionRecord;
+    private readonly origins: FleetStreamOrigins;
     private readonly parts: PartQuarantine;
     private readonly decisions: DecisionStore;
     /** Resolves once requests are accepted. */
@@ -119,6 +126,9 @@
             log: (event, fields) => this.log.write(event, fields),
         });
         this.permits = this.createPermits();
+        this.versions = new VersionHistory({ directory: this.directory, nowMs: () => performance.now() });
+        this.origins = this.createOrigins();
+        this.versionRecord = this.createVersionRecord();
         this.decisions = new DecisionStore({ kv: this.kv, log: this.log });
         this.parts = new PartQuarantine({
             hub,
@@ -141,6 +151,7 @@
             overload: this.overload,
             freshness: this.freshness,
             permits: this.permits,
+            origins: this.origins,
             parts: this.parts,
             log: this.log,
             meter: this.metrics,
@@ -193,6 +204,8 @@
             targets: this.directory.list().map(getTargetView),
             budgets: this.budgets.list(),
             quarantine: this.parts.view,
+            versions: this.versions.services.map(service => ({ service, versions: this.versions.list(service) })),
+            knownStreams: this.origins.size,
         };
     }
 
@@ -222,6 +235,26 @@
         });
     }
 
+    private createOrigins(): FleetStreamOrigins {
+        return new FleetStreamOrigins({
+            hub: this.hub,
+            history: this.versions,
+            log: this.log,
+            count: name => this.metrics.add(name),
+            nowMs: () => performance.now(),
+        });
+    }
+
+    private createVersionRecord(): VersionRecord {
+        const writers = new ResponsibleInstances({ hub: this.hub, nowMs: () => performance.now() });
+        return new VersionRecord({
+            kv: this.kv,
+            history: this.versions,
+            isWriter: service => writers.isFirst(service),
+            log: this.log,
+        });
+    }
+
     private createStatusPorts(): readonly StatusPort[] {
         const { cfg, adapter } = this;
         return [
@@ -271,6 +304,9 @@
         this.follower.start();
         this.budgets.serve();
         this.permits.serve();
+        this.origins.serve();
+        this.directory.onChange(() => this.origins.shareMixed());
+        void this.versionRecord.run();
         this.parts.serve();
         void this.decisions.load().then(decisions => this.parts.receive(decisions, "kv"));
         hub.setPeerAddresses(cfg.seeds.map(parseAddress));
--- a/packages/relay/src/instance/relay-state.ts
+++ b/packages/relay/src/instance/relay-state.ts
@@ -7,6 +7,7 @@
 export interface TargetView {
     readonly id: string;
     readonly service: string;
+    readonly version: string | undefined;
     readonly leaving: boolean;
     readonly inFlight: number;
     readonly errorShare: number;
@@ -29,12 +30,17 @@
     /** Budgets that this instance owns. */
     readonly budgets: readonly BudgetView[];
     readonly quarantine: QuarantineView;
+    /** Versions at which streams that are resumed now may have begun. */
+    readonly versions: readonly { readonly service: string; readonly versions: readonly string[]; }[];
+    /** Number of streams whose origins are kept here. */
+    readonly knownStreams: number;
 }
 
 /** Returns a target's entry in the state dump. */
 export const getTargetView = ({ target, inFlight, health, limit }: TargetState): TargetView => ({
     id: target.id,
     service: target.service,
+    version: target.version,
     leaving: target.leaving,
     inFlight,
     errorShare: health.errorShare,
--- a/packages/relay/src/instance/responsible-instances.ts
+++ b/packages/relay/src/instance/responsible-instances.ts
@@ -22,13 +22,19 @@
 
     constructor(private readonly opts: ResponsibleInstancesOptions) {}
 
-    /** The instances that are responsible for a key, the preferred one first. */
-    choose(key: string): readonly InstanceInfo[] {
+    /** Number of live instances, this one included. */
+    get count(): number {
+        this.updateList();
+        return this.instances.length;
+    }
+
+    /** The instances that are responsible for a key, the preferred one first; two by default. */
+    choose(key: string, count = RESPONSIBLE_COUNT): readonly InstanceInfo[] {
         this.updateList();
         const scores = this.scores.getScores(key);
         return this.instances.map((info, index) => ({ info, score: scores[index] ?? 0 }))
             .toSorted((a, b) => b.score - a.score)
-            .slice(0, RESPONSIBLE_COUNT)
+            .slice(0, count)
             .map(({ info }) => info);
     }
 
--- a/packages/relay/src/relay-attempts.ts
+++ b/packages/relay/src/relay-attempts.ts
@@ -5,7 +5,9 @@
 import type { AdmittedRequest, RelayOptions } from "./relay.js";
 import { StreamRelay } from "./stream/stream-relay.js";
 import type { TargetOutcome } from "./targets/target-port.js";
+import type { BegunStream } from "./targets/target-selector.js";
 import type { TargetState } from "./targets/target-state.js";
+import { getStreamName } from "./versions/stream-name.js";
 
 /** Result of a request that got a response, or whose caller no longer waits. */
 export type AttemptsResult = "answered" | "streamed" | "broken" | "caller_left";
@@ -44,6 +46,8 @@
     /** Targets whose limit left no send for this request. */
     private readonly limited = new Set<string>();
     private readonly stream: StreamRelay;
+    /** Version of the stream that the sends have to continue. */
+    private begun: BegunStream | undefined;
     private sends = 0;
     private lastTarget = "";
     private failedConnects = 0;
@@ -59,8 +63,8 @@
             caller: request.caller,
             afterEvent: request.req.lastEventId,
             held: request.held,
-            onFirstEvent: () => opts.parts.recordBegun(request.watched),
         });
+        this.begun = request.origin;
     }
 
     /** Summary of the sends for the request's log line. */
@@ -69,6 +73,7 @@
             target: this.lastTarget,
             sends: this.sends,
             events: this.stream.eventCount,
+            ...(this.begun === undefined ? {} : { version: this.begun.version ?? "" }),
             ...(this.blockedPart === undefined ? {} : { part: this.blockedPart }),
         };
     }
@@ -105,7 +110,8 @@
             this.blockedPart = blocked.part;
             return { kind: "end", end: this.failRequest(getQuarantineReason(blocked.part), blocked.retryAfterS) };
         }
-        const state = this.opts.selector.select(req, route, service, new Set([...this.tried, ...this.limited]));
+        const tried = new Set([...this.tried, ...this.limited]);
+        const state = this.opts.selector.select(req, route, service, { tried, begun: this.begun });
         if (state === undefined) {
             return { kind: "end", end: this.failWithoutTarget() };
         }
@@ -216,7 +222,10 @@
         firstByteMs: number,
     ): Promise<Step> {
         const { caller, clock } = this.request;
-        const result = await this.stream.relay(head, body, clock.signal);
+        const result = await this.stream.relay(head, body, {
+            signal: clock.signal,
+            onFirstEvent: () => this.recordBegun(state),
+        });
         if (result.kind === "complete") {
             state.health.recordResponse(false, firstByteMs);
             caller.endStream();
@@ -240,6 +249,15 @@
         return { kind: "end", end: "broken" };
     }
 
+    private recordBegun({ target: { service, version } }: TargetState): void {
+        const { req, watched, admission } = this.request;
+        this.begun ??= { version };
+        this.opts.parts.recordBegun(watched);
+        if (version !== undefined) {
+            this.opts.origins.recordBegun(getStreamName(admission.team, req.id), { service, version });
+        }
+    }
+
     private async relayBuffered(
         state: TargetState,
         head: ResponseHead,
@@ -287,9 +305,11 @@
     }
 
     private failWithoutTarget(): AttemptsResult | RelayRefusal {
-        const waitMs = this.opts.selector.getLimitWaitMs(this.request.admission.service, this.tried);
+        const { selector } = this.opts;
+        const { begun, tried } = this;
+        const waitMs = selector.getLimitWaitMs(this.request.admission.service, { tried, begun });
         return waitMs === undefined
-            ? this.failRequest("noTarget")
+            ? this.failRequest(begun === undefined ? "noTarget" : "versionUnavailable")
             : this.failRequest("targetsLimited", Math.max(MIN_LIMIT_RETRY_AFTER_S, waitMs / MS_PER_S));
     }
 
@@ -342,6 +362,7 @@
             cause,
             sends: this.sends,
             events: this.stream.eventCount,
+            version: state.target.version ?? "",
             parts: watched.sharedParts.slice(0, MAX_LOGGED_PARTS).join(" "),
             whole: watched.whole,
             leftMs: Math.round(clock.leftMs),
--- a/packages/relay/src/relay-refusal.ts
+++ b/packages/relay/src/relay-refusal.ts
@@ -6,6 +6,8 @@
     | "overloaded"
     | "noTarget"
     | "targetsLimited"
+    | "originUnknown"
+    | "versionUnavailable"
     | "partQuarantined"
     | "requestQuarantined"
     | "budgetUnavailable"
@@ -33,6 +35,8 @@
     overloaded: 503,
     noTarget: 503,
     targetsLimited: 503,
+    originUnknown: 503,
+    versionUnavailable: 503,
     partQuarantined: 503,
     requestQuarantined: 503,
     budgetUnavailable: 503,
--- a/packages/relay/src/relay-request.ts
+++ b/packages/relay/src/relay-request.ts
@@ -32,6 +32,8 @@
     readonly generation: GenerationRequest | undefined;
     /** Id of the last event that the caller received; set where it resumes a stream. */
     readonly lastEventId: number | undefined;
+    /** Id of the attempt that began the resumed stream; undefined where the caller names no valid one. */
+    readonly resumes: string | undefined;
 }
 
 /** Maximum number of prompt parts of one request that are watched, beside the whole request; limits what a long prompt costs. */
--- a/packages/relay/src/relay.test.ts
+++ b/packages/relay/src/relay.test.ts
@@ -8,6 +8,7 @@
 import { FakeTargetPort } from "./fixtures/fake-target-port.js";
 import { MemoryLog } from "./fixtures/memory-log.js";
 import { createRequest } from "./fixtures/plain-protocol.js";
+import { SingleVersionOrigins } from "./fixtures/single-version-origins.js";
 import { UnlimitedSends } from "./limits/send-permits.js";
 import { AffinityPlacement } from "./policy/affinity-placement.js";
 import { RetryAllowance } from "./policy/retry-allowance.js";
@@ -18,6 +19,7 @@
 import { TargetDirectory } from "./targets/target-directory.js";
 import type { TargetCall, TargetOutcome } from "./targets/target-port.js";
 import { TargetSelector } from "./targets/target-selector.js";
+import { StreamOrigins } from "./versions/stream-origins.js";
 
 interface View {
     isOutdated: boolean;
@@ -61,6 +63,9 @@
     });
 
 interface ServeOptions {
+    /** Software versions of the three targets; the same by default. */
+    readonly versions?: readonly (string | undefined)[];
+    readonly origins?: StreamOrigins;
     readonly budgets?: BudgetGate;
     readonly parts?: PartGate;
     readonly disconnectsAfterMs?: number | "before";
@@ -70,13 +75,35 @@
     readonly stop?: "late" | "expired";
 }
 
+/** Knows no stream. */
+class UnknownOrigins extends StreamOrigins {
+    override recordBegun(): void {
+        // Nothing is remembered.
+    }
+
+    override find(): Promise<undefined> {
+        return Promise.resolve(undefined);
+    }
+}
+
+const createDirectory = (versions: readonly (string | undefined)[]): TargetDirectory => {
+    const directory = new TargetDirectory();
+    versions.forEach((version, index) => {
+        const common = { service: "service-1", version, host: "127.0.0.1", port: 1, availabilityZone: "a", slots: 4 };
+        directory.put({ id: `t${index + 1}`, ...common, leaving: false, startedAtMs: undefined });
+    });
+    return directory;
+};
+
 const serve = async (
     outcomes: readonly Outcome[],
     route: Partial<RelayRoute> = {},
     req: Partial<RelayRequest> = {},
     opts: ServeOptions = {},
 ) => {
-    const { budgets = new OpenBudgetGate(), parts = new OpenPartGate() } = opts;
+    const { budgets = new OpenBudgetGate(), parts = new OpenPartGate(), origins = new SingleVersionOrigins("v1") } =
+        opts;
+    const { versions = ["v1", "v1", "v1"] } = opts;
     const { disconnectsAfterMs, overloadedForS, viewIsOutdated = false, stop } = opts;
     const documents = new DocumentHolder();
     const teams = [{ name: "team-1", keys: ["key-1"], priority: undefined, prepaidTokens: 1_000 }];
@@ -88,11 +115,7 @@
         }),
         Buffer.alloc(0),
     );
-    const directory = new TargetDirectory();
-    for (const id of ["t1", "t2", "t3"]) {
-        const common = { service: "service-1", host: "127.0.0.1", port: 1, availabilityZone: "a", slots: 4 };
-        directory.put({ id, ...common, leaving: false, startedAtMs: undefined });
-    }
+    const directory = createDirectory(versions);
     const port = new FakeTargetPort(outcomes.map(outcome => call => outcome(call, directory, view)));
     const view = { isOutdated: viewIsOutdated, ageMs: 0 };
     const log = new MemoryLog();
@@ -112,6 +135,7 @@
         overload: { getRefusal: () => overloadedForS },
         freshness: view,
         permits: new UnlimitedSends(),
+        origins,
         parts,
         log,
         meter: {
@@ -207,6 +231,82 @@
     t.is(caller.ended, "complete");
 });
 
+test("an interrupted stream is aborted at once where no other target has its version", async t => {
+    const { caller, port } = await serve(
+        [respond(["id: 1\ndata: a\n\n"], true), respond(["id: 2\ndata: b\n\n"])],
+        { kind: "streaming", isResumable: true, maxAttempts: 3 },
+        {},
+        { versions: ["v1", "v2", "v3"] },
+    );
+    t.is(port.calls.length, 1);
+    t.is(caller.ended, "broken");
+});
+
+test("an interrupted stream of a target without a version is continued by no other one", async t => {
+    const { caller, port } = await serve(
+        [respond(["id: 1\ndata: a\n\n"], true), respond(["id: 2\ndata: b\n\n"])],
+        { kind: "streaming", isResumable: true, maxAttempts: 3 },
+        {},
+        { versions: [undefined, undefined, undefined] },
+    );
+    t.is(port.calls.length, 1);
+    t.is(caller.ended, "broken");
+});
+
+test("before its first event a stream may be sent to a target of any version", async t => {
+    const { caller } = await serve(
+        [failing, respond(["id: 1\ndata: a\n\n"])],
+        { kind: "streaming", isResumable: true, maxAttempts: 3 },
+        {},
+        { versions: ["v1", "v2", "v3"] },
+    );
+    t.is(caller.ended, "complete");
+});
+
+test("a stream of unknown beginning is refused at once with a retry time, and is not sent", async t => {
+    const { caller, port } = await serve(
+        [respond(["id: 2\ndata: b\n\n"])],
+        { kind: "streaming", isResumable: true },
+        { lastEventId: 1, resumes: "earlier" },
+        { origins: new UnknownOrigins() },
+    );
+    t.is(port.calls.length, 0);
+    t.deepEqual(caller.refusal, { reason: "originUnknown", retryAfterS: 1 });
+});
+
+test("a resumed stream is sent only to targets of the version that began it", async t => {
+    const { caller, port } = await serve(
+        [full, respond(["id: 2\ndata: b\n\n"])],
+        { kind: "streaming", isResumable: true, maxAttempts: 3 },
+        { lastEventId: 1, resumes: "earlier" },
+        { versions: ["v1", "v2", "v1"] },
+    );
+    t.deepEqual(port.calls.map(call => call.target.version), ["v1", "v1"]);
+    t.is(caller.ended, "complete");
+});
+
+test("a resumed stream whose version has no target is refused with a retry time", async t => {
+    const { caller, port } = await serve(
+        [respond(["id: 2\ndata: b\n\n"])],
+        { kind: "streaming", isResumable: true },
+        { lastEventId: 1, resumes: "earlier" },
+        { versions: ["v2", "v2", "v2"] },
+    );
+    t.is(port.calls.length, 0);
+    t.is(caller.refusal?.reason, "versionUnavailable");
+    t.true((caller.refusal?.retryAfterS ?? 0) > 0);
+});
+
+test("a request that names an earlier attempt and no last event begins anew", async t => {
+    const { caller } = await serve(
+        [respond(["id: 1\ndata: a\n\n"])],
+        { kind: "streaming", isResumable: true },
+        { resumes: "earlier" },
+        { origins: new UnknownOrigins() },
+    );
+    t.is(caller.ended, "complete");
+});
+
 test("an interrupted stream that is not resumable is aborted", async t => {
     const { caller, port } = await serve([respond(["id: 1\n\n"], true)], { kind: "streaming" });
     t.is(port.calls.length, 1);
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -1,3 +1,4 @@
+import type { StreamOrigin } from "@ospreyreel/types";
 import { type Admission, admit, isRepeatable } from "./admission.js";
 import type { BudgetGate, BudgetHold } from "./budget-gate.js";
 import type { CallerExchange } from "./caller-exchange.js";
@@ -16,6 +17,8 @@
 import { type HeldResponse, ResponseMemory } from "./response-memory.js";
 import type { TargetPort } from "./targets/target-port.js";
 import type { TargetSelector } from "./targets/target-selector.js";
+import { getStreamName } from "./versions/stream-name.js";
+import type { StreamOrigins } from "./versions/stream-origins.js";
 import type { ViewFreshness } from "./watch/view-freshness.js";
 
 /** Records metrics of requests. */
@@ -41,6 +44,8 @@
     readonly freshness: Pick<ViewFreshness, "isOutdated" | "ageMs">;
     /** Keeps the sends to targets within the limits that they name. */
     readonly permits: SendPermits;
+    /** Knows where streams began that callers resume. */
+    readonly origins: StreamOrigins;
     /** Keeps requests with a prompt part that crashes targets away from them. */
     readonly parts: PartGate;
     readonly log: RelayLog;
@@ -55,6 +60,9 @@
 /** Retry-after time where this instance is leaving, in seconds; other instances can serve at once. */
 const LEAVING_RETRY_AFTER_S = 0.1;
 
+/** Retry-after time where it is not known which version began a stream, in seconds; a peer may be reachable again. */
+const UNKNOWN_ORIGIN_RETRY_AFTER_S = 1;
+
 const isRefusal = (admitted: Admission | RelayRefusal): admitted is RelayRefusal => "reason" in admitted;
 
 /** Maximum number of tokens that a request may use; 0 where it requests no generation. */
@@ -68,6 +76,8 @@
     readonly caller: CallerExchange;
     readonly clock: RequestClock;
     readonly hold: BudgetHold | undefined;
+    /** Where the stream began that the request continues; undefined where it continues none. */
+    readonly origin: StreamOrigin | undefined;
     readonly isRepeatable: boolean;
     /** What of the request may crash targets. */
     readonly watched: WatchedRequest;
@@ -159,6 +169,11 @@
         const clock = new RequestClock(deadlineMs, caller.disconnectSignal);
         this.clocks.add(clock);
         try {
+            const origin = await this.findOrigin(req, admission, clock);
+            if (origin !== undefined && "reason" in origin) {
+                this.refuse(req, caller, service, origin, { team, resumes: req.resumes ?? "" });
+                return;
+            }
             const held = await this.holdBudget(req, admission, clock);
             if (held !== undefined && "reason" in held) {
                 this.refuse(req, caller, service, held, { team, tokens: getMaxTokens(req) });
@@ -173,7 +188,8 @@
             }
             const request = {
                 req,
-                admission,
+                admission: origin === undefined ? admission : { ...admission, service: origin.service },
+                origin,
                 caller,
                 clock,
                 hold: held,
@@ -195,6 +211,30 @@
         }
     }
 
+    /** Finds where the stream began that a request continues; returns a refusal where it can't be continued there. */
+    private async findOrigin(
+        req: RelayRequest,
+        { route, team }: Admission,
+        clock: RequestClock,
+    ): Promise<StreamOrigin | RelayRefusal | undefined> {
+        if (route.kind !== "streaming" || req.lastEventId === undefined) {
+            return undefined;
+        }
+        const services = route.shares.filter(share => share.weight > 0).map(share => share.service);
+        const stream = req.resumes === undefined ? undefined : getStreamName(team, req.resumes);
+        const origin = await Promise.race([this.opts.origins.find({ stream, services }), clock.ended]);
+        if (clock.endReason !== undefined) {
+            // A request whose time has ended is not sent.
+            return undefined;
+        }
+        if (origin === undefined) {
+            return { reason: "originUnknown", retryAfterS: UNKNOWN_ORIGIN_RETRY_AFTER_S };
+        }
+        return services.includes(origin.service)
+            ? origin
+            : { reason: "versionUnavailable", retryAfterS: UNKNOWN_ORIGIN_RETRY_AFTER_S };
+    }
+
     private async holdBudget(
         req: RelayRequest,
         admission: Admission,
--- a/packages/relay/src/stream/stream-relay.ts
+++ b/packages/relay/src/stream/stream-relay.ts
@@ -17,7 +17,13 @@
     readonly afterEvent: number | undefined;
     /** Bytes of the response that are held in memory. */
     readonly held: HeldResponse;
-    /** Called when the first event has arrived. */
+}
+
+/** Options of one target's part of a stream. */
+export interface StreamPartOptions {
+    /** Aborts waits for the caller. */
+    readonly signal: AbortSignal;
+    /** Called when the first event of the whole answer has arrived, before the caller gets it. */
     readonly onFirstEvent: () => void;
 }
 
@@ -51,7 +57,7 @@
     async relay(
         head: ResponseHead,
         body: AsyncIterable<Buffer>,
-        signal: AbortSignal,
+        { signal, onFirstEvent }: StreamPartOptions,
     ): Promise<StreamRelayResult> {
         const splitter = new EventSplitter();
         const eventsBefore = this.events;
@@ -66,7 +72,7 @@
                     return { kind: "out_of_order" };
                 }
                 if (this.events === 0 && count > 0) {
-                    this.opts.onFirstEvent();
+                    onFirstEvent();
                 }
                 this.events += count;
                 this.start(head);
--- a/packages/relay/src/targets/target-selector.ts
+++ b/packages/relay/src/targets/target-selector.ts
@@ -29,6 +29,23 @@
     return parts.at(-2)?.id;
 };
 
+/** A stream that has begun; its rest has to come from the same version. */
+export interface BegunStream {
+    /** Undefined where the targets announce none; such a stream is not continued. */
+    readonly version: string | undefined;
+}
+
+/** Which targets may not be selected for a send. */
+export interface SelectionLimits {
+    /** Ids of targets that the request was sent to before, or that have no room for it. */
+    readonly tried: ReadonlySet<string>;
+    /** Undefined before the first event. */
+    readonly begun: BegunStream | undefined;
+}
+
+const canContinue = ({ target }: TargetState, begun: BegunStream | undefined): boolean =>
+    begun === undefined || (begun.version !== undefined && target.version === begun.version);
+
 /** Selects the target of one send. */
 export class TargetSelector {
     private readonly now: () => number;
@@ -37,15 +54,23 @@
         this.now = opts.now ?? (() => performance.now());
     }
 
-    /** Returns a target that can accept the request and was not tried before; undefined where there is none. */
-    select(req: RelayRequest, route: RelayRoute, service: string, tried: ReadonlySet<string>): TargetState | undefined {
+    /**
+     * Returns a target that can accept the request and was not tried before, of one version only where the request
+     * continues a stream of it; undefined where there is none.
+     */
+    select(
+        req: RelayRequest,
+        route: RelayRoute,
+        service: string,
+        { tried, begun }: SelectionLimits,
+    ): TargetState | undefined {
         const { states, scores } = this.opts.directory.getServing(service);
         const nowMs = this.now();
         const limit = this.opts.getConnectionLimit(service);
         const allowed = states.map((state, index) => ({ state, index }))
             .filter(({ state }) =>
                 !tried.has(state.target.id) && state.inFlight < limit && state.health.isUsable(nowMs)
-                && state.limit.getWaitMs(nowMs) === 0
+                && state.limit.getWaitMs(nowMs) === 0 && canContinue(state, begun)
             );
         const notFull = allowed.filter(({ state }) => !state.health.isFull(nowMs));
         const candidates = notFull.length > 0 ? notFull : allowed;
@@ -70,10 +95,10 @@
      * Shortest time until a target that is only held back by its limit of requests a second may get one, in
      * milliseconds; undefined where no target is.
      */
-    getLimitWaitMs(service: string, tried: ReadonlySet<string>): number | undefined {
+    getLimitWaitMs(service: string, { tried, begun }: SelectionLimits): number | undefined {
         const nowMs = this.now();
         const waits = this.opts.directory.getServing(service).states
-            .filter(({ target, health }) => !tried.has(target.id) && health.isUsable(nowMs))
+            .filter(state => !tried.has(state.target.id) && state.health.isUsable(nowMs) && canContinue(state, begun))
             .map(({ limit }) => limit.getWaitMs(nowMs))
             .filter(waitMs => waitMs > 0);
         return waits.length === 0 ? undefined : Math.min(...waits);
--- a/packages/relay/src/targets/target.ts
+++ b/packages/relay/src/targets/target.ts
@@ -3,6 +3,8 @@
     /** New for each start. */
     readonly id: string;
     readonly service: string;
+    /** Version of its software, if announced; streams of different versions do not fit together. */
+    readonly version: string | undefined;
     readonly host: string;
     readonly port: number;
     readonly availabilityZone: string;
--- a/packages/types/src/peer-requests.ts
+++ b/packages/types/src/peer-requests.ts
@@ -256,6 +256,18 @@
     readonly limit: TargetLimitSighting;
 }
 
+/** Where a stream began. */
+export interface StreamOrigin {
+    readonly service: string;
+    /** Version of the target's software; the rest of the stream fits only if it comes from the same one. */
+    readonly version: string;
+}
+
+/** Origin of one stream, kept by instances beside the one that relayed its first event. */
+export interface StreamMark extends StreamOrigin {
+    readonly stream: string;
+}
+
 /** Requests between instances by kind, with the types of request and response. */
 export interface PeerRequests {
     readonly "copy.open": { readonly req: CopyOpenRequest; readonly res: CopyResponse; };
@@ -306,6 +318,16 @@
         readonly req: { readonly limits: readonly TargetLimitSighting[]; };
         readonly res: Record<string, never>;
     };
+    /** Stores the origins of streams; the response is empty. */
+    readonly "streams.mark": {
+        readonly req: { readonly marks: readonly StreamMark[]; };
+        readonly res: Record<string, never>;
+    };
+    /** Asks where a stream began; undefined where the receiver does not know. */
+    readonly "streams.find": {
+        readonly req: { readonly stream: string; };
+        readonly res: { readonly origin: StreamOrigin | undefined; };
+    };
     /** Reports accusations to a collector; the response has the number of crashes that speak against each part. */
     readonly "parts.accuse": {
         readonly req: { readonly accusations: readonly PartAccusation[]; };
