Show that callers of instances cut off from all targets are not served

What callers saw: 503 at instances without links to targets, while others serve. Cause (suspected): a cut instance tries nothing but its own connections, and one refused connection makes it leave out the target though open ones to it work. Change: links between one instance and each target that a test can cut in three ways; a process that accepts nothing stands in for an address behind a partition.

--- a/packages/bench/src/platform/platform-fleet.ts
+++ b/packages/bench/src/platform/platform-fleet.ts
@@ -14,6 +14,7 @@
 import { Agent, request } from "undici";
 import { getFreePorts } from "../rig/free-ports.js";
 import { RigProcess } from "../rig/rig-process.js";
+import { TargetLinks } from "./target-links.js";
 
 const MAIN = createRequire(import.meta.url).resolve("@ospreyreel/platform/main");
 
@@ -45,6 +46,8 @@
     readonly prepaid?: number;
     /** Puts proxies that inject faults between the store, callers and targets and the instances; false by default. */
     readonly withProxies?: boolean;
+    /** Number of instances, the first ones, whose links to targets can be cut; none by default. */
+    readonly cuttable?: number;
     /** Number of targets of the plain service; one by default. */
     readonly plainCount?: number;
     /** How the targets of the plain service work. */
@@ -146,6 +149,8 @@
     readonly callerProxies: FaultProxy[] = [];
     /** Before the plain target and the models, if asked for. */
     readonly targetProxies: FaultProxy[] = [];
+    /** Links to targets of the instances that can be cut off from them. */
+    readonly targetLinks: TargetLinks[] = [];
     private readonly agent = new Agent({ pipelining: 1 });
     private requests = 0;
     private withProxies = false;
@@ -192,7 +197,12 @@
             fleet.storeProxies.push(...await startProxies(callers.map(() => store)));
             fleet.callerProxies.push(...await startProxies(callers));
         }
-        const storeFor = fleet.storeProxies.map(({ address }) => `${address.host}:${address.port}`);
+        const storeFor: (string | undefined)[] = fleet.storeProxies.map(({ address }) =>
+            `${address.host}:${address.port}`
+        );
+        for (let at = 0; at < (opts.cuttable ?? 0); at++) {
+            await fleet.startLinks(at, storeFor);
+        }
         const folder = await mkdtemp(join(tmpdir(), "ospreyreel-platform-"));
         const seeds = [...Array(count).keys()].map(at => addresses[at * PORTS_EACH + 3] ?? "");
         for (const at of Array(count).keys()) {
@@ -261,6 +271,14 @@
         }
     }
 
+    private async startLinks(at: number, storeFor: (string | undefined)[]): Promise<void> {
+        const links = await TargetLinks.start(new Map(this.targets.map(target => [target.id, target.address])));
+        this.targetLinks.push(links);
+        const view = await this.store.openView((key, value) => links.rewrite(key, value));
+        this.storeProxies[at]?.redirect(toAddress(view));
+        storeFor[at] ??= view;
+    }
+
     private async startTarget(at: number): Promise<void> {
         const target = this.targets[at];
         if (target === undefined) {
@@ -363,7 +381,7 @@
         await Promise.all(this.instances.map(instance => instance.process.exited));
         await this.agent.destroy();
         const proxies = [...this.storeProxies, ...this.callerProxies, ...this.targetProxies];
-        await Promise.all([...this.targets, this.store, ...proxies].map(part => part.close()));
+        await Promise.all([...this.targets, this.store, ...proxies, ...this.targetLinks].map(part => part.close()));
     }
 
     private startProcess(name: string, settingsFile: string): RigProcess {
--- a/packages/stand-ins/src/common/listener.ts
+++ b/packages/stand-ins/src/common/listener.ts
@@ -29,6 +29,11 @@
         return this.bound;
     }
 
+    /** Refuses new connections until the next open; open ones go on. */
+    refuse(): void {
+        this.server.close();
+    }
+
     /** Destroys all connections; new ones are refused until the next open. */
     async close(): Promise<void> {
         if (!this.server.listening) {
--- a/packages/stand-ins/src/fault-proxy/fault-proxy.ts
+++ b/packages/stand-ins/src/fault-proxy/fault-proxy.ts
@@ -19,7 +19,7 @@
 
 /** A TCP proxy that injects faults. */
 export class FaultProxy {
-    private readonly target: Address;
+    private target: Address;
     private readonly faultSwitch = new FaultSwitch();
     private readonly connections = new Set<ProxyConnection>();
     /** The last connection from each port of clients. */
@@ -68,13 +68,23 @@
         }
     }
 
-    /** Changes the named faults and leaves the others. */
-    async setFaults(change: Partial<ProxyFaults>): Promise<void> {
+    /** Carries new connections to another address. */
+    redirect(target: Address): void {
+        this.target = target;
+    }
+
+    /** Refuses new connections until the faults are set again; open ones go on. */
+    refuseNew(): void {
+        this.main.refuse();
+    }
+
+    /** Changes the named faults and leaves the others; new connections are taken again unless they are cut or refused. */
+    async setFaults(change: Partial<ProxyFaults>, takesNew = true): Promise<void> {
         this.faultSwitch.set({ ...this.faultSwitch.current, ...change });
         if (this.faults.mode === "cut") {
             await this.closeMain();
         }
-        else {
+        else if (takesNew) {
             await this.main.open();
         }
     }
--- a/packages/stand-ins/src/platform/platform-store-stand-in.ts
+++ b/packages/stand-ins/src/platform/platform-store-stand-in.ts
@@ -18,6 +18,19 @@
 
 const PAGE_ITEMS = 500;
 
+/** Changes a value, in base64, for the callers of a view. */
+export type RewriteValue = (key: string, value: string) => string;
+
+const keepValue: RewriteValue = (_key, value) => value;
+
+const rewriteItem = <T extends { readonly key: string; readonly value: string; }>(
+    item: T,
+    rewrite: RewriteValue,
+): T => ({
+    ...item,
+    value: rewrite(item.key, item.value),
+});
+
 /** The store of the users' platform, by its published protocol. */
 export class PlatformStoreStandIn {
     readonly items = new StoreItems();
@@ -25,18 +38,27 @@
     /** Calls by kind. */
     readonly calls = new Map<string, number>();
     private server: JsonServer | undefined;
+    private readonly views: JsonServer[] = [];
     /** Rises by one with each restart from an older copy. */
     private era = 1;
 
     /** Listens on a free port; returns IP:PORT. */
     async start(): Promise<string> {
-        this.server = await startJsonServer((req, res) => this.answer(req, res));
+        this.server = await startJsonServer((req, res) => this.answer(req, res, keepValue));
         return `${this.server.address.host}:${this.server.address.port}`;
     }
 
+    /** Listens on one more free port, on which values are read with a change; returns IP:PORT. */
+    async openView(rewrite: RewriteValue): Promise<string> {
+        const view = await startJsonServer((req, res) => this.answer(req, res, rewrite));
+        this.views.push(view);
+        return `${view.address.host}:${view.address.port}`;
+    }
+
     /** Stops listening. */
     async close(): Promise<void> {
-        await this.server?.close();
+        const servers = [this.server, ...this.views].filter(server => server !== undefined);
+        await Promise.all(servers.map(server => server.close()));
     }
 
     /** Ends all faults. */
@@ -46,7 +68,7 @@
 
     /** Cuts all connections; new ones are accepted. */
     cutConnections(): void {
-        this.server?.cutConnections();
+        [this.server, ...this.views].forEach(server => server?.cutConnections());
     }
 
     /** Continues from an older copy; what was written since is lost. */
@@ -70,7 +92,7 @@
         this.items.apply({ expectedRevision: [], puts: [], remove: [key] });
     }
 
-    private async answer(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    private async answer(req: IncomingMessage, res: ServerResponse, rewrite: RewriteValue): Promise<void> {
         res.setHeader("Store-Era", String(this.era));
         const url = new URL(req.url ?? "/", "http://store");
         const body = parseJson(await readText(req));
@@ -84,11 +106,11 @@
         }
         switch (url.pathname) {
             case "/ospreyreel/kv-key":
-                return this.answerKey(url, res);
+                return this.answerKey(url, res, rewrite);
             case "/ospreyreel/kv-range":
-                return this.answerRange(url, res);
+                return this.answerRange(url, res, rewrite);
             case "/ospreyreel/kv-watch":
-                return await this.answerWatch(url, res);
+                return await this.answerWatch(url, res, rewrite);
             case "/ospreyreel/kv-txn":
                 return this.answerTxn(body as StoreTxn, res);
             default:
@@ -96,19 +118,20 @@
         }
     }
 
-    private answerKey(url: URL, res: ServerResponse): void {
+    private answerKey(url: URL, res: ServerResponse, rewrite: RewriteValue): void {
         const item = this.items.get(url.searchParams.get("key") ?? "");
-        sendJson(res, item === undefined ? 404 : 200, { ...item, at: this.items.revision });
+        const shown = item === undefined ? {} : rewriteItem(item, rewrite);
+        sendJson(res, item === undefined ? 404 : 200, { ...shown, at: this.items.revision });
     }
 
-    private answerRange(url: URL, res: ServerResponse): void {
+    private answerRange(url: URL, res: ServerResponse, rewrite: RewriteValue): void {
         const after = url.searchParams.get("after") ?? "";
         const all = this.items.range(url.searchParams.get("prefix") ?? "").filter(item => item.key > after);
-        const items = all.slice(0, PAGE_ITEMS);
+        const items = all.slice(0, PAGE_ITEMS).map(item => rewriteItem(item, rewrite));
         sendJson(res, 200, { items, hasMore: all.length > items.length, at: this.items.revision });
     }
 
-    private async answerWatch(url: URL, res: ServerResponse): Promise<void> {
+    private async answerWatch(url: URL, res: ServerResponse, rewrite: RewriteValue): Promise<void> {
         const prefix = url.searchParams.get("prefix") ?? "";
         const after = Number(url.searchParams.get("after"));
         const endsAtMs = performance.now() + Number(url.searchParams.get("waitMs"));
@@ -120,7 +143,8 @@
         if (this.faults.silent) {
             return;
         }
-        sendJson(res, events === undefined ? 410 : 200, { events, at: this.items.revision });
+        const shown = events?.map(event => "value" in event ? rewriteItem(event, rewrite) : event);
+        sendJson(res, events === undefined ? 410 : 200, { events: shown, at: this.items.revision });
     }
 
     private waitForChange(ms: number): Promise<void> {
