Send through a peer where an instance is cut off from a target

What callers saw: instances without links to targets answered 503 noTarget to most or all of their callers, while the other instances served theirs. Cause: an instance tried nothing but its own connections; one refused connection ejected a target though open ones to it worked; hanging connections were waited for until the request's time was over. Lost requests at such an instance also reported sound targets as crashed. Why it works: only the send is forwarded, so that admission, budget, permits, retries and time stay where they were, and a peer sends directly only. not_sent is said only of what the target has not received.

--- a/packages/relay/src/instance/relay-instance.ts
+++ b/packages/relay/src/instance/relay-instance.ts
@@ -5,7 +5,6 @@
 import { DocumentFollower } from "../document/document-follower.js";
 import { DocumentHolder } from "../document/document-holder.js";
 import { HttpCallerPort } from "../http/http-caller-port.js";
-import { HttpTargetPort } from "../http/http-target-port.js";
 import { StatusPort, type StatusPortResponse } from "../http/status-port.js";
 import { FleetSendPermits } from "../limits/fleet-send-permits.js";
 import { AffinityPlacement } from "../policy/affinity-placement.js";
@@ -37,6 +36,7 @@
 import { getTargetView, type RelayState } from "./relay-state.js";
 import { ResponsibleInstances } from "./responsible-instances.js";
 import { startOverloadWatch } from "./start-overload-watch.js";
+import { TargetSending } from "./target-sending.js";
 import { waitUntilDrained } from "./wait-until-drained.js";
 
 /**
@@ -77,7 +77,7 @@
     private readonly shares: FleetShares;
     private readonly kv: BreakerKvClient;
     private readonly watch: KvClient["watch"];
-    private readonly targetPort: HttpTargetPort;
+    private readonly sending: TargetSending;
     private readonly callerPort: HttpCallerPort;
     private readonly statusPorts: readonly StatusPort[];
     private readonly follower: TargetFollower;
@@ -113,9 +113,9 @@
             log: this.log,
             getPauseMs: () => this.shares.watchPauseMs,
         });
-        this.targetPort = new HttpTargetPort(adapter.targetProtocol);
         this.roster = new FleetRoster({ hub });
         this.shares = new FleetShares({ roster: this.roster, documents: this.documents, retries: cfg.retries });
+        this.sending = this.createSending();
         const fleetKv = new PeerKvClient({ own: this.kv, hub });
         fleetKv.serve();
         this.budgets = new FleetBudgets({
@@ -132,31 +132,14 @@
         this.decisions = new DecisionStore({ kv: this.kv, log: this.log });
         this.parts = new PartQuarantine({
             hub,
-            crashes: new ConnectCrashCheck(),
+            crashes: new ConnectCrashCheck({
+                isReachedByPeers: target => this.sending.paths.recordUnreachable(target),
+            }),
             log: this.log,
             count: name => this.metrics.add(name),
             onDecision: decision => void this.decisions.save(decision),
         });
-        this.relay = new Relay({
-            documents: this.documents,
-            selector: new TargetSelector({
-                directory: this.directory,
-                placement: new AffinityPlacement(),
-                availabilityZone: cfg.availabilityZone,
-                getConnectionLimit: service => this.shares.getConnectionLimit(service),
-            }),
-            port: this.targetPort,
-            budgets: new FleetBudgetGate(this.budgets),
-            getRetries: service => this.shares.getRetries(service),
-            overload: this.overload,
-            freshness: this.freshness,
-            permits: this.permits,
-            origins: this.origins,
-            parts: this.parts,
-            log: this.log,
-            meter: this.metrics,
-            random: Math.random,
-        });
+        this.relay = this.createRelay();
         this.callerPort = new HttpCallerPort({
             ...parseAddress(cfg.callers),
             protocol: adapter.callerProtocol,
@@ -201,7 +184,10 @@
             kvAvailable: this.health.isAvailable,
             openRequests: this.relay.openRequests,
             peers: this.hub.peers(),
-            targets: this.directory.list().map(getTargetView),
+            targets: this.directory.list().map(state =>
+                getTargetView(state, this.sending.paths.isDirect(state.target))
+            ),
+            forwardedSends: this.sending.forwardedSends.size,
             budgets: this.budgets.list(),
             quarantine: this.parts.view,
             versions: this.versions.services.map(service => ({ service, versions: this.versions.list(service) })),
@@ -225,6 +211,41 @@
         return this.stopping === undefined && this.documents.current() !== undefined && this.follower.isSynced;
     }
 
+    private createSending(): TargetSending {
+        return new TargetSending({
+            protocol: this.adapter.targetProtocol,
+            hub: this.hub,
+            directory: this.directory,
+            isAccepting: () => this.stopping === undefined && !this.overload.isRefusing,
+            getConnectionLimit: service => this.shares.getConnectionLimit(service),
+            log: this.log,
+            count: name => this.metrics.add(name),
+        });
+    }
+
+    private createRelay(): Relay {
+        return new Relay({
+            documents: this.documents,
+            selector: new TargetSelector({
+                directory: this.directory,
+                placement: new AffinityPlacement(),
+                availabilityZone: this.cfg.availabilityZone,
+                getConnectionLimit: service => this.shares.getConnectionLimit(service),
+            }),
+            port: this.sending.port,
+            budgets: new FleetBudgetGate(this.budgets),
+            getRetries: service => this.shares.getRetries(service),
+            overload: this.overload,
+            freshness: this.freshness,
+            permits: this.permits,
+            origins: this.origins,
+            parts: this.parts,
+            log: this.log,
+            meter: this.metrics,
+            random: Math.random,
+        });
+    }
+
     private createPermits(): FleetSendPermits {
         return new FleetSendPermits({
             hub: this.hub,
@@ -289,7 +310,7 @@
     private async open(): Promise<void> {
         const { cfg, documents, hub, log } = this;
         documents.onChange(() => this.callerPort.updateBounds());
-        this.directory.onChange(() => this.targetPort.keepOnly(this.directory.list().map(state => state.target)));
+        this.directory.onChange(() => this.sending.port.keepOnly(this.directory.list().map(state => state.target)));
         this.health.onChange(available =>
             log.write(available ? "KV service available again" : "KV service lost", { silentMs: this.health.silentMs })
         );
@@ -304,6 +325,7 @@
         this.follower.start();
         this.budgets.serve();
         this.permits.serve();
+        this.sending.serve();
         this.origins.serve();
         this.directory.onChange(() => this.origins.shareMixed());
         void this.versionRecord.run();
@@ -346,7 +368,7 @@
         this.hub.updateSelf({ state: "leaving" });
         this.callerPort.drain();
         void this.releaseBudgets();
-        await waitUntilDrained(window, () => this.callerPort.openExchanges);
+        await waitUntilDrained(window, () => this.callerPort.openExchanges + this.sending.forwardedSends.size);
         const openRequests = this.relay.expireOpenRequests();
         const unsentResponses = await this.callerPort.close(stopMs * FLUSH_TIME_SHARE);
         log.write("instance stopped", {
--- a/packages/relay/src/instance/relay-state.ts
+++ b/packages/relay/src/instance/relay-state.ts
@@ -15,6 +15,8 @@
     readonly firstByteMs: number | undefined;
     /** Requests a second that it takes from all instances together; undefined where it names no limit. */
     readonly limitPerS: number | undefined;
+    /** Whether this instance sends to it itself, and not through peers. */
+    readonly isDirect: boolean;
 }
 
 /** State dump of an instance, for operators. */
@@ -30,6 +32,8 @@
     /** Budgets that this instance owns. */
     readonly budgets: readonly BudgetView[];
     readonly quarantine: QuarantineView;
+    /** Number of sends that this instance makes for peers. */
+    readonly forwardedSends: number;
     /** Versions at which streams that are resumed now may have begun. */
     readonly versions: readonly { readonly service: string; readonly versions: readonly string[]; }[];
     /** Number of streams whose origins are kept here. */
@@ -37,7 +41,10 @@
 }
 
 /** Returns a target's entry in the state dump. */
-export const getTargetView = ({ target, inFlight, health, limit }: TargetState): TargetView => ({
+export const getTargetView = (
+    { target, inFlight, health, limit }: TargetState,
+    isDirect: boolean,
+): TargetView => ({
     id: target.id,
     service: target.service,
     version: target.version,
@@ -46,4 +53,5 @@
     errorShare: health.errorShare,
     firstByteMs: health.firstByteMs,
     limitPerS: limit.perS,
+    isDirect,
 });
--- a/packages/relay/src/limits/fleet-send-permits.ts
+++ b/packages/relay/src/limits/fleet-send-permits.ts
@@ -12,7 +12,7 @@
 /** Options of {@link FleetSendPermits}. */
 export interface FleetSendPermitsOptions {
     readonly hub: PeerHub;
-    readonly directory: Pick<TargetDirectory, "list">;
+    readonly directory: Pick<TargetDirectory, "list" | "findStart">;
     /** Share of the fleet that is in contact with this instance, itself included; 0 to 1. */
     readonly getReachableShare: () => number;
     readonly log: RelayLog;
@@ -141,7 +141,7 @@
     }
 
     private receive(sighting: TargetLimitSighting, source: string): void {
-        const state = this.opts.directory.list().find(({ target }) => getStartKey(target) === sighting.target);
+        const state = this.opts.directory.findStart(sighting.target);
         if (state !== undefined) {
             this.applyLocally(state, sighting, source);
         }
--- /dev/null
+++ b/packages/relay/src/paths/forwarded-sends.ts
@@ -0,0 +1,192 @@
+import type { PeerHub } from "@ospreyreel/peer";
+import type { ForwardedBody, ForwardedHead, ForwardedSend, InstanceInfo } from "@ospreyreel/types";
+import type { RelayLog } from "../relay-log.js";
+import type { RelayRequest } from "../relay-request.js";
+import type { TargetDirectory } from "../targets/target-directory.js";
+import type { TargetOutcome, TargetPort } from "../targets/target-port.js";
+import type { TargetState } from "../targets/target-state.js";
+import type { TargetPaths } from "./target-paths.js";
+
+/** Options of {@link ForwardedSends}. */
+export interface ForwardedSendsOptions {
+    readonly hub: PeerHub;
+    readonly directory: Pick<TargetDirectory, "findStart">;
+    readonly paths: Pick<TargetPaths, "isDirect">;
+    /** Sends on connections of this instance only, so that no send is forwarded twice. */
+    readonly direct: TargetPort;
+    /** Whether this instance may send for peers: it neither leaves nor has too much to do for its own callers. */
+    readonly isAccepting: () => boolean;
+    /** Maximum number of this instance's connections to one target of a service. */
+    readonly getConnectionLimit: (service: string) => number;
+    readonly log: RelayLog;
+    /** Adds one to a counter. */
+    readonly count: (name: string) => void;
+}
+
+/** Time beyond the request's own in which its sender may take a part of a response, in milliseconds. */
+const PART_MARGIN_MS = 1_000;
+
+/** One send that this instance makes for a peer. */
+interface RunningSend {
+    readonly from: string;
+    readonly controller: AbortController;
+}
+
+/**
+ * Sends of peers that are cut off from targets. The sender keeps the request's budget, time, retries and permits; this
+ * instance only lends its connection, by what it knows of the target itself.
+ */
+export class ForwardedSends {
+    private readonly running = new Map<string, RunningSend>();
+
+    constructor(private readonly opts: ForwardedSendsOptions) {}
+
+    /** Number of sends in progress. */
+    get size(): number {
+        return this.running.size;
+    }
+
+    /** Starts accepting sends of peers. */
+    serve(): void {
+        const { hub } = this.opts;
+        hub.handle("sends.forward", (req, from) => this.forward(req, from));
+        hub.handle("sends.cancel", ({ send }, { incarnation }) => {
+            this.running.get(`${incarnation}/${send}`)?.controller.abort();
+            return Promise.resolve({});
+        });
+        void hub.changes().observe(({ kind, info }) => {
+            if (kind === "lost") {
+                [...this.running.values()].filter(({ from }) => from === info.incarnation)
+                    .forEach(({ controller }) => controller.abort());
+            }
+        });
+    }
+
+    private async forward(req: ForwardedSend, from: InstanceInfo): Promise<ForwardedHead> {
+        const state = this.opts.directory.findStart(req.target);
+        const refusal = this.getRefusal(state);
+        if (state === undefined || refusal !== undefined) {
+            return { kind: "not_sent", cause: refusal ?? "the target is not known here" };
+        }
+        this.opts.count("forwarded_sends");
+        const controller = new AbortController();
+        const timer = setTimeout(() => controller.abort(), req.leftMs);
+        const key = `${from.incarnation}/${req.send}`;
+        this.running.set(key, { from: from.incarnation, controller });
+        state.inFlight += 1;
+        const end = (): void => {
+            clearTimeout(timer);
+            this.running.delete(key);
+            state.inFlight -= 1;
+        };
+        const outcome = await this.opts.direct.send({
+            req: toRelayRequest(req),
+            target: state.target,
+            team: req.team,
+            leftMs: req.leftMs,
+            urgency: req.urgency,
+            afterEvent: req.afterEvent,
+            isRepeatable: req.isRepeatable,
+            signal: controller.signal,
+            mayStart: () => !state.target.leaving,
+        });
+        if (outcome.kind === "answer") {
+            void this.passBody(outcome.body, req, from).finally(end);
+        }
+        else {
+            end();
+        }
+        return toHead(outcome);
+    }
+
+    private getRefusal(state: TargetState | undefined): string | undefined {
+        const { paths, isAccepting, getConnectionLimit } = this.opts;
+        if (state === undefined || state.target.leaving) {
+            return "the target is not known here, or leaves";
+        }
+        if (!paths.isDirect(state.target)) {
+            return "the peer is cut off from the target as well";
+        }
+        return !isAccepting() || state.inFlight >= getConnectionLimit(state.target.service)
+            ? "the peer has no room for sends of others"
+            : undefined;
+    }
+
+    /** Passes a body on in order, no faster than the sender takes it. Does not throw. */
+    private async passBody(
+        body: AsyncIterable<Buffer>,
+        { send, leftMs }: ForwardedSend,
+        from: InstanceInfo,
+    ): Promise<void> {
+        const pass = async (part: Omit<ForwardedBody, "send">): Promise<boolean> => {
+            const { incarnation } = from;
+            const res = await this.opts.hub.request(
+                incarnation,
+                "sends.body",
+                { send, ...part },
+                leftMs + PART_MARGIN_MS,
+            );
+            return res.isWanted;
+        };
+        try {
+            const cause = await this.passChunks(body, chunk => pass({ chunk, end: undefined }));
+            await pass({ chunk: undefined, end: { cause } });
+        }
+        catch (err) {
+            this.opts.log.write("response not forwarded", { peer: from.instance, cause: String(err) });
+        }
+    }
+
+    /** Returns why the body broke off; undefined where it is complete. Throws where the sender is not reached. */
+    private async passChunks(
+        body: AsyncIterable<Buffer>,
+        pass: (chunk: Buffer) => Promise<boolean>,
+    ): Promise<string | undefined> {
+        const chunks = body[Symbol.asyncIterator]();
+        for (;;) {
+            let next: IteratorResult<Buffer>;
+            try {
+                next = await chunks.next();
+            }
+            catch (err) {
+                return err instanceof Error ? err.message : String(err);
+            }
+            if (next.done === true) {
+                return undefined;
+            }
+            if (!await pass(next.value)) {
+                await chunks.return?.();
+                return "the response is not wanted any more";
+            }
+        }
+    }
+}
+
+const toRelayRequest = ({ id, host, method, path, headers, body }: ForwardedSend): RelayRequest => ({
+    id,
+    host,
+    method,
+    path,
+    headers,
+    body: Buffer.from(body),
+    teamKey: undefined,
+    waitsMs: undefined,
+    arrivedAtMs: performance.now(),
+    generation: undefined,
+    lastEventId: undefined,
+    resumes: undefined,
+});
+
+const toHead = (outcome: TargetOutcome): ForwardedHead => {
+    switch (outcome.kind) {
+        case "not_sent":
+        case "failed":
+            return outcome;
+        case "not_run":
+            return { kind: "not_run", reason: outcome.reason, notes: { limit: outcome.limit } };
+        case "answer": {
+            const { status, headers, isFramed } = outcome.head;
+            return { kind: "answer", status, headers, isFramed, notes: { limit: outcome.limit } };
+        }
+    }
+};
--- /dev/null
+++ b/packages/relay/src/paths/forwarding-target-port.test.ts
@@ -0,0 +1,167 @@
+import test from "ava";
+import { setTimeout as sleep } from "node:timers/promises";
+import { createAnswer, PathFleet, type PathMember, TARGET } from "../fixtures/path-fleet.js";
+import { ConnectCrashCheck } from "../quarantine/connect-crash-check.js";
+
+/** Time in which a cut instance tries its own connection again, in milliseconds. */
+const RESTORE_MS = 2_000;
+
+const start = (count = 3) => {
+    const fleet = new PathFleet(count);
+    const [cut, second, third] = fleet.members;
+    if (cut === undefined || second === undefined || third === undefined) {
+        throw new Error("no instances");
+    }
+    cut.direct.isCut = true;
+    return { fleet, cut, second, third };
+};
+
+const countCalls = (members: readonly PathMember[]): number =>
+    members.reduce((sum, { direct }) => sum + direct.calls.length, 0);
+
+test("a request at an instance that is cut off from its target is sent once, by a peer", async t => {
+    const { fleet, cut } = start();
+    const { text, outcome } = await fleet.send(cut, { team: "team-1", afterEvent: 4 });
+    t.is(text, "whole");
+    t.like(outcome, { kind: "answer", head: { status: 200 } });
+    t.is(countCalls(fleet.members), 1);
+    const call = fleet.members.flatMap(({ direct }) => direct.calls)[0];
+    t.like(call, { team: "team-1", afterEvent: 4, isRepeatable: true });
+});
+
+test("instances that are all cut off do not pass a request to and fro", async t => {
+    const { fleet, cut, second, third } = start();
+    second.direct.isCut = true;
+    third.direct.isCut = true;
+    const { outcome } = await fleet.send(cut);
+    t.is(outcome.kind, "not_sent");
+    t.is(countCalls(fleet.members), 0);
+});
+
+test("a peer that is cut off as well is left out for one that is not", async t => {
+    const { fleet, cut, second } = start();
+    second.direct.isCut = true;
+    for (let count = 0; count < 5; count++) {
+        t.is((await fleet.send(cut)).text, "whole");
+    }
+});
+
+test("a crashed target is not taken for one that only this instance cannot reach", async t => {
+    const { fleet, cut, second, third } = start();
+    fleet.hasCrashed = true;
+    second.direct.isCut = true;
+    third.direct.isCut = true;
+    t.is((await fleet.send(cut)).outcome.kind, "not_sent");
+    t.true(cut.paths.isDirect(TARGET));
+});
+
+test("an instance that is cut off does not report its targets as crashed", async t => {
+    const { cut } = start();
+    const refused = { ...TARGET, port: 1 };
+    cut.directory.put(refused);
+    const check = new ConnectCrashCheck({ isReachedByPeers: target => cut.paths.recordUnreachable(target) });
+    t.false(await check.hasCrashed(refused));
+});
+
+test("a request that may run once is not sent again when the peer that sent it is lost", async t => {
+    const { fleet, cut, second, third } = start();
+    [second, third].forEach(({ direct }) => {
+        direct.answer = () => new Promise(() => undefined);
+    });
+    const sending = fleet.send(cut, { isRepeatable: false, leftMs: 50 });
+    await sleep(20);
+    const sender = [second, third].find(({ direct }) => direct.calls.length > 0);
+    t.not(sender, undefined);
+    if (sender !== undefined) {
+        fleet.kill(sender);
+    }
+    t.is((await sending).outcome.kind, "failed");
+    t.is(countCalls([second, third]), 1);
+});
+
+test("a response that breaks off at the peer breaks off for the caller", async t => {
+    const { fleet, cut, second, third } = start();
+    [second, third].forEach(({ direct }) => {
+        direct.answer = () => createAnswer(["a", "b"], new Error("reset"));
+    });
+    t.like(await fleet.send(cut), { text: "ab", cause: "reset" });
+});
+
+test("a response whose peer is lost breaks off for the caller", async t => {
+    const { fleet, cut, second, third } = start();
+    [second, third].forEach(({ direct }) => {
+        direct.answer = () => {
+            const answer = createAnswer([]);
+            const body = async function*(): AsyncGenerator<Buffer> {
+                yield Buffer.from("a");
+                await new Promise(() => undefined);
+            };
+            return answer.kind === "answer" ? { ...answer, body: body() } : answer;
+        };
+    });
+    const sending = fleet.send(cut);
+    await sleep(20);
+    const sender = [second, third].find(({ direct }) => direct.calls.length > 0);
+    if (sender !== undefined) {
+        fleet.kill(sender);
+    }
+    t.like(await sending, { text: "a", cause: "the peer that forwards the response was lost" });
+});
+
+test("a peer ends its send when the caller has left", async t => {
+    const { fleet, cut, second, third } = start();
+    [second, third].forEach(({ direct }) => {
+        direct.answer = call =>
+            new Promise(resolve => {
+                call.signal.addEventListener("abort", () => resolve({ kind: "failed", cause: "aborted" }));
+            });
+    });
+    const caller = new AbortController();
+    const sending = fleet.send(cut, { signal: caller.signal, leftMs: 5_000 });
+    await sleep(20);
+    caller.abort();
+    t.is((await sending).outcome.kind, "failed");
+    await sleep(20);
+    t.is(second.forwardedSends.size + third.forwardedSends.size, 0);
+});
+
+test("a target that leaves gets nothing through a peer that knows it", async t => {
+    const { fleet, cut, second, third } = start();
+    await fleet.send(cut);
+    [second, third].forEach(({ directory }) => directory.markLeaving(TARGET.id));
+    t.is((await fleet.send(cut)).outcome.kind, "not_sent");
+    t.is(countCalls(fleet.members), 1);
+});
+
+test("a peer that leaves, or has too much to do, sends nothing for others", async t => {
+    const { fleet, cut, second, third } = start();
+    second.isAccepting = false;
+    for (let count = 0; count < 5; count++) {
+        t.is((await fleet.send(cut)).text, "whole");
+    }
+    t.is(countCalls([second]), 0);
+    t.is(countCalls([third]), 5);
+});
+
+test("an instance uses its own connections again after the cut", async t => {
+    const { fleet, cut } = start();
+    await fleet.send(cut);
+    t.false(cut.paths.isDirect(TARGET));
+    cut.direct.isCut = false;
+    await sleep(RESTORE_MS);
+    t.true(cut.paths.isDirect(TARGET));
+    await fleet.send(cut);
+    t.is(cut.direct.calls.length, 1);
+});
+
+test("failures from before a cut was noticed do not eject the target that peers reach", async t => {
+    const { fleet, cut } = start();
+    const [state] = cut.directory.list();
+    const sentAtMs = performance.now();
+    await fleet.send(cut);
+    for (let count = 0; count < 5; count++) {
+        state?.health.recordFailure(performance.now(), sentAtMs);
+        state?.health.recordUnreachable(performance.now(), sentAtMs);
+    }
+    t.true(state?.health.isUsable(performance.now()));
+});
--- a/packages/relay/src/relay-attempts.ts
+++ b/packages/relay/src/relay-attempts.ts
@@ -152,7 +152,7 @@
         switch (outcome.kind) {
             case "not_sent":
                 if (this.request.clock.endReason === undefined && !state.target.leaving) {
-                    state.health.recordUnreachable(performance.now());
+                    state.health.recordUnreachable(performance.now(), this.sentAtMs);
                 }
                 this.logSend(state, outcome.kind, outcome.cause);
                 this.failedConnects += 1;
@@ -181,7 +181,7 @@
         if (this.request.clock.endReason !== undefined) {
             return { kind: "end", end: this.expireRequest() };
         }
-        state.health.recordFailure(performance.now());
+        state.health.recordFailure(performance.now(), this.sentAtMs);
         this.logSend(state, "failed", cause);
         const isSafe = this.recordLoss(state);
         if (this.canRepeat() && await isSafe) {
--- a/packages/relay/src/targets/target-directory.ts
+++ b/packages/relay/src/targets/target-directory.ts
@@ -1,6 +1,6 @@
 import { NameScores } from "@ospreyreel/peer";
 import { TargetState } from "./target-state.js";
-import type { Target } from "./target.js";
+import { getStartKey, type Target } from "./target.js";
 
 /** Targets of one service that accept new requests, with their rendezvous scores. */
 export interface ServiceTargets {
@@ -22,6 +22,11 @@
         return [...this.states.values()];
     }
 
+    /** One start of a target, by its name; undefined where it is not announced. */
+    findStart(startKey: string): TargetState | undefined {
+        return this.list().find(({ target }) => getStartKey(target) === startKey);
+    }
+
     /** Targets of a service that accept new requests. */
     getServing(service: string): ServiceTargets {
         return this.byService.get(service) ?? NO_TARGETS;
--- a/packages/relay/src/targets/target-health.ts
+++ b/packages/relay/src/targets/target-health.ts
@@ -17,6 +17,7 @@
     private meanErrorShare = 0;
     private meanFirstByteMs: number | undefined;
     private fullUntilMs = 0;
+    private pathChangedAtMs = Number.NEGATIVE_INFINITY;
 
     /** Share of recent requests that failed, 0 to 1. */
     get errorShare(): number {
@@ -47,8 +48,11 @@
         this.meanFirstByteMs = previousMs + NEWEST_WEIGHT * (firstByteMs - previousMs);
     }
 
-    /** Records a send without a usable response. */
-    recordFailure(nowMs: number): void {
+    /** Records a send without a usable response; monotonic times of its failure and its start, in milliseconds. */
+    recordFailure(nowMs: number, sentAtMs: number): void {
+        if (sentAtMs < this.pathChangedAtMs) {
+            return;
+        }
         this.consecutiveFailures += 1;
         this.meanErrorShare += NEWEST_WEIGHT * (1 - this.meanErrorShare);
         if (this.consecutiveFailures >= FAILURES_TO_EJECT) {
@@ -58,9 +62,18 @@
     }
 
     /** Records that a connection was refused or timed out. */
-    recordUnreachable(nowMs: number): void {
-        this.consecutiveFailures = Math.max(this.consecutiveFailures, FAILURES_TO_EJECT - 1);
-        this.recordFailure(nowMs);
+    recordUnreachable(nowMs: number, sentAtMs: number): void {
+        if (sentAtMs >= this.pathChangedAtMs) {
+            this.consecutiveFailures = Math.max(this.consecutiveFailures, FAILURES_TO_EJECT - 1);
+            this.recordFailure(nowMs, sentAtMs);
+        }
+    }
+
+    /** Records that the target is reached in another way; failures of earlier sends say nothing about it any more. */
+    recordPathChange(nowMs: number): void {
+        this.pathChangedAtMs = nowMs;
+        this.consecutiveFailures = 0;
+        this.ejectedUntilMs = 0;
     }
 
     /** Records that the target reported to be full. */
--- a/packages/types/src/peer-requests.ts
+++ b/packages/types/src/peer-requests.ts
@@ -268,6 +268,55 @@
     readonly stream: string;
 }
 
+/** A send to a target that the sending instance cannot reach itself. */
+export interface ForwardedSend {
+    /** Number of the send, unique for the sending incarnation. */
+    readonly send: number;
+    /** Names one start of one target. */
+    readonly target: string;
+    readonly id: string;
+    readonly host: string;
+    readonly method: string;
+    /** Path with the query. */
+    readonly path: string;
+    readonly headers: readonly (readonly [string, string])[];
+    readonly body: Uint8Array;
+    readonly team: string | undefined;
+    /** Remaining time of the request, in milliseconds. */
+    readonly leftMs: number;
+    readonly urgency: number | undefined;
+    /** Id of the event after which the stream starts. */
+    readonly afterEvent: number | undefined;
+    readonly isRepeatable: boolean;
+}
+
+/** Head of a target's response to a forwarded send, or why there is none. */
+export type ForwardedHead =
+    /** The target has not received the request; another instance may be able to reach it. */
+    | { readonly kind: "not_sent"; readonly cause: string; }
+    | { readonly kind: "not_run"; readonly reason: "full" | "other_target"; readonly notes: ForwardedNotes; }
+    | { readonly kind: "failed"; readonly cause: string; }
+    | {
+        readonly kind: "answer";
+        readonly status: number;
+        readonly headers: readonly (readonly [string, string])[];
+        readonly isFramed: boolean;
+        readonly notes: ForwardedNotes;
+    };
+
+/** What a target said of itself in a response. */
+export interface ForwardedNotes {
+    readonly limit: { readonly perS: number | undefined; } | undefined;
+}
+
+/** A part of the response to a forwarded send, in order. */
+export interface ForwardedBody {
+    readonly send: number;
+    readonly chunk: Uint8Array | undefined;
+    /** Set in the last part: whether the response is complete, or why it broke off. */
+    readonly end: { readonly cause: string | undefined; } | undefined;
+}
+
 /** Requests between instances by kind, with the types of request and response. */
 export interface PeerRequests {
     readonly "copy.open": { readonly req: CopyOpenRequest; readonly res: CopyResponse; };
@@ -328,6 +377,17 @@
         readonly req: { readonly stream: string; };
         readonly res: { readonly origin: StreamOrigin | undefined; };
     };
+    /** Asks whether the receiver reaches a target, by the name of its start. */
+    readonly "targets.reach": {
+        readonly req: { readonly target: string; };
+        readonly res: { readonly isReachable: boolean; };
+    };
+    /** Sends a request to a target for an instance that cannot reach it; the body follows in requests to that instance. */
+    readonly "sends.forward": { readonly req: ForwardedSend; readonly res: ForwardedHead; };
+    /** Passes a part of a response on; the response tells whether the rest is wanted, once there is room for it. */
+    readonly "sends.body": { readonly req: ForwardedBody; readonly res: { readonly isWanted: boolean; }; };
+    /** Ends a forwarded send whose response nobody needs any more; the response is empty. */
+    readonly "sends.cancel": { readonly req: { readonly send: number; }; readonly res: Record<string, never>; };
     /** Reports accusations to a collector; the response has the number of crashes that speak against each part. */
     readonly "parts.accuse": {
         readonly req: { readonly accusations: readonly PartAccusation[]; };
