Send nothing to a target that says in its answers that it leaves

Cause: only a target's entry told that it leaves. Change: responses carry notes of their target beside the limit; the instance that gets one leaves the target out, before it passes the answer on, and tells peers as for entries. A peer that sends for another instance does the same.

--- /dev/null
+++ b/packages/bench/src/platform/target-notes.test.ts
@@ -0,0 +1,43 @@
+import test from "ava";
+import { setTimeout as sleep } from "node:timers/promises";
+import { type CallerAnswer, PlatformFleet } from "./platform-fleet.js";
+
+const HTTP_OK = 200;
+
+/** Time after an answer that says so from which a leaving target gets nothing more, in milliseconds; `drainMs`. */
+const DRAIN_MS = 2_000;
+
+const RUN_MS = 1_500;
+const ASK_INTERVAL_MS = 20;
+
+/** Asks the instances in turn at an interval. */
+const askAll = async (fleet: PlatformFleet, runMs: number): Promise<readonly CallerAnswer[]> => {
+    const endsAtMs = performance.now() + runMs;
+    const answers: Promise<CallerAnswer>[] = [];
+    for (let index = 0; performance.now() < endsAtMs; index++) {
+        const instance = fleet.instances[index % fleet.instances.length];
+        if (instance !== undefined) {
+            answers.push(fleet.ask(instance, 60, { "prompt-prefix": `a${index}:20,b${index}:20` }));
+        }
+        await sleep(ASK_INTERVAL_MS);
+    }
+    return await Promise.all(answers);
+};
+
+test.serial("a target that says in its answers that it leaves gets no requests afterwards", async t => {
+    const fleet = await PlatformFleet.start({ prepaid: 10_000_000 });
+    t.teardown(() => fleet.close());
+    const [leaving] = fleet.models;
+    if (leaving === undefined) {
+        t.fail("no target");
+        return;
+    }
+    leaving.isLeaving = true;
+    await askAll(fleet, RUN_MS);
+    t.true(leaving.ran.length > 0);
+    await sleep(DRAIN_MS);
+    const fromMs = performance.now();
+    const answers = await askAll(fleet, RUN_MS);
+    t.is(leaving.ran.filter(({ atMs }) => atMs >= fromMs).length, 0);
+    t.deepEqual(answers.filter(({ status }) => status !== HTTP_OK), []);
+});
--- a/packages/relay/src/http/target-call-handler.ts
+++ b/packages/relay/src/http/target-call-handler.ts
@@ -77,7 +77,7 @@
                     kind: "answer",
                     head: { status, headers: decoded.headers, isFramed: this.isFramed },
                     body: this.body,
-                    ...(decoded.limit === undefined ? {} : { limit: decoded.limit }),
+                    ...(decoded.notes === undefined ? {} : { notes: decoded.notes }),
                 });
                 break;
             case "not_run":
--- a/packages/relay/src/http/target-protocol.ts
+++ b/packages/relay/src/http/target-protocol.ts
@@ -1,4 +1,5 @@
-import type { NamedLimit, TargetCall } from "../targets/target-port.js";
+import type { TargetNotes } from "@ospreyreel/types";
+import type { TargetCall } from "../targets/target-port.js";
 
 /** Decoded head of a target's response. */
 export type TargetHead =
@@ -6,9 +7,9 @@
     | {
         readonly kind: "answer";
         readonly headers: readonly (readonly [string, string])[];
-        readonly limit?: NamedLimit;
+        readonly notes?: TargetNotes;
     }
-    | { readonly kind: "not_run"; readonly reason: "full" | "other_target"; readonly limit?: NamedLimit; }
+    | { readonly kind: "not_run"; readonly reason: "full" | "other_target"; readonly notes?: TargetNotes; }
     /** A response to another request, or one that does not follow the protocol. */
     | { readonly kind: "invalid"; readonly cause: string; };
 
--- a/packages/relay/src/instance/relay-instance.ts
+++ b/packages/relay/src/instance/relay-instance.ts
@@ -216,6 +216,7 @@
             protocol: this.adapter.targetProtocol,
             hub: this.hub,
             directory: this.directory,
+            onLeaving: target => this.follower.recordLeaving(target.id),
             isAccepting: () => this.stopping === undefined && !this.overload.isRefusing,
             getConnectionLimit: service => this.shares.getConnectionLimit(service),
             log: this.log,
--- a/packages/relay/src/instance/target-sending.ts
+++ b/packages/relay/src/instance/target-sending.ts
@@ -6,12 +6,16 @@
 import { TargetPaths } from "../paths/target-paths.js";
 import type { RelayLog } from "../relay-log.js";
 import type { TargetDirectory } from "../targets/target-directory.js";
+import { TargetNoteRecorder } from "../targets/target-note-recorder.js";
+import type { Target } from "../targets/target.js";
 
 /** Options of {@link TargetSending}. */
 export interface TargetSendingOptions {
     readonly protocol: TargetProtocol;
     readonly hub: PeerHub;
     readonly directory: TargetDirectory;
+    /** Called when a target has said in a response that it leaves. */
+    readonly onLeaving: (target: Target) => void;
     /** Whether this instance may send for peers. */
     readonly isAccepting: () => boolean;
     /** Maximum number of this instance's connections to one target of a service. */
@@ -31,8 +35,9 @@
         const direct = new HttpTargetPort(opts.protocol);
         this.paths = new TargetPaths(opts);
         const { paths } = this;
-        this.port = new ForwardingTargetPort({ ...opts, direct, paths });
-        this.forwardedSends = new ForwardedSends({ ...opts, direct, paths });
+        const notes = new TargetNoteRecorder(opts);
+        this.port = new ForwardingTargetPort({ ...opts, direct, paths, notes });
+        this.forwardedSends = new ForwardedSends({ ...opts, direct, paths, notes });
     }
 
     /** Starts responding to peers. */
--- a/packages/relay/src/limits/fleet-send-permits.test.ts
+++ b/packages/relay/src/limits/fleet-send-permits.test.ts
@@ -106,7 +106,7 @@
     const answer = { kind: "answer", head, body: Readable.from([]) } as const;
     const sentAtMs = fleet.nowMs;
     fleet.nowMs += 10;
-    member.permits.recordOutcome(state, { ...answer, limit: { perS: 2 } }, sentAtMs);
+    member.permits.recordOutcome(state, { ...answer, notes: { limit: { perS: 2 } } }, sentAtMs);
     fleet.nowMs += 10;
     member.permits.recordOutcome(state, answer, sentAtMs);
     t.is(state.limit.perS, 2);
@@ -129,7 +129,7 @@
     const member = getFirst(fleet);
     member.permits.recordOutcome(
         fleet.getState(member),
-        { kind: "not_run", reason: "full", limit: { perS: undefined } },
+        { kind: "not_run", reason: "full", notes: { limit: { perS: undefined } } },
         fleet.nowMs,
     );
     t.is(fleet.getState(member).limit.perS, 2);
--- a/packages/relay/src/limits/fleet-send-permits.ts
+++ b/packages/relay/src/limits/fleet-send-permits.ts
@@ -93,12 +93,13 @@
             return;
         }
         const { limit } = state;
-        if (outcome.limit !== undefined) {
-            if (outcome.limit.perS === undefined) {
+        const named = outcome.notes?.limit;
+        if (named !== undefined) {
+            if (named.perS === undefined) {
                 this.opts.log.write("target limit not readable", { target: state.target.id });
                 return;
             }
-            this.report(state, outcome.limit.perS);
+            this.report(state, named.perS);
             return;
         }
         const isOk = outcome.kind === "answer" && outcome.head.status >= HTTP_OK_FROM
--- a/packages/relay/src/paths/forwarded-calls.ts
+++ b/packages/relay/src/paths/forwarded-calls.ts
@@ -53,15 +53,10 @@
         if (head.kind !== "answer") {
             call.signal.removeEventListener("abort", abort);
             this.open.delete(send);
-            return toOutcome(head);
+            return head;
         }
-        const { status, headers, isFramed, notes: { limit } } = head;
-        return {
-            kind: "answer",
-            head: { status, headers, isFramed },
-            body: opened.body,
-            ...(limit === undefined ? {} : { limit }),
-        };
+        const { status, headers, isFramed, notes } = head;
+        return { kind: "answer", head: { status, headers, isFramed }, body: opened.body, notes };
     }
 
     private openCall(send: number, peer: string): OpenCall {
@@ -171,11 +166,3 @@
     afterEvent,
     isRepeatable,
 });
-
-const toOutcome = (head: Exclude<ForwardedHead, { readonly kind: "answer"; }>): TargetOutcome => {
-    if (head.kind !== "not_run") {
-        return head;
-    }
-    const { reason, notes: { limit } } = head;
-    return { kind: "not_run", reason, ...(limit === undefined ? {} : { limit }) };
-};
--- a/packages/relay/src/paths/forwarded-sends.ts
+++ b/packages/relay/src/paths/forwarded-sends.ts
@@ -3,6 +3,7 @@
 import type { RelayLog } from "../relay-log.js";
 import type { RelayRequest } from "../relay-request.js";
 import type { TargetDirectory } from "../targets/target-directory.js";
+import type { TargetNoteRecorder } from "../targets/target-note-recorder.js";
 import type { TargetOutcome, TargetPort } from "../targets/target-port.js";
 import type { TargetState } from "../targets/target-state.js";
 import type { TargetPaths } from "./target-paths.js";
@@ -12,6 +13,7 @@
     readonly hub: PeerHub;
     readonly directory: Pick<TargetDirectory, "findStart">;
     readonly paths: Pick<TargetPaths, "isDirect">;
+    readonly notes: Pick<TargetNoteRecorder, "record">;
     /** Sends on connections of this instance only, so that no send is forwarded twice. */
     readonly direct: TargetPort;
     /** Whether this instance may send for peers: it neither leaves nor has too much to do for its own callers. */
@@ -90,6 +92,7 @@
             signal: controller.signal,
             mayStart: () => !state.target.leaving,
         });
+        this.opts.notes.record(state.target, outcome);
         if (outcome.kind === "answer") {
             void this.passBody(outcome.body, req, from).finally(end);
         }
@@ -183,10 +186,10 @@
         case "failed":
             return outcome;
         case "not_run":
-            return { kind: "not_run", reason: outcome.reason, notes: { limit: outcome.limit } };
+            return { kind: "not_run", reason: outcome.reason, notes: outcome.notes ?? {} };
         case "answer": {
             const { status, headers, isFramed } = outcome.head;
-            return { kind: "answer", status, headers, isFramed, notes: { limit: outcome.limit } };
+            return { kind: "answer", status, headers, isFramed, notes: outcome.notes ?? {} };
         }
     }
 };
--- a/packages/relay/src/paths/forwarding-target-port.test.ts
+++ b/packages/relay/src/paths/forwarding-target-port.test.ts
@@ -133,6 +133,17 @@
     t.is(countCalls(fleet.members), 1);
 });
 
+test("a target that tells a peer that it leaves gets nothing more, from either instance", async t => {
+    const { fleet, cut, second, third } = start();
+    [second, third].forEach(({ direct }) => {
+        direct.answer = () => ({ kind: "not_run", reason: "full", notes: { isLeaving: true } });
+    });
+    await fleet.send(cut);
+    t.true(cut.directory.list()[0]?.target.leaving);
+    const sender = [second, third].find(({ direct }) => direct.calls.length > 0);
+    t.true(sender?.directory.list()[0]?.target.leaving);
+});
+
 test("a peer that leaves, or has too much to do, sends nothing for others", async t => {
     const { fleet, cut, second, third } = start();
     second.isAccepting = false;
--- a/packages/relay/src/paths/forwarding-target-port.ts
+++ b/packages/relay/src/paths/forwarding-target-port.ts
@@ -1,6 +1,7 @@
 import type { PeerHub } from "@ospreyreel/peer";
 import type { InstanceInfo } from "@ospreyreel/types";
 import type { RelayLog } from "../relay-log.js";
+import type { TargetNoteRecorder } from "../targets/target-note-recorder.js";
 import { type TargetCall, type TargetOutcome, TargetPort } from "../targets/target-port.js";
 import type { Target } from "../targets/target.js";
 import { ForwardedCalls } from "./forwarded-calls.js";
@@ -12,6 +13,7 @@
     /** Sends on connections of this instance. */
     readonly direct: TargetPort;
     readonly paths: TargetPaths;
+    readonly notes: Pick<TargetNoteRecorder, "record">;
     readonly hub: PeerHub;
     readonly log: RelayLog;
     /** Adds one to a counter. */
@@ -45,15 +47,9 @@
     }
 
     override async send(call: TargetCall): Promise<TargetOutcome> {
-        const { paths } = this.opts;
-        if (!paths.isDirect(call.target)) {
-            return await this.sendThroughPeers(call);
-        }
-        const outcome = await this.sendDirectly(call);
-        const isUnreachable = outcome.kind === "not_sent" && !call.signal.aborted && call.mayStart();
-        return isUnreachable && await paths.recordUnreachable(call.target)
-            ? await this.sendThroughPeers(call)
-            : outcome;
+        const outcome = await this.sendOnEitherPath(call);
+        this.opts.notes.record(call.target, outcome);
+        return outcome;
     }
 
     override keepOnly(targets: readonly Target[]): void {
@@ -65,6 +61,18 @@
         await this.opts.direct.close();
     }
 
+    private async sendOnEitherPath(call: TargetCall): Promise<TargetOutcome> {
+        const { paths } = this.opts;
+        if (!paths.isDirect(call.target)) {
+            return await this.sendThroughPeers(call);
+        }
+        const outcome = await this.sendDirectly(call);
+        const isUnreachable = outcome.kind === "not_sent" && !call.signal.aborted && call.mayStart();
+        return isUnreachable && await paths.recordUnreachable(call.target)
+            ? await this.sendThroughPeers(call)
+            : outcome;
+    }
+
     private async sendDirectly(call: TargetCall): Promise<TargetOutcome> {
         const { direct, paths } = this.opts;
         const { target, signal, isRepeatable } = call;
--- a/packages/relay/src/targets/target-follower.ts
+++ b/packages/relay/src/targets/target-follower.ts
@@ -60,6 +60,14 @@
         });
     }
 
+    /** Records that a target has said in a response that it leaves, and notifies peers. */
+    recordLeaving(id: string): void {
+        if (this.opts.directory.markLeaving(id)) {
+            this.opts.log.write("target leaving", { target: id, source: "response" });
+            this.notifyPeers(id);
+        }
+    }
+
     private put(entry: KvEntry): void {
         const { codec, directory, log } = this.opts;
         const id = codec.getTargetId(entry.key);
--- a/packages/relay/src/targets/target-port.ts
+++ b/packages/relay/src/targets/target-port.ts
@@ -1,7 +1,10 @@
+import type { TargetNotes } from "@ospreyreel/types";
 import type { ResponseHead } from "../caller-exchange.js";
 import type { RelayRequest } from "../relay-request.js";
 import type { Target } from "./target.js";
 
+export type { NamedLimit, TargetNotes } from "@ospreyreel/types";
+
 /** One send of a request to a target. */
 export interface TargetCall {
     readonly req: RelayRequest;
@@ -21,18 +24,12 @@
     readonly mayStart: () => boolean;
 }
 
-/** A limit of requests a second in the head of a response. */
-export interface NamedLimit {
-    /** Requests a second that the target takes from all instances together; undefined where it is not readable. */
-    readonly perS: number | undefined;
-}
-
 /** Outcome of a send. */
 export type TargetOutcome =
     /** No connection could be opened, or the target left meanwhile; it has not received the request. */
     | { readonly kind: "not_sent"; readonly cause: string; }
     /** The target reports that it did not run the request. */
-    | { readonly kind: "not_run"; readonly reason: "full" | "other_target"; readonly limit?: NamedLimit; }
+    | { readonly kind: "not_run"; readonly reason: "full" | "other_target"; readonly notes?: TargetNotes; }
     /** The request was sent without a usable response; it may have run. */
     | { readonly kind: "failed"; readonly cause: string; }
     /** The target's response; reading the body throws if it is truncated. */
@@ -40,7 +37,7 @@
         readonly kind: "answer";
         readonly head: ResponseHead;
         readonly body: AsyncIterable<Buffer>;
-        readonly limit?: NamedLimit;
+        readonly notes?: TargetNotes;
     };
 
 /** Sends requests to targets. */
--- a/packages/stand-ins/src/platform/platform-target-stand-in.ts
+++ b/packages/stand-ins/src/platform/platform-target-stand-in.ts
@@ -63,6 +63,8 @@
     readonly crashedAtMs: number[] = [];
     /** Requests a second that it names as its limit in its responses; undefined where it names none. */
     limitPerS: number | undefined;
+    /** Whether it says in its responses that it leaves, beside what its entry says. */
+    isLeaving = false;
     /** Called after each start that follows a crash. */
     onRestart: () => void = () => undefined;
     private server: JsonServer | undefined;
@@ -148,7 +150,8 @@
             || deadlyPart !== undefined && parts.slice(0, -1).includes(deadlyPart);
         const stepMs = Number(req.headers[STAND_IN_HEADERS.stepMs] ?? this.opts.stepMs ?? DEFAULT_STEP_MS);
         const limit = this.limitPerS === undefined ? {} : { "Server-Limit": String(this.limitPerS) };
-        const headers = { "Attempt-Id": id, "Response-Seal": `seal-${this.opts.id}`, ...limit };
+        const leaving = this.isLeaving ? { "Server-Leaving": "1" } : {};
+        const headers = { "Attempt-Id": id, "Response-Seal": `seal-${this.opts.id}`, ...limit, ...leaving };
         if (events === 0) {
             await sleep(stepMs);
             if (isDeadly) {
--- a/packages/types/src/peer-requests.ts
+++ b/packages/types/src/peer-requests.ts
@@ -294,19 +294,27 @@
 export type ForwardedHead =
     /** The target has not received the request; another instance may be able to reach it. */
     | { readonly kind: "not_sent"; readonly cause: string; }
-    | { readonly kind: "not_run"; readonly reason: "full" | "other_target"; readonly notes: ForwardedNotes; }
+    | { readonly kind: "not_run"; readonly reason: "full" | "other_target"; readonly notes: TargetNotes; }
     | { readonly kind: "failed"; readonly cause: string; }
     | {
         readonly kind: "answer";
         readonly status: number;
         readonly headers: readonly (readonly [string, string])[];
         readonly isFramed: boolean;
-        readonly notes: ForwardedNotes;
+        readonly notes: TargetNotes;
     };
 
-/** What a target said of itself in a response. */
-export interface ForwardedNotes {
-    readonly limit: { readonly perS: number | undefined; } | undefined;
+/** A limit of requests a second in the head of a response. */
+export interface NamedLimit {
+    /** Requests a second that the target takes from all instances together; undefined where it is not readable. */
+    readonly perS: number | undefined;
+}
+
+/** What a target said of itself in the head of a response, beside the response. */
+export interface TargetNotes {
+    readonly limit?: NamedLimit | undefined;
+    /** Whether it stops soon and must get no new requests. */
+    readonly isLeaving?: boolean | undefined;
 }
 
 /** A part of the response to a forwarded send, in order. */
