Keep requests away from a target for the time that it asked for

A target that rejected a request with Retry-After got the next one from the same instance 100 ms later. Cause: Retry-After of a target's 503 was read nowhere; a full target was only less preferred. Change: the pause is a note of the response and holds for the instance that sent, also where it sent for a peer. Where all targets pause, requests are refused at once with the shortest time.

--- a/packages/relay/src/instance/relay-state.ts
+++ b/packages/relay/src/instance/relay-state.ts
@@ -15,6 +15,8 @@
     readonly firstByteMs: number | undefined;
     /** Requests a second that it takes from all instances together; undefined where it names no limit. */
     readonly limitPerS: number | undefined;
+    /** Time for which it wants nothing from this instance, in milliseconds. */
+    readonly pauseMs: number;
     /** Whether this instance sends to it itself, and not through peers. */
     readonly isDirect: boolean;
 }
@@ -42,16 +44,17 @@
 
 /** Returns a target's entry in the state dump. */
 export const getTargetView = (
-    { target, inFlight, health, limit }: TargetState,
+    state: TargetState,
     isDirect: boolean,
 ): TargetView => ({
-    id: target.id,
-    service: target.service,
-    version: target.version,
-    leaving: target.leaving,
-    inFlight,
-    errorShare: health.errorShare,
-    firstByteMs: health.firstByteMs,
-    limitPerS: limit.perS,
+    id: state.target.id,
+    service: state.target.service,
+    version: state.target.version,
+    leaving: state.target.leaving,
+    inFlight: state.inFlight,
+    errorShare: state.health.errorShare,
+    firstByteMs: state.health.firstByteMs,
+    limitPerS: state.limit.perS,
+    pauseMs: Math.round(state.getPauseMs(performance.now())),
     isDirect,
 });
--- a/packages/relay/src/paths/forwarded-sends.ts
+++ b/packages/relay/src/paths/forwarded-sends.ts
@@ -1,5 +1,5 @@
 import type { PeerHub } from "@ospreyreel/peer";
-import type { ForwardedBody, ForwardedHead, ForwardedSend, InstanceInfo } from "@ospreyreel/types";
+import type { ForwardedBody, ForwardedHead, ForwardedSend, InstanceInfo, TargetNotes } from "@ospreyreel/types";
 import type { RelayLog } from "../relay-log.js";
 import type { RelayRequest } from "../relay-request.js";
 import type { TargetDirectory } from "../targets/target-directory.js";
@@ -90,7 +90,7 @@
             afterEvent: req.afterEvent,
             isRepeatable: req.isRepeatable,
             signal: controller.signal,
-            mayStart: () => !state.target.leaving,
+            mayStart: () => state.isAccepting(performance.now()),
         });
         this.opts.notes.record(state.target, outcome);
         if (outcome.kind === "answer") {
@@ -104,8 +104,8 @@
 
     private getRefusal(state: TargetState | undefined): string | undefined {
         const { paths, isAccepting, getConnectionLimit } = this.opts;
-        if (state === undefined || state.target.leaving) {
-            return "the target is not known here, or leaves";
+        if (state?.isAccepting(performance.now()) !== true) {
+            return "the target is not known here, leaves, or wants nothing from the peer";
         }
         if (!paths.isDirect(state.target)) {
             return "the peer is cut off from the target as well";
@@ -180,16 +180,22 @@
     resumes: undefined,
 });
 
+/** Notes that hold for all instances; a pause is asked of the one that sent. */
+const getSharedNotes = ({ notes }: { readonly notes?: TargetNotes; }): TargetNotes => ({
+    ...notes,
+    pauseMs: undefined,
+});
+
 const toHead = (outcome: TargetOutcome): ForwardedHead => {
     switch (outcome.kind) {
         case "not_sent":
         case "failed":
             return outcome;
         case "not_run":
-            return { kind: "not_run", reason: outcome.reason, notes: outcome.notes ?? {} };
+            return { kind: "not_run", reason: outcome.reason, notes: getSharedNotes(outcome) };
         case "answer": {
             const { status, headers, isFramed } = outcome.head;
-            return { kind: "answer", status, headers, isFramed, notes: outcome.notes ?? {} };
+            return { kind: "answer", status, headers, isFramed, notes: getSharedNotes(outcome) };
         }
     }
 };
--- a/packages/relay/src/paths/forwarding-target-port.test.ts
+++ b/packages/relay/src/paths/forwarding-target-port.test.ts
@@ -144,6 +144,29 @@
     t.true(sender?.directory.list()[0]?.target.leaving);
 });
 
+test("a target gets nothing through a peer from which it wants none, and something through another", async t => {
+    const { fleet, cut, second, third } = start();
+    second.directory.list()[0]?.pause(performance.now() + 60_000);
+    for (let count = 0; count < 5; count++) {
+        t.is((await fleet.send(cut)).text, "whole");
+    }
+    t.is(countCalls([second]), 0);
+    t.is(countCalls([third]), 5);
+});
+
+test("a pause that a target asked a peer for holds for that peer only", async t => {
+    const { fleet, cut, second, third } = start();
+    [second, third].forEach(({ direct }) => {
+        direct.answer = () => ({ kind: "not_run", reason: "full", notes: { pauseMs: 60_000 } });
+    });
+    await fleet.send(cut);
+    t.true(cut.directory.list()[0]?.isAccepting(performance.now()));
+    const paused = [second, third].filter(({ directory }) =>
+        (directory.list()[0]?.getPauseMs(performance.now()) ?? 0) > 0
+    );
+    t.is(paused.length, 1);
+});
+
 test("a peer that leaves, or has too much to do, sends nothing for others", async t => {
     const { fleet, cut, second, third } = start();
     second.isAccepting = false;
--- a/packages/relay/src/relay-attempts.ts
+++ b/packages/relay/src/relay-attempts.ts
@@ -137,7 +137,7 @@
                 afterEvent: this.stream.lastEventId,
                 isRepeatable: this.request.isRepeatable,
                 signal: clock.signal,
-                mayStart: () => !state.target.leaving,
+                mayStart: () => state.isAccepting(performance.now()),
             });
             this.opts.meter.recordSend(outcome.kind, service);
             this.opts.permits.recordOutcome(state, outcome, startedAtMs);
@@ -151,7 +151,7 @@
     private async handleOutcome(state: TargetState, outcome: TargetOutcome, firstByteMs: number): Promise<Step> {
         switch (outcome.kind) {
             case "not_sent":
-                if (this.request.clock.endReason === undefined && !state.target.leaving) {
+                if (this.request.clock.endReason === undefined && state.isAccepting(performance.now())) {
                     state.health.recordUnreachable(performance.now(), this.sentAtMs);
                 }
                 this.logSend(state, outcome.kind, outcome.cause);
@@ -307,7 +307,7 @@
     private failWithoutTarget(): AttemptsResult | RelayRefusal {
         const { selector } = this.opts;
         const { begun, tried } = this;
-        const waitMs = selector.getLimitWaitMs(this.request.admission.service, { tried, begun });
+        const waitMs = selector.getWaitMs(this.request.admission.service, { tried, begun });
         return waitMs === undefined
             ? this.failRequest(begun === undefined ? "noTarget" : "versionUnavailable")
             : this.failRequest("targetsLimited", Math.max(MIN_LIMIT_RETRY_AFTER_S, waitMs / MS_PER_S));
--- a/packages/relay/src/targets/target-note-recorder.ts
+++ b/packages/relay/src/targets/target-note-recorder.ts
@@ -1,3 +1,4 @@
+import type { RelayLog } from "../relay-log.js";
 import type { TargetDirectory } from "./target-directory.js";
 import type { TargetOutcome } from "./target-port.js";
 import { getStartKey, type Target } from "./target.js";
@@ -5,6 +6,7 @@
 /** Options of {@link TargetNoteRecorder}. */
 export interface TargetNoteRecorderOptions {
     readonly directory: Pick<TargetDirectory, "findStart">;
+    readonly log: RelayLog;
     /** Called when a target has said in a response that it leaves. */
     readonly onLeaving: (target: Target) => void;
 }
@@ -19,8 +21,16 @@
             return;
         }
         const state = this.opts.directory.findStart(getStartKey(target));
-        if (state !== undefined && outcome.notes?.isLeaving === true && !state.target.leaving) {
+        if (state === undefined) {
+            return;
+        }
+        const { isLeaving = false, pauseMs } = outcome.notes ?? {};
+        if (isLeaving && !state.target.leaving) {
             this.opts.onLeaving(state.target);
         }
+        if (pauseMs !== undefined) {
+            state.pause(performance.now() + pauseMs);
+            this.opts.log.write("target paused", { target: target.id, ms: pauseMs });
+        }
     }
 }
--- a/packages/relay/src/targets/target-selector.ts
+++ b/packages/relay/src/targets/target-selector.ts
@@ -70,7 +70,7 @@
         const allowed = states.map((state, index) => ({ state, index }))
             .filter(({ state }) =>
                 !tried.has(state.target.id) && state.inFlight < limit && state.health.isUsable(nowMs)
-                && state.limit.getWaitMs(nowMs) === 0 && canContinue(state, begun)
+                && state.getWaitMs(nowMs) === 0 && canContinue(state, begun)
             );
         const notFull = allowed.filter(({ state }) => !state.health.isFull(nowMs));
         const candidates = notFull.length > 0 ? notFull : allowed;
@@ -92,14 +92,14 @@
     }
 
     /**
-     * Shortest time until a target that is only held back by its limit of requests a second may get one, in
-     * milliseconds; undefined where no target is.
+     * Shortest time until a target that is only held back by its limit of requests a second, or by a pause that it asked
+     * for, may get one, in milliseconds; undefined where no target is.
      */
-    getLimitWaitMs(service: string, { tried, begun }: SelectionLimits): number | undefined {
+    getWaitMs(service: string, { tried, begun }: SelectionLimits): number | undefined {
         const nowMs = this.now();
         const waits = this.opts.directory.getServing(service).states
             .filter(state => !tried.has(state.target.id) && state.health.isUsable(nowMs) && canContinue(state, begun))
-            .map(({ limit }) => limit.getWaitMs(nowMs))
+            .map(state => state.getWaitMs(nowMs))
             .filter(waitMs => waitMs > 0);
         return waits.length === 0 ? undefined : Math.min(...waits);
     }
--- a/packages/relay/src/targets/target-state.ts
+++ b/packages/relay/src/targets/target-state.ts
@@ -9,8 +9,30 @@
     readonly health = new TargetHealth();
     readonly limit = new TargetLimit();
 
+    private pausedUntilMs = Number.NEGATIVE_INFINITY;
+
     constructor(public target: Target) {}
 
+    /** Whether the target may get a request now; `nowMs` is a monotonic time. */
+    isAccepting(nowMs: number): boolean {
+        return !this.target.leaving && this.getPauseMs(nowMs) === 0;
+    }
+
+    /** Keeps requests of this instance away from the target until a monotonic time, in milliseconds. */
+    pause(untilMs: number): void {
+        this.pausedUntilMs = Math.max(this.pausedUntilMs, untilMs);
+    }
+
+    /** Time for which the target wants nothing from this instance, in milliseconds; 0 where it does. */
+    getPauseMs(nowMs: number): number {
+        return Math.max(0, this.pausedUntilMs - nowMs);
+    }
+
+    /** Time until the target may get a request by its pause and its limit, in milliseconds; 0 where it may now. */
+    getWaitMs(nowMs: number): number {
+        return Math.max(this.limit.getWaitMs(nowMs), this.getPauseMs(nowMs));
+    }
+
     /** Marks the target as leaving, also for requests that have selected it and are not sent yet. */
     markLeaving(): void {
         this.target = { ...this.target, leaving: true };
--- a/packages/stand-ins/src/platform/platform-target-stand-in.ts
+++ b/packages/stand-ins/src/platform/platform-target-stand-in.ts
@@ -65,6 +65,10 @@
     limitPerS: number | undefined;
     /** Whether it says in its responses that it leaves, beside what its entry says. */
     isLeaving = false;
+    /** Time for which it wants nothing from an instance whose request it rejects, in seconds; undefined while it rejects none. */
+    rejectsForS: number | undefined;
+    /** Monotonic times of the requests that it rejected, in milliseconds. */
+    readonly rejectedAtMs: number[] = [];
     /** Called after each start that follows a crash. */
     onRestart: () => void = () => undefined;
     private server: JsonServer | undefined;
@@ -143,6 +147,12 @@
             res.writeHead(421, { "Instance-Id": this.opts.id }).end();
             return;
         }
+        if (this.rejectsForS !== undefined) {
+            this.rejectedAtMs.push(performance.now());
+            res.writeHead(503, { "Attempt-Id": id, "Not-Executed": "full", "Retry-After": this.rejectsForS.toFixed(1) })
+                .end();
+            return;
+        }
         const parts = String(req.headers["prompt-prefix"] ?? "").split(",").map(part => part.split(":")[0] ?? "");
         this.recordRun(req, res, { body, parts });
         const { events = 0, version = "", deadlyPart, deadlyBody } = this.opts;
--- a/packages/types/src/peer-requests.ts
+++ b/packages/types/src/peer-requests.ts
@@ -315,6 +315,8 @@
     readonly limit?: NamedLimit | undefined;
     /** Whether it stops soon and must get no new requests. */
     readonly isLeaving?: boolean | undefined;
+    /** Time for which it wants nothing from the instance whose request it rejected, in milliseconds. */
+    readonly pauseMs?: number | undefined;
 }
 
 /** A part of the response to a forwarded send, in order. */
