Send brittle targets no more than they have room for

A target that breaks down when it rejects too much would have got the rejected requests of all instances, each 100 ms again. Cause: each instance knew its own open sends only, and tried a full target again for itself. Permits are released when a send has ended.

--- a/packages/relay/src/instance/relay-instance.ts
+++ b/packages/relay/src/instance/relay-instance.ts
@@ -6,6 +6,8 @@
 import { DocumentHolder } from "../document/document-holder.js";
 import { HttpCallerPort } from "../http/http-caller-port.js";
 import { StatusPort, type StatusPortResponse } from "../http/status-port.js";
+import { CombinedSendPermits } from "../limits/combined-send-permits.js";
+import { FleetRoom } from "../limits/fleet-room.js";
 import { FleetSendPermits } from "../limits/fleet-send-permits.js";
 import { AffinityPlacement } from "../policy/affinity-placement.js";
 import { OverloadGuard } from "../policy/overload-guard.js";
@@ -84,6 +86,7 @@
     private readonly relay: Relay;
     private readonly budgets: FleetBudgets;
     private readonly permits: FleetSendPermits;
+    private readonly room: FleetRoom;
     private readonly versions: VersionHistory;
     private readonly versionRecord: VersionRecord;
     private readonly origins: FleetStreamOrigins;
@@ -126,6 +129,7 @@
             log: (event, fields) => this.log.write(event, fields),
         });
         this.permits = this.createPermits();
+        this.room = this.createRoom();
         this.versions = new VersionHistory({ directory: this.directory, nowMs: () => performance.now() });
         this.origins = this.createOrigins();
         this.versionRecord = this.createVersionRecord();
@@ -191,6 +195,7 @@
             budgets: this.budgets.list(),
             quarantine: this.parts.view,
             versions: this.versions.services.map(service => ({ service, versions: this.versions.list(service) })),
+            brittleServices: this.room.brittleServices,
             knownStreams: this.origins.size,
         };
     }
@@ -238,7 +243,7 @@
             getRetries: service => this.shares.getRetries(service),
             overload: this.overload,
             freshness: this.freshness,
-            permits: this.permits,
+            permits: new CombinedSendPermits([this.permits, this.room]),
             origins: this.origins,
             parts: this.parts,
             log: this.log,
@@ -257,6 +262,16 @@
         });
     }
 
+    private createRoom(): FleetRoom {
+        return new FleetRoom({
+            hub: this.hub,
+            directory: this.directory,
+            getReachableShare: () => this.roster.reachableShare,
+            log: this.log,
+            count: name => this.metrics.add(name),
+        });
+    }
+
     private createOrigins(): FleetStreamOrigins {
         return new FleetStreamOrigins({
             hub: this.hub,
@@ -326,6 +341,7 @@
         this.follower.start();
         this.budgets.serve();
         this.permits.serve();
+        this.room.serve();
         this.sending.serve();
         this.origins.serve();
         this.directory.onChange(() => this.origins.shareMixed());
--- a/packages/relay/src/instance/relay-state.ts
+++ b/packages/relay/src/instance/relay-state.ts
@@ -10,6 +10,8 @@
     readonly version: string | undefined;
     readonly leaving: boolean;
     readonly inFlight: number;
+    /** Sends of this instance that are counted against the target's room. */
+    readonly openSends: number;
     readonly errorShare: number;
     /** Mean time to the first byte, in milliseconds. */
     readonly firstByteMs: number | undefined;
@@ -38,6 +40,8 @@
     readonly forwardedSends: number;
     /** Versions at which streams that are resumed now may have begun. */
     readonly versions: readonly { readonly service: string; readonly versions: readonly string[]; }[];
+    /** Services whose targets break down when they reject requests. */
+    readonly brittleServices: readonly string[];
     /** Number of streams whose origins are kept here. */
     readonly knownStreams: number;
 }
@@ -52,6 +56,7 @@
     version: state.target.version,
     leaving: state.target.leaving,
     inFlight: state.inFlight,
+    openSends: state.openSends,
     errorShare: state.health.errorShare,
     firstByteMs: state.health.firstByteMs,
     limitPerS: state.limit.perS,
--- a/packages/relay/src/limits/fleet-send-permits.ts
+++ b/packages/relay/src/limits/fleet-send-permits.ts
@@ -88,6 +88,10 @@
         return response.granted;
     }
 
+    override release(): void {
+        // A limit counts sends by when they begin.
+    }
+
     override recordOutcome(state: TargetState, outcome: TargetOutcome, startedAtMs: number): void {
         if (outcome.kind !== "answer" && outcome.kind !== "not_run") {
             return;
--- a/packages/relay/src/limits/send-permits.ts
+++ b/packages/relay/src/limits/send-permits.ts
@@ -1,11 +1,14 @@
 import type { TargetOutcome } from "../targets/target-port.js";
 import type { TargetState } from "../targets/target-state.js";
 
-/** Keeps the sends to targets within the limits that they name. */
+/** Keeps the sends to targets within what they say that they can take. */
 export abstract class SendPermits {
-    /** Acquires one send to a target; returns false where its limit leaves none now. Does not throw. */
+    /** Acquires one send to a target; returns false where there is none now. Does not throw. */
     abstract acquire(state: TargetState): Promise<boolean>;
 
+    /** Ends an acquired send, whether it was sent or not. */
+    abstract release(state: TargetState): void;
+
     /** Records what the outcome of a send that started at a monotonic time, in milliseconds, says about the limit. */
     abstract recordOutcome(state: TargetState, outcome: TargetOutcome, startedAtMs: number): void;
 }
@@ -16,6 +19,10 @@
         return Promise.resolve(true);
     }
 
+    override release(): void {
+        // Nothing is counted.
+    }
+
     override recordOutcome(): void {
         // Nothing is remembered.
     }
--- a/packages/relay/src/relay-attempts.ts
+++ b/packages/relay/src/relay-attempts.ts
@@ -120,6 +120,7 @@
             return RETRY_STEP;
         }
         if (this.sends > 0 && !this.opts.getRetries(service).tryAcquire()) {
+            this.opts.permits.release(state);
             return { kind: "end", end: this.failRequest("overloaded") };
         }
         this.tried.add(state.target.id);
@@ -145,6 +146,7 @@
         }
         finally {
             state.inFlight -= 1;
+            this.opts.permits.release(state);
         }
     }
 
--- a/packages/relay/src/targets/target-state.ts
+++ b/packages/relay/src/targets/target-state.ts
@@ -9,7 +9,10 @@
     readonly health = new TargetHealth();
     readonly limit = new TargetLimit();
 
+    /** This instance's sends that have acquired room at the target, through peers or not. */
+    openSends = 0;
     private pausedUntilMs = Number.NEGATIVE_INFINITY;
+    private noRoomUntilMs = Number.NEGATIVE_INFINITY;
 
     constructor(public target: Target) {}
 
@@ -28,9 +31,14 @@
         return Math.max(0, this.pausedUntilMs - nowMs);
     }
 
-    /** Time until the target may get a request by its pause and its limit, in milliseconds; 0 where it may now. */
+    /** Keeps requests away until a monotonic time in milliseconds, since the target has no room for them. */
+    waitForRoom(untilMs: number): void {
+        this.noRoomUntilMs = untilMs;
+    }
+
+    /** Time until the target may get a request by its pause, its limit and its room, in milliseconds; 0 where it may now. */
     getWaitMs(nowMs: number): number {
-        return Math.max(this.limit.getWaitMs(nowMs), this.getPauseMs(nowMs));
+        return Math.max(this.limit.getWaitMs(nowMs), this.getPauseMs(nowMs), this.noRoomUntilMs - nowMs);
     }
 
     /** Marks the target as leaving, also for requests that have selected it and are not sent yet. */
--- a/packages/stand-ins/src/platform/platform-target-stand-in.ts
+++ b/packages/stand-ins/src/platform/platform-target-stand-in.ts
@@ -1,5 +1,5 @@
 import type { Address } from "@ospreyreel/types";
-import type { IncomingMessage, ServerResponse } from "node:http";
+import type { IncomingMessage, OutgoingHttpHeaders, ServerResponse } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
 import { type JsonServer, readText, startJsonServer } from "../http-json/json-server.js";
 
@@ -56,6 +56,9 @@
 
 const DEFAULT_VERSION = "v1";
 
+/** Window in which a brittle target counts its rejections, in milliseconds. */
+const BRITTLE_WINDOW_MS = 1_000;
+
 /** A worker of the users' platform, by its published protocol. */
 export class PlatformTargetStandIn {
     private readonly runs: { -readonly [K in keyof RunRequest]: RunRequest[K]; }[] = [];
@@ -63,6 +66,10 @@
     readonly crashedAtMs: number[] = [];
     /** Requests a second that it names as its limit in its responses; undefined where it names none. */
     limitPerS: number | undefined;
+    /** Rejections a second for want of room beyond which it crashes; it says so. Undefined while it is not brittle. */
+    brittleAt: number | undefined;
+    /** Requests that it has room for; it rejects further ones. */
+    room = Number.POSITIVE_INFINITY;
     /** Whether it says in its responses that it leaves, beside what its entry says. */
     isLeaving = false;
     /** Time for which it wants nothing from an instance whose request it rejects, in seconds; undefined while it rejects none. */
@@ -153,6 +160,11 @@
                 .end();
             return;
         }
+        const brittle = this.brittleAt === undefined ? {} : { "Server-Brittle": String(this.brittleAt) };
+        if (this.runs.filter(run => run.end === undefined).length >= this.room) {
+            await this.rejectForRoom(res, { "Attempt-Id": id, ...brittle });
+            return;
+        }
         const parts = String(req.headers["prompt-prefix"] ?? "").split(",").map(part => part.split(":")[0] ?? "");
         this.recordRun(req, res, { body, parts });
         const { events = 0, version = "", deadlyPart, deadlyBody } = this.opts;
@@ -161,7 +173,7 @@
         const stepMs = Number(req.headers[STAND_IN_HEADERS.stepMs] ?? this.opts.stepMs ?? DEFAULT_STEP_MS);
         const limit = this.limitPerS === undefined ? {} : { "Server-Limit": String(this.limitPerS) };
         const leaving = this.isLeaving ? { "Server-Leaving": "1" } : {};
-        const headers = { "Attempt-Id": id, "Response-Seal": `seal-${this.opts.id}`, ...limit, ...leaving };
+        const headers = { "Attempt-Id": id, "Response-Seal": `seal-${this.opts.id}`, ...limit, ...leaving, ...brittle };
         if (events === 0) {
             await sleep(stepMs);
             if (isDeadly) {
@@ -184,6 +196,16 @@
         res.end();
     }
 
+    private async rejectForRoom(res: ServerResponse, headers: OutgoingHttpHeaders): Promise<void> {
+        const nowMs = performance.now();
+        this.rejectedAtMs.push(nowMs);
+        res.writeHead(503, { ...headers, "Not-Executed": "full" }).end();
+        const rejections = this.rejectedAtMs.filter(atMs => nowMs - atMs < BRITTLE_WINDOW_MS).length;
+        if (this.brittleAt !== undefined && rejections > this.brittleAt) {
+            await this.crash();
+        }
+    }
+
     private endRuns(): void {
         const end: RunEnd = { atMs: performance.now(), how: "crashed" };
         this.runs.filter(run => run.end === undefined).forEach(run => run.end = end);
--- a/packages/types/src/peer-requests.ts
+++ b/packages/types/src/peer-requests.ts
@@ -317,6 +317,33 @@
     readonly isLeaving?: boolean | undefined;
     /** Time for which it wants nothing from the instance whose request it rejected, in milliseconds. */
     readonly pauseMs?: number | undefined;
+    /** Rejections a second for want of room beyond which it breaks down; undefined where it does not. */
+    readonly rejectionsPerS?: number | undefined;
+}
+
+/** Room of one start of a target. */
+export interface RoomRequest {
+    readonly target: string;
+    /** Requests that the target handles concurrently. */
+    readonly slots: number;
+}
+
+/** What has become of an instance's sends for which it acquired room. */
+export interface RoomReport extends RoomRequest {
+    /**
+     * - `released`: one of them has ended.
+     * - `rejected`: the target has rejected one for want of room.
+     * - `open`: so many are open, sent now and then.
+     */
+    readonly kind: "released" | "rejected" | "open";
+    readonly open: number;
+}
+
+/** Response to a request for room at a target. */
+export interface RoomResponse {
+    readonly granted: boolean;
+    /** Time after which there may be room, in milliseconds; 0 where there was. */
+    readonly waitMs: number;
 }
 
 /** A part of the response to a forwarded send, in order. */
@@ -398,6 +425,10 @@
     readonly "sends.body": { readonly req: ForwardedBody; readonly res: { readonly isWanted: boolean; }; };
     /** Ends a forwarded send whose response nobody needs any more; the response is empty. */
     readonly "sends.cancel": { readonly req: { readonly send: number; }; readonly res: Record<string, never>; };
+    /** Requests room for one send from the instance that keeps a target's room. */
+    readonly "room.acquire": { readonly req: RoomRequest; readonly res: RoomResponse; };
+    /** Reports sends to a target to the instance that keeps its room; the response is empty. */
+    readonly "room.report": { readonly req: RoomReport; readonly res: Record<string, never>; };
     /** Reports accusations to a collector; the response has the number of crashes that speak against each part. */
     readonly "parts.accuse": {
         readonly req: { readonly accusations: readonly PartAccusation[]; };
