Let each request explain twice the wait in the overload guard

Change: 50 ms for each request that was read during a wait. The bound of the suspended instance's test stays.

--- a/packages/relay/src/policy/overload-guard.ts
+++ b/packages/relay/src/policy/overload-guard.ts
@@ -33,7 +33,7 @@
  * Longest time of the processor for one request, in milliseconds. A wait beyond that for each request in front has another
  * cause, such as other processes on the machine that suspend this one within a turn of its event loop.
  */
-const MAX_REQUEST_MS = 25;
+const MAX_REQUEST_MS = 50;
 
 /**
  * Maximum change of the refusal level with each sample. After a second at twice the threshold, half of the largest
