Play several versions and cuts from targets in the soak

New promises: no stream holds events of two versions; callers of cut instances are served two thirds as often as others.

--- a/packages/bench/src/platform/soak/fault-timeline.ts
+++ b/packages/bench/src/platform/soak/fault-timeline.ts
@@ -23,6 +23,13 @@
     readonly toMs: number;
 }
 
+/** A time in which instances were cut off from all targets. */
+export interface CutOffSpan {
+    readonly instances: readonly string[];
+    readonly fromMs: number;
+    readonly toMs: number;
+}
+
 /** A desired state that was written. */
 interface Version {
     readonly atMs: number;
@@ -47,6 +54,8 @@
     readonly stops: StopRecord[] = [];
     /** Limits that targets named, once they are over. */
     readonly limits: LimitSpan[] = [];
+    /** Cuts of instances from all targets, once they are over. */
+    readonly cutOffs: CutOffSpan[] = [];
     /** Targets that had said that they leave. */
     private readonly leaves: Span[] = [];
     /** Faults that nobody planned. */
@@ -79,6 +88,17 @@
         return () => this.limits.push({ target, perS, fromMs, toMs: performance.now() });
     }
 
+    /** Records that instances are cut off from all targets; returns what records its end. Both disturb what runs there. */
+    cutOff(instances: readonly string[]): () => void {
+        const fromMs = performance.now();
+        this.addDisturbance(instances, fromMs, fromMs);
+        return () => {
+            const toMs = performance.now();
+            this.addDisturbance(instances, toMs, toMs);
+            this.cutOffs.push({ instances, fromMs, toMs });
+        };
+    }
+
     /** Records a desired state. */
     addVersion(version: Omit<Version, "atMs">): void {
         this.versions.push({ ...version, atMs: performance.now() });
--- a/packages/bench/src/platform/soak/judge-platform.ts
+++ b/packages/bench/src/platform/soak/judge-platform.ts
@@ -1,10 +1,10 @@
 import type { RunRequest } from "@ospreyreel/stand-ins";
 import { MODEL_EVENTS, MODEL_TOKENS, MODEL_TOKENS_EACH, type PlatformFleet, STOP_WITHIN_S } from "../platform-fleet.js";
-import type { FaultTimeline, LimitSpan, StopRecord } from "./fault-timeline.js";
+import type { CutOffSpan, FaultTimeline, LimitSpan, StopRecord } from "./fault-timeline.js";
 import { STORE_PART } from "./fault-timeline.js";
 import type { DirectoryAnswer, PlatformCall } from "./platform-call.js";
 import type { ReadinessAnswer } from "./readiness-probe.js";
-import { DEADLINE_MS } from "./send-call.js";
+import { DEADLINE_MS, getEvents } from "./send-call.js";
 
 /** What a verdict is made from. */
 export interface PlatformEvidence {
@@ -77,19 +77,36 @@
 const LIMIT_SLACK_REQUESTS = 5;
 const MS_PER_S = 1_000;
 
+/** Time after which callers of instances that are cut off from all targets must be served, in milliseconds; `contactMs`. */
+const CUT_OFF_AFTER_MS = 3_000;
+
+/** Share of first tries that must be served there, relative to the other instances, unless only so many fail. */
+const MIN_CUT_OFF_SHARE = 2 / 3;
+const CUT_OFF_SLACK = 10;
+const CUT_OFF_SLACK_SHARE = 1 / 50;
+
 const HTTP_OK = 200;
+const HTTP_PAYMENT_REQUIRED = 402;
 
 /** Timers of a process may end this much early, in milliseconds. */
 const TIMER_SLACK_MS = 5;
 
-const getEvents = (body: string): readonly string[] => body.match(/^id: \d+\ndata: .*$/gm) ?? [];
+/** Software versions that the events of a stream name; empty where targets name none. */
+const getVersions = ({ kind, body }: PlatformCall): readonly string[] =>
+    MODEL_KINDS.includes(kind)
+        ? [...new Set(getEvents(body).map(event => /^data: \S+ (\S+)$/m.exec(event)?.[1] ?? ""))]
+        : [];
 
-const isWhole = ({ kind, id, body, paddingBytes }: PlatformCall): boolean => {
+/** An event without the version that its target may name. */
+const withoutVersion = (event: string): string => event.trimEnd().replace(/^(id: \d+\ndata: \S+) \S+$/, "$1");
+
+const isWhole = ({ kind, id, body, paddingBytes, resumed }: PlatformCall): boolean => {
     if (!MODEL_KINDS.includes(kind)) {
         return body === `answer to ${id}${"x".repeat(paddingBytes)}`;
     }
-    const expected = [...Array(MODEL_EVENTS).keys()].map(at => `id: ${at + 1}\ndata: ${id}`);
-    return getEvents(body).join("|") === expected.join("|");
+    const before = resumed === undefined ? 0 : getEvents(resumed.body).length;
+    const expected = [...Array(MODEL_EVENTS - before).keys()].map(at => `id: ${before + at + 1}\ndata: ${id}`);
+    return getEvents(body).map(withoutVersion).join("|") === expected.join("|");
 };
 
 /** Tokens that a caller certainly got: the prompt's once, and each event's. */
@@ -131,6 +148,8 @@
             overdue: this.describe(calls.filter(call => call.end === "overdue" && this.isCalm(call))),
             denied: this.describe(answered.filter(call => this.isDenied(call))),
             servedThoughRemoved: this.describe(served.filter(call => this.isRemoved(call))),
+            joinedVersions: this.describe(served.filter(call => this.isJoined(call))),
+            cutOffServedWorse: timeline.cutOffs.flatMap(cut => this.findServedWorse(cut)),
             limitsExceeded: timeline.limits.flatMap(limit => this.listExceeded(limit)),
             ranOnLeavingTarget: this.describe(calls.filter(call => this.ranOnLeavingTarget(call))),
             stopsThatFailed: timeline.stops.filter(stop => !this.hasStoppedWell(stop)),
@@ -250,6 +269,34 @@
             .filter(({ sends }) => sends > maxSends);
     }
 
+    /** Whether a stream holds events of two versions, in one answer or with the part that it resumed. */
+    private isJoined(call: PlatformCall): boolean {
+        return new Set([...getVersions(call), ...(call.resumed === undefined ? [] : getVersions(call.resumed))]).size
+            > 1;
+    }
+
+    /** What was served at instances that were cut off from all targets and at the others, where that differs too much. */
+    private findServedWorse({ instances, fromMs, toMs }: CutOffSpan): readonly unknown[] {
+        const { timeline, fleet, calls } = this.evidence;
+        const parts = [STORE_PART, ...fleet.instances.map(({ name }) => name)];
+        const beginMs = fromMs + CUT_OFF_AFTER_MS;
+        if (!parts.every(part => timeline.isCalm(part, beginMs + 1, toMs - 1))) {
+            return [];
+        }
+        const isTried = ({ end, status, resumed }: PlatformCall): boolean =>
+            end !== "callerLeft" && resumed === undefined && status !== HTTP_PAYMENT_REQUIRED;
+        const tries = calls.filter(call => call.sentAtMs >= beginMs && call.endedAtMs <= toMs && isTried(call));
+        const isServed = (call: PlatformCall): boolean => call.end === "answered" && call.status === HTTP_OK;
+        const cut = tries.filter(({ instance }) => instances.includes(instance));
+        const others = tries.filter(({ instance }) => !instances.includes(instance));
+        const failed = cut.filter(call => !isServed(call)).length;
+        const getShare = (list: readonly PlatformCall[]): number =>
+            list.filter(isServed).length / Math.max(1, list.length);
+        const isWorse = others.length > 0 && getShare(cut) < MIN_CUT_OFF_SHARE * getShare(others)
+            && failed > CUT_OFF_SLACK + CUT_OFF_SLACK_SHARE * tries.length;
+        return isWorse ? [{ instances, failed, cut: cut.length, others: others.length, share: getShare(cut) }] : [];
+    }
+
     private hasStoppedWell({ instance, termAtMs, endedAtMs, code, wasStarting }: StopRecord): boolean {
         const isInTime = endedAtMs - termAtMs <= STOP_WITHIN_MS;
         return this.evidence.timeline.overlaps(instance, termAtMs, endedAtMs)
@@ -292,6 +339,11 @@
         slowestProbeMs: Math.round(Math.max(0, ...evidence.readiness.map(({ callerPathMs }) => callerPathMs))),
         prepaidTokens: prepaid,
         limits: timeline.limits.length,
+        cutOffs: timeline.cutOffs.length,
+        resumed: calls.filter(call => call.resumed !== undefined).length,
+        resumedWhole:
+            calls.filter(call => call.resumed !== undefined && call.end === "answered" && call.status === HTTP_OK)
+                .length,
     };
     return { ok: Object.values(violations).every(count => count === 0), violations, figures, traces };
 };
--- a/packages/bench/src/platform/soak/platform-call.ts
+++ b/packages/bench/src/platform/soak/platform-call.ts
@@ -35,6 +35,8 @@
     readonly status: number | undefined;
     readonly body: string;
     readonly retryAfterS: number | undefined;
+    /** Call whose stream this one resumed; undefined for a first try. */
+    readonly resumed: PlatformCall | undefined;
 }
 
 /** Addresses that an instance told a caller. */
--- a/packages/bench/src/platform/soak/platform-caller.ts
+++ b/packages/bench/src/platform/soak/platform-caller.ts
@@ -3,7 +3,7 @@
 import { RandomSource } from "../../faults/random-source.js";
 import { type AddressAnswer, type PlatformFleet, type PlatformInstance, toAddress } from "../platform-fleet.js";
 import type { DirectoryAnswer, PlatformCall } from "./platform-call.js";
-import { sendCall } from "./send-call.js";
+import { getEvents, sendCall } from "./send-call.js";
 
 /** Options of a {@link PlatformCaller}. */
 export interface PlatformCallerOptions {
@@ -36,6 +36,8 @@
     private addresses: readonly string[] = [];
     private addressesEndAtMs = 0;
     private last: string | undefined;
+    /** Call whose stream broke off after its first events. */
+    private broken: PlatformCall | undefined;
 
     constructor(private readonly opts: PlatformCallerOptions) {
         this.random = new RandomSource(opts.seed);
@@ -52,8 +54,13 @@
                 await sleep(DIRECTORY_RETRY_MS);
                 continue;
             }
-            const call = await this.send(address);
+            const call = await this.send(address, this.broken);
             this.opts.onCall(call);
+            // A stream that was resumed is not resumed again, so that its first attempt is the one that began it.
+            this.broken = call.end === "cut" && call.kind === "model" && call.resumed === undefined
+                    && getEvents(call.body).length > 0
+                ? call
+                : undefined;
             if (call.end === "unreachable" || call.end === "cut" || call.end === "overdue") {
                 this.addresses = this.addresses.filter(other => other !== address);
             }
@@ -92,10 +99,11 @@
         }
     }
 
-    private async send(address: string): Promise<PlatformCall> {
+    private async send(address: string, resumed: PlatformCall | undefined): Promise<PlatformCall> {
         const { fleet } = this.opts;
         const { random, agent } = this;
-        const kind = random.pick(["plain", "once", "model", "model", "fixed", "new"] as const);
+        const drawn = random.pick(["plain", "once", "model", "model", "fixed", "new"] as const);
+        const kind = resumed === undefined ? drawn : "model";
         const proxy = fleet.getCallerProxy(address);
         const isLarge = (kind === "plain" || kind === "once") && random.int(1, 20) === 1;
         return await sendCall({
@@ -110,6 +118,7 @@
             stepMs: kind === "model" || kind === "fixed" ? random.pick([5, 20, 150, 300, 900]) : random.pick([2, 50]),
             bodyPauseMs: random.pick([0, 0, 0, 0, 50, 300]),
             readPauseMs: random.pick([0, 0, 0, 0, 1_000]),
+            resumed,
             leavesAfterMs: random.int(1, 12) === 1 ? random.int(1, 2_000) : undefined,
         });
     }
--- a/packages/bench/src/platform/soak/platform-schedule-run.ts
+++ b/packages/bench/src/platform/soak/platform-schedule-run.ts
@@ -1,6 +1,7 @@
 import type { FaultProxy, ProxyFaults } from "@ospreyreel/stand-ins";
 import { setTimeout as sleep } from "node:timers/promises";
 import type { PlatformFleet, PlatformInstance } from "../platform-fleet.js";
+import type { LinkCut } from "../target-links.js";
 import { type FaultTimeline, STORE_PART } from "./fault-timeline.js";
 import type { PlatformFault, PlatformScheduleEntry, StopKind } from "./platform-schedule.js";
 
@@ -27,6 +28,9 @@
 /** Shortest time for which a target names a limit, in milliseconds; the limit must hold after three seconds, for four. */
 const MIN_LIMIT_MS = 8_000;
 
+/** Shortest time for which instances are cut off, in milliseconds; their callers must be served as well as others after three seconds. */
+const MIN_CUT_OFF_MS = 6_000;
+
 /** Faults that signals to processes bring about. */
 type ProcessFault = Extract<
     PlatformFault,
@@ -109,6 +113,18 @@
         model.limitPerS = undefined;
     }
 
+    private async cutOff(indexes: readonly number[], how: LinkCut, ms: number): Promise<void> {
+        const { fleet, timeline } = this;
+        const cut = indexes.filter(at => fleet.targetLinks[at]?.isCut === false);
+        const names = this.getInstances(cut).map(({ name }) => name);
+        const links = pick(fleet.targetLinks, cut);
+        const end = timeline.cutOff(names);
+        await Promise.all(links.map(link => link.cut(how)));
+        await sleep(ms + MIN_CUT_OFF_MS);
+        await Promise.all(links.map(link => link.restore()));
+        end();
+    }
+
     private async hold(fault: PlatformFault, ms: number): Promise<void> {
         const { fleet } = this;
         switch (fault.kind) {
@@ -209,6 +225,8 @@
             }
             case "targetReborn":
                 return await this.rebirth(fault.target);
+            case "cutOff":
+                return await this.cutOff(fault.instances, fault.how, ms);
             case "targetLimit":
                 return await this.limit(fault.target, fault.perS, ms);
             case "topUp":
--- a/packages/bench/src/platform/soak/platform-schedule.ts
+++ b/packages/bench/src/platform/soak/platform-schedule.ts
@@ -1,6 +1,7 @@
 import type { ProxyMode } from "@ospreyreel/stand-ins";
 import { drawEntries, type ScheduleBounds, type TimedFault } from "../../faults/draw-entries.js";
 import type { RandomSource } from "../../faults/random-source.js";
+import type { LinkCut } from "../target-links.js";
 
 /** Signals that follow a SIGTERM of the same process. */
 export type StopKind = "stop" | "stopTwice" | "stopThenReload" | "freezeInStop" | "killInStop";
@@ -35,6 +36,8 @@
     | { readonly kind: "targetLeaves" | "targetReborn"; readonly target: number; }
     /** A model target names a limit of requests a second, for some seconds longer than the fault lasts. */
     | { readonly kind: "targetLimit"; readonly target: number; readonly perS: number; }
+    /** Instances lose their links to all targets, for some seconds longer than the fault lasts. */
+    | { readonly kind: "cutOff"; readonly instances: readonly number[]; readonly how: LinkCut; }
     /** A new desired state with more tokens. */
     | { readonly kind: "topUp"; readonly tokens: number; }
     /** New desired states in quick succession, with a route added and removed and with other time-outs. */
@@ -89,6 +92,10 @@
 const LIMITS_PER_S = [0, 0.5, 2.9, 12] as const;
 const DELAYS_MS = [20, 100, 400] as const;
 
+/** Of each kind; drawn apart from the other faults, so that those stay the same for a seed. */
+const CUT_OFF_BOUNDS: ScheduleBounds = { faults: [0, 2], longestStartMs: 3_000, durationMs: [200, 4_000] };
+const LINK_CUTS: readonly LinkCut[] = ["hang", "reset", "refuse"];
+
 /** The plain target and the models. */
 const TARGETS = 3;
 const MODELS = 2;
@@ -143,3 +150,11 @@
 /** Faults in series that overlap; the same ones for the same draws. */
 export const createPlatformSchedule = (random: RandomSource, instances: number): readonly PlatformScheduleEntry[] =>
     drawEntries(random, BOUNDS, () => createFault(random, instances));
+
+/** Cuts of instances from all targets, which come beside the other faults; some instances are never cut off. */
+export const createCutOffs = (random: RandomSource, instances: number): readonly PlatformScheduleEntry[] =>
+    drawEntries(random, CUT_OFF_BOUNDS, () => ({
+        kind: "cutOff",
+        instances: [...Array(instances - 1).keys()].filter(() => random.int(0, 1) > 0),
+        how: random.pick(LINK_CUTS),
+    }));
--- a/packages/bench/src/platform/soak/play-platform-seed.ts
+++ b/packages/bench/src/platform/soak/play-platform-seed.ts
@@ -8,7 +8,7 @@
 import { judgePlatform, type PlatformVerdict } from "./judge-platform.js";
 import { runPlatformLoad } from "./platform-load.js";
 import { PlatformScheduleRun } from "./platform-schedule-run.js";
-import { createPlatformSchedule, type PlatformScheduleEntry } from "./platform-schedule.js";
+import { createCutOffs, createPlatformSchedule, type PlatformScheduleEntry } from "./platform-schedule.js";
 import { probeReadiness } from "./readiness-probe.js";
 import { watchStalls } from "./stall-watch.js";
 
@@ -21,6 +21,8 @@
     readonly callersEach: number;
     readonly prepaid: number;
     readonly schedule: readonly PlatformScheduleEntry[];
+    /** Software versions of the model targets; all the same by default. */
+    readonly modelVersions?: readonly string[];
     /** Folder for the instances' lines and for what broke a promise; none by default. */
     readonly logFolder?: string | undefined;
 }
@@ -44,6 +46,9 @@
 
 const CALLERS_EACH = [4, 8, 16] as const;
 
+/** Software versions of the model targets. */
+const MODEL_VERSIONS: readonly (readonly string[])[] = [[], ["v1", "v2"], ["v1", "v1", "v2", "v2"]];
+
 /** Time to live of addresses, in seconds; as deployed. */
 const ADDRESS_TTL_S = 2;
 
@@ -63,14 +68,25 @@
     const drawn = random.int(3, 6);
     const count = opts.instances ?? drawn;
     const prepaid = random.pick(PREPAID);
-    const schedule = createPlatformSchedule(random, count);
+    const drawnFaults = createPlatformSchedule(random, count);
     const callersEach = random.pick(CALLERS_EACH);
-    return await playPlatformScenario({ seed, count, callersEach, prepaid, schedule, logFolder: opts.logFolder });
+    // Drawn last, so that what was drawn before them stays the same for a seed.
+    const schedule = [...drawnFaults, ...createCutOffs(random, count)].toSorted((a, b) => a.startMs - b.startMs);
+    const modelVersions = random.pick(MODEL_VERSIONS);
+    return await playPlatformScenario({
+        seed,
+        count,
+        callersEach,
+        prepaid,
+        schedule,
+        modelVersions,
+        logFolder: opts.logFolder,
+    });
 };
 
 /** Plays a schedule under load on a fleet of its own and judges. */
 export const playPlatformScenario = async (scenario: PlatformScenario): Promise<PlatformSeedResult> => {
-    const { seed, count, callersEach, prepaid, schedule, logFolder } = scenario;
+    const { seed, count, callersEach, prepaid, schedule, modelVersions = [], logFolder } = scenario;
     const log = logFolder === undefined ? undefined : createWriteStream(join(logFolder, `seed-${seed}.log`));
     const onLine = (instance: string, line: string): void => {
         if (log?.writable === true) {
@@ -81,6 +97,8 @@
         count,
         prepaid,
         withProxies: true,
+        modelVersions,
+        cuttable: schedule.some(({ fault }) => fault.kind === "cutOff") ? count - 1 : 0,
         addressTtlS: ADDRESS_TTL_S,
         ...(log === undefined ? {} : { onLine }),
     });
--- a/packages/bench/src/platform/soak/send-call.ts
+++ b/packages/bench/src/platform/soak/send-call.ts
@@ -18,6 +18,8 @@
     readonly readPauseMs: number;
     /** Time after which the caller disconnects. */
     readonly leavesAfterMs: number | undefined;
+    /** Call whose stream is resumed. */
+    readonly resumed: PlatformCall | undefined;
 }
 
 /** Time that a caller waits for each kind of request, in milliseconds; those of the users' sheets. */
@@ -28,6 +30,9 @@
 
 const BODY = ["how ", "does ", "it ", "work?"] as const;
 
+/** Whole events of a stream's body. */
+export const getEvents = (body: string): readonly string[] => body.match(/^id: \d+\ndata: .*\n$/gm) ?? [];
+
 const getHeaders = (plan: CallPlan): Readonly<Record<string, string>> => ({
     "host": "users.example",
     "attempt-id": plan.id,
@@ -35,6 +40,9 @@
     "authorization": "Bearer key-1",
     [STAND_IN_HEADERS.stepMs]: String(plan.stepMs),
     [STAND_IN_HEADERS.bytes]: String(plan.paddingBytes),
+    ...(plan.resumed === undefined
+        ? {}
+        : { "resumes": plan.resumed.id, "last-event-id": String(getEvents(plan.resumed.body).length) }),
     ...(plan.kind === "model" || plan.kind === "fixed"
         ? { "model": "m", "token-counts": `${plan.promptTokens},${MODEL_TOKENS}` }
         : {}),
@@ -113,6 +121,7 @@
         end,
         status: res?.statusCode,
         body: Buffer.concat(parts).toString(),
+        resumed: plan.resumed,
         retryAfterS: retryAfter === undefined ? undefined : Number(retryAfter),
     };
 };
