Ask peers which versions have served before a stream is resumed by history

Cause: the history of versions was trusted whatever its age, and before peers were asked for the stream's mark. Evidence: new tests of FleetStreamOrigins: such an instance, one without peers, and two that ask each other for a minute. Change: peers are asked first, and tell the versions that they know with their ages; where none responds and the own view is older than two seconds, nothing is certain. Measured: these tests and joined-streams pass.

--- a/packages/relay/src/instance/relay-instance.ts
+++ b/packages/relay/src/instance/relay-instance.ts
@@ -47,6 +47,9 @@
  */
 const TARGET_REANNOUNCE_MS = 1_700;
 
+/** Age of the view of the KV service up to which a version that has begun to serve would be known, in milliseconds. */
+const MAX_VIEW_AGE_MS = 2_000;
+
 const METRICS_PATH = "/metrics";
 const STATE_PATH = "/state";
 const HTTP_NOT_FOUND = 404;
@@ -276,6 +279,7 @@
         return new FleetStreamOrigins({
             hub: this.hub,
             history: this.versions,
+            isViewCurrent: () => this.freshness.ageMs <= MAX_VIEW_AGE_MS,
             log: this.log,
             count: name => this.metrics.add(name),
             nowMs: () => performance.now(),
--- a/packages/relay/src/versions/fleet-stream-origins.test.ts
+++ b/packages/relay/src/versions/fleet-stream-origins.test.ts
@@ -62,6 +62,32 @@
     t.deepEqual(await find(first, undefined), { service: SERVICE, version: "v1" });
 });
 
+test("an instance that does not reach the KV service does not take an old version for the only one", async t => {
+    const { fleet, second } = await start(["v1"]);
+    fleet.stale.add("instance-1");
+    t.deepEqual(await find(second), { service: SERVICE, version: "v1" });
+    fleet.put(createVersion("t9", "v2"));
+    t.is(await find(second), undefined);
+});
+
+test("an instance that reaches neither the KV service nor a peer does not guess", async t => {
+    const { fleet, second } = await start(["v1"]);
+    fleet.stale.add("instance-1");
+    fleet.network.disconnect(second.hub);
+    t.is(await find(second), undefined);
+});
+
+test("instances that ask each other do not keep a version that has left known forever", async t => {
+    const { fleet, first, second } = await start(["v1", "v2"]);
+    fleet.remove("t0");
+    for (let atMs = 0; atMs < LONG_MS; atMs += 5_000) {
+        fleet.nowMs += 5_000;
+        await find(first);
+        await find(second);
+    }
+    t.deepEqual(await find(first), { service: SERVICE, version: "v2" });
+});
+
 test("streams of targets without a version are continued nowhere", async t => {
     const fleet = new VersionFleet();
     fleet.put(createVersion("t0", undefined));
--- a/packages/relay/src/versions/fleet-stream-origins.ts
+++ b/packages/relay/src/versions/fleet-stream-origins.ts
@@ -1,5 +1,5 @@
 import type { PeerHub } from "@ospreyreel/peer";
-import type { InstanceInfo, StreamOrigin } from "@ospreyreel/types";
+import type { PeerRequests, StreamOrigin } from "@ospreyreel/types";
 import { BoundedMap } from "../bounded-map.js";
 import { ResponsibleInstances } from "../instance/responsible-instances.js";
 import type { RelayLog } from "../relay-log.js";
@@ -11,6 +11,8 @@
 export interface FleetStreamOriginsOptions {
     readonly hub: PeerHub;
     readonly history: VersionHistory;
+    /** Whether this instance would know of a version that has begun to serve. */
+    readonly isViewCurrent: () => boolean;
     readonly log: RelayLog;
     /** Adds one to a counter. */
     readonly count: (name: string) => void;
@@ -27,17 +29,20 @@
 const MAX_STREAMS = 32_768;
 
 /** Timeout of a question to a peer, in milliseconds: some round trips within a region. */
-const FIND_TIMEOUT_MS = 150;
+const FIND_TIMEOUT_MS = 100;
 
 /** Instances that are asked beyond those that keep a mark, since instances join and leave. */
 const EXTRA_ASKED = 2;
 
+/** Answer of one peer. */
+type FindResponse = PeerRequests["streams.find"]["res"];
+
 /** Where an origin is known from. */
 type OriginSource = "own" | "history" | "peer" | "unknown";
 
 /**
- * Keeps where streams began, while several versions serve also at other instances. Where only one version has served, no
- * origin has to be known.
+ * Keeps where streams began, while several versions serve also at other instances. Where only one version has served, by
+ * what this instance and its peers know, no origin has to be known.
  */
 export class FleetStreamOrigins extends StreamOrigins {
     private readonly known = new BoundedMap<KnownOrigin>(MAX_STREAMS);
@@ -53,14 +58,18 @@
 
     /** Starts storing other instances' marks and responding to their questions. */
     serve(): void {
-        const { hub, nowMs } = this.opts;
+        const { hub, history, nowMs } = this.opts;
         hub.handle("streams.mark", ({ marks }) => {
             marks.forEach(({ stream, service, version }) =>
                 this.known.set(stream, { service, version, atMs: nowMs() })
             );
             return Promise.resolve({});
         });
-        hub.handle("streams.find", ({ stream }) => Promise.resolve({ origin: this.get(stream) }));
+        hub.handle("streams.find", ({ stream, services }) =>
+            Promise.resolve({
+                origin: this.get(stream),
+                versions: services.flatMap(service => history.listWithAges(service)),
+            }));
     }
 
     /** Number of streams whose origins are kept. */
@@ -97,12 +106,17 @@
         if (own !== undefined) {
             return this.record(resumed, "own", own);
         }
-        const only = this.opts.history.getOnlyOrigin(services);
-        if (only !== undefined) {
-            return this.record(resumed, "history", only);
+        const told = await this.askPeers(stream ?? "", services);
+        const origin = told.find(response => response.origin !== undefined)?.origin;
+        if (origin !== undefined) {
+            return this.record(resumed, "peer", origin);
         }
-        const told = stream === undefined ? undefined : await this.askPeers(stream);
-        return this.record(resumed, told === undefined ? "unknown" : "peer", told);
+        // A peer may have read of a version that this instance has not, for example while only this one cannot reach the KV service.
+        told.flatMap(({ versions }) => versions)
+            .forEach(({ service, version, msAgo }) => this.opts.history.remember(service, [version], msAgo));
+        const isCertain = this.opts.isViewCurrent() || told.length > 0;
+        const only = isCertain ? this.opts.history.getOnlyOrigin(services) : undefined;
+        return this.record(resumed, only === undefined ? "unknown" : "history", only);
     }
 
     private record(
@@ -133,26 +147,35 @@
         return { service: known.service, version: known.version };
     }
 
-    private async askPeers(stream: string): Promise<StreamOrigin | undefined> {
+    /** Asks peers that may keep the stream's mark; resolves early once one of them knows its origin. */
+    private async askPeers(stream: string, services: readonly string[]): Promise<readonly FindResponse[]> {
         const { hub } = this.opts;
         const self = hub.self().instance;
         const asked = this.keepers.choose(stream, getKeeperCount(this.keepers.count) + EXTRA_ASKED)
             .filter(({ instance }) => instance !== self);
+        const responses: FindResponse[] = [];
+        return await new Promise(resolve => {
+            const asking = asked.map(async ({ incarnation }) => {
+                const response = await this.askPeer(incarnation, { stream, services });
+                responses.push(...response === undefined ? [] : [response]);
+                if (response?.origin !== undefined) {
+                    resolve(responses);
+                }
+            });
+            void Promise.all(asking).then(() => resolve(responses));
+        });
+    }
+
+    private async askPeer(
+        incarnation: string,
+        req: PeerRequests["streams.find"]["req"],
+    ): Promise<FindResponse | undefined> {
         try {
-            return await Promise.any(asked.map(peer => this.askPeer(peer, stream)));
+            return await this.opts.hub.request(incarnation, "streams.find", req, FIND_TIMEOUT_MS);
         }
         catch {
-            // None of them knows; the caller's log line tells that.
+            // Another peer may know; the caller's log line tells where none did.
             return undefined;
         }
     }
-
-    /** Asks one peer; throws where it does not know. */
-    private async askPeer({ incarnation, instance }: InstanceInfo, stream: string): Promise<StreamOrigin> {
-        const { origin } = await this.opts.hub.request(incarnation, "streams.find", { stream }, FIND_TIMEOUT_MS);
-        if (origin === undefined) {
-            throw new Error(`${instance} does not know the stream`);
-        }
-        return origin;
-    }
 }
--- a/packages/relay/src/versions/version-history.ts
+++ b/packages/relay/src/versions/version-history.ts
@@ -1,4 +1,4 @@
-import type { StreamOrigin } from "@ospreyreel/types";
+import type { ServingVersion, StreamOrigin } from "@ospreyreel/types";
 import type { TargetDirectory } from "../targets/target-directory.js";
 
 /** Options of {@link VersionHistory}. */
@@ -43,11 +43,12 @@
         this.hasEarlier = true;
     }
 
-    /** Records versions that may have served until now. */
-    remember(service: string, versions: readonly string[]): void {
+    /** Records versions that may have served until a time ago, in milliseconds; until now by default. */
+    remember(service: string, versions: readonly string[], msAgo = 0): void {
         const gone = this.gone.get(service) ?? new Map<string, number>();
         this.gone.set(service, gone);
-        versions.forEach(version => gone.set(version, this.opts.nowMs()));
+        const atMs = this.opts.nowMs() - msAgo;
+        versions.forEach(version => gone.set(version, Math.max(atMs, gone.get(version) ?? atMs)));
     }
 
     /** Versions of a service at which a resumed stream may have begun; an empty name stands for unnamed ones. */
@@ -56,6 +57,18 @@
         return [...new Set([...this.present.get(service) ?? [], ...this.gone.get(service)?.keys() ?? []])].toSorted();
     }
 
+    /** The listed versions, with the time since each was last known to serve. */
+    listWithAges(service: string): readonly ServingVersion[] {
+        const nowMs = this.opts.nowMs();
+        return this.list(service).map(version => ({
+            service,
+            version,
+            msAgo: this.present.get(service)?.has(version) === true
+                ? 0
+                : nowMs - (this.gone.get(service)?.get(version) ?? nowMs),
+        }));
+    }
+
     /** Whether streams of several versions of a service may be resumed. */
     isMixed(service: string): boolean {
         return this.list(service).length > 1;
--- a/packages/types/src/peer-requests.ts
+++ b/packages/types/src/peer-requests.ts
@@ -263,6 +263,12 @@
     readonly version: string;
 }
 
+/** A version of a service that serves, or did. */
+export interface ServingVersion extends StreamOrigin {
+    /** Time since it was last known to serve, in milliseconds; 0 while it is. */
+    readonly msAgo: number;
+}
+
 /** Origin of one stream, kept by instances beside the one that relayed its first event. */
 export interface StreamMark extends StreamOrigin {
     readonly stream: string;
@@ -409,10 +415,13 @@
         readonly req: { readonly marks: readonly StreamMark[]; };
         readonly res: Record<string, never>;
     };
-    /** Asks where a stream began; undefined where the receiver does not know. */
+    /**
+     * Asks where a stream began, undefined where the receiver does not know, and at which versions of the services one may
+     * have begun as far as it knows.
+     */
     readonly "streams.find": {
-        readonly req: { readonly stream: string; };
-        readonly res: { readonly origin: StreamOrigin | undefined; };
+        readonly req: { readonly stream: string; readonly services: readonly string[]; };
+        readonly res: { readonly origin: StreamOrigin | undefined; readonly versions: readonly ServingVersion[]; };
     };
     /** Asks whether the receiver reaches a target, by the name of its start. */
     readonly "targets.reach": {
