Say disconnected where an instance does not reach targets

The glossary's word for instances that cannot reach something, in the comments and the one log text of forwarded sends. A type no longer names a method that is not used. No behaviour changes.

--- a/packages/relay/src/paths/forwarded-sends.ts
+++ b/packages/relay/src/paths/forwarded-sends.ts
@@ -35,7 +35,7 @@
 }
 
 /**
- * Sends of peers that are cut off from targets. The sender keeps the request's budget, time, retries and permits; this
+ * Sends of peers that are disconnected from targets. The sender keeps the request's budget, time, retries and permits; this
  * instance only lends its connection, by what it knows of the target itself.
  */
 export class ForwardedSends {
@@ -108,7 +108,7 @@
             return "the target is not known here, leaves, or wants nothing from the peer";
         }
         if (!paths.isDirect(state.target)) {
-            return "the peer is cut off from the target as well";
+            return "the peer is disconnected from the target as well";
         }
         return !isAccepting() || state.inFlight >= getConnectionLimit(state.target.service)
             ? "the peer has no room for sends of others"
--- a/packages/relay/src/paths/forwarding-target-port.ts
+++ b/packages/relay/src/paths/forwarding-target-port.ts
@@ -29,7 +29,7 @@
 /** Time after which peers are asked about a target while a connection to it is still being opened, in milliseconds. */
 const ASK_AFTER_MS = 100;
 
-/** Sends to targets, through a peer where this instance is cut off from a target that the peer reaches. */
+/** Sends to targets, through a peer where this instance is disconnected from a target that the peer reaches. */
 export class ForwardingTargetPort extends TargetPort {
     private readonly watch: SilenceWatch;
     private readonly forwarded: ForwardedCalls;
--- a/packages/relay/src/paths/silence-watch.test.ts
+++ b/packages/relay/src/paths/silence-watch.test.ts
@@ -21,7 +21,6 @@
         paths: {
             recordResponse: () => undefined,
             recordUnreachable: () => Promise.resolve(isReached),
-            isDirect: () => true,
         },
     });
     const aborted: string[] = [];
--- a/packages/relay/src/paths/silence-watch.ts
+++ b/packages/relay/src/paths/silence-watch.ts
@@ -4,7 +4,7 @@
 
 /** Options of {@link SilenceWatch}. */
 export interface SilenceWatchOptions {
-    readonly paths: Pick<TargetPaths, "recordResponse" | "recordUnreachable" | "isDirect">;
+    readonly paths: Pick<TargetPaths, "recordResponse" | "recordUnreachable">;
     /** Monotonic time in milliseconds; `performance.now` by default. */
     readonly nowMs?: () => number;
     /** Opens a connection to a target; {@link probeConnection} by default. */
@@ -48,8 +48,8 @@
 const RECHECK_MS = 1_000;
 
 /**
- * Notices connections that hang because this instance is cut off from their target. A target that is silent while it works
- * still accepts connections; one that does not, while peers reach it, is cut off from here.
+ * Notices connections that hang because this instance is disconnected from their target. A target that is silent while it works
+ * still accepts connections; one that does not, while peers reach it, is disconnected from here.
  */
 export class SilenceWatch {
     private readonly targets = new Map<string, WatchedTarget>();
--- a/packages/relay/src/quarantine/connect-crash-check.ts
+++ b/packages/relay/src/quarantine/connect-crash-check.ts
@@ -4,7 +4,7 @@
 
 /** Options of {@link ConnectCrashCheck}. */
 export interface ConnectCrashCheckOptions {
-    /** Resolves whether another instance reaches the target, so that only this one is cut off from it. */
+    /** Resolves whether another instance reaches the target, so that only this one is disconnected from it. */
     readonly isReachedByPeers: (target: Target) => Promise<boolean>;
 }
 
