Do not take earlier responses as proof that a target is reached

Cause: the question comes in the moment of a failure; evidence from before it says nothing. Evidence: a new test, 'a target that has just answered peers and crashed is reported as crashed', failed before the change. Change: a peer that is asked always opens a connection. Measured: the test passes, with those of cut-off-instances, deadly-part and deadly-request.

--- a/packages/relay/src/paths/forwarding-target-port.test.ts
+++ b/packages/relay/src/paths/forwarding-target-port.test.ts
@@ -55,6 +55,17 @@
     t.true(cut.paths.isDirect(TARGET));
 });
 
+test("a target that has just answered peers and crashed is reported as crashed", async t => {
+    const { fleet, cut, second, third } = start();
+    cut.direct.isCut = false;
+    await Promise.all([cut, second, third].map(member => fleet.send(member)));
+    fleet.hasCrashed = true;
+    const refused = { ...TARGET, port: 1 };
+    cut.directory.put(refused);
+    const check = new ConnectCrashCheck({ isReachedByPeers: target => cut.paths.recordUnreachable(target) });
+    t.true(await check.hasCrashed(refused));
+});
+
 test("an instance that is cut off does not report its targets as crashed", async t => {
     const { cut } = start();
     const refused = { ...TARGET, port: 1 };
--- a/packages/relay/src/paths/path-state.ts
+++ b/packages/relay/src/paths/path-state.ts
@@ -4,8 +4,6 @@
     isLost = false;
     /** Incarnations of peers that reach the target. */
     readonly reachedBy = new Set<string>();
-    /** Monotonic time of the last response on a connection of this instance, in milliseconds. */
-    respondedAtMs = Number.NEGATIVE_INFINITY;
     /** Monotonic time until which no peer is asked again, in milliseconds. */
     unreachedUntilMs = Number.NEGATIVE_INFINITY;
     /** The question to peers that is open. */
--- a/packages/relay/src/paths/silence-watch.test.ts
+++ b/packages/relay/src/paths/silence-watch.test.ts
@@ -19,7 +19,6 @@
             return Promise.resolve(outcome);
         },
         paths: {
-            recordResponse: () => undefined,
             recordUnreachable: () => Promise.resolve(isReached),
         },
     });
--- a/packages/relay/src/paths/silence-watch.ts
+++ b/packages/relay/src/paths/silence-watch.ts
@@ -4,7 +4,7 @@
 
 /** Options of {@link SilenceWatch}. */
 export interface SilenceWatchOptions {
-    readonly paths: Pick<TargetPaths, "recordResponse" | "recordUnreachable">;
+    readonly paths: Pick<TargetPaths, "recordUnreachable">;
     /** Monotonic time in milliseconds; `performance.now` by default. */
     readonly nowMs?: () => number;
     /** Opens a connection to a target; {@link probeConnection} by default. */
@@ -74,7 +74,6 @@
         return {
             recordResponse: () => {
                 watched.respondedAtMs = this.nowMs();
-                this.opts.paths.recordResponse(target);
             },
             end: () => {
                 watched.exchanges.delete(exchange);
--- a/packages/relay/src/paths/target-paths.ts
+++ b/packages/relay/src/paths/target-paths.ts
@@ -33,9 +33,6 @@
 /** Time for which the answer that no peer reaches a target is used again, in milliseconds. */
 const UNREACHED_TTL_MS = 500;
 
-/** Time for which a response proves that a target is reached, in milliseconds. */
-const RESPONSE_TTL_MS = 1_000;
-
 /** Maximum number of peers that are asked about one target; each instance picks others. */
 const MAX_ASKED = 6;
 
@@ -73,11 +70,6 @@
         return this.states.get(getStartKey(target))?.isLost !== true;
     }
 
-    /** Records that a response, or a part of one, arrived on a connection of this instance. */
-    recordResponse(target: Target): void {
-        this.getState(target).respondedAtMs = this.nowMs();
-    }
-
     /**
      * Tells that a connection to the target could not be opened; resolves whether a peer reaches it, so that the sends go
      * through peers from now on.
@@ -136,8 +128,8 @@
         if (target === undefined || target.leaving || state?.isLost === true) {
             return false;
         }
-        return (state !== undefined && this.nowMs() - state.respondedAtMs < RESPONSE_TTL_MS)
-            || await this.probe(target, REACH_PROBE_TIMEOUT_MS) === "open";
+        // Earlier responses prove nothing: the question may come in the moment of a crash.
+        return await this.probe(target, REACH_PROBE_TIMEOUT_MS) === "open";
     }
 
     /** Resolves with the first peer that reaches the target; the others are recorded as they respond. */
