--- a/packages/relay/src/paths/silence-watch.test.ts
+++ b/packages/relay/src/paths/silence-watch.test.ts
@@ -19,9 +19,7 @@
             return Promise.resolve(outcome);
         },
         paths: {
-            recordResponse: () => undefined,
             recordUnreachable: () => Promise.resolve(isReached),
-            isDirect: () => true,
         },
     });
     const aborted: string[] = [];
