Send the marks of streams again when the versions of a service change

Found by a review: marks of streams from before a release were sent to other instances at the first release only, unless a target had come or gone after the old version was forgotten. Streams that a later release found in progress would have been refused when their callers resumed them at another instance; none would have been joined. Cause: whether a service's marks were sent was remembered without the versions that they were sent for. Evidence: a new test, 'streams from before a second release are known to other instances as well', failed before the change.

--- a/packages/relay/src/versions/fleet-stream-origins.test.ts
+++ b/packages/relay/src/versions/fleet-stream-origins.test.ts
@@ -41,6 +41,17 @@
     t.deepEqual(await find(second), { service: SERVICE, version: "v1" });
 });
 
+test("streams from before a second release are known to other instances as well", async t => {
+    const { fleet, first, second } = await start(["v1", "v2"]);
+    fleet.remove("t0");
+    fleet.nowMs += LONG_MS;
+    first.origins.recordBegun(STREAM, { service: SERVICE, version: "v2" });
+    fleet.put(createVersion("t9", "v3"));
+    await fleet.settle();
+    fleet.kill(first);
+    t.deepEqual(await find(second), { service: SERVICE, version: "v2" });
+});
+
 test("a stream that no instance knows is not guessed while several versions serve", async t => {
     const { second } = await start(["v1", "v2"]);
     t.is(await find(second), undefined);
--- a/packages/relay/src/versions/fleet-stream-origins.ts
+++ b/packages/relay/src/versions/fleet-stream-origins.ts
@@ -48,7 +48,8 @@
     private readonly known = new BoundedMap<KnownOrigin>(MAX_STREAMS);
     private readonly keepers: ResponsibleInstances;
     private readonly sender: MarkSender;
-    private readonly shared = new Set<string>();
+    /** Versions of each service when its streams' marks were last sent. */
+    private readonly sharedFor = new Map<string, string>();
 
     constructor(private readonly opts: FleetStreamOriginsOptions) {
         super();
@@ -77,15 +78,13 @@
         return this.known.size;
     }
 
-    /** Sends the marks of this instance's streams at services that now have several versions. */
+    /** Sends the marks of this instance's streams at services with several versions, each time these change. */
     shareMixed(): void {
         const { history } = this.opts;
         for (const service of history.services) {
-            if (!history.isMixed(service)) {
-                this.shared.delete(service);
-            }
-            else if (!this.shared.has(service)) {
-                this.shared.add(service);
+            const versions = history.list(service).join("\n");
+            if (history.isMixed(service) && this.sharedFor.get(service) !== versions) {
+                this.sharedFor.set(service, versions);
                 this.known.list().map(([stream, origin]) => ({ stream, ...origin }))
                     .filter(mark => mark.service === service)
                     .forEach(({ stream, version }) => this.sender.send({ stream, service, version }));
