--- a/packages/bench/src/platform/target-limit.test.ts
+++ b/packages/bench/src/platform/target-limit.test.ts
@@ -1,6 +1,6 @@
 import test from "ava";
-import { setTimeout as sleep } from "node:timers/promises";
-import { type CallerAnswer, PlatformFleet } from "./platform-fleet.js";
+import { askInTurn } from "./ask-in-turn.js";
+import { PlatformFleet } from "./platform-fleet.js";
 
 const LIMIT_PER_S = 3;
 
@@ -22,20 +22,6 @@
 const HTTP_OK = 200;
 const HTTP_UNAVAILABLE = 503;
 
-/** Asks each instance in turn at an interval, and returns all answers. */
-const askAll = async (fleet: PlatformFleet, runMs: number): Promise<readonly CallerAnswer[]> => {
-    const endsAtMs = performance.now() + runMs;
-    const answers: Promise<CallerAnswer>[] = [];
-    for (let index = 0; performance.now() < endsAtMs; index++) {
-        const instance = fleet.instances[index % fleet.instances.length];
-        if (instance !== undefined) {
-            answers.push(fleet.ask(instance, 60, { "prompt-prefix": `a${index}:20,b${index}:20` }));
-        }
-        await sleep(ASK_INTERVAL_MS);
-    }
-    return await Promise.all(answers);
-};
-
 /** Largest number of requests that a target got in a window that starts after a time. */
 const getMaxSends = (fleet: PlatformFleet, target: string, fromMs: number): number => {
     const times = fleet.ran.filter(run => run.target === target && run.atMs >= fromMs).map(({ atMs }) => atMs);
@@ -52,15 +38,15 @@
     }
     limited.limitPerS = LIMIT_PER_S;
     const startedAtMs = performance.now();
-    const answers = await askAll(fleet, RUN_MS);
+    const answers = await askInTurn(fleet, RUN_MS, ASK_INTERVAL_MS);
     const sends = getMaxSends(fleet, limited.id, startedAtMs + CONTACT_MS);
     t.true(sends <= MAX_SENDS, `${sends} sends in ${WINDOW_MS} ms`);
     t.true(sends >= LIMIT_PER_S * WINDOW_MS / 1_000 / 2, `${sends} sends in ${WINDOW_MS} ms`);
     t.deepEqual(answers.filter(({ status }) => status !== HTTP_OK), []);
     limited.limitPerS = undefined;
-    await askAll(fleet, NOTICE_MS);
+    await askInTurn(fleet, NOTICE_MS, ASK_INTERVAL_MS);
     const freeFromMs = performance.now();
-    await askAll(fleet, WINDOW_MS);
+    await askInTurn(fleet, WINDOW_MS, ASK_INTERVAL_MS);
     const sendsAfter = getMaxSends(fleet, limited.id, freeFromMs);
     t.true(sendsAfter > MAX_SENDS, `${sendsAfter} sends in ${WINDOW_MS} ms after the end of the limit`);
 });
@@ -70,7 +56,7 @@
     t.teardown(() => fleet.close());
     fleet.models.forEach(model => model.limitPerS = LIMIT_PER_S);
     const startedAtMs = performance.now();
-    const answers = await askAll(fleet, RUN_MS);
+    const answers = await askInTurn(fleet, RUN_MS, ASK_INTERVAL_MS);
     for (const { id } of fleet.models) {
         const sends = getMaxSends(fleet, id, startedAtMs + CONTACT_MS);
         t.true(sends <= MAX_SENDS, `${sends} sends to ${id} in ${WINDOW_MS} ms`);
--- a/packages/bench/src/platform/target-notes.test.ts
+++ b/packages/bench/src/platform/target-notes.test.ts
@@ -1,6 +1,7 @@
 import test from "ava";
 import { setTimeout as sleep } from "node:timers/promises";
-import { type CallerAnswer, PlatformFleet } from "./platform-fleet.js";
+import { askInTurn } from "./ask-in-turn.js";
+import { PlatformFleet } from "./platform-fleet.js";
 
 const HTTP_OK = 200;
 const HTTP_UNAVAILABLE = 503;
@@ -18,20 +19,6 @@
 const RUN_MS = 1_500;
 const ASK_INTERVAL_MS = 20;
 
-/** Asks the instances in turn at an interval. */
-const askAll = async (fleet: PlatformFleet, runMs: number): Promise<readonly CallerAnswer[]> => {
-    const endsAtMs = performance.now() + runMs;
-    const answers: Promise<CallerAnswer>[] = [];
-    for (let index = 0; performance.now() < endsAtMs; index++) {
-        const instance = fleet.instances[index % fleet.instances.length];
-        if (instance !== undefined) {
-            answers.push(fleet.ask(instance, 60, { "prompt-prefix": `a${index}:20,b${index}:20` }));
-        }
-        await sleep(ASK_INTERVAL_MS);
-    }
-    return await Promise.all(answers);
-};
-
 test.serial("a target that says in its answers that it leaves gets no requests afterwards", async t => {
     const fleet = await PlatformFleet.start({ prepaid: 10_000_000 });
     t.teardown(() => fleet.close());
@@ -41,11 +28,11 @@
         return;
     }
     leaving.isLeaving = true;
-    await askAll(fleet, RUN_MS);
+    await askInTurn(fleet, RUN_MS, ASK_INTERVAL_MS);
     t.true(leaving.ran.length > 0);
     await sleep(DRAIN_MS);
     const fromMs = performance.now();
-    const answers = await askAll(fleet, RUN_MS);
+    const answers = await askInTurn(fleet, RUN_MS, ASK_INTERVAL_MS);
     t.is(leaving.ran.filter(({ atMs }) => atMs >= fromMs).length, 0);
     t.deepEqual(answers.filter(({ status }) => status !== HTTP_OK), []);
 });
@@ -55,7 +42,7 @@
     t.teardown(() => fleet.close());
     fleet.models.forEach(model => model.rejectsForS = PAUSE_S);
     const startedAtMs = performance.now();
-    const answers = await askAll(fleet, RUN_MS);
+    const answers = await askInTurn(fleet, RUN_MS, ASK_INTERVAL_MS);
     for (const { rejectedAtMs } of fleet.models) {
         const [first = startedAtMs] = rejectedAtMs;
         const late = rejectedAtMs.filter(atMs => atMs > first + GRACE_MS).length;
@@ -64,5 +51,5 @@
     t.true(answers.every(({ status, retryAfterS = 0 }) => status === HTTP_UNAVAILABLE && retryAfterS > 0));
     fleet.models.forEach(model => model.rejectsForS = undefined);
     await sleep(PAUSE_S * 1_000);
-    t.deepEqual((await askAll(fleet, RUN_MS)).filter(({ status }) => status !== HTTP_OK), []);
+    t.deepEqual((await askInTurn(fleet, RUN_MS, ASK_INTERVAL_MS)).filter(({ status }) => status !== HTTP_OK), []);
 });
