Count a send through a peer that was not reached as not sent

What callers saw: at instances that are disconnected from all targets, a request ended with 502, or its attempt was used up, when the peer that forwarded for it had just been killed; for 1.5 s, until the peer counted as lost, each request at such an instance could meet it.

Cause: the hub reported any failure as an unknown outcome, also where no link could be opened. ForwardedCalls took it for a request that may have run, so that one that may run once was not tried again, and the peer was not left out.

The new test 'a request that may run once is sent by another peer where the first one was not reached' got no answer before ('' instead of 'whole') and passes now; a test of the hub on real links tells the two kinds of failure apart.

Change: the hub throws an error of its own where the request was certainly not sent (same result code); ForwardedCalls reports it as not sent, and the next peer is tried. A link that is lost after the request was written stays an unknown outcome.

--- a/packages/peer/src/index.ts
+++ b/packages/peer/src/index.ts
@@ -2,6 +2,7 @@
 export * from "./address-book.js";
 export * from "./address-order.js";
 export * from "./copy-holder.js";
+export { wasNotSent } from "./errors.js";
 export * from "./even-spread-address-order.js";
 export * from "./io-timeout.js";
 export * from "./lingering-close.js";
--- a/packages/peer/src/link.ts
+++ b/packages/peer/src/link.ts
@@ -1,4 +1,4 @@
-import { FrameError, peerUnavailable } from "./errors.js";
+import { FrameError, requestNotSent } from "./errors.js";
 import type { LinkOptions } from "./link-options.js";
 import { decodeMessage, encodeMessage } from "./message-codec.js";
 import type {
@@ -81,7 +81,7 @@
     /** Sends a request and waits for the reply; throws `peerUnavailable`. */
     async request(name: string, body: unknown, timeoutMs: number): Promise<unknown> {
         if (!this.isUsable) {
-            throw peerUnavailable("the link is closing");
+            throw requestNotSent("the link is closing");
         }
         this.lastUsedAtMs = performance.now();
         const to = this.record.info.incarnation;
--- a/packages/peer/src/on-demand-dials.ts
+++ b/packages/peer/src/on-demand-dials.ts
@@ -1,5 +1,5 @@
 import { once } from "node:events";
-import { peerUnavailable } from "./errors.js";
+import { peerUnavailable, requestNotSent } from "./errors.js";
 import type { Link } from "./link.js";
 import type { MemberRecord } from "./messages.js";
 
@@ -23,14 +23,14 @@
     async getLink(incarnation: string, timeoutMs: number): Promise<Link> {
         const record = this.opts.find(incarnation);
         if (record === undefined) {
-            throw peerUnavailable(`${incarnation} is not a member`);
+            throw requestNotSent(`${incarnation} is not a member`);
         }
         const dialling = this.dialling.get(incarnation) ?? this.start(record);
         try {
             return await Promise.race([dialling, rejectAfter(timeoutMs)]);
         }
         catch (cause) {
-            throw peerUnavailable(`no link to ${record.info.instance}`, cause);
+            throw requestNotSent(`no link to ${record.info.instance}`, cause);
         }
     }
 
--- a/packages/peer/src/pending-requests.ts
+++ b/packages/peer/src/pending-requests.ts
@@ -1,4 +1,4 @@
-import { peerUnavailable } from "./errors.js";
+import { peerUnavailable, requestNotSent } from "./errors.js";
 import { IoTimeout } from "./io-timeout.js";
 
 interface PendingRequest {
@@ -28,7 +28,7 @@
             }
             catch (cause) {
                 this.remove(id);
-                reject(peerUnavailable("the request could not be sent", cause));
+                reject(requestNotSent("the request could not be sent", cause));
             }
         });
     }
--- a/packages/peer/src/tcp-peer-hub.test.ts
+++ b/packages/peer/src/tcp-peer-hub.test.ts
@@ -2,6 +2,7 @@
 import { Counters } from "@ospreyreel/telemetry";
 import test from "ava";
 import { once } from "node:events";
+import { wasNotSent } from "./errors.js";
 import { encodeFrame } from "./frame-decoder.js";
 import { connectRaw, startHub, startRelay, waitUntil, waitUntilJoined } from "./hub-fixtures.js";
 import type { MembershipChange } from "./peer-hub.js";
@@ -43,6 +44,25 @@
     t.true(hasResult(unknown, "peerUnavailable"));
 });
 
+test("a request to a peer that accepts no link was not sent, one whose link is lost may have been", async t => {
+    const a = await startHub(t, { instance: "a" });
+    const b = await startHub(t, { instance: "b", peer: NOWHERE });
+    const relay = await startRelay(t, { host: "127.0.0.1", port: b.listenPort });
+    let requestCount = 0;
+    b.handle("config.get", () => (requestCount++, NEVER));
+    a.setPeerAddresses([relay.address]);
+    await waitUntilJoined(a, b);
+    const failure = t.throwsAsync(a.request("b-1", "config.get", {}, 10_000));
+    await waitUntil(() => requestCount === 1);
+    await b.close();
+    const lost = await failure;
+    t.true(hasResult(lost, "peerUnavailable"));
+    t.false(wasNotSent(lost));
+    const refused = await t.throwsAsync(a.request("b-1", "config.get", {}, 10_000));
+    t.true(hasResult(refused, "peerUnavailable"));
+    t.true(wasNotSent(refused));
+});
+
 test("a reply after the timeout is dropped and counted", async t => {
     const counters = new Counters();
     const a = await startHub(t, { instance: "a" }, { counters });
--- a/packages/relay/src/paths/forwarded-calls.ts
+++ b/packages/relay/src/paths/forwarded-calls.ts
@@ -1,4 +1,4 @@
-import type { PeerHub } from "@ospreyreel/peer";
+import { type PeerHub, wasNotSent } from "@ospreyreel/peer";
 import type { ForwardedBody, ForwardedHead, ForwardedSend, InstanceInfo } from "@ospreyreel/types";
 import { ResponseBody } from "../http/response-body.js";
 import type { TargetCall, TargetOutcome } from "../targets/target-port.js";
@@ -100,8 +100,8 @@
         }
         catch (err) {
             this.opts.count("sends_forwarded_failed");
-            // The peer may have sent it.
-            return { kind: "failed", cause: `forwarded by ${instance}: ${String(err)}` };
+            // A peer that was reached may have sent it.
+            return { kind: wasNotSent(err) ? "not_sent" : "failed", cause: `forwarded by ${instance}: ${String(err)}` };
         }
     }
 
--- a/packages/relay/src/paths/forwarding-target-port.test.ts
+++ b/packages/relay/src/paths/forwarding-target-port.test.ts
@@ -119,6 +119,16 @@
     t.like(await sending, { text: "a", cause: "the peer that forwards the response was lost" });
 });
 
+test("a request that may run once is sent by another peer where the first one was not reached", async t => {
+    const { fleet, cut, second, third } = start();
+    await fleet.send(cut);
+    fleet.network.refuseLinks(second.hub);
+    for (let count = 0; count < 5; count++) {
+        t.is((await fleet.send(cut, { isRepeatable: false })).text, "whole");
+    }
+    t.is(countCalls([third, second]), 6);
+});
+
 test("a peer ends its send when the caller has left", async t => {
     const { fleet, cut, second, third } = start();
     [second, third].forEach(({ direct }) => {
