End a forwarded send at its target when its sender is not reached any more

What callers saw: nothing directly; the target went on with a request whose response nobody read, and its slot and the connection of the instance that forwarded stayed taken until the target closed it.

Cause: ForwardedSends reads the body by hand. Where a part could not be passed on, it left the loop without ending the body, and then cleared the timer that would have aborted the exchange at its deadline.

Change: the body is ended whenever its rest is not wanted, also after a failure to pass a part on.

--- a/packages/relay/src/paths/forwarded-sends.ts
+++ b/packages/relay/src/paths/forwarded-sends.ts
@@ -157,8 +157,17 @@
             if (next.done === true) {
                 return undefined;
             }
-            if (!await pass(next.value)) {
-                await chunks.return?.();
+            let isWanted = false;
+            try {
+                isWanted = await pass(next.value);
+            }
+            finally {
+                if (!isWanted) {
+                    // Ends the exchange with the target, also where the sender is not reached.
+                    await chunks.return?.();
+                }
+            }
+            if (!isWanted) {
                 return "the response is not wanted any more";
             }
         }
--- a/packages/relay/src/paths/forwarding-target-port.test.ts
+++ b/packages/relay/src/paths/forwarding-target-port.test.ts
@@ -2,6 +2,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { createAnswer, PathFleet, type PathMember, TARGET } from "../fixtures/path-fleet.js";
 import { ConnectCrashCheck } from "../quarantine/connect-crash-check.js";
+import type { TargetOutcome } from "../targets/target-port.js";
 
 /** Time in which a cut instance tries its own connection again, in milliseconds. */
 const RESTORE_MS = 2_000;
@@ -129,6 +130,38 @@
     t.is(countCalls([third, second]), 6);
 });
 
+const createEndlessAnswer = (first: string, onReturn: () => void = () => undefined): TargetOutcome => {
+    const body = async function*(): AsyncGenerator<Buffer> {
+        try {
+            for (;;) {
+                yield Buffer.from(first);
+                await sleep(5);
+            }
+        }
+        finally {
+            onReturn();
+        }
+    };
+    return { kind: "answer", head: { status: 200, headers: [], isFramed: true }, body: body() };
+};
+
+test("a peer ends its send when it does not reach the instance that asked for it any more", async t => {
+    const { fleet, cut, second, third } = start();
+    let returned = 0;
+    [second, third].forEach(({ direct }) => {
+        direct.answer = () => createEndlessAnswer("a", () => returned += 1);
+    });
+    const caller = new AbortController();
+    const sending = fleet.send(cut, { signal: caller.signal, leftMs: 5_000 });
+    await sleep(20);
+    fleet.network.refuseLinks(cut.hub);
+    await sleep(100);
+    t.is(returned, 1);
+    t.is(second.forwardedSends.size + third.forwardedSends.size, 0);
+    caller.abort();
+    await sending;
+});
+
 test("a peer ends its send when the caller has left", async t => {
     const { fleet, cut, second, third } = start();
     [second, third].forEach(({ direct }) => {
