Break a forwarded response off as soon as the link to its peer is lost

What callers saw: at an instance that is disconnected from all targets, a stream stood still for 1.5 s when the peer that forwarded it was killed, and was resumed or ended only then; where the link was lost but the peer lived, it stood still until the request's time was over.

Cause: parts of a response come in requests of the peer, so the sender has none of its own pending whose failure would tell of the lost link. It waited for the membership to report the peer as lost, which it does after 1.5 s, and never does where the peer links again.

The new test 'a response breaks off as soon as the link to the peer that forwards it is lost' had no end after 500 ms before.

Change: the sender keeps one request (sends.watch) pending at the peer while a response runs; it fails with the link, and ends with the send.

--- a/packages/relay/src/paths/forwarded-calls.ts
+++ b/packages/relay/src/paths/forwarded-calls.ts
@@ -55,6 +55,7 @@
             this.open.delete(send);
             return head;
         }
+        void this.watch(send, peer, call.leftMs);
         const { status, headers, isFramed, notes } = head;
         return { kind: "answer", head: { status, headers, isFramed }, body: opened.body, notes };
     }
@@ -105,6 +106,17 @@
         }
     }
 
+    /** Ends a response whose peer is lost or gave it up, without waiting until the peer counts as lost. Does not throw. */
+    private async watch(send: number, { incarnation }: InstanceInfo, leftMs: number): Promise<void> {
+        try {
+            await this.opts.hub.request(incarnation, "sends.watch", { send }, leftMs + RESPONSE_MARGIN_MS);
+        }
+        catch {
+            // Without its link the peer passes nothing on, whatever became of it.
+        }
+        this.fail(send);
+    }
+
     private async receive({ send, chunk, end }: ForwardedBody, { incarnation }: InstanceInfo): Promise<boolean> {
         const call = this.open.get(send);
         if (call === undefined || call.peer !== incarnation) {
@@ -139,12 +151,13 @@
     }
 
     private failAll(peer: string): void {
-        for (const [send, call] of this.open) {
-            if (call.peer === peer) {
-                this.open.delete(send);
-                call.body.fail(new Error("the peer that forwards the response was lost"));
-            }
-        }
+        [...this.open].filter(([, call]) => call.peer === peer).forEach(([send]) => this.fail(send));
+    }
+
+    private fail(send: number): void {
+        const call = this.open.get(send);
+        this.open.delete(send);
+        call?.body.fail(new Error("the peer that forwards the response was lost"));
     }
 }
 
--- a/packages/relay/src/paths/forwarded-sends.ts
+++ b/packages/relay/src/paths/forwarded-sends.ts
@@ -32,6 +32,8 @@
 interface RunningSend {
     readonly from: string;
     readonly controller: AbortController;
+    /** Resolves once the response has been passed on, or cannot be. */
+    readonly ended: Promise<void>;
 }
 
 /**
@@ -56,6 +58,10 @@
             this.running.get(`${incarnation}/${send}`)?.controller.abort();
             return Promise.resolve({});
         });
+        hub.handle("sends.watch", async ({ send }, { incarnation }) => {
+            await this.running.get(`${incarnation}/${send}`)?.ended;
+            return {};
+        });
         void hub.changes().observe(({ kind, info }) => {
             if (kind === "lost") {
                 [...this.running.values()].filter(({ from }) => from === info.incarnation)
@@ -74,12 +80,17 @@
         const controller = new AbortController();
         const timer = setTimeout(() => controller.abort(), req.leftMs);
         const key = `${from.incarnation}/${req.send}`;
-        this.running.set(key, { from: from.incarnation, controller });
+        let resolveEnded = (): void => undefined;
+        const ended = new Promise<void>(resolve => {
+            resolveEnded = resolve;
+        });
+        this.running.set(key, { from: from.incarnation, controller, ended });
         state.inFlight += 1;
         const end = (): void => {
             clearTimeout(timer);
             this.running.delete(key);
             state.inFlight -= 1;
+            resolveEnded();
         };
         const outcome = await this.opts.direct.send({
             req: toRelayRequest(req),
--- a/packages/relay/src/paths/forwarding-target-port.test.ts
+++ b/packages/relay/src/paths/forwarding-target-port.test.ts
@@ -145,6 +145,22 @@
     return { kind: "answer", head: { status: 200, headers: [], isFramed: true }, body: body() };
 };
 
+test("a response breaks off as soon as the link to the peer that forwards it is lost", async t => {
+    const { fleet, cut, second, third } = start();
+    [second, third].forEach(({ direct }) => {
+        direct.answer = () => createEndlessAnswer("a");
+    });
+    const sending = fleet.send(cut, { leftMs: 5_000 });
+    await sleep(20);
+    const sender = [second, third].find(({ direct }) => direct.calls.length > 0);
+    t.not(sender, undefined);
+    if (sender !== undefined) {
+        fleet.network.loseLinks(sender.hub);
+    }
+    const ended = await Promise.race([sending, sleep(500, undefined)]);
+    t.like(ended, { cause: "the peer that forwards the response was lost" });
+});
+
 test("a peer ends its send when it does not reach the instance that asked for it any more", async t => {
     const { fleet, cut, second, third } = start();
     let returned = 0;
--- a/packages/types/src/peer-requests.ts
+++ b/packages/types/src/peer-requests.ts
@@ -432,6 +432,8 @@
     readonly "sends.forward": { readonly req: ForwardedSend; readonly res: ForwardedHead; };
     /** Passes a part of a response on; the response tells whether the rest is wanted, once there is room for it. */
     readonly "sends.body": { readonly req: ForwardedBody; readonly res: { readonly isWanted: boolean; }; };
+    /** Waits for the end of a forwarded send, so that its sender notices when the link is lost; the response is empty. */
+    readonly "sends.watch": { readonly req: { readonly send: number; }; readonly res: Record<string, never>; };
     /** Ends a forwarded send whose response nobody needs any more; the response is empty. */
     readonly "sends.cancel": { readonly req: { readonly send: number; }; readonly res: Record<string, never>; };
     /** Requests room for one send from the instance that keeps a target's room. */
