Open the stand-ins' ports outside the range of outgoing connections

Cause: a proxy that is cut stops listening and listens on its port again later. Its port came from the range that the system gives to outgoing connections (from 32768 on), so that a connection of any process could take it meanwhile. It was no clash of two rigs.

Evidence: both ports are in that range; Listener is the only place that closes and listens again. The new test of the proxy's port fails before this change (the port lies in the range) and passes now.

Change: listeners take a port of getFreePorts, which moves from the bench to the stand-ins; it gives each port once, below that range.

--- a/packages/bench/src/budgets/ledger-fleet.ts
+++ b/packages/bench/src/budgets/ledger-fleet.ts
@@ -1,11 +1,11 @@
 import { EtcdKvClient } from "@ospreyreel/kv";
 import { Ledger, LedgerKeys, StreamLookup, type StreamState } from "@ospreyreel/ledger";
 import { AddressBook, chooseCopyHolder, createTcpPeerHub } from "@ospreyreel/peer";
+import { getFreePorts } from "@ospreyreel/stand-ins";
 import { Counters, createLog } from "@ospreyreel/telemetry";
 import type { Address, InstanceInfo } from "@ospreyreel/types";
 import { randomUUID } from "node:crypto";
 import { setTimeout as sleep } from "node:timers/promises";
-import { getFreePorts } from "../rig/free-ports.js";
 import { BlockableHub } from "./blockable-hub.js";
 import { SHARDS } from "./seed-budgets.js";
 import { getBudgetName, getTeamShares, type Shape } from "./shape.js";
--- a/packages/bench/src/platform/platform-fleet.ts
+++ b/packages/bench/src/platform/platform-fleet.ts
@@ -1,5 +1,6 @@
 import {
     type FaultProxy,
+    getFreePorts,
     PlatformStoreStandIn,
     type PlatformTargetOptions,
     PlatformTargetStandIn,
@@ -12,7 +13,6 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { Agent, request } from "undici";
-import { getFreePorts } from "../rig/free-ports.js";
 import { RigProcess } from "../rig/rig-process.js";
 import { TargetLinks } from "./target-links.js";
 
--- a/packages/bench/src/rig/rig-process.test.ts
+++ b/packages/bench/src/rig/rig-process.test.ts
@@ -1,7 +1,7 @@
+import { getFreePorts } from "@ospreyreel/stand-ins";
 import test from "ava";
 import { request } from "undici";
 import { startFleetLinks } from "./fleet-links.js";
-import { getFreePorts } from "./free-ports.js";
 import { startPlatform, toUrl } from "./platform.js";
 import { getScriptPath, toRedirectOptions } from "./redirects.js";
 import { startProcess } from "./rig-process.js";
--- a/packages/bench/src/rig/start-fleet.ts
+++ b/packages/bench/src/rig/start-fleet.ts
@@ -1,4 +1,4 @@
-import { startFaultProxy } from "@ospreyreel/stand-ins";
+import { getFreePorts, startFaultProxy } from "@ospreyreel/stand-ins";
 import { mkdtemp, writeFile } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
@@ -6,7 +6,6 @@
 import { type FleetLinks, startFleetLinks } from "./fleet-links.js";
 import type { FleetOptions } from "./fleet-options.js";
 import { Fleet } from "./fleet.js";
-import { getFreePorts } from "./free-ports.js";
 import { createSettings, type InstancePlan, OPERATOR_TOKEN } from "./instance-settings.js";
 import { type Platform, startPlatform, toUrl } from "./platform.js";
 import { getScriptPath, toRedirectOptions } from "./redirects.js";
--- a/packages/stand-ins/src/common/listener.ts
+++ b/packages/stand-ins/src/common/listener.ts
@@ -1,6 +1,10 @@
 import type { Address } from "@ospreyreel/types";
 import { once } from "node:events";
 import type { AddressInfo, Server, Socket } from "node:net";
+import { getFreePorts } from "./free-ports.js";
+
+/** A free port stays out of the range of outgoing connections, which would take it while nothing listens on it. */
+const choosePort = async (port: number): Promise<number> => port === 0 ? (await getFreePorts(1))[0] ?? 0 : port;
 
 /** Opens, refuses and closes the connections of one server, always on the same port. */
 export class Listener {
@@ -21,7 +25,7 @@
     /** Starts to listen on 127.0.0.1; port 0 takes a free one the first time and the same one later. */
     async open(port = 0): Promise<Address> {
         if (!this.server.listening) {
-            this.server.listen(this.bound?.port ?? port, "127.0.0.1");
+            this.server.listen(this.bound?.port ?? await choosePort(port), "127.0.0.1");
             await once(this.server, "listening");
         }
         const info = this.server.address() as AddressInfo;
--- a/packages/stand-ins/src/fault-proxy/fault-proxy.test.ts
+++ b/packages/stand-ins/src/fault-proxy/fault-proxy.test.ts
@@ -6,6 +6,9 @@
 import { type FaultProxy, startFaultProxy } from "./fault-proxy.js";
 import type { ProxyMode } from "./proxy-faults.js";
 
+/** First port that Linux gives to outgoing connections, unless it is set up otherwise. */
+const FIRST_OUTGOING_PORT = 32_768;
+
 const until = async (holds: () => boolean): Promise<void> => {
     while (!holds()) {
         await setImmediate();
@@ -110,6 +113,11 @@
     await join();
 });
 
+test("a proxy that is cut for a time listens on a port that no outgoing connection takes meanwhile", async t => {
+    const { proxy } = await startFixture(t);
+    t.true(proxy.address.port < FIRST_OUTGOING_PORT);
+});
+
 test("stall holds bytes back and delivers them on pass", async t => {
     const { join, proxy } = await startFixture(t);
     const [client, server] = await join();
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -1,4 +1,5 @@
 /** Small stand-ins of outside systems, for tests and the demo only. */
+export { getFreePorts } from "./common/free-ports.js";
 export { joinMessages } from "./engine/completion-request.js";
 export type { EngineFaults, EngineOptions } from "./engine/engine-options.js";
 export { type EngineStandIn, startEngineStandIn } from "./engine/engine-stand-in.js";
