Send marks of streams when the same versions serve side by side again

What callers saw: none reported it. A release is taken back and, more than a minute later, tried again; the instance that began a stream in between is killed. Its caller is refused with `originUnknown`, though another instance could have known the version.

Cause: the marks of streams from a time with one version are sent once several versions serve, if these are others than at the last time. The same two versions were taken for a time that was dealt with.

Evidence: found by reading. The new test 'streams from before a release that is tried again are known to other instances as well' got undefined before and the version now; the 20 tests of packages/relay/src/versions pass.

Change: a stream that begins while one version serves clears what was noted as sent for its service.

--- a/packages/relay/src/versions/fleet-stream-origins.test.ts
+++ b/packages/relay/src/versions/fleet-stream-origins.test.ts
@@ -52,6 +52,17 @@
     t.deepEqual(await find(second), { service: SERVICE, version: "v2" });
 });
 
+test("streams from before a release that is tried again are known to other instances as well", async t => {
+    const { fleet, first, second } = await start(["v1", "v2"]);
+    fleet.remove("t1");
+    fleet.nowMs += LONG_MS;
+    first.origins.recordBegun(STREAM, { service: SERVICE, version: "v1" });
+    fleet.put(createVersion("t1", "v2"));
+    await fleet.settle();
+    fleet.kill(first);
+    t.deepEqual(await find(second), { service: SERVICE, version: "v1" });
+});
+
 test("a stream that no instance knows is not guessed while several versions serve", async t => {
     const { second } = await start(["v1", "v2"]);
     t.is(await find(second), undefined);
--- a/packages/relay/src/versions/fleet-stream-origins.ts
+++ b/packages/relay/src/versions/fleet-stream-origins.ts
@@ -48,7 +48,7 @@
     private readonly known = new BoundedMap<KnownOrigin>(MAX_STREAMS);
     private readonly keepers: ResponsibleInstances;
     private readonly sender: MarkSender;
-    /** Versions of each service when its streams' marks were last sent. */
+    /** Versions of each service whose streams' marks have all been sent, at that time. */
     private readonly sharedFor = new Map<string, string>();
 
     constructor(private readonly opts: FleetStreamOriginsOptions) {
@@ -97,6 +97,9 @@
         if (this.opts.history.isMixed(origin.service)) {
             this.sender.send({ stream, ...origin });
         }
+        else {
+            this.sharedFor.delete(origin.service);
+        }
     }
 
     override async find(resumed: ResumedStream): Promise<StreamOrigin | undefined> {
