Count the messages with marks of streams

Cause: the cost of marks at design size (5 to 6 KB/s during a release) is worked out and not measured; nothing on the metrics address told how many messages an instance sends, only failed ones had a log line.

Change: `ospreyreel_stream_mark_messages_total`. Evidence: the tests of packages/relay/src/versions pass (20).

--- a/packages/relay/src/versions/mark-sender.ts
+++ b/packages/relay/src/versions/mark-sender.ts
@@ -8,6 +8,8 @@
     readonly hub: Pick<PeerHub, "request" | "self">;
     readonly keepers: ResponsibleInstances;
     readonly log: RelayLog;
+    /** Adds one to a counter. */
+    readonly count: (name: string) => void;
 }
 
 /** Time for which marks are collected before they are sent, in milliseconds; a kill loses those of this time. */
@@ -60,6 +62,7 @@
     }
 
     private async deliver(incarnation: string, marks: readonly StreamMark[]): Promise<void> {
+        this.opts.count("stream_mark_messages");
         try {
             await this.opts.hub.request(incarnation, "streams.mark", { marks }, MARK_TIMEOUT_MS);
         }
