Log which peer forwarded a send

Cause: a request that ended badly at an instance which is disconnected from targets could not be followed: the lines named the peer only where it had not sent.

Evidence: the tests of packages/relay/src/paths pass (26).

--- a/packages/relay/src/paths/forwarding-target-port.ts
+++ b/packages/relay/src/paths/forwarding-target-port.ts
@@ -116,17 +116,14 @@
             tried.add(peer.incarnation);
             count("sends_forwarded");
             const outcome = await this.forwarded.send(call, peer);
+            const fields = { request: call.req.id, target: call.target.id, peer: peer.instance };
             if (outcome.kind !== "not_sent") {
+                log.write("send forwarded", { ...fields, outcome: outcome.kind });
                 return outcome;
             }
             cause = outcome.cause;
             paths.dropPeer(call.target, peer);
-            log.write("send not forwarded", {
-                request: call.req.id,
-                target: call.target.id,
-                peer: peer.instance,
-                cause,
-            });
+            log.write("send not forwarded", { ...fields, cause });
         }
         return { kind: "not_sent", cause };
     }
