Send no SIGHUP to an instance of the soak that is starting

Cause: the soak's fault `reload` signals an instance that another fault has just started again. A process of Node.js ends by SIGHUP until its first module has run; nothing in it can change that.

Change: an instance that is away gets its new settings and no signal; it reads them when it starts. A running one is signalled as before, also during a stop (`stopThenReload`).

--- a/packages/bench/src/platform/soak/platform-schedule-run.ts
+++ b/packages/bench/src/platform/soak/platform-schedule-run.ts
@@ -159,7 +159,10 @@
                 await Promise.all(
                     this.getInstances([fault.instance]).map(async instance => {
                         await fleet.changeSettings(instance);
-                        instance.process.kill("SIGHUP");
+                        // A process that starts reads the settings anyway, and a signal may come before it can handle one.
+                        if (!this.away.has(instance)) {
+                            instance.process.kill("SIGHUP");
+                        }
                     }),
                 );
                 return;
