Judge the soak by who sent a request for a cut-off instance

Change, each part only as far as a trace goes: a call is excused by a disturbance or a stop of an instance that the lines `send forwarded` name for its own id, not of any other; tries at an instance from its SIGTERM until it is ready again are left out of the comparison, on both sides.

--- a/packages/bench/src/platform/soak/fault-timeline.ts
+++ b/packages/bench/src/platform/soak/fault-timeline.ts
@@ -58,6 +58,8 @@
     readonly cutOffs: CutOffSpan[] = [];
     /** Targets that had said that they leave. */
     private readonly leaves: Span[] = [];
+    /** Instances that had been told to stop, or were killed, and were not ready again. */
+    private readonly absences: Span[] = [];
     /** Faults that nobody planned. */
     private readonly disturbances: Span[] = [];
     private readonly versions: Version[] = [];
@@ -72,6 +74,16 @@
         this.disturbances.push(...parts.map(part => ({ part, fromMs, toMs })));
     }
 
+    /** Records that an instance is told to stop, or killed; returns what records that it is ready again. */
+    beginAbsence(instance: string): () => void {
+        return begin(this.absences, [instance]);
+    }
+
+    /** Whether an instance stopped, or was away, at some time between two times. */
+    wasAbsent(instance: string, fromMs: number, toMs: number): boolean {
+        return hasOverlap(this.absences, instance, fromMs, toMs);
+    }
+
     /** Records that a target said that it leaves; returns what records its end. */
     leave(target: string): () => void {
         return begin(this.leaves, [target]);
@@ -111,7 +123,7 @@
 
     /** Whether a part was disturbed between two times. */
     overlaps(part: string, fromMs: number, toMs: number): boolean {
-        return this.disturbances.some(other => other.part === part && other.fromMs <= toMs && other.toMs >= fromMs);
+        return hasOverlap(this.disturbances, part, fromMs, toMs);
     }
 
     /** Desired states that may have decided about a request in that time. */
@@ -122,6 +134,9 @@
     }
 }
 
+const hasOverlap = (spans: readonly Span[], part: string, fromMs: number, toMs: number): boolean =>
+    spans.some(span => span.part === part && span.fromMs <= toMs && span.toMs >= fromMs);
+
 const begin = (spans: Span[], parts: readonly string[]): () => void => {
     const fromMs = performance.now();
     const begun = parts.map(part => ({ part, fromMs, toMs: Infinity }));
--- a/packages/bench/src/platform/soak/platform-schedule-run.ts
+++ b/packages/bench/src/platform/soak/platform-schedule-run.ts
@@ -256,10 +256,12 @@
         const taken = this.getInstances(indexes).filter(instance => !this.away.has(instance));
         taken.forEach(instance => this.away.add(instance));
         await Promise.all(taken.map(async instance => {
+            const endAbsence = this.timeline.beginAbsence(instance.name);
             await end(instance);
             await sleep(ms);
             await this.fleet.restart(instance);
             this.away.delete(instance);
+            endAbsence();
         }));
     }
 
--- a/packages/bench/src/platform/soak/play-platform-seed.ts
+++ b/packages/bench/src/platform/soak/play-platform-seed.ts
@@ -5,6 +5,7 @@
 import { RandomSource } from "../../faults/random-source.js";
 import { PlatformFleet } from "../platform-fleet.js";
 import { FaultTimeline, STORE_PART } from "./fault-timeline.js";
+import { ForwardLog } from "./forward-log.js";
 import { judgePlatform, type PlatformVerdict } from "./judge-platform.js";
 import { runPlatformLoad } from "./platform-load.js";
 import { PlatformScheduleRun } from "./platform-schedule-run.js";
@@ -88,7 +89,9 @@
 export const playPlatformScenario = async (scenario: PlatformScenario): Promise<PlatformSeedResult> => {
     const { seed, count, callersEach, prepaid, schedule, modelVersions = [], logFolder } = scenario;
     const log = logFolder === undefined ? undefined : createWriteStream(join(logFolder, `seed-${seed}.log`));
+    const forwards = new ForwardLog();
     const onLine = (instance: string, line: string): void => {
+        forwards.read(line);
         if (log?.writable === true) {
             log.write(`${Math.round(performance.now())} ${instance} ${line}\n`);
         }
@@ -100,7 +103,7 @@
         modelVersions,
         cuttable: schedule.some(({ fault }) => fault.kind === "cutOff") ? count - 1 : 0,
         addressTtlS: ADDRESS_TTL_S,
-        ...(log === undefined ? {} : { onLine }),
+        onLine,
     });
     try {
         const timeline = new FaultTimeline();
@@ -124,6 +127,7 @@
             fleet,
             timeline,
             rigStalls,
+            forwards,
             ...seen,
             readiness,
             prepaid: run.prepaid,
