Test cut-off instances beside an outage of the store, a restart, and cuts that come and go

Change: four tests with real processes; the rig's start and the comparison are shared with the three tests of a plain cut, whose checks stay and now also ask that something is served at the others.

--- a/packages/bench/src/platform/cut-off-instances.test.ts
+++ b/packages/bench/src/platform/cut-off-instances.test.ts
@@ -1,4 +1,4 @@
-import test from "ava";
+import test, { type ExecutionContext } from "ava";
 import { setTimeout as sleep } from "node:timers/promises";
 import { PlatformFleet, type PlatformInstance } from "./platform-fleet.js";
 import { openStream } from "./stream-caller.js";
@@ -69,25 +69,37 @@
     return ids.filter((id, index) => ids.indexOf(id) !== index);
 };
 
+/** Asserts that the cut instances, the first three, have their callers served as well as the others. */
+const assertServedAlike = async (t: ExecutionContext, fleet: PlatformFleet): Promise<void> => {
+    const tallies = await askAll(fleet, RUN_MS);
+    const cut = getShare(tallies.slice(0, 3));
+    const others = getShare(tallies.slice(3));
+    t.true(others > 0, "nothing was served at the others");
+    t.true(cut >= MIN_SHARE * others, `${cut} of first tries served at cut instances, ${others} at others`);
+    t.deepEqual(getRepeated(fleet), []);
+};
+
+const startCut = async (t: ExecutionContext, how: LinkCut, ids?: readonly string[]): Promise<PlatformFleet> => {
+    const fleet = await PlatformFleet.start({
+        count: 5,
+        cuttable: 3,
+        plainCount: 2,
+        modelCount: 3,
+        prepaid: 10_000_000,
+    });
+    t.teardown(() => fleet.close());
+    await askAll(fleet, 1_000, 1);
+    await Promise.all(fleet.targetLinks.map(links => links.cut(how, ids)));
+    return fleet;
+};
+
 const HOWS: readonly LinkCut[] = ["hang", "reset", "refuse"];
 
 for (const how of HOWS) {
     test.serial(`callers of instances that are cut off from all targets are served as well as others (${how})`, async t => {
-        const fleet = await PlatformFleet.start({
-            count: 5,
-            cuttable: 3,
-            plainCount: 2,
-            modelCount: 3,
-            prepaid: 10_000_000,
-        });
-        t.teardown(() => fleet.close());
-        await askAll(fleet, 1_000, 1);
-        await Promise.all(fleet.targetLinks.map(links => links.cut(how)));
+        const fleet = await startCut(t, how);
         await askAll(fleet, CONTACT_MS);
-        const tallies = await askAll(fleet, RUN_MS);
-        const cut = getShare(tallies.slice(0, 3));
-        const others = getShare(tallies.slice(3));
-        t.true(cut >= MIN_SHARE * others, `${cut} of first tries served at cut instances, ${others} at others`);
+        await assertServedAlike(t, fleet);
         await Promise.all(fleet.targetLinks.map(links => links.restore()));
         await sleep(RESTORED_MS);
         t.is(getShare(await askAll(fleet, 1_000)), 1);
@@ -95,6 +107,41 @@
     });
 }
 
+test.serial("callers of instances that are cut off are served as well as others while the store is silent", async t => {
+    const fleet = await startCut(t, "reset");
+    fleet.store.faults.silent = true;
+    await askAll(fleet, CONTACT_MS);
+    await assertServedAlike(t, fleet);
+});
+
+test.serial("callers of an instance that is killed and starts again while it is cut off are served as well as others", async t => {
+    const fleet = await startCut(t, "reset");
+    const [instance] = fleet.instances;
+    instance?.process.kill("SIGKILL");
+    await instance?.process.exited;
+    await Promise.all(fleet.instances.slice(0, 1).map(killed => fleet.restart(killed)));
+    await askAll(fleet, CONTACT_MS);
+    await assertServedAlike(t, fleet);
+});
+
+test.serial("callers of instances that are cut off from one service only are served as well as others", async t => {
+    const fleet = await startCut(t, "hang", ["plain-1", "plain-2"]);
+    await askAll(fleet, CONTACT_MS);
+    await assertServedAlike(t, fleet);
+});
+
+test.serial("callers of instances whose cut comes and goes are served as well as others", async t => {
+    const fleet = await startCut(t, "refuse");
+    for (const how of ["hang", "reset"] as const) {
+        await askAll(fleet, CONTACT_MS / 2);
+        await Promise.all(fleet.targetLinks.map(links => links.restore()));
+        await askAll(fleet, CONTACT_MS / 2);
+        await Promise.all(fleet.targetLinks.map(links => links.cut(how)));
+    }
+    await askAll(fleet, CONTACT_MS);
+    await assertServedAlike(t, fleet);
+});
+
 test.serial("a stream whose connection hangs since its instance was cut off goes on before its caller gives up", async t => {
     const fleet = await PlatformFleet.start({
         cuttable: 1,
