Show restores of the KV service and the tokens that a request is charged

KvClient has a history of eras now, which each response confirms, those through peers included. An instance logs 'KV service came back from an older copy' once for each restore and counts it; 'request ended' has chargedTokens.

--- a/packages/kv/src/breaker-kv-client.ts
+++ b/packages/kv/src/breaker-kv-client.ts
@@ -4,12 +4,16 @@
 import type { KvEntry } from "./kv-entry.js";
 import type { KvEvent } from "./kv-event.js";
 import type { KvHealth } from "./kv-health.js";
+import type { KvHistory } from "./kv-history.js";
 import type { KvTxn, KvTxnResult } from "./kv-txn.js";
 
 /** Rejects calls immediately while the KV service is known to be unavailable. */
 export class BreakerKvClient extends KvClient {
+    override readonly history: KvHistory;
+
     constructor(private readonly inner: KvClient, readonly health: KvHealth) {
         super();
+        this.history = inner.history;
     }
 
     override get(key: string): Promise<KvEntry | undefined> {
--- a/packages/kv/src/index.ts
+++ b/packages/kv/src/index.ts
@@ -6,6 +6,7 @@
 export type * from "./kv-entry.js";
 export type * from "./kv-event.js";
 export * from "./kv-health.js";
+export * from "./kv-history.js";
 export type * from "./kv-txn.js";
 export * from "./kv-watch-source.js";
 export * from "./polled-kv-client.js";
--- a/packages/kv/src/kv-client.ts
+++ b/packages/kv/src/kv-client.ts
@@ -1,6 +1,7 @@
 import type { Stream } from "most";
 import type { KvEntry } from "./kv-entry.js";
 import type { KvEvent } from "./kv-event.js";
+import { KvHistory } from "./kv-history.js";
 import type { KvTxn, KvTxnResult } from "./kv-txn.js";
 
 /** Options of a range read. */
@@ -18,6 +19,9 @@
  * `kvOutcomeUnknown` where it may have had one.
  */
 export abstract class KvClient {
+    /** Eras of the service's data, as its responses tell them. */
+    readonly history: KvHistory = new KvHistory();
+
     /** Reads one key. */
     abstract get(key: string): Promise<KvEntry | undefined>;
 
--- a/packages/ledger/src/hanging-kv.ts
+++ b/packages/ledger/src/hanging-kv.ts
@@ -1,13 +1,23 @@
-import { KvClient, type KvEntry, type KvEvent, type KvTxn, type KvTxnResult, type RangeOptions } from "@ospreyreel/kv";
+import {
+    KvClient,
+    type KvEntry,
+    type KvEvent,
+    type KvHistory,
+    type KvTxn,
+    type KvTxnResult,
+    type RangeOptions,
+} from "@ospreyreel/kv";
 import type { Stream } from "most";
 
 /** A client for tests whose reads and writes can be delayed until {@link resume} is called. */
 export class HangingKv extends KvClient {
+    override readonly history: KvHistory;
     private blocked: Promise<void> | undefined;
     private unblock: () => void = () => undefined;
 
     constructor(private readonly inner: KvClient) {
         super();
+        this.history = inner.history;
     }
 
     /** Delays all reads and writes that start from now on. */
--- a/packages/relay/src/instance/peer-kv-client.ts
+++ b/packages/relay/src/instance/peer-kv-client.ts
@@ -1,5 +1,13 @@
 import { hasResult, OspreyError } from "@ospreyreel/errors";
-import { KvClient, type KvEntry, type KvEvent, type KvTxn, type KvTxnResult, type RangeOptions } from "@ospreyreel/kv";
+import {
+    KvClient,
+    type KvEntry,
+    type KvEvent,
+    type KvHistory,
+    type KvTxn,
+    type KvTxnResult,
+    type RangeOptions,
+} from "@ospreyreel/kv";
 import type { PeerHub } from "@ospreyreel/peer";
 import type { PeerKvOutcome } from "@ospreyreel/types";
 import type { Stream } from "most";
@@ -25,6 +33,7 @@
 
 /** Reads and writes through a peer while the KV service is reachable from peers but not from this instance. */
 export class PeerKvClient extends KvClient {
+    override readonly history: KvHistory;
     private readonly own: KvClient;
     private readonly hub: PeerHub;
     private readonly now: () => number;
@@ -34,6 +43,7 @@
     constructor(opts: PeerKvClientOptions) {
         super();
         this.own = opts.own;
+        this.history = opts.own.history;
         this.hub = opts.hub;
         this.now = opts.now ?? (() => performance.now());
     }
@@ -47,7 +57,8 @@
     serve(): void {
         this.hub.handle("kv.get", async ({ key }) => {
             try {
-                return { outcome: "done", entry: await this.own.get(key) };
+                const entry = await this.own.get(key);
+                return { outcome: "done", entry, era: this.history.era };
             }
             catch (err) {
                 return { outcome: toOutcome(err), entry: undefined };
@@ -56,7 +67,7 @@
         this.hub.handle("kv.txn", async txn => {
             try {
                 const { succeeded, revision } = await this.own.txn(txn);
-                return { outcome: "done", succeeded, revision };
+                return { outcome: "done", succeeded, revision, era: this.history.era };
             }
             catch (err) {
                 return { outcome: toOutcome(err), succeeded: false, revision: 0 };
@@ -66,7 +77,9 @@
 
     override async get(key: string): Promise<KvEntry | undefined> {
         return await this.callWithFallback(() => this.own.get(key), async peer => {
-            const { outcome, entry } = await this.hub.request(peer, "kv.get", { key }, PEER_CALL_TIMEOUT_MS);
+            const sentAtMs = this.now();
+            const { outcome, entry, era } = await this.hub.request(peer, "kv.get", { key }, PEER_CALL_TIMEOUT_MS);
+            this.recordEra(era, sentAtMs);
             // A read may be repeated through another peer, whatever its outcome.
             return outcome === "done" ? { done: entry } : "unavailable";
         });
@@ -80,7 +93,9 @@
                 return "unavailable";
             }
             const plain = { compares, puts: puts.map(({ key, value }) => ({ key, value })) };
+            const sentAtMs = this.now();
             const res = await this.hub.request(peer, "kv.txn", plain, PEER_CALL_TIMEOUT_MS).catch(toUnknownOutcome);
+            this.recordEra(res.era, sentAtMs);
             if (res.outcome === "unknown") {
                 throw new OspreyError("the outcome of a peer's write is unknown", { result: "kvOutcomeUnknown" });
             }
@@ -155,6 +170,13 @@
         }
     }
 
+    /** A peer of an earlier build tells no era. */
+    private recordEra(era: number | undefined, sentAtMs: number): void {
+        if (era !== undefined) {
+            this.history.record(era, sentAtMs);
+        }
+    }
+
     private getHelpers(): readonly string[] {
         const peers = this.hub.peers().map(peer => peer.incarnation);
         const first = peers.filter(peer => peer === this.helper);
@@ -165,4 +187,4 @@
 
 const toOutcome = (err: unknown): PeerKvOutcome => hasResult(err, "kvUnavailable") ? "unavailable" : "unknown";
 
-const toUnknownOutcome = () => ({ outcome: "unknown", succeeded: false, revision: 0 }) as const;
+const toUnknownOutcome = () => ({ outcome: "unknown", succeeded: false, revision: 0, era: undefined }) as const;
--- a/packages/relay/src/instance/relay-instance.ts
+++ b/packages/relay/src/instance/relay-instance.ts
@@ -189,6 +189,7 @@
             isReady: this.isReady,
             documentVersion: this.documents.version,
             kvAvailable: this.health.isAvailable,
+            kvEra: this.kv.history.era,
             openRequests: this.relay.openRequests,
             peers: this.hub.peers(),
             targets: this.directory.list().map(state =>
@@ -334,6 +335,10 @@
         this.health.onChange(available =>
             log.write(available ? "KV service available again" : "KV service lost", { silentMs: this.health.silentMs })
         );
+        this.kv.history.onRestore(era => {
+            this.metrics.add("kv_restores");
+            log.write("KV service came back from an older copy", { era });
+        });
         new DocumentFollower({
             watch: this.watch,
             hub,
--- a/packages/relay/src/instance/relay-state.ts
+++ b/packages/relay/src/instance/relay-state.ts
@@ -30,6 +30,8 @@
     /** Version of the active desired state; 0 before the first one. */
     readonly documentVersion: number;
     readonly kvAvailable: boolean;
+    /** Rises each time the KV service comes back from an older copy; 0 where it tells nothing of this. */
+    readonly kvEra: number;
     readonly openRequests: number;
     readonly peers: readonly InstanceInfo[];
     readonly targets: readonly TargetView[];
--- a/packages/relay/src/relay-attempts.ts
+++ b/packages/relay/src/relay-attempts.ts
@@ -55,6 +55,7 @@
     private sentAtMs = 0;
     private mayHaveRun = false;
     private blockedPart: string | undefined;
+    private chargedTokens = 0;
     /** Whether the caller's connection still holds the response. */
     private isSending = false;
 
@@ -73,6 +74,7 @@
             target: this.lastTarget,
             sends: this.sends,
             events: this.stream.eventCount,
+            ...(this.request.hold === undefined ? {} : { chargedTokens: this.chargedTokens }),
             ...(this.begun === undefined ? {} : { version: this.begun.version ?? "" }),
             ...(this.blockedPart === undefined ? {} : { part: this.blockedPart }),
         };
@@ -89,7 +91,8 @@
             }
         }
         finally {
-            this.request.hold?.settle(this.getUsedTokens());
+            this.chargedTokens = this.getUsedTokens();
+            this.request.hold?.settle(this.chargedTokens);
             if (!this.isSending) {
                 this.request.held.release();
             }
--- a/packages/types/src/peer-requests.ts
+++ b/packages/types/src/peer-requests.ts
@@ -166,6 +166,12 @@
 /** Outcome of a peer's call; "unavailable" guarantees that it had no effect. */
 export type PeerKvOutcome = "done" | "unavailable" | "unknown";
 
+/** Era of the KV service's data when a peer made a call. */
+export interface PeerKvEra {
+    /** Undefined from older versions, and where the call was not made. */
+    readonly era?: number | undefined;
+}
+
 /** Requests the changes under a prefix from an instance that reads the KV service itself. */
 export interface PeerChangesRequest {
     readonly prefix: string;
@@ -382,11 +388,15 @@
     /** Reads a key of the KV service for an instance that cannot reach the service. */
     readonly "kv.get": {
         readonly req: { readonly key: string; };
-        readonly res: { readonly outcome: PeerKvOutcome; readonly entry: PeerKvEntry | undefined; };
+        readonly res: PeerKvEra & { readonly outcome: PeerKvOutcome; readonly entry: PeerKvEntry | undefined; };
     };
     readonly "kv.txn": {
         readonly req: PeerKvTxnRequest;
-        readonly res: { readonly outcome: PeerKvOutcome; readonly succeeded: boolean; readonly revision: number; };
+        readonly res: PeerKvEra & {
+            readonly outcome: PeerKvOutcome;
+            readonly succeeded: boolean;
+            readonly revision: number;
+        };
     };
     /** Waits for changes that the receiver has read from the KV service. */
     readonly "kv.changes": { readonly req: PeerChangesRequest; readonly res: PeerChangesResponse; };
