Keep budgets after a restore of the KV service by ceilings that are in each copy

Callers of a team got up to twice what it had prepaid when the KV service came back from an older copy and the owner of the budget ended around that: 27,560 of 20,000 tokens on three processes.

Cause: whoever took a budget over took the record for the latest one. After a restore it may be older than the use, and the owner that it names may have had successors; nothing above the adapter knew that a restore had been. A live owner wrote its record again without asking whether it had been superseded before the restore.

Owners hand out no more than the lowest ceiling that a copy may hold. An owner that lives on asks its witnesses before it writes its record again; a claim on an outdated record looks for a live owner first; epochs contain the era; witnesses tell of later epochs. Records are written when a desired state names a budget.

--- a/packages/bench/src/platform/platform-fleet.ts
+++ b/packages/bench/src/platform/platform-fleet.ts
@@ -61,6 +61,8 @@
     readonly stopWithinS?: number;
     /** Time for which callers may keep addresses, in seconds; half a second by default. */
     readonly addressTtlS?: number;
+    /** Age of the oldest copy that the store comes back from, in seconds; that of the settings by default. */
+    readonly maxCopyAgeS?: number;
     /** Takes the lines that the instances write. */
     readonly onLine?: (instance: string, line: string) => void;
 }
@@ -207,7 +209,7 @@
         const seeds = [...Array(count).keys()].map(at => addresses[at * PORTS_EACH + 3] ?? "");
         for (const at of Array(count).keys()) {
             const own = addresses.slice(at * PORTS_EACH, (at + 1) * PORTS_EACH);
-            const kv = { address: storeFor[at] ?? store };
+            const kv = { address: storeFor[at] ?? store, ...getMaxCopyAge(opts.maxCopyAgeS) };
             const varying = { seeds: seeds.slice(0, MAX_SEEDS), kv, addressTtlS, stopWithinS };
             fleet.instances.push(await fleet.createInstance(folder, at, own, varying));
         }
@@ -431,3 +433,6 @@
 /** Starts a proxy before each of the addresses. */
 const startProxies = async (addresses: readonly string[]): Promise<readonly FaultProxy[]> =>
     await Promise.all(addresses.map(address => startFaultProxy({ target: toAddress(address) })));
+
+const getMaxCopyAge = (maxCopyAgeS: number | undefined): { readonly maxCopyAgeS?: number; } =>
+    maxCopyAgeS === undefined ? {} : { maxCopyAgeS };
--- a/packages/budgets/src/borrowed-budget.ts
+++ b/packages/budgets/src/borrowed-budget.ts
@@ -5,7 +5,8 @@
 /** Outcome of {@link BorrowedBudget.hold}. */
 export type HoldResult =
     | { readonly kind: "held" | "exhausted"; }
-    | { readonly kind: "unavailable"; readonly cause: string; };
+    /** `retryAfterMs` is undefined where it is not known when the budget is available again. */
+    | { readonly kind: "unavailable"; readonly cause: string; readonly retryAfterMs?: number | undefined; };
 
 const HELD: HoldResult = { kind: "held" };
 
@@ -123,7 +124,7 @@
             this.serveWaiters();
             const refusal = getRefusal(response);
             if (refusal.kind === "unavailable") {
-                if (this.mayWait()) {
+                if (this.mayWait(refusal.retryAfterMs)) {
                     await sleep(RETRY_DELAY_MS);
                     continue;
                 }
@@ -170,8 +171,8 @@
     }
 
     /** Whether the waiting requests may go on waiting after a draw without a usable response. */
-    private mayWait(): boolean {
-        return !this.isUnavailable && this.opts.isKvAvailable() && this.longestWaitMs < MAX_WAIT_MS;
+    private mayWait(retryAfterMs = 0): boolean {
+        return !this.isUnavailable && this.opts.isKvAvailable() && this.longestWaitMs + retryAfterMs < MAX_WAIT_MS;
     }
 
     private serveWaiters(): void {
--- a/packages/budgets/src/budget-owner.ts
+++ b/packages/budgets/src/budget-owner.ts
@@ -4,10 +4,15 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import type { BudgetLog } from "./budget-log.js";
 import { getShard, orderOwners } from "./budget-shards.js";
+import type { BudgetWitness } from "./budget-witness.js";
+import { CopyHorizon } from "./copy-horizon.js";
+import { KnownBudgets } from "./known-budgets.js";
 import { NoteSender } from "./note-sender.js";
 import type { OwnedBudget } from "./owned-budget.js";
 import type { OwnedShard } from "./owned-shard.js";
+import { OwnerSearch } from "./owner-search.js";
 import { ShardClaimer } from "./shard-claimer.js";
+import { getShardKey } from "./shard-record.js";
 import { ShardWriter } from "./shard-writer.js";
 import { SCARCE_SHARE, WindowPolicy } from "./window-policy.js";
 
@@ -22,6 +27,8 @@
     readonly policy?: WindowPolicy;
     /** Time after the start in which all live instances are discovered, in milliseconds; 2,000 by default. */
     readonly discoveryMs?: number;
+    /** Age of the oldest copy from which the KV service may come back, in milliseconds; 8,000 by default. */
+    readonly maxCopyAgeMs?: number;
     readonly log?: BudgetLog;
 }
 
@@ -31,6 +38,15 @@
 /** Time without contact after which a peer is lost, plus one heartbeat. */
 const DEFAULT_DISCOVERY_MS = 2_000;
 
+/** The platform restores copies that are some seconds old. */
+const DEFAULT_MAX_COPY_AGE_MS = 8_000;
+
+/** Time between two attempts to register budgets, in milliseconds. */
+const REGISTER_INTERVAL_MS = 1_000;
+
+/** Time between two attempts to write a record again that a restore has lost, in milliseconds. */
+const REWRITE_INTERVAL_MS = 200;
+
 /** Longest wait of a draw for the KV service, in milliseconds; ten times its usual response time. */
 const WRITE_WAIT_MS = 40;
 
@@ -60,25 +76,43 @@
     private readonly log: BudgetLog;
     private readonly claimer: ShardClaimer;
     private readonly writer: ShardWriter;
+    private readonly search: OwnerSearch;
+    private readonly names: KnownBudgets;
+    private readonly startedAtMs = performance.now();
     private leaving = false;
+    /** Whether a read is in flight whose answer may raise ceilings. */
+    private isConfirming = false;
 
-    constructor(private readonly opts: BudgetOwnerOptions) {
+    constructor(private readonly opts: BudgetOwnerOptions, witness: Pick<BudgetWitness, "seal">) {
         this.policy = opts.policy ?? new WindowPolicy();
         this.log = opts.log ?? (() => undefined);
         const chooseWitnesses = (shard: number): readonly string[] => this.chooseWitnesses(shard);
-        this.notes = new NoteSender({ ...opts, policy: this.policy, log: this.log });
-        const startedAtMs = performance.now();
+        this.notes = new NoteSender({ hub: opts.hub, policy: this.policy, log: this.log });
+        const { history } = opts.kv;
+        const horizon = new CopyHorizon({ history, maxCopyAgeMs: opts.maxCopyAgeMs ?? DEFAULT_MAX_COPY_AGE_MS });
+        this.names = new KnownBudgets(horizon);
+        history.onRestore(() => this.writeAgain());
+        this.search = new OwnerSearch({
+            hub: opts.hub,
+            getOwnEpoch: shard => this.shards.get(shard)?.epoch,
+            witness,
+        });
         this.claimer = new ShardClaimer({
             kv: opts.kv,
             hub: opts.hub,
+            horizon,
+            search: this.search,
+            getPrepaid: opts.getPrepaid,
+            isNew: budget => this.names.isNew(budget),
             chooseWitnesses,
-            hasDiscoveredPeers: () => performance.now() - startedAtMs >= (opts.discoveryMs ?? DEFAULT_DISCOVERY_MS),
+            hasDiscoveredPeers: () => this.hasDiscoveredPeers,
             log: this.log,
         });
         this.writer = new ShardWriter({
             kv: opts.kv,
+            horizon,
             policy: this.policy,
-            getPrepaid: opts.getPrepaid,
+            findSeal: owned => this.notes.findSeal(owned),
             chooseWitnesses: owned => this.selectWitnesses(owned),
             drop: owned => this.drop(owned),
             log: this.log,
@@ -88,6 +122,7 @@
     /** Registers the handler for draws of other instances. */
     serve(): void {
         this.opts.hub.handle("budget.draw", (req, from) => this.draw(req, from));
+        this.search.serve();
     }
 
     /** Shards owned now, for the state dump. */
@@ -95,12 +130,32 @@
         return [...this.shards.values()];
     }
 
+    /**
+     * Writes records for the budgets of a desired state that are not known yet, where this instance should own them, so that their
+     * ceilings are in each copy before they are needed. Does not throw.
+     */
+    async register(budgets: readonly string[]): Promise<void> {
+        let missing = this.names.add(budgets);
+        while (missing.length > 0 && !this.leaving) {
+            // An instance that knows no peers yet would own all budgets.
+            const isSettled = this.hasDiscoveredPeers && this.opts.hub.self().state === "live";
+            const areRegistered = isSettled ? await this.registerShards(missing) : [];
+            missing = missing.filter((_, at) => areRegistered[at] !== true);
+            await sleep(missing.length > 0 ? REGISTER_INTERVAL_MS : 0);
+        }
+    }
+
     /** Reconciles a borrower's counts and hands out the tokens it requests if the bounds cover them; does not throw. */
     async draw(req: BudgetDrawRequest, from: InstanceInfo): Promise<BudgetDrawResponse> {
         const found = await this.findShard(getShard(req.budget));
         if ("kind" in found) {
             return found;
         }
+        const prepaid = this.opts.getPrepaid(req.budget);
+        if (prepaid === 0 && !found.budgets.has(req.budget)) {
+            // A budget whose tokens are not known yet would start with bounds for none.
+            return { kind: "exhausted", epoch: found.epoch };
+        }
         const budget = found.getBudget(req.budget);
         if (!budget.reconcile(from.incarnation, req, found.epoch)) {
             return { kind: "unavailable", cause: "a later draw was taken already", isOwner: true };
@@ -109,14 +164,19 @@
         if (req.want === 0) {
             return { kind: "granted", epoch, tokens: 0, plenty: this.hasPlenty(budget) };
         }
-        const tokens = Math.min(req.want, this.opts.getPrepaid(req.budget) - budget.spent);
-        if (tokens < req.least) {
+        const remaining = prepaid - budget.spent;
+        if (remaining < req.least) {
             return { kind: "exhausted", epoch };
         }
+        const tokens = Math.max(req.least, Math.min(req.want, remaining, budget.ceilings.usable - budget.spent));
         budget.reserve(tokens);
         if (!await this.ensureCovered(found, budget) || this.shards.get(found.shard) !== found) {
+            const retryAfterMs = budget.ceilings.getWaitMs(budget.spent);
+            const isBelowCeilings = budget.spent <= budget.ceilings.usable;
             budget.release(tokens);
-            return { kind: "unavailable", cause: "no bound could be written or noted", isOwner: true };
+            return isBelowCeilings
+                ? { kind: "unavailable", cause: "no bound could be written or noted", isOwner: true }
+                : { kind: "unavailable", cause: "older copies do not cover the use yet", isOwner: true, retryAfterMs };
         }
         budget.handOut(from.incarnation, tokens);
         return { kind: "granted", epoch, tokens, plenty: this.hasPlenty(budget) };
@@ -135,6 +195,32 @@
         return stillOwned.length === 0;
     }
 
+    private get hasDiscoveredPeers(): boolean {
+        return performance.now() - this.startedAtMs >= (this.opts.discoveryMs ?? DEFAULT_DISCOVERY_MS);
+    }
+
+    /** Returns for each budget whether it needs nothing more of this instance. */
+    private async registerShards(budgets: readonly string[]): Promise<readonly boolean[]> {
+        const shards = new Map(budgets.map(budget => [getShard(budget), budget]));
+        const { hub } = this.opts;
+        const live = [hub.self(), ...hub.peers()].filter(peer => peer.state === "live");
+        const registered = new Map<number, boolean>();
+        for (const shard of shards.keys()) {
+            const isOwn = this.shards.has(shard) || orderOwners(shard, live)[0]?.incarnation === hub.self().incarnation;
+            const found = isOwn ? await this.findShard(shard) : undefined;
+            registered.set(shard, found === undefined || !("kind" in found) || found.kind === "elsewhere");
+        }
+        const owned = budgets.filter(budget => this.opts.getPrepaid(budget) > 0)
+            .map(budget => ({ budget, shard: this.shards.get(getShard(budget)) }));
+        await Promise.all(owned.map(async ({ budget, shard }) => {
+            if (shard !== undefined && !shard.budgets.has(budget)) {
+                shard.getBudget(budget);
+                await this.writer.write(shard);
+            }
+        }));
+        return budgets.map(budget => registered.get(getShard(budget)) === true);
+    }
+
     private async findShard(shard: number): Promise<OwnedShard | BudgetDrawResponse> {
         const owned = this.shards.get(shard);
         if (owned !== undefined) {
@@ -176,13 +262,17 @@
 
     /** Writes or notes a higher bound if needed; returns whether the tokens handed out are within the bounds. */
     private async ensureCovered(owned: OwnedShard, budget: OwnedBudget): Promise<boolean> {
-        const { isKvAvailable, getPrepaid } = this.opts;
+        const { isKvAvailable } = this.opts;
         if (budget.spent <= budget.usable) {
-            if (this.policy.isWideningDue(owned.getNumbers(budget, getPrepaid(budget.name)))) {
+            if (owned.isWriteDue(this.policy, budget)) {
                 void this.widen(owned, budget);
             }
             return true;
         }
+        if (budget.spent > budget.ceilings.usable) {
+            this.raiseCeiling(owned, budget);
+            return false;
+        }
         // While the KV service is known to be unavailable, the write only probes whether it is available again.
         const written = this.writer.write(owned);
         if (isKvAvailable()) {
@@ -191,11 +281,40 @@
         return budget.spent <= budget.usable || await this.notes.ensureCovered(owned, budget);
     }
 
+    /** Writes a higher ceiling, or has the KV service confirm that one is in each copy. */
+    private raiseCeiling(owned: OwnedShard, budget: OwnedBudget): void {
+        budget.uncoveredUse = Math.max(budget.uncoveredUse, budget.spent);
+        if (owned.isWriteDue(this.policy, budget)) {
+            void this.writer.write(owned);
+        }
+        else if (budget.ceilings.isConfirmable && !this.isConfirming) {
+            this.isConfirming = true;
+            this.opts.kv.get(getShardKey(owned.shard))
+                .catch((err: unknown) => this.log("ceiling not confirmed", { budget: budget.name, cause: String(err) }))
+                .finally(() => this.isConfirming = false);
+        }
+    }
+
     private async widen(owned: OwnedShard, budget: OwnedBudget): Promise<void> {
         const written = this.writer.write(owned);
         await (this.opts.isKvAvailable() ? written : this.notes.sendAhead(owned, budget));
     }
 
+    /** The KV service may hold older records, which do not bound the use of these owners. */
+    private writeAgain(): void {
+        for (const owned of this.shards.values()) {
+            owned.markRestored();
+            void this.writeUntilConfirmed(owned);
+        }
+    }
+
+    private async writeUntilConfirmed(owned: OwnedShard): Promise<void> {
+        while (owned.mayBeSuperseded && this.shards.get(owned.shard) === owned) {
+            await this.writer.write(owned);
+            await sleep(REWRITE_INTERVAL_MS);
+        }
+    }
+
     private drop(owned: OwnedShard): void {
         if (this.shards.get(owned.shard) === owned) {
             this.shards.delete(owned.shard);
--- a/packages/budgets/src/budget-witness.ts
+++ b/packages/budgets/src/budget-witness.ts
@@ -33,13 +33,14 @@
         return true;
     }
 
-    /** Rejects notes up to the epoch from now on; returns the highest notes of that epoch. */
+    /** Rejects notes up to the epoch from now on; returns the highest notes of that epoch, or the later epoch that is known. */
     seal({ shard, epoch }: BudgetSealRequest): BudgetSealResponse {
         const known = this.getShard(shard, epoch);
-        if (known.epoch === epoch) {
-            known.sealed = true;
+        if (known.epoch > epoch) {
+            return { upTo: {}, laterEpoch: known.epoch };
         }
-        return { upTo: known.epoch === epoch ? Object.fromEntries(known.upTo) : {} };
+        known.sealed = true;
+        return { upTo: Object.fromEntries(known.upTo) };
     }
 
     /** Returns the notes of an epoch or of a later known one; notes of earlier epochs are discarded. */
--- a/packages/budgets/src/fleet-budgets.ts
+++ b/packages/budgets/src/fleet-budgets.ts
@@ -26,7 +26,7 @@
     constructor(opts: BudgetOwnerOptions) {
         this.hub = opts.hub;
         this.isKvAvailable = opts.isKvAvailable;
-        this.owner = new BudgetOwner(opts);
+        this.owner = new BudgetOwner(opts, this.witness);
         this.finder = new OwnerFinder({ hub: opts.hub, owner: this.owner });
     }
 
@@ -36,6 +36,11 @@
         this.witness.serve(this.hub);
     }
 
+    /** Makes the budgets of a desired state known; may be called with the same ones again. */
+    async register(budgets: readonly string[]): Promise<void> {
+        await this.owner.register(budgets);
+    }
+
     /** Holds tokens of a budget for a request. */
     async hold(budget: string, tokens: number): Promise<HoldResult> {
         return await this.getBorrowed(budget).hold(tokens);
--- a/packages/budgets/src/note-sender.ts
+++ b/packages/budgets/src/note-sender.ts
@@ -3,17 +3,19 @@
 import type { BudgetLog } from "./budget-log.js";
 import type { OwnedBudget } from "./owned-budget.js";
 import type { OwnedShard } from "./owned-shard.js";
-import { getNoteQuorum } from "./shard-claimer.js";
 import type { WindowPolicy } from "./window-policy.js";
+import { getNoteQuorum, getTakeoverQuorum, getUnsealedQuorum } from "./witness-quorums.js";
 
 /** Options of {@link NoteSender}. */
 export interface NoteSenderOptions {
     readonly hub: PeerHub;
-    readonly getPrepaid: (budget: string) => number;
     readonly policy: WindowPolicy;
     readonly log: BudgetLog;
 }
 
+/** Whether an owner's epoch was sealed. */
+export type SealStatus = "sealed" | "unsealed" | "unknown";
+
 /** Longest wait for a witness, in milliseconds; some round trips within a region. */
 const NOTE_TIMEOUT_MS = 100;
 
@@ -41,6 +43,24 @@
         }
     }
 
+    /**
+     * Asks the witnesses of a shard whether its epoch was sealed, as by an instance that took it over. "unknown" where too few of
+     * them answer.
+     */
+    async findSeal({ shard, epoch, record: { witnesses } }: OwnedShard): Promise<SealStatus> {
+        const { hub } = this.opts;
+        const note: BudgetNote = { shard, epoch, budget: "", upTo: 0 };
+        const responses = await Promise.allSettled(
+            witnesses.map(witness => hub.request(witness, "budget.note", { notes: [note] }, NOTE_TIMEOUT_MS)),
+        );
+        const answers = responses.flatMap(response => response.status === "fulfilled" ? [response.value.taken] : []);
+        const taken = answers.filter(isTaken => isTaken).length;
+        if (taken >= getUnsealedQuorum(witnesses.length)) {
+            return "unsealed";
+        }
+        return answers.length - taken >= getTakeoverQuorum(witnesses.length) ? "sealed" : "unknown";
+    }
+
     private startNote(owned: OwnedShard, budget: OwnedBudget): Promise<void> {
         const note = this.send(owned, budget).finally(() => this.sending.delete(budget));
         this.sending.set(budget, note);
@@ -48,8 +68,8 @@
     }
 
     private async send(owned: OwnedShard, budget: OwnedBudget): Promise<void> {
-        const { hub, getPrepaid } = this.opts;
-        const numbers = owned.getNumbers(budget, getPrepaid(budget.name));
+        const { hub } = this.opts;
+        const numbers = owned.getNumbers(budget);
         const upTo = this.opts.policy.getNote(numbers, budget.limitCap);
         if (upTo === undefined || !owned.mayNote) {
             const { limitCap: limit } = budget;
--- a/packages/budgets/src/owned-budget.ts
+++ b/packages/budgets/src/owned-budget.ts
@@ -1,6 +1,7 @@
 import type { BudgetDrawRequest } from "@ospreyreel/types";
 import type { BudgetBounds } from "./shard-record.js";
 import { UsageMeter } from "./usage-meter.js";
+import type { UseCeilings } from "./use-ceilings.js";
 
 /** Tokens that one borrower received and returned in this epoch. */
 interface Borrower {
@@ -16,11 +17,14 @@
     confirmed: BudgetBounds;
     /** Lowest limit that the KV service may hold while a write is in flight. */
     limitCap: number;
+    /** Total use that a draw needed which the ceilings did not cover; 0 where there is none. */
+    uncoveredUse = 0;
     private handedOut: number;
     private highestNote = 0;
     private readonly borrowers = new Map<string, Borrower>();
+    private readonly ownedSinceMs = performance.now();
 
-    constructor(readonly name: string, bounds: BudgetBounds) {
+    constructor(readonly name: string, bounds: BudgetBounds, readonly ceilings: UseCeilings) {
         this.confirmed = bounds;
         this.limitCap = bounds.limit;
         this.handedOut = bounds.window;
@@ -50,7 +54,12 @@
 
     /** Total use up to which tokens may be handed out now. */
     get usable(): number {
-        return Math.max(this.confirmed.window, this.highestNote);
+        return Math.min(Math.max(this.confirmed.window, this.highestNote), this.ceilings.usable);
+    }
+
+    /** Time for which its use has been measured here, in milliseconds. */
+    get measuredMs(): number {
+        return performance.now() - this.ownedSinceMs;
     }
 
     /** Applies a borrower's counts; returns false where the request is not newer than the last one that was applied. */
@@ -85,5 +94,6 @@
             borrower.handed += tokens;
         }
         this.meter.add(tokens);
+        this.uncoveredUse = 0;
     }
 }
--- a/packages/budgets/src/shard-claimer.ts
+++ b/packages/budgets/src/shard-claimer.ts
@@ -3,14 +3,21 @@
 import type { PeerHub } from "@ospreyreel/peer";
 import type { BudgetSealResponse } from "@ospreyreel/types";
 import type { BudgetLog } from "./budget-log.js";
+import type { CopyHorizon } from "./copy-horizon.js";
+import { getLostUse, toExactBounds } from "./lost-use.js";
 import { OwnedShard } from "./owned-shard.js";
+import type { OwnerSearch } from "./owner-search.js";
 import {
     type BudgetBounds,
     decodeShardRecord,
     encodeShardRecord,
+    getNextEpoch,
     getShardKey,
     type ShardRecord,
+    type StoredBudget,
+    type StoredCeiling,
 } from "./shard-record.js";
+import { getSealQuorum, getTakeoverQuorum } from "./witness-quorums.js";
 
 /** Outcome of a claim. */
 export type ClaimResult =
@@ -23,21 +30,40 @@
 export interface ShardClaimerOptions {
     readonly kv: KvClient;
     readonly hub: PeerHub;
+    readonly horizon: CopyHorizon;
+    /** Finds owners that the KV service's record does not name. */
+    readonly search: OwnerSearch;
+    readonly getPrepaid: (budget: string) => number;
+    /** Whether no restore of the KV service can have lost the use of a budget. */
+    readonly isNew: (budget: string) => boolean;
     readonly chooseWitnesses: (shard: number) => readonly string[];
     /** Whether this instance has run long enough to have discovered all live instances. */
     readonly hasDiscoveredPeers: () => boolean;
     readonly log: BudgetLog;
 }
 
-/** Witnesses that must accept a note before it counts. */
-export const getNoteQuorum = (witnesses: number): number => Math.floor(witnesses / 2) + 1;
-
-/** Witnesses that must be sealed so that no further note can count and all notes that counted are known. */
-export const getSealQuorum = (witnesses: number): number => witnesses - getNoteQuorum(witnesses) + 1;
-
 /** Longest wait for a witness of an earlier owner, in milliseconds; several round trips. */
 const SEAL_TIMEOUT_MS = 250;
 
+/** Time after a restore in which a live owner writes its record again, or counts as lost, in milliseconds. */
+const OWNER_RETURN_MS = 2_000;
+
+/** The budgets of an earlier owner, with bounds on its use. */
+interface ClosedBudgets {
+    readonly budgets: Readonly<Record<string, StoredBudget>>;
+    /** Whether nothing may be handed out until the claim is in each copy of the KV service. */
+    readonly mustWait: boolean;
+}
+
+/** "ended": there is none any more, for certain. "lost": there is no contact to it, so that it may be alive. */
+type OwnerStatus = "ended" | "lost" | "unknown" | { readonly liveOwner: string; };
+
+/** An earlier owner that may be alive, and too few of its witnesses are sealed to keep it from going on after a restore. */
+const isUnsafe = (record: ShardRecord, status: OwnerStatus, seals: number): boolean =>
+    status === "lost" && seals < getTakeoverQuorum(record.witnesses.length);
+
+const unavailable = (cause: string): ClaimResult => ({ kind: "unavailable", cause });
+
 /** Makes this instance the owner of shards whose owner is gone. */
 export class ShardClaimer {
     constructor(private readonly opts: ShardClaimerOptions) {}
@@ -46,42 +72,94 @@
     async claim(shard: number): Promise<ClaimResult> {
         try {
             const entry = await this.opts.kv.get(getShardKey(shard));
+            const readAtMs = performance.now();
             const record = entry === undefined ? undefined : decodeShardRecord(entry.value);
-            const status = this.getOwnerStatus(record);
-            if (status !== "gone") {
-                return status === "unknown"
-                    ? { kind: "unavailable", cause: "the owner has not been heard of yet" }
-                    : { kind: "elsewhere", owner: status.liveOwner };
+            const { era } = this.opts.horizon;
+            if (record?.era !== undefined && record.era > era) {
+                return unavailable("it is not known whether the KV service came back from a copy");
+            }
+            const isOutdated = record?.era !== undefined && record.era < era;
+            const status = isOutdated ? await this.findLaterOwner(shard) : this.getOwnerStatus(record);
+            if (status === "unknown") {
+                return unavailable("the owner has not been heard of yet");
+            }
+            if (typeof status === "object") {
+                return { kind: "elsewhere", owner: status.liveOwner };
             }
-            const budgets = record === undefined ? {} : await this.closeEarlierOwner(shard, record);
-            return await this.write(shard, entry, record, budgets);
+            if (record === undefined) {
+                return await this.write(shard, entry, record, { budgets: {}, mustWait: false });
+            }
+            const closed = isOutdated
+                ? await this.closeOutdated(shard, record)
+                : await this.closeEarlierOwner(shard, record, status, readAtMs);
+            return closed === undefined
+                ? unavailable("a witness knows of a later owner")
+                : await this.write(shard, entry, record, closed);
         }
         catch (err) {
-            return { kind: "unavailable", cause: err instanceof Error ? err.message : String(err) };
+            return unavailable(err instanceof Error ? err.message : String(err));
         }
     }
 
-    /** Whether the owner is alive, is certainly gone, or counts as gone because it is missing from the peers. */
-    private getOwnerStatus(record: ShardRecord | undefined): "gone" | "unknown" | { readonly liveOwner: string; } {
+    /** Whether the owner that a record of the present era names is alive. */
+    private getOwnerStatus(record: ShardRecord | undefined): OwnerStatus {
         const { hub, hasDiscoveredPeers } = this.opts;
         const owner = record?.owner;
         // An earlier incarnation of this instance ended before this one began.
         if (owner === undefined || owner.instance === hub.self().instance) {
-            return "gone";
+            return "ended";
         }
         const current = hub.peers().find(peer => peer.instance === owner.instance);
         if (current !== undefined) {
-            return current.incarnation === owner.incarnation ? { liveOwner: owner.incarnation } : "gone";
+            return current.incarnation === owner.incarnation ? { liveOwner: owner.incarnation } : "ended";
+        }
+        return hasDiscoveredPeers() ? "lost" : "unknown";
+    }
+
+    /** The owner that a record from before a restore names may have had successors, so that the peers are asked. */
+    private async findLaterOwner(shard: number): Promise<OwnerStatus> {
+        const { hasDiscoveredPeers, horizon, search } = this.opts;
+        if (!hasDiscoveredPeers()) {
+            return "unknown";
+        }
+        const { owner, areAllHeard } = await search.find(shard);
+        if (owner !== undefined) {
+            return { liveOwner: owner };
         }
-        return hasDiscoveredPeers() ? "gone" : "unknown";
+        const isOwnerLost = performance.now() - horizon.eraKnownAtMs >= OWNER_RETURN_MS;
+        return areAllHeard || isOwnerLost ? "lost" : "unknown";
     }
 
-    /** Returns bounds on the earlier owner's use: from its window, its sealed notes or, failing those, its limits. */
+    /** Counts what owners may have used since the copy from which the KV service came back, as the record's ceilings tell. */
+    private async closeOutdated(shard: number, record: ShardRecord): Promise<ClosedBudgets> {
+        const { horizon, search } = this.opts;
+        const restores = horizon.era - (record.era ?? 0);
+        // A later owner that is alive unnoticed must not go on after one more restore.
+        const mustWait = !await search.sealAll({ shard, epoch: getNextEpoch(record, horizon.era) - 1 });
+        const closed = Object.entries(record.budgets).map(([name, stored]): [string, StoredBudget] => {
+            const latest = Math.max(stored.window, stored.ceilings?.at(-1)?.tokens ?? 0);
+            const { used, ceiling } = getLostUse(latest, this.opts.getPrepaid(name), restores);
+            const first = mustWait ? [{ tokens: used }] : [];
+            return [name, { ...toExactBounds(used), ceilings: [...first, { tokens: ceiling, ageMs: 0 }] }];
+        });
+        this.logTakeOver(shard, record, closed, { restores, mustWait });
+        return { budgets: Object.fromEntries(closed), mustWait };
+    }
+
+    /**
+     * Returns bounds on the earlier owner's use: from its window, its sealed notes or, failing those, its limits. Returns undefined
+     * where a witness knows that the earlier owner has a successor.
+     */
     private async closeEarlierOwner(
         shard: number,
         record: ShardRecord,
-    ): Promise<Readonly<Record<string, BudgetBounds>>> {
+        status: OwnerStatus,
+        readAtMs: number,
+    ): Promise<ClosedBudgets | undefined> {
         const seals = record.owner === undefined ? [] : await this.sealWitnesses(shard, record);
+        if (seals.some(({ laterEpoch }) => laterEpoch !== undefined)) {
+            return undefined;
+        }
         const mayHaveNoted = record.owner !== undefined && record.witnesses.length > 0;
         const areNotesKnown = seals.length >= getSealQuorum(record.witnesses.length);
         const getUsed = (name: string, { window, limit }: BudgetBounds): number => {
@@ -92,19 +170,41 @@
             const notes = seals.map(seal => seal.upTo[name] ?? 0);
             return areNotesKnown ? Math.max(window, ...notes) : limit;
         };
-        const closed = Object.entries(record.budgets).map(([name, bounds]): [string, BudgetBounds] => {
-            const used = getUsed(name, bounds);
-            return [name, { window: used, limit: used }];
+        const elapsedMs = performance.now() - readAtMs;
+        const mustWait = isUnsafe(record, status, seals.length);
+        const closed = Object.entries(record.budgets).map(([name, stored]): [string, StoredBudget] => {
+            const used = getUsed(name, stored);
+            const earlier = toOlder(stored.ceilings ?? this.getFirstCeilings(name, used), elapsedMs);
+            const latest = earlier.at(-1)?.tokens ?? used;
+            const bounds = toExactBounds(Math.min(used, latest));
+            const ceilings = mustWait ? [{ tokens: bounds.window }, { tokens: latest, ageMs: 0 }] : earlier;
+            return [name, { ...bounds, ceilings }];
         });
+        const { length: witnesses } = record.witnesses;
+        this.logTakeOver(shard, record, closed, { witnesses, seals: seals.length, mustWait });
+        return { budgets: Object.fromEntries(closed), mustWait };
+    }
+
+    /** Ceilings of a budget whose record an earlier version wrote. */
+    private getFirstCeilings(name: string, used: number): readonly StoredCeiling[] {
+        return [{ tokens: getLostUse(used, this.opts.getPrepaid(name), 1).ceiling, ageMs: 0 }];
+    }
+
+    private logTakeOver(
+        shard: number,
+        record: ShardRecord,
+        closed: readonly (readonly [string, BudgetBounds])[],
+        fields: Readonly<Record<string, number | boolean>>,
+    ): void {
         this.opts.log("budgets taken over", {
             shard,
-            epoch: record.epoch + 1,
+            epoch: getNextEpoch(record, this.opts.horizon.era),
             from: record.owner?.instance ?? "nobody",
-            witnesses: record.witnesses.length,
-            seals: seals.length,
+            era: this.opts.horizon.era,
+            recordEra: record.era ?? "",
+            ...fields,
             lost: closed.reduce((sum, [name, { window }]) => sum + window - (record.budgets[name]?.window ?? 0), 0),
         });
-        return Object.fromEntries(closed);
     }
 
     private async sealWitnesses(shard: number, record: ShardRecord): Promise<readonly BudgetSealResponse[]> {
@@ -120,16 +220,40 @@
         shard: number,
         entry: KvEntry | undefined,
         earlier: ShardRecord | undefined,
-        budgets: Readonly<Record<string, BudgetBounds>>,
+        { budgets, mustWait }: ClosedBudgets,
     ): Promise<ClaimResult> {
-        const { kv, hub, chooseWitnesses } = this.opts;
+        const { hub, horizon, getPrepaid, isNew, chooseWitnesses } = this.opts;
         const { instance, incarnation } = hub.self();
+        const { era } = horizon;
         const record: ShardRecord = {
-            epoch: (earlier?.epoch ?? 0) + 1,
+            epoch: getNextEpoch(earlier, era),
+            era,
+            unseenRestores: getUnseenRestores(earlier, era),
             owner: { instance, incarnation },
             witnesses: chooseWitnesses(shard),
             budgets,
         };
+        const revision = await this.store(shard, entry, record);
+        if (revision === undefined) {
+            return unavailable("another instance claimed the shard, or the claim's outcome is not known");
+        }
+        if (horizon.era !== era) {
+            return unavailable("the KV service came back from a copy during the claim");
+        }
+        const storedAtMs = performance.now();
+        return {
+            kind: "owned",
+            shard: new OwnedShard({ shard, record, revision, storedAtMs, mustWait, horizon, getPrepaid, isNew }),
+        };
+    }
+
+    /** Writes a record in place of an entry; returns its revision, or undefined where it is not stored for certain. */
+    private async store(
+        shard: number,
+        entry: KvEntry | undefined,
+        record: ShardRecord,
+    ): Promise<number | undefined> {
+        const { kv } = this.opts;
         const key = getShardKey(shard);
         const value = encodeShardRecord(record);
         try {
@@ -137,9 +261,7 @@
                 compares: [{ key, modRevision: entry?.modRevision ?? 0 }],
                 puts: [{ key, value }],
             });
-            return result.succeeded
-                ? { kind: "owned", shard: new OwnedShard(shard, record, result.revision) }
-                : { kind: "unavailable", cause: "another instance claimed the shard" };
+            return result.succeeded ? result.revision : undefined;
         }
         catch (err) {
             if (!hasResult(err, "kvOutcomeUnknown")) {
@@ -147,8 +269,26 @@
             }
             const stored = await kv.get(key);
             return stored !== undefined && Buffer.from(stored.value).equals(Buffer.from(value))
-                ? { kind: "owned", shard: new OwnedShard(shard, record, stored.modRevision) }
-                : { kind: "unavailable", cause: "the claim's outcome is not known" };
+                ? stored.modRevision
+                : undefined;
         }
     }
 }
+
+/** Ceilings some time after they were read. */
+const toOlder = (ceilings: readonly StoredCeiling[], elapsedMs: number): readonly StoredCeiling[] =>
+    ceilings.map(({ tokens, ageMs }) =>
+        ageMs === undefined ? { tokens } : { tokens, ageMs: ageMs + Math.floor(elapsedMs) }
+    );
+
+/** Era in which the service begins that tells eras. */
+const FIRST_ERA = 1;
+
+/** A shard without a record has none of the budgets that are used for the first time, or was written just before the last restore. */
+const getUnseenRestores = (earlier: ShardRecord | undefined, era: number): number => {
+    if (earlier === undefined) {
+        return era > FIRST_ERA ? 1 : 0;
+    }
+    const seen = earlier.unseenRestores ?? 0;
+    return earlier.era === undefined ? seen : seen + era - earlier.era;
+};
--- a/packages/budgets/src/shard-writer.ts
+++ b/packages/budgets/src/shard-writer.ts
@@ -1,21 +1,19 @@
 import { hasResult } from "@ospreyreel/errors";
 import type { KvClient } from "@ospreyreel/kv";
 import type { BudgetLog } from "./budget-log.js";
+import type { CopyHorizon } from "./copy-horizon.js";
+import type { SealStatus } from "./note-sender.js";
 import type { OwnedShard } from "./owned-shard.js";
-import {
-    type BudgetBounds,
-    decodeShardRecord,
-    encodeShardRecord,
-    getShardKey,
-    type ShardRecord,
-} from "./shard-record.js";
+import { decodeShardRecord, encodeShardRecord, getShardKey, type ShardRecord } from "./shard-record.js";
 import type { WindowPolicy } from "./window-policy.js";
 
 /** Options of {@link ShardWriter}. */
 export interface ShardWriterOptions {
     readonly kv: KvClient;
+    readonly horizon: CopyHorizon;
     readonly policy: WindowPolicy;
-    readonly getPrepaid: (budget: string) => number;
+    /** Asks witnesses whether another instance may have taken a shard over. */
+    readonly findSeal: (owned: OwnedShard) => Promise<SealStatus>;
     readonly chooseWitnesses: (owned: OwnedShard) => readonly string[];
     /** Called with a shard that another instance owns. */
     readonly drop: (owned: OwnedShard) => void;
@@ -25,6 +23,9 @@
 /** Most shards of one write; the platform accepts 32 keys, those of the conditions included. */
 const MAX_SHARDS_PER_WRITE = 16;
 
+/** Time after a restore in which witnesses that do not answer are asked again, in milliseconds. */
+const MAX_SEARCH_MS = 2_000;
+
 interface Write {
     readonly owned: OwnedShard;
     readonly record: ShardRecord;
@@ -51,19 +52,19 @@
 
     /** Writes the shards without an owner and with exact bounds; returns those that certainly are still owned. */
     async releaseOwnership(shards: readonly OwnedShard[]): Promise<readonly OwnedShard[]> {
+        await Promise.all(shards.filter(owned => owned.isUncertain).map(owned => this.write(owned)));
         await this.running;
-        const writes = shards.filter(owned => !owned.isUncertain).map((owned): Write => {
-            const budgets = [...owned.budgets.values()].map((
-                { name, spent },
-            ): [string, BudgetBounds] => [name, { window: spent, limit: spent }]);
-            const record = { ...owned.record, owner: undefined, witnesses: [], budgets: Object.fromEntries(budgets) };
-            return { owned, record };
-        });
+        const writes = shards.filter(owned => !owned.isUncertain)
+            .map((owned): Write => ({ owned, record: owned.prepareRelease() }));
         const stillOwned: OwnedShard[] = [];
         for (let at = 0; at < writes.length; at += MAX_SHARDS_PER_WRITE) {
             const batch = writes.slice(at, at + MAX_SHARDS_PER_WRITE);
             try {
-                await this.send(batch);
+                const { succeeded } = await this.send(batch);
+                if (!succeeded) {
+                    batch.forEach(({ owned }) => owned.isUncertain = true);
+                    stillOwned.push(...batch.map(({ owned }) => owned));
+                }
             }
             catch (err) {
                 // A shard that may have been written counts as released; an instance that needs it takes it over.
@@ -91,8 +92,8 @@
     }
 
     private prepare(owned: OwnedShard): Write {
-        const { policy, getPrepaid, chooseWitnesses } = this.opts;
-        return { owned, record: owned.prepare(policy, getPrepaid, chooseWitnesses(owned)) };
+        const { policy, chooseWitnesses } = this.opts;
+        return { owned, record: owned.prepare(policy, chooseWitnesses(owned)) };
     }
 
     private async apply(writes: readonly Write[]): Promise<void> {
@@ -100,6 +101,7 @@
             const result = await this.send(writes);
             if (result.succeeded) {
                 writes.forEach(({ owned, record }) => owned.confirm(record, result.revision));
+                this.markIfRestored(writes);
                 return;
             }
             writes.forEach(({ owned }) => owned.discardPending());
@@ -118,6 +120,28 @@
         }
     }
 
+    /**
+     * Finds out after a restore whether another instance took the shard over before it, as then nobody knows the whole use; drops the
+     * shard if so, or if it cannot be found out for a time. Returns whether this instance certainly is the last owner.
+     */
+    private async isStillOwner(owned: OwnedShard): Promise<boolean> {
+        const status = await this.opts.findSeal(owned);
+        const isOverdue = performance.now() - this.opts.horizon.eraKnownAtMs >= MAX_SEARCH_MS;
+        if (status === "sealed" || (status === "unknown" && isOverdue)) {
+            this.opts.drop(owned);
+        }
+        owned.isUncertain = true;
+        return status === "unsealed";
+    }
+
+    /** A record that took effect after a restore was prepared before it. */
+    private markIfRestored(writes: readonly Write[]): void {
+        writes.filter(({ record }) => record.era !== this.opts.horizon.era).forEach(({ owned }) => {
+            owned.markRestored();
+            void this.write(owned);
+        });
+    }
+
     private send(writes: readonly Write[]) {
         return this.opts.kv.txn({
             compares: writes.map(({ owned }) => ({ key: getShardKey(owned.shard), modRevision: owned.revision })),
@@ -129,11 +153,14 @@
     }
 
     /**
-     * Reads a shard's record from the KV service; drops the shard where another instance owns it. Returns whether the
-     * service has lost the record, which then has to be written again.
+     * Reads a shard's record from the KV service; drops the shard where another instance owns it, or may have owned it before a
+     * restore. Returns whether the service has lost the record, which then has to be written again.
      */
     private async reread(owned: OwnedShard): Promise<boolean> {
         try {
+            if (owned.mayBeSuperseded && !await this.isStillOwner(owned)) {
+                return false;
+            }
             const entry = await this.opts.kv.get(getShardKey(owned.shard));
             const record = entry === undefined ? undefined : decodeShardRecord(entry.value);
             if (record === undefined || record.epoch < owned.epoch) {
@@ -159,6 +186,7 @@
                 return false;
             }
             owned.confirm(record, entry.modRevision);
+            return record.era !== this.opts.horizon.era;
         }
         catch {
             // The KV service is unavailable; the record stays uncertain and is read again before the next write.
--- a/packages/budgets/src/window-policy.ts
+++ b/packages/budgets/src/window-policy.ts
@@ -25,6 +25,8 @@
     readonly extensionS?: number;
     /** Largest share of the remainder of a fresh budget that can be noted. */
     readonly extensionShare?: number;
+    /** Use by which a ceiling is ahead, lost if the owner dies while the KV service comes back from a copy; in seconds. */
+    readonly ceilingS?: number;
 }
 
 /** Writes are about this far apart; the KV service accepts some hundred a second from the whole fleet. */
@@ -38,6 +40,23 @@
 
 const DEFAULT_EXTENSION_SHARE = 0.5;
 
+/** Twice the age of the oldest copy: a ceiling counts only when it is that old, and the use may double meanwhile. */
+const DEFAULT_CEILING_S = 16;
+
+/** Share of the remainder by which a ceiling is ahead at least, for a budget that was hardly used before. */
+const MIN_CEILING_SHARE = 0.0625;
+
+/** Share of the prepaid tokens that a ceiling may be ahead of the use near the end, so that a top-up can be used at once. */
+const MAX_CEILING_SHARE = 0.25;
+
+/** Share of a ceiling's lead that must remain; below it a higher one is written. */
+const RAISE_CEILING_AT_SHARE = 0.9;
+
+/** Multiple of a ceiling's lead above which a lower one is written. */
+const LOWER_CEILING_AT_FACTOR = 2;
+
+const MS_PER_S = 1_000;
+
 /** Remaining share of a budget below which the bounds follow its use more closely. */
 export const SCARCE_SHARE = 0.3;
 
@@ -64,6 +83,7 @@
             scarceWindowS: opts.scarceWindowS ?? DEFAULT_SCARCE_WINDOW_S,
             extensionS: opts.extensionS ?? DEFAULT_EXTENSION_S,
             extensionShare: opts.extensionShare ?? DEFAULT_EXTENSION_SHARE,
+            ceilingS: opts.ceilingS ?? DEFAULT_CEILING_S,
         };
     }
 
@@ -92,6 +112,20 @@
         return usable < numbers.prepaid && usable - numbers.spent < this.getHeadroom(numbers) * WIDEN_AT_SHARE;
     }
 
+    /**
+     * Returns the ceiling to write: `latest`, the one written last, unless it is too near or too far from the use. A use that was
+     * measured for a short time only lowers none.
+     */
+    getCeiling({ prepaid, spent, usualRatePerS }: BudgetNumbers, latest: number, measuredMs: number): number {
+        const { ceilingS } = this.cfg;
+        const remaining = Math.max(0, prepaid - spent);
+        const desired = Math.max(usualRatePerS * ceilingS, remaining * MIN_CEILING_SHARE);
+        const lead = Math.ceil(Math.min(desired, Math.max(remaining, prepaid * MAX_CEILING_SHARE)));
+        const isTooNear = latest - spent < lead * RAISE_CEILING_AT_SHARE;
+        const isTooFar = measuredMs >= ceilingS * MS_PER_S && latest - spent > lead * LOWER_CEILING_AT_FACTOR;
+        return isTooNear || isTooFar ? spent + lead : latest;
+    }
+
     /** Returns the tokens by which the next bound is ahead of the use. */
     private getHeadroom({ prepaid, spent, ratePerS }: BudgetNumbers): number {
         const isScarce = prepaid - spent < prepaid * SCARCE_SHARE;
--- a/packages/kv/src/kv-history.ts
+++ b/packages/kv/src/kv-history.ts
@@ -5,6 +5,7 @@
 export class KvHistory {
     private currentEra = 0;
     private lastConfirmedAtMs = Number.NEGATIVE_INFINITY;
+    private eraKnownAtMs = Number.NEGATIVE_INFINITY;
     private readonly listeners: ((era: number) => void)[] = [];
 
     /** Number of the present era; 0 where the service tells none, and before its first response. */
@@ -17,6 +18,11 @@
         return this.lastConfirmedAtMs;
     }
 
+    /** Monotonic time at which the present era became known, in milliseconds. */
+    get knownAtMs(): number {
+        return this.eraKnownAtMs;
+    }
+
     /** Records the era of a response and the monotonic time, in milliseconds, at which its call was sent. */
     record(era: number, sentAtMs: number): void {
         if (!Number.isSafeInteger(era) || era < this.currentEra) {
@@ -25,6 +31,7 @@
         const hasAdvanced = era > this.currentEra;
         const wasKnown = this.lastConfirmedAtMs !== Number.NEGATIVE_INFINITY;
         this.currentEra = era;
+        this.eraKnownAtMs = hasAdvanced || !wasKnown ? sentAtMs : this.eraKnownAtMs;
         this.lastConfirmedAtMs = hasAdvanced ? sentAtMs : Math.max(this.lastConfirmedAtMs, sentAtMs);
         if (hasAdvanced && wasKnown) {
             this.listeners.forEach(listener => listener(era));
--- a/packages/relay/src/instance/fleet-budget-gate.ts
+++ b/packages/relay/src/instance/fleet-budget-gate.ts
@@ -7,6 +7,14 @@
  */
 const UNAVAILABLE_RETRY_S = 1;
 
+/** Shortest time after which a caller comes back, in seconds. */
+const MIN_RETRY_S = 0.1;
+
+const MS_PER_S = 1_000;
+
+const getRetryAfterS = (retryAfterMs: number | undefined): number =>
+    retryAfterMs === undefined ? UNAVAILABLE_RETRY_S : Math.max(MIN_RETRY_S, retryAfterMs / MS_PER_S);
+
 /** Reserves tokens of the fleet's budgets. */
 export class FleetBudgetGate extends BudgetGate {
     constructor(private readonly budgets: FleetBudgets) {
@@ -21,7 +29,7 @@
             case "exhausted":
                 return { kind: "exhausted" };
             case "unavailable":
-                return { kind: "unavailable", retryAfterS: UNAVAILABLE_RETRY_S, cause: result.cause };
+                return { kind: "unavailable", retryAfterS: getRetryAfterS(result.retryAfterMs), cause: result.cause };
         }
     }
 
--- a/packages/relay/src/instance/relay-instance.ts
+++ b/packages/relay/src/instance/relay-instance.ts
@@ -128,6 +128,7 @@
             kv: fleetKv,
             isKvAvailable: () => this.health.isAvailable || fleetKv.hasHelper,
             hub,
+            maxCopyAgeMs: cfg.kv.maxCopyAgeS * MS_PER_S,
             getPrepaid: team => this.documents.current()?.findTeam(team)?.prepaidTokens ?? 0,
             log: (event, fields) => this.log.write(event, fields),
         });
@@ -331,6 +332,10 @@
     private async open(): Promise<void> {
         const { cfg, documents, hub, log } = this;
         documents.onChange(() => this.callerPort.updateBounds());
+        documents.onChange(({ document }) => {
+            const prepaid = (document.teams ?? []).filter(team => team.prepaidTokens !== undefined);
+            void this.budgets.register(prepaid.map(({ name }) => name));
+        });
         this.directory.onChange(() => this.sending.port.keepOnly(this.directory.list().map(state => state.target)));
         this.health.onChange(available =>
             log.write(available ? "KV service available again" : "KV service lost", { silentMs: this.health.silentMs })
--- a/packages/relay/src/instance/relay-settings.ts
+++ b/packages/relay/src/instance/relay-settings.ts
@@ -2,6 +2,7 @@
 import { type Static, Type } from "@sinclair/typebox";
 
 const HOUR_MS = 3_600_000;
+const MS_PER_S = 1_000;
 
 const createAddress = (description: string) =>
     Type.String({ description: `${description} As IP:PORT.`, pattern: "^[0-9.]+:[0-9]{1,5}$" });
@@ -26,6 +27,13 @@
             maximum: HOUR_MS,
             default: 600,
         }),
+        maxCopyAgeS: Type.Number({
+            description:
+                "Age of the oldest copy from which the KV service may come back, in seconds; 0 where it never does.",
+            minimum: 0,
+            maximum: HOUR_MS / MS_PER_S,
+            default: 8,
+        }),
     }, { additionalProperties: false }),
     retries: Type.Object({
         ratio: Type.Number({ description: "Retries allowed for each request to a service.", minimum: 0 }),
--- a/packages/types/src/peer-requests.ts
+++ b/packages/types/src/peer-requests.ts
@@ -121,6 +121,8 @@
         readonly cause: string;
         /** Whether the responding instance is the owner, so that no other instance can grant the draw. */
         readonly isOwner: boolean;
+        /** Time after which the owner can grant it, in milliseconds; undefined where that is not known. */
+        readonly retryAfterMs?: number | undefined;
     };
 
 /** Bound on the use of one budget beyond the window in the KV service, stored by witnesses. */
@@ -146,6 +148,8 @@
 /** Highest bound in the notes of the sealed epoch, by budget. */
 export interface BudgetSealResponse {
     readonly upTo: Readonly<Record<string, number>>;
+    /** Set where notes or a seal of a later epoch are known, so that the sealed owner has a successor. */
+    readonly laterEpoch?: number;
 }
 
 /** One entry of the KV service, read by a peer. */
@@ -384,6 +388,11 @@
     readonly "budget.draw": { readonly req: BudgetDrawRequest; readonly res: BudgetDrawResponse; };
     /** Stores bounds at a witness; it accepts all or none. */
     readonly "budget.note": { readonly req: BudgetNoteRequest; readonly res: { readonly taken: boolean; }; };
+    /** Asks in which epoch the receiver owns a shard; undefined where it does not. */
+    readonly "budget.locate": {
+        readonly req: { readonly shard: number; };
+        readonly res: { readonly epoch: number | undefined; };
+    };
     readonly "budget.seal": { readonly req: BudgetSealRequest; readonly res: BudgetSealResponse; };
     /** Reads a key of the KV service for an instance that cannot reach the service. */
     readonly "kv.get": {
