End no instance over an odd entry of a target

Here the instance that was sent requests first ended by itself, its callers got no answer, and the entry went on to be there (shared measurement: port 70000 and host 999.1.1.1).

Cause: the entry's address was checked by its digits only. A send to it threw in HttpTargetPort, which promises not to throw, and nothing handled the rejection of a request's handling, so that the process ended.

A send to an unusable address ends as not sent. An error while a request is handled closes its connection and is logged. Documents, versions, quarantines, edits and peers' messages were read for the same: their decoders check each field or are caught already.

--- a/packages/relay/src/http/http-caller-port.test.ts
+++ b/packages/relay/src/http/http-caller-port.test.ts
@@ -196,3 +196,30 @@
     t.regex(text, /whole a[^]*whole b/);
     t.is(text.match(/Connection: close/gi)?.length, 1);
 });
+
+test("a request whose handling fails ends its connection and is reported; other requests are served", async t => {
+    const failures: unknown[] = [];
+    const port = new HttpCallerPort({
+        host: HOST,
+        port: 0,
+        protocol: new PlainCallerProtocol(),
+        getBounds: () => undefined,
+        serve: (req, caller) => {
+            if (req.id === "broken") {
+                return Promise.reject(new Error("a fault of the code"));
+            }
+            caller.refuse({ reason: "noTarget", retryAfterS: 1 });
+            return Promise.resolve();
+        },
+        onFailure: err => failures.push(err),
+    });
+    await port.start();
+    t.teardown(() => port.close(0));
+    const broken = send(port.listenPort, "broken", false);
+    await once(broken, "close");
+    t.is(failures.length, 1);
+    const other = send(port.listenPort, "other", false);
+    const [response] = await once(other, "data") as [Buffer];
+    t.regex(response.toString(), /^HTTP\/1.1 503/);
+    other.destroy();
+});
--- a/packages/relay/src/http/http-caller-port.ts
+++ b/packages/relay/src/http/http-caller-port.ts
@@ -19,6 +19,8 @@
     readonly getBounds: () => CallerBounds | undefined;
     /** Serves one request; does not throw. */
     readonly serve: (req: RelayRequest, caller: CallerExchange) => Promise<void>;
+    /** Takes an error of the code that ended a request; its connection is closed. */
+    readonly onFailure?: (err: unknown) => void;
 }
 
 /** Limits before the first desired state. */
@@ -58,7 +60,13 @@
             noDelay: true,
         });
         lingerOnClose(this.server);
-        this.server.on("request", (req, res) => void this.serve(req, res));
+        this.server.on("request", (req, res) => {
+            this.serve(req, res).catch((err: unknown) => {
+                // What has been sent of the response must not look complete.
+                req.socket.destroy();
+                this.opts.onFailure?.(err);
+            });
+        });
         this.updateBounds();
     }
 
--- a/packages/relay/src/http/http-target-port.test.ts
+++ b/packages/relay/src/http/http-target-port.test.ts
@@ -144,3 +144,10 @@
     });
     await closed;
 });
+
+test("a send to a target whose address cannot be used ends as not sent", async t => {
+    const { port, target } = await open(t, socket => socket.end());
+    for (const change of [{ port: 70_000 }, { port: 0 }, { host: "999.1.1.1" }, { host: "" }]) {
+        t.is((await port.send(createCall({ ...target, ...change }))).kind, "not_sent");
+    }
+});
--- a/packages/relay/src/http/http-target-port.ts
+++ b/packages/relay/src/http/http-target-port.ts
@@ -27,6 +27,8 @@
 const getTargetKey = (target: Target): string =>
     `${target.id} ${target.startedAtMs ?? ""} ${target.host}:${target.port}`;
 
+const getOrigin = ({ host, port }: Target): string => `http://${host}:${port}`;
+
 interface TargetPools {
     readonly repeatable: Pool;
     readonly singleRun: Pool;
@@ -50,7 +52,11 @@
                 return;
             }
             signal.addEventListener("abort", abort, { once: true });
-            const { repeatable, singleRun } = this.getPools(call.target);
+            const pools = this.findPools(call.target);
+            if (pools === undefined) {
+                resolve({ kind: "not_sent", cause: "the target's address cannot be used" });
+                return;
+            }
             const opts: TargetDispatchOptions = {
                 path: req.path,
                 method: req.method,
@@ -60,7 +66,7 @@
                 bodyTimeout: 0,
                 onConnection: connection => handler.watch.setConnection(connection),
             };
-            (call.isRepeatable ? repeatable : singleRun).dispatch(opts, handler);
+            (call.isRepeatable ? pools.repeatable : pools.singleRun).dispatch(opts, handler);
         });
     }
 
@@ -81,6 +87,11 @@
         await Promise.all(pools.map(pool => pool.destroy()));
     }
 
+    /** Returns the pools of a target; undefined where its address is none. */
+    private findPools(target: Target): TargetPools | undefined {
+        return URL.canParse(getOrigin(target)) ? this.getPools(target) : undefined;
+    }
+
     private getPools(target: Target): TargetPools {
         const key = getTargetKey(target);
         const known = this.pools.get(key);
@@ -97,7 +108,7 @@
 }
 
 const createPool = (target: Target, keepAliveTimeout: number, keepAliveMaxTimeout: number): Pool =>
-    new Pool(`http://${target.host}:${target.port}`, {
+    new Pool(getOrigin(target), {
         pipelining: 1,
         factory: (origin, opts) => new HttpTargetClient(origin, opts, onOpen => createTargetConnector({ onOpen })),
         keepAliveTimeout,
--- a/packages/relay/src/instance/relay-instance.ts
+++ b/packages/relay/src/instance/relay-instance.ts
@@ -153,6 +153,7 @@
             protocol: adapter.callerProtocol,
             getBounds: () => this.documents.current()?.document.bounds,
             serve: (req, caller) => this.relay.serve(req, caller),
+            onFailure: err => this.log.write("request failed unexpectedly", { cause: String(err) }),
         });
         this.follower = new TargetFollower({
             watch: this.watch,
