Let ceilings lead by an outage of the KV service and all of a new budget

Change: a ceiling leads by 22 s, an outage of the longest expected length and the age of a copy. All of a new budget lies below its first ceiling until its use was measured for as long; then the ceiling falls. A restore that takes a new budget's owner now strands all of that budget.

--- a/packages/budgets/src/owned-budget.ts
+++ b/packages/budgets/src/owned-budget.ts
@@ -24,7 +24,13 @@
     private readonly borrowers = new Map<string, Borrower>();
     private readonly ownedSinceMs = performance.now();
 
-    constructor(readonly name: string, bounds: BudgetBounds, readonly ceilings: UseCeilings) {
+    constructor(
+        readonly name: string,
+        bounds: BudgetBounds,
+        readonly ceilings: UseCeilings,
+        /** Whether no earlier owner is known. */
+        readonly isFirstOwner = false,
+    ) {
         this.confirmed = bounds;
         this.limitCap = bounds.limit;
         this.handedOut = bounds.window;
--- a/packages/budgets/src/owned-shard.ts
+++ b/packages/budgets/src/owned-shard.ts
@@ -65,7 +65,7 @@
         const unseenRestores = isNew(name) ? 0 : this.record.unseenRestores ?? 0;
         const { used, ceiling } = getLostUse(0, getPrepaid(name), unseenRestores + 1);
         const first = this.mayHandOut ? ceiling : used;
-        const budget = new OwnedBudget(name, toExactBounds(used), UseCeilings.startAt(first, horizon));
+        const budget = new OwnedBudget(name, toExactBounds(used), UseCeilings.startAt(first, horizon), true);
         this.budgets.set(name, budget);
         return budget;
     }
@@ -96,7 +96,8 @@
     private getCeiling(policy: WindowPolicy, budget: OwnedBudget): number {
         const numbers = this.getNumbers(budget);
         const spent = Math.max(numbers.spent, budget.uncoveredUse);
-        return policy.getCeiling({ ...numbers, spent }, budget.ceilings.latest, budget.measuredMs);
+        const { ceilings: { latest }, measuredMs, isFirstOwner } = budget;
+        return policy.getCeiling({ ...numbers, spent }, { latest, measuredMs, isFirstOwner });
     }
 
     /** Creates the next record. Of old and new limits the lower ones apply until it is known which record is stored. */
--- a/packages/budgets/src/window-policy.test.ts
+++ b/packages/budgets/src/window-policy.test.ts
@@ -56,3 +56,27 @@
     });
     t.true(limit >= 22_000 + 9_000);
 });
+
+const steady = { prepaid: 100_000, spent: 20_000, ratePerS: 500, usualRatePerS: 500, window: 20_000, noted: 0 };
+const owned = { latest: 20_000, measuredMs: 60_000, isFirstOwner: true };
+
+test("a ceiling leads by the use of an outage and of a copy's age, and is raised before it is near", t => {
+    const policy = new WindowPolicy();
+    t.is(policy.getCeiling(steady, owned), 31_000);
+    t.is(policy.getCeiling({ ...steady, spent: 20_500 }, { ...owned, latest: 31_000 }), 31_000);
+    t.is(policy.getCeiling({ ...steady, spent: 21_500 }, { ...owned, latest: 31_000 }), 32_500);
+});
+
+test("a restore that takes the owner of a hardly used budget strands little of it, once its use is known", t => {
+    const policy = new WindowPolicy();
+    const idle = { ...steady, ratePerS: 1, usualRatePerS: 1 };
+    t.is(policy.getCeiling(idle, { ...owned, latest: 100_000 }), 25_000);
+    t.is(policy.getCeiling(idle, { ...owned, latest: 100_000, measuredMs: 1_000 }), 100_000);
+});
+
+test("all of a new budget lies below its ceiling until its use is known", t => {
+    const policy = new WindowPolicy();
+    const fresh = { ...steady, spent: 0, ratePerS: 0, usualRatePerS: 0, window: 0 };
+    t.is(policy.getCeiling(fresh, { latest: 50_000, measuredMs: 0, isFirstOwner: true }), 100_000);
+    t.is(policy.getCeiling(fresh, { latest: 50_000, measuredMs: 0, isFirstOwner: false }), 50_000);
+});
--- a/packages/budgets/src/window-policy.ts
+++ b/packages/budgets/src/window-policy.ts
@@ -40,8 +40,8 @@
 
 const DEFAULT_EXTENSION_SHARE = 0.5;
 
-/** Twice the age of the oldest copy: a ceiling counts only when it is that old, and the use may double meanwhile. */
-const DEFAULT_CEILING_S = 16;
+/** A ceiling counts once it is as old as the oldest copy, and none can be written during the longest expected outage before. */
+const DEFAULT_CEILING_S = 22;
 
 /** Share of the remainder by which a ceiling is ahead at least, for a budget that was hardly used before. */
 const MIN_CEILING_SHARE = 0.0625;
@@ -73,6 +73,16 @@
 /** Share of the headroom that must remain; below it the next window is written. */
 const WIDEN_AT_SHARE = 0.5;
 
+/** Ceiling of a budget so far. */
+export interface PresentCeiling {
+    /** The one that was written last. */
+    readonly latest: number;
+    /** Time for which the use was measured at this owner, in milliseconds. */
+    readonly measuredMs: number;
+    /** Whether this owner is the budget's first one. */
+    readonly isFirstOwner: boolean;
+}
+
 /** Computes how far the bounds in the KV service and at witnesses are ahead of the use. */
 export class WindowPolicy {
     private readonly cfg: Required<WindowPolicyOptions>;
@@ -113,16 +123,21 @@
     }
 
     /**
-     * Returns the ceiling to write: `latest`, the one written last, unless it is too near or too far from the use. A use that was
-     * measured for a short time only lowers none.
+     * Returns the ceiling to write: the present one, unless it is too near or too far from the use. Until the use of a new budget is known,
+     * all of it lies below; a use that was measured for a short time lowers no ceiling.
      */
-    getCeiling({ prepaid, spent, usualRatePerS }: BudgetNumbers, latest: number, measuredMs: number): number {
+    getCeiling(
+        { prepaid, spent, usualRatePerS }: BudgetNumbers,
+        { latest, measuredMs, isFirstOwner }: PresentCeiling,
+    ): number {
         const { ceilingS } = this.cfg;
+        const isMeasured = measuredMs >= ceilingS * MS_PER_S;
         const remaining = Math.max(0, prepaid - spent);
-        const desired = Math.max(usualRatePerS * ceilingS, remaining * MIN_CEILING_SHARE);
+        const measured = Math.max(usualRatePerS * ceilingS, remaining * MIN_CEILING_SHARE);
+        const desired = isFirstOwner && !isMeasured ? remaining : measured;
         const lead = Math.ceil(Math.min(desired, Math.max(remaining, prepaid * MAX_CEILING_SHARE)));
         const isTooNear = latest - spent < lead * RAISE_CEILING_AT_SHARE;
-        const isTooFar = measuredMs >= ceilingS * MS_PER_S && latest - spent > lead * LOWER_CEILING_AT_FACTOR;
+        const isTooFar = isMeasured && latest - spent > lead * LOWER_CEILING_AT_FACTOR;
         return isTooNear || isTooFar ? spent + lead : latest;
     }
 
