Keep a response that continues no stream out of one that has begun

Operators of similar systems reported an error's text in the middle of streams, or streams that ended as complete, after a stream had broken off and the next worker answered with an error. Here a response of 4xx or 5xx always broke the stream off. But a 2xx was taken for the rest of the stream whatever it was: text that ends with a blank line was relayed as an event, and one without a body ended the stream as complete.

Change: where a stream's events have ids, each further part of it has to begin with one, and a part without any event counts as the end only if it is an event stream. Else the part counts as cut off, so that another target is tried or the caller's stream breaks off. Not changed: what a single target writes into its own stream, and forwarded sends, whose heads and bodies take the same way.

A failed handler resets its caller's connection now, since an unframed stream would look complete after an ordinary close.

--- a/packages/relay/src/http/http-caller-port.test.ts
+++ b/packages/relay/src/http/http-caller-port.test.ts
@@ -216,7 +216,7 @@
     await port.start();
     t.teardown(() => port.close(0));
     const broken = send(port.listenPort, "broken", false);
-    await once(broken, "close");
+    await new Promise(resolve => broken.once("close", resolve));
     t.is(failures.length, 1);
     const other = send(port.listenPort, "other", false);
     const [response] = await once(other, "data") as [Buffer];
--- a/packages/relay/src/http/http-caller-port.ts
+++ b/packages/relay/src/http/http-caller-port.ts
@@ -63,7 +63,7 @@
         this.server.on("request", (req, res) => {
             this.serve(req, res).catch((err: unknown) => {
                 // What has been sent of the response must not look complete.
-                req.socket.destroy();
+                req.socket.resetAndDestroy();
                 this.opts.onFailure?.(err);
             });
         });
--- a/packages/relay/src/relay.test.ts
+++ b/packages/relay/src/relay.test.ts
@@ -231,6 +231,42 @@
     t.is(caller.ended, "complete");
 });
 
+const respondWith = (body: string, contentType: string, isFramed = true, status = 200): Outcome => () => ({
+    kind: "answer",
+    head: { status, headers: [["content-type", contentType]], isFramed },
+    body: createBody(body === "" ? [] : [body]),
+});
+
+const ERRORS: readonly (readonly [string, Outcome])[] = [
+    ["500", respondWith("error: overloaded\n\n", "text/plain", true, 500)],
+    ["400", respondWith("{\"error\":\"bad\"}", "application/json", true, 400)],
+    ["200 that is no event stream", respondWith("{\"error\":\"bad\"}\n", "application/json")],
+    ["200 with text that looks like an event", respondWith("error: overloaded\n\n", "text/plain")],
+    ["200 without a body", respondWith("", "text/plain")],
+    ["200 without a body or a length", respondWith("", "text/plain", false)],
+    ["200 with the head of a response as text", respondWith("HTTP/1.1 500 Error\r\nserver: x\r\n\r\n", "text/plain")],
+];
+
+for (const [name, error] of ERRORS) {
+    test(`nothing of an error is in a stream that has begun, nor does it end as complete: ${name}`, async t => {
+        const { caller } = await serve(
+            [respond(["id: 1\n\nid: 2\n\nid: 3"], true), error],
+            { kind: "streaming", isResumable: true },
+        );
+        t.is(caller.events, "id: 1\n\nid: 2\n\n");
+        t.is(caller.ended, "broken");
+    });
+}
+
+test("a stream of which only the end was missing is complete when another target ends it", async t => {
+    const { caller } = await serve(
+        [respond(["id: 1\n\nid: 2\n\n"], true), respondWith("", "text/event-stream")],
+        { kind: "streaming", isResumable: true },
+    );
+    t.is(caller.events, "id: 1\n\nid: 2\n\n");
+    t.is(caller.ended, "complete");
+});
+
 test("an interrupted stream is aborted at once where no other target has its version", async t => {
     const { caller, port } = await serve(
         [respond(["id: 1\ndata: a\n\n"], true), respond(["id: 2\ndata: b\n\n"])],
--- a/packages/relay/src/stream/event-splitter.ts
+++ b/packages/relay/src/stream/event-splitter.ts
@@ -9,9 +9,11 @@
     readonly count: number;
     /** Ids in order; an event without a numeric id is left out. */
     readonly ids: readonly number[];
+    /** Whether the first event has an id; false where none is complete. */
+    readonly startsWithId: boolean;
 }
 
-const NO_EVENTS: SplitEvents = { bytes: Buffer.alloc(0), count: 0, ids: [] };
+const NO_EVENTS: SplitEvents = { bytes: Buffer.alloc(0), count: 0, ids: [], startsWithId: false };
 
 /** Index after the blank line that ends an event, or -1. */
 const findEventEnd = (bytes: Buffer, from: number): number => {
@@ -60,12 +62,14 @@
         const ids: number[] = [];
         let start = 0;
         let count = 0;
+        let startsWithId = false;
         // Earlier bytes contain no end of an event.
         const from = this.remainderBytes - tail.length;
         for (let end = findEventEnd(bytes, from); end !== -1; end = findEventEnd(bytes, end)) {
             const id = readId(bytes.subarray(start, end));
             if (id !== undefined) {
                 ids.push(id);
+                startsWithId ||= count === 0;
             }
             count += hasField(bytes.subarray(start, end)) ? 1 : 0;
             start = end;
@@ -73,7 +77,7 @@
         this.remainder = [];
         this.remainderBytes = 0;
         this.keep(bytes.subarray(start));
-        return { bytes: bytes.subarray(0, start), count, ids };
+        return { bytes: bytes.subarray(0, start), count, ids, startsWithId };
     }
 
     /** Ends the stream and returns its last bytes; undefined if it ends within an event. */
--- a/packages/relay/src/stream/stream-relay.ts
+++ b/packages/relay/src/stream/stream-relay.ts
@@ -1,4 +1,5 @@
 import type { CallerExchange, ResponseHead } from "../caller-exchange.js";
+import { findHeader } from "../http/header-list.js";
 import type { HeldResponse } from "../response-memory.js";
 import { EventSplitter } from "./event-splitter.js";
 
@@ -27,11 +28,16 @@
     readonly onFirstEvent: () => void;
 }
 
+const isEventStream = ({ headers }: ResponseHead): boolean =>
+    findHeader(headers, "content-type")?.startsWith("text/event-stream") === true;
+
 /** Relays the events of one request's stream to its caller, from one target or from several in sequence. */
 export class StreamRelay {
     private started = false;
     private isFramed = false;
     private lastId: number | undefined;
+    /** Whether events of this stream have ids, so that each part of it begins with one. */
+    private hasIds = false;
     private events = 0;
 
     constructor(private readonly opts: StreamRelayOptions) {
@@ -63,11 +69,15 @@
         const eventsBefore = this.events;
         try {
             for await (const chunk of body) {
-                const { bytes, count, ids } = splitter.push(chunk);
+                const { bytes, count, ids, startsWithId } = splitter.push(chunk);
                 this.opts.held.resize(splitter.pendingBytes);
                 if (bytes.length === 0) {
                     continue;
                 }
+                const isFirstOfPart = count > 0 && this.events === eventsBefore;
+                if (this.hasIds && isFirstOfPart && eventsBefore > 0 && !startsWithId) {
+                    return { kind: "cut", cause: "the response does not continue the stream" };
+                }
                 if (!this.acceptIds(ids)) {
                     return { kind: "out_of_order" };
                 }
@@ -89,6 +99,9 @@
         if (!head.isFramed && this.events === eventsBefore) {
             return { kind: "cut", cause: "the connection ended before the first event" };
         }
+        if (eventsBefore > 0 && this.events === eventsBefore && !isEventStream(head)) {
+            return { kind: "cut", cause: "the response is no stream" };
+        }
         if (this.started && this.isFramed && !head.isFramed) {
             return { kind: "cut", cause: "the end of an unframed stream cannot be distinguished from a cut" };
         }
@@ -109,6 +122,7 @@
 
     /** Updates the last id; returns whether the ids continue the earlier ones. */
     private acceptIds(ids: readonly number[]): boolean {
+        this.hasIds ||= ids.length > 0;
         return ids.every(id => {
             const isNewer = this.lastId === undefined || id > this.lastId;
             this.lastId = id;
