--- a/packages/stand-ins/src/platform/platform-target-stand-in.ts
+++ b/packages/stand-ins/src/platform/platform-target-stand-in.ts
@@ -59,6 +59,23 @@
 /** Window in which a brittle target counts its rejections, in milliseconds. */
 const BRITTLE_WINDOW_MS = 1_000;
 
+/** A response that belongs to no request any more. */
+export interface StrayRefusal {
+    readonly status: 421 | 429 | 503;
+    /** Id of the request that it once answered; left out by some. */
+    readonly id?: string;
+}
+
+const encodeStrayRefusal = ({ status, id }: StrayRefusal): string =>
+    [
+        `HTTP/1.1 ${status} Refused`,
+        ...(id === undefined ? [] : [`Attempt-Id: ${id}`]),
+        "Not-Executed: full",
+        "Content-Length: 0",
+        "",
+        "",
+    ].join("\r\n");
+
 /** A worker of the users' platform, by its published protocol. */
 export class PlatformTargetStandIn {
     private readonly runs: { -readonly [K in keyof RunRequest]: RunRequest[K]; }[] = [];
@@ -74,6 +91,8 @@
     isLeaving = false;
     /** Time for which it wants nothing from an instance whose request it rejects, in seconds; undefined while it rejects none. */
     rejectsForS: number | undefined;
+    /** An earlier refusal that it writes once more before each of its answers; undefined while it writes none. */
+    strayRefusal: StrayRefusal | undefined;
     /** Monotonic times of the requests that it rejected, in milliseconds. */
     readonly rejectedAtMs: number[] = [];
     /** Called after each start that follows a crash. */
@@ -151,7 +170,7 @@
         const body = await readText(req);
         const id = String(req.headers["attempt-id"]);
         if (req.headers["expect-instance"] !== this.opts.id) {
-            res.writeHead(421, { "Instance-Id": this.opts.id }).end();
+            res.writeHead(421, { "Attempt-Id": id, "Instance-Id": this.opts.id }).end();
             return;
         }
         if (this.rejectsForS !== undefined) {
@@ -165,6 +184,9 @@
             await this.rejectForRoom(res, { "Attempt-Id": id, ...brittle });
             return;
         }
+        if (this.strayRefusal !== undefined) {
+            req.socket.write(encodeStrayRefusal(this.strayRefusal));
+        }
         const parts = String(req.headers["prompt-prefix"] ?? "").split(",").map(part => part.split(":")[0] ?? "");
         this.recordRun(req, res, { body, parts });
         const { events = 0, version = "", deadlyPart, deadlyBody } = this.opts;
