Charge the output of a generation that is not streamed

A team was charged for the prompt alone where a generation came as one response: output was counted by events, and there are none. The sites at hand stream all generations, so that this was not what the users saw there.

Such a response is charged its maximum output now, as its tokens are not known.

--- a/packages/relay/src/relay-attempts.ts
+++ b/packages/relay/src/relay-attempts.ts
@@ -56,6 +56,8 @@
     private mayHaveRun = false;
     private blockedPart: string | undefined;
     private chargedTokens = 0;
+    /** Whether the caller got a successful response that is no stream, whose output cannot be counted. */
+    private hasWholeAnswer = false;
     /** Whether the caller's connection still holds the response. */
     private isSending = false;
 
@@ -286,6 +288,7 @@
         state.health.recordResponse(isError, firstByteMs);
         if (head.status >= HTTP_OK_FROM && head.status < HTTP_OK_BELOW) {
             this.opts.parts.recordBegun(this.request.watched);
+            this.hasWholeAnswer = true;
         }
         if (isError && !this.stream.isStarted && this.canRepeat()) {
             this.logSend(state, "error answer", String(head.status));
@@ -354,7 +357,8 @@
             return 0;
         }
         const perEvent = this.opts.documents.current()?.findService(admission.service)?.tokensPerEvent;
-        const output = perEvent === undefined ? generation.maxOutputTokens : perEvent * this.stream.eventCount;
+        const isCounted = perEvent !== undefined && !this.hasWholeAnswer;
+        const output = isCounted ? perEvent * this.stream.eventCount : generation.maxOutputTokens;
         return generation.promptTokens + Math.min(generation.maxOutputTokens, output);
     }
 
--- a/packages/relay/src/relay.test.ts
+++ b/packages/relay/src/relay.test.ts
@@ -422,6 +422,12 @@
     t.deepEqual(gate.settled, [110]);
 });
 
+test("a budget is charged for the output of a generation that is not streamed", async t => {
+    const gate = new RecordingGate();
+    await serve([respond(["whole"])], {}, GENERATION, { budgets: gate });
+    t.deepEqual(gate.settled, [150]);
+});
+
 test("a budget is not charged for comments of a stream", async t => {
     const gate = new RecordingGate();
     await serve([respond([": ping\n\n", "id: 1\n\n: ping\n\n"])], { kind: "streaming" }, GENERATION, { budgets: gate });
