Charge a stream by the larger of two sizes of its events

A team was charged too little where a desired state that came into force during a stream named a smaller size of events than the target had sent: output was counted at the end, by the size in force then.

Evidence: the new test charged 102 instead of 110 tokens before. Of the sizes at the beginning and at the end the larger one counts now.

--- a/packages/relay/src/relay-attempts.ts
+++ b/packages/relay/src/relay-attempts.ts
@@ -56,6 +56,7 @@
     private mayHaveRun = false;
     private blockedPart: string | undefined;
     private chargedTokens = 0;
+    private readonly firstTokensPerEvent: number | undefined;
     /** Whether the caller got a successful response that is no stream, whose output cannot be counted. */
     private hasWholeAnswer = false;
     /** Whether the caller's connection still holds the response. */
@@ -68,6 +69,7 @@
             held: request.held,
         });
         this.begun = request.origin;
+        this.firstTokensPerEvent = this.tokensPerEvent;
     }
 
     /** Summary of the sends for the request's log line. */
@@ -349,14 +351,19 @@
             : { reason: "timedOutUnsent", retryAfterS: DEFAULT_RETRY_AFTER_S };
     }
 
+    /** Tokens in an event of the request's service, by the active desired state. */
+    private get tokensPerEvent(): number | undefined {
+        return this.opts.documents.current()?.findService(this.request.admission.service)?.tokensPerEvent;
+    }
+
     /** Tokens to charge: the prompt if it may have run, and the output that was relayed. */
     private getUsedTokens(): number {
-        const { req, admission } = this.request;
-        const { generation } = req;
+        const { generation } = this.request.req;
         if (generation === undefined || !this.mayHaveRun) {
             return 0;
         }
-        const perEvent = this.opts.documents.current()?.findService(admission.service)?.tokensPerEvent;
+        const sizes = [this.firstTokensPerEvent, this.tokensPerEvent].filter(size => size !== undefined);
+        const perEvent = sizes.length > 0 ? Math.max(...sizes) : undefined;
         const isCounted = perEvent !== undefined && !this.hasWholeAnswer;
         const output = isCounted ? perEvent * this.stream.eventCount : generation.maxOutputTokens;
         return generation.promptTokens + Math.min(generation.maxOutputTokens, output);
--- a/packages/relay/src/relay.test.ts
+++ b/packages/relay/src/relay.test.ts
@@ -73,6 +73,8 @@
     readonly viewIsOutdated?: boolean;
     /** Whether the request arrives late in a stop, or still runs at the end of one. */
     readonly stop?: "late" | "expired";
+    /** Tokens in an event by a desired state that comes into force with the first send. */
+    readonly laterEventTokens?: number;
 }
 
 /** Knows no stream. */
@@ -104,19 +106,27 @@
     const { budgets = new OpenBudgetGate(), parts = new OpenPartGate(), origins = new SingleVersionOrigins("v1") } =
         opts;
     const { versions = ["v1", "v1", "v1"] } = opts;
-    const { disconnectsAfterMs, overloadedForS, viewIsOutdated = false, stop } = opts;
+    const { disconnectsAfterMs, overloadedForS, viewIsOutdated = false, stop, laterEventTokens } = opts;
     const documents = new DocumentHolder();
     const teams = [{ name: "team-1", keys: ["key-1"], priority: undefined, prepaidTokens: 1_000 }];
-    documents.replaceIfNewer(
-        createDocument({
-            routes: [createRoute(route)],
-            teams,
-            services: [{ name: "service-1", maxConnections: 100, tokensPerEvent: 5 }],
-        }),
-        Buffer.alloc(0),
-    );
+    const apply = (version: number, tokensPerEvent: number): boolean =>
+        documents.replaceIfNewer(
+            createDocument({
+                version,
+                routes: [createRoute(route)],
+                teams,
+                services: [{ name: "service-1", maxConnections: 100, tokensPerEvent }],
+            }),
+            Buffer.alloc(0),
+        );
+    apply(1, 5);
     const directory = createDirectory(versions);
-    const port = new FakeTargetPort(outcomes.map(outcome => call => outcome(call, directory, view)));
+    const port = new FakeTargetPort(outcomes.map(outcome => call => {
+        if (laterEventTokens !== undefined) {
+            apply(2, laterEventTokens);
+        }
+        return outcome(call, directory, view);
+    }));
     const view = { isOutdated: viewIsOutdated, ageMs: 0 };
     const log = new MemoryLog();
     const endsBeforeAnswer: string[] = [];
@@ -422,6 +432,16 @@
     t.deepEqual(gate.settled, [110]);
 });
 
+test("a budget is charged for the larger events where their size changes under a running stream", async t => {
+    const settled = await Promise.all([1, 9].map(async laterEventTokens => {
+        const gate = new RecordingGate();
+        const opts = { budgets: gate, laterEventTokens };
+        await serve([respond(["id: 1\n\nid: 2\n\n"])], { kind: "streaming" }, GENERATION, opts);
+        return gate.settled;
+    }));
+    t.deepEqual(settled, [[110], [118]]);
+});
+
 test("a budget is charged for the output of a generation that is not streamed", async t => {
     const gate = new RecordingGate();
     await serve([respond(["whole"])], {}, GENERATION, { budgets: gate });
