--- a/packages/bench/src/platform/platform-fleet.ts
+++ b/packages/bench/src/platform/platform-fleet.ts
@@ -18,6 +18,9 @@
 
 const MAIN = createRequire(import.meta.url).resolve("@ospreyreel/platform/main");
 
+/** Main file of another build, which every other start of an instance runs; the same build by default. */
+const OTHER_BUILD = process.env["OSPREYREEL_OTHER_BUILD"] ?? MAIN;
+
 const PORTS_EACH = 5;
 const PREPAID = 100_000;
 /** Time that a caller waits for addresses, in milliseconds. */
@@ -155,6 +158,7 @@
     readonly targetLinks: TargetLinks[] = [];
     private readonly agent = new Agent({ pipelining: 1 });
     private requests = 0;
+    private starts = 0;
     private withProxies = false;
     private document: unknown;
     private onLine: PlatformFleetOptions["onLine"];
@@ -387,8 +391,9 @@
     }
 
     private startProcess(name: string, settingsFile: string): RigProcess {
+        this.starts += 1;
         return new RigProcess({
-            script: MAIN,
+            script: this.starts % 2 === 0 ? OTHER_BUILD : MAIN,
             env: { OSPREYREEL_SETTINGS: settingsFile, ...(this.onLine === undefined ? {} : { ROARR_LOG: "true" }) },
             onLine: line => this.onLine?.(name, line),
         });
--- a/packages/bench/src/platform/soak/platform-schedule-run.ts
+++ b/packages/bench/src/platform/soak/platform-schedule-run.ts
@@ -1,4 +1,4 @@
-import type { FaultProxy, ProxyFaults } from "@ospreyreel/stand-ins";
+import type { FaultProxy, PlatformTargetStandIn, ProxyFaults } from "@ospreyreel/stand-ins";
 import { setTimeout as sleep } from "node:timers/promises";
 import type { PlatformFleet, PlatformInstance } from "../platform-fleet.js";
 import type { LinkCut } from "../target-links.js";
@@ -37,6 +37,9 @@
     { readonly kind: "kill" | "killAll" | "freeze" | StopKind | "rollingStop" | "stopInStart" | "reload"; }
 >;
 
+/** Faults of entries and answers that belong to nothing. */
+type StrayFault = Extract<PlatformFault, { readonly kind: "oddEntry" | "strayRefusals" | "resumeErrors"; }>;
+
 /** Version that is written first; the fleet is started with an earlier one. */
 const FIRST_WRITTEN = 2;
 
@@ -64,6 +67,7 @@
     /** Instances that a fault has ended or told to stop. */
     private readonly away = new Set<PlatformInstance>();
     private version = 1;
+    private oddEntries = 0;
     private prepaidTokens: number;
 
     constructor({ fleet, timeline, prepaid }: ScheduleRunOptions) {
@@ -232,6 +236,10 @@
                 return await this.cutOff(fault.instances, fault.how, ms);
             case "targetLimit":
                 return await this.limit(fault.target, fault.perS, ms);
+            case "oddEntry":
+            case "strayRefusals":
+            case "resumeErrors":
+                return await this.holdStray(fault, ms);
             case "topUp":
                 return this.writeDocument(fault.tokens);
             case "documents":
@@ -243,6 +251,26 @@
         }
     }
 
+    /** Entries and answers that belong to nothing. */
+    private async holdStray(fault: StrayFault, ms: number): Promise<void> {
+        const { fleet } = this;
+        switch (fault.kind) {
+            case "oddEntry": {
+                this.oddEntries += 1;
+                fleet.store.putBytes(`servers/odd-${this.oddEntries}`, Buffer.from(fault.value));
+                return;
+            }
+            case "strayRefusals":
+                return await this.disturbTarget(pick(fleet.targets, [fault.target]), ms, (target, on) => {
+                    target.strayRefusal = on ? { status: 503 } : undefined;
+                });
+            case "resumeErrors":
+                return await this.disturbTarget(pick(fleet.models, [fault.target]), ms, (target, on) => {
+                    target.resumeStatus = on ? fault.status : undefined;
+                });
+        }
+    }
+
     private getInstances(indexes: readonly number[]): readonly PlatformInstance[] {
         return pick(this.fleet.instances, indexes);
     }
@@ -315,6 +343,18 @@
         end();
     }
 
+    private async disturbTarget(
+        targets: readonly PlatformTargetStandIn[],
+        ms: number,
+        set: (target: PlatformTargetStandIn, on: boolean) => void,
+    ): Promise<void> {
+        const end = this.timeline.disturb(targets.map(({ id }) => id));
+        targets.forEach(target => set(target, true));
+        await sleep(ms);
+        targets.forEach(target => set(target, false));
+        end();
+    }
+
     private async disturbStore(ms: number, set: (on: boolean) => void): Promise<void> {
         const end = this.timeline.disturb([STORE_PART]);
         set(true);
--- a/packages/bench/src/platform/soak/platform-schedule.ts
+++ b/packages/bench/src/platform/soak/platform-schedule.ts
@@ -38,6 +38,12 @@
     | { readonly kind: "targetLimit"; readonly target: number; readonly perS: number; }
     /** Instances lose their links to all targets, for some seconds longer than the fault lasts. */
     | { readonly kind: "cutOff"; readonly instances: readonly number[]; readonly how: LinkCut; }
+    /** Another writer leaves an entry among those of the targets that names none. */
+    | { readonly kind: "oddEntry"; readonly value: string; }
+    /** A target writes an earlier refusal again before each of its answers. */
+    | { readonly kind: "strayRefusals"; readonly target: number; }
+    /** A model target answers the continuation of a stream with something else. */
+    | { readonly kind: "resumeErrors"; readonly target: number; readonly status: number; }
     /** A new desired state with more tokens. */
     | { readonly kind: "topUp"; readonly tokens: number; }
     /** New desired states in quick succession, with a route added and removed and with other time-outs. */
@@ -96,12 +102,33 @@
 const CUT_OFF_BOUNDS: ScheduleBounds = { faults: [0, 2], longestStartMs: 3_000, durationMs: [200, 4_000] };
 const LINK_CUTS: readonly LinkCut[] = ["hang", "reset", "refuse"];
 
+/** Of restores and of answers that belong to nothing, which come beside the other faults. */
+const RESTORE_BOUNDS: ScheduleBounds = { faults: [1, 3], longestStartMs: 4_000, durationMs: [300, 3_500] };
+const STRAY_BOUNDS: ScheduleBounds = { faults: [1, 3], longestStartMs: 4_000, durationMs: [500, 4_000] };
+const STRAY_KINDS = ["oddEntry", "strayRefusals", "resumeErrors"] as const;
+const RESUME_STATUSES = [200, 400, 500] as const;
+
+/** Time from before a restore to after it in which an instance is disturbed as well, in milliseconds. */
+const BESIDE_RESTORE_MS = [-600, 400] as const;
+const BESIDE_KINDS = ["kill", "killAll", "freeze", "stop", "rollingStop", "cutStore"] as const;
+
+const ODD_ENTRIES: readonly string[] = [
+    JSON.stringify({ service: "model", address: "127.0.0.1:70000", slots: 4, state: "ready" }),
+    JSON.stringify({ service: "plain", address: "999.1.1.1:80", slots: 1e300, state: "ready" }),
+    `${"[".repeat(100_000)}${"]".repeat(100_000)}`,
+    "no json",
+];
+
 /** The plain target and the models. */
 const TARGETS = 3;
 const MODELS = 2;
 
-const createFault = (random: RandomSource, instances: number): PlatformFault => {
-    const kind = random.pick(KINDS);
+const createFault = (
+    random: RandomSource,
+    instances: number,
+    kinds: readonly (typeof KINDS)[number][] = KINDS,
+): PlatformFault => {
+    const kind = random.pick(kinds);
     const instance = random.int(0, instances - 1);
     const all = [...Array(instances).keys()];
     switch (kind) {
@@ -158,3 +185,29 @@
         instances: [...Array(instances - 1).keys()].filter(() => random.int(0, 1) > 0),
         how: random.pick(LINK_CUTS),
     }));
+
+/** Restores of the store, each with a kill, a stop, a pause or a cut just before or after it. */
+export const createRestores = (random: RandomSource, instances: number): readonly PlatformScheduleEntry[] =>
+    drawEntries(random, RESTORE_BOUNDS, (): PlatformFault => ({ kind: "storeOlderCopy" })).flatMap(restore => [
+        restore,
+        {
+            startMs: Math.max(0, restore.startMs + restore.durationMs + random.int(...BESIDE_RESTORE_MS)),
+            durationMs: random.int(300, 3_000),
+            fault: createFault(random, instances, BESIDE_KINDS),
+        },
+    ]);
+
+/** Entries and answers that belong to no target and to no request. */
+export const createStrays = (random: RandomSource): readonly PlatformScheduleEntry[] =>
+    drawEntries(random, STRAY_BOUNDS, () => {
+        const kind = random.pick(STRAY_KINDS);
+        const target = random.int(0, MODELS - 1);
+        switch (kind) {
+            case "oddEntry":
+                return { kind, value: random.pick(ODD_ENTRIES) };
+            case "strayRefusals":
+                return { kind, target: random.int(0, TARGETS - 1) };
+            case "resumeErrors":
+                return { kind, target, status: random.pick(RESUME_STATUSES) };
+        }
+    });
--- a/packages/bench/src/platform/soak/play-platform-seed.ts
+++ b/packages/bench/src/platform/soak/play-platform-seed.ts
@@ -9,7 +9,13 @@
 import { judgePlatform, type PlatformVerdict } from "./judge-platform.js";
 import { runPlatformLoad } from "./platform-load.js";
 import { PlatformScheduleRun } from "./platform-schedule-run.js";
-import { createCutOffs, createPlatformSchedule, type PlatformScheduleEntry } from "./platform-schedule.js";
+import {
+    createCutOffs,
+    createPlatformSchedule,
+    createRestores,
+    createStrays,
+    type PlatformScheduleEntry,
+} from "./platform-schedule.js";
 import { probeReadiness } from "./readiness-probe.js";
 import { watchStalls } from "./stall-watch.js";
 
@@ -50,6 +56,9 @@
 /** Software versions of the model targets. */
 const MODEL_VERSIONS: readonly (readonly string[])[] = [[], ["v1", "v2"], ["v1", "v1", "v2", "v2"]];
 
+/** Earlier seeds play what they played when they were found. */
+const FIRST_SEED_WITH_RESTORES = 501;
+
 /** Time to live of addresses, in seconds; as deployed. */
 const ADDRESS_TTL_S = 2;
 
@@ -72,8 +81,10 @@
     const drawnFaults = createPlatformSchedule(random, count);
     const callersEach = random.pick(CALLERS_EACH);
     // Drawn last, so that what was drawn before them stays the same for a seed.
-    const schedule = [...drawnFaults, ...createCutOffs(random, count)].toSorted((a, b) => a.startMs - b.startMs);
+    const cutOffs = createCutOffs(random, count);
     const modelVersions = random.pick(MODEL_VERSIONS);
+    const added = seed < FIRST_SEED_WITH_RESTORES ? [] : [...createRestores(random, count), ...createStrays(random)];
+    const schedule = [...drawnFaults, ...cutOffs, ...added].toSorted((a, b) => a.startMs - b.startMs);
     return await playPlatformScenario({
         seed,
         count,
--- a/packages/stand-ins/src/platform/platform-target-stand-in.ts
+++ b/packages/stand-ins/src/platform/platform-target-stand-in.ts
@@ -93,6 +93,8 @@
     rejectsForS: number | undefined;
     /** An earlier refusal that it writes once more before each of its answers; undefined while it writes none. */
     strayRefusal: StrayRefusal | undefined;
+    /** Status with which it answers the continuation of a stream, with a text that is no stream; undefined while it continues them. */
+    resumeStatus: number | undefined;
     /** Monotonic times of the requests that it rejected, in milliseconds. */
     readonly rejectedAtMs: number[] = [];
     /** Called after each start that follows a crash. */
@@ -187,6 +189,11 @@
         if (this.strayRefusal !== undefined) {
             req.socket.write(encodeStrayRefusal(this.strayRefusal));
         }
+        if (this.resumeStatus !== undefined && req.headers["last-event-id"] !== undefined) {
+            res.writeHead(this.resumeStatus, { "Attempt-Id": id, "Response-Seal": `seal-${this.opts.id}` })
+                .end("error: the stream is not known\n\n");
+            return;
+        }
         const parts = String(req.headers["prompt-prefix"] ?? "").split(",").map(part => part.split(":")[0] ?? "");
         this.recordRun(req, res, { body, parts });
         const { events = 0, version = "", deadlyPart, deadlyBody } = this.opts;
