Let a budget get a new owner although its witnesses know of a later epoch

A team would have been refused for good ('a witness knows of a later owner') where an instance had sealed the witnesses for its claim on an outdated record, and the live owner wrote its record first: when that owner ended, each claim met the later epoch.

Cause: took a later epoch at a witness for a later owner. In one era none can exist that the record, which was just read, does not show; a claim that lost a race fails by its condition. Change: such a witness counts as sealed, since it accepts nothing of the earlier epoch, but not towards the quorum that knows the notes, as it has forgotten them.

--- a/packages/budgets/src/fleet-budgets.test.ts
+++ b/packages/budgets/src/fleet-budgets.test.ts
@@ -108,6 +108,24 @@
     t.true(held <= 15_000 && held > 10_000, `${held} held`);
 });
 
+test("a budget gets a new owner although its witnesses know of an epoch that nobody owns", async t => {
+    const fleet = createFleet(1_000, 0);
+    const instances = startAll(fleet, 4);
+    await instances[0]?.budgets.hold("team", 100);
+    const owner = instances.find(({ budgets }) => budgets.list().length > 0);
+    const [other, ...others] = instances.filter(instance => instance !== owner);
+    if (owner === undefined || other === undefined) {
+        return t.fail();
+    }
+    const epoch = (owner.budgets.list()[0]?.epoch ?? 0) + 1_000;
+    const seal = { shard: getShard("team"), epoch };
+    await Promise.all(
+        [other, ...others].map(({ hub }) => owner.hub.request(hub.self().incarnation, "budget.seal", seal)),
+    );
+    kill(owner);
+    t.true(await holdAll(other, 100) > 0);
+});
+
 test("releasing budgets at a graceful stop strands no tokens", async t => {
     const fleet = createFleet(1_000);
     const instances = startAll(fleet, 3);
--- a/packages/budgets/src/shard-claimer.ts
+++ b/packages/budgets/src/shard-claimer.ts
@@ -92,9 +92,7 @@
             const closed = isOutdated
                 ? await this.closeOutdated(shard, record)
                 : await this.closeEarlierOwner(shard, record, status, readAtMs);
-            return closed === undefined
-                ? unavailable("a witness knows of a later owner")
-                : await this.write(shard, entry, record, closed);
+            return await this.write(shard, entry, record, closed);
         }
         catch (err) {
             return unavailable(err instanceof Error ? err.message : String(err));
@@ -146,20 +144,16 @@
         return { budgets: Object.fromEntries(closed), mustWait };
     }
 
-    /**
-     * Returns bounds on the earlier owner's use: from its window, its sealed notes or, failing those, its limits. Returns undefined
-     * where a witness knows that the earlier owner has a successor.
-     */
+    /** Returns bounds on the earlier owner's use: from its window, its sealed notes or, failing those, its limits. */
     private async closeEarlierOwner(
         shard: number,
         record: ShardRecord,
         status: OwnerStatus,
         readAtMs: number,
-    ): Promise<ClosedBudgets | undefined> {
-        const seals = record.owner === undefined ? [] : await this.sealWitnesses(shard, record);
-        if (seals.some(({ laterEpoch }) => laterEpoch !== undefined)) {
-            return undefined;
-        }
+    ): Promise<ClosedBudgets> {
+        const responses = record.owner === undefined ? [] : await this.sealWitnesses(shard, record);
+        // A witness of a later epoch accepts nothing of this one, and has forgotten its notes.
+        const seals = responses.filter(({ laterEpoch }) => laterEpoch === undefined);
         const mayHaveNoted = record.owner !== undefined && record.witnesses.length > 0;
         const areNotesKnown = seals.length >= getSealQuorum(record.witnesses.length);
         const getUsed = (name: string, { window, limit }: BudgetBounds): number => {
@@ -171,7 +165,7 @@
             return areNotesKnown ? Math.max(window, ...notes) : limit;
         };
         const elapsedMs = performance.now() - readAtMs;
-        const mustWait = isUnsafe(record, status, seals.length);
+        const mustWait = isUnsafe(record, status, responses.length);
         const closed = Object.entries(record.budgets).map(([name, stored]): [string, StoredBudget] => {
             const used = getUsed(name, stored);
             const earlier = toOlder(stored.ceilings ?? this.getFirstCeilings(name, used), elapsedMs);
