Use new budgets whole on a KV service whose eras do not begin at 1

A new fleet could use half of each budget only where the KV service had come back from copies before the fleet was there, or counts its eras from another number: a missing record was taken for one that the last restore had lost.

Evidence: 'a new fleet can use its budgets whole on a service that has come back from copies before' held 500 of 1,000 before. Change: a key names the era in which the first budget was used. It is written beside the first claim, and read where a record is missing in a later era. Result: 42 tests of budgets pass.

--- a/packages/budgets/src/fleet-budgets.test.ts
+++ b/packages/budgets/src/fleet-budgets.test.ts
@@ -126,6 +126,18 @@
     t.true(await holdAll(other, 100) > 0);
 });
 
+test("a new fleet can use its budgets whole on a service that has come back from copies before", async t => {
+    const fleet = createFleet(1_000, 0);
+    fleet.service.restore(fleet.service.copy());
+    fleet.service.restore(fleet.service.copy());
+    const [first, second] = startAll(fleet, 3);
+    let held = 0;
+    for (const instance of [first, second, first, second]) {
+        held += instance === undefined ? 0 : await holdAll(instance, 100);
+    }
+    t.is(held, 1_000);
+});
+
 test("releasing budgets at a graceful stop strands no tokens", async t => {
     const fleet = createFleet(1_000);
     const instances = startAll(fleet, 3);
--- a/packages/budgets/src/shard-claimer.ts
+++ b/packages/budgets/src/shard-claimer.ts
@@ -4,6 +4,7 @@
 import type { BudgetSealResponse } from "@ospreyreel/types";
 import type { BudgetLog } from "./budget-log.js";
 import type { CopyHorizon } from "./copy-horizon.js";
+import { FirstEra } from "./first-era.js";
 import { getLostUse, toExactBounds } from "./lost-use.js";
 import { OwnedShard } from "./owned-shard.js";
 import type { OwnerSearch } from "./owner-search.js";
@@ -66,7 +67,11 @@
 
 /** Makes this instance the owner of shards whose owner is gone. */
 export class ShardClaimer {
-    constructor(private readonly opts: ShardClaimerOptions) {}
+    private readonly firstEra: FirstEra;
+
+    constructor(private readonly opts: ShardClaimerOptions) {
+        this.firstEra = new FirstEra(opts.kv);
+    }
 
     /** Claims a shard, unless a live instance owns it; does not throw. */
     async claim(shard: number): Promise<ClaimResult> {
@@ -222,7 +227,10 @@
         const record: ShardRecord = {
             epoch: getNextEpoch(earlier, era),
             era,
-            unseenRestores: getUnseenRestores(earlier, era),
+            unseenRestores: earlier === undefined
+                // The shard is used for the first time, or its record was lost by the last restore.
+                ? Number(await this.firstEra.wasRestored())
+                : getUnseenRestores(earlier, era),
             owner: { instance, incarnation },
             witnesses: chooseWitnesses(shard),
             budgets,
@@ -275,14 +283,6 @@
         ageMs === undefined ? { tokens } : { tokens, ageMs: ageMs + Math.floor(elapsedMs) }
     );
 
-/** Era in which the service begins that tells eras. */
-const FIRST_ERA = 1;
-
-/** A shard without a record has none of the budgets that are used for the first time, or was written just before the last restore. */
-const getUnseenRestores = (earlier: ShardRecord | undefined, era: number): number => {
-    if (earlier === undefined) {
-        return era > FIRST_ERA ? 1 : 0;
-    }
-    const seen = earlier.unseenRestores ?? 0;
-    return earlier.era === undefined ? seen : seen + era - earlier.era;
-};
+/** Restores that may have lost the use of budgets which a record does not name. */
+const getUnseenRestores = ({ unseenRestores = 0, era: recordEra }: ShardRecord, era: number): number =>
+    recordEra === undefined ? unseenRestores : unseenRestores + era - recordEra;
