Show the ceiling of each owned budget in the state dump

A refusal 'older copies do not cover the use yet' could be told by its line only; the dump had window, limit and notes of each budget but not the bound that was reached.

--- a/packages/budgets/src/fleet-budgets.ts
+++ b/packages/budgets/src/fleet-budgets.ts
@@ -12,6 +12,8 @@
     readonly window: number;
     readonly limit: number;
     readonly noted: number;
+    /** Total use that no copy of the KV service can hide; no more is handed out. */
+    readonly ceiling: number;
 }
 
 /** The roles of one instance for prepaid budgets: owner, witness and borrower. */
@@ -59,13 +61,14 @@
     /** The budgets owned here. */
     list(): readonly BudgetView[] {
         return this.owner.list().flatMap(({ epoch, budgets }) =>
-            [...budgets.values()].map(({ name, spent, confirmed, noted }) => ({
+            [...budgets.values()].map(({ name, spent, confirmed, noted, ceilings }) => ({
                 budget: name,
                 epoch,
                 spent,
                 window: confirmed.window,
                 limit: confirmed.limit,
                 noted,
+                ceiling: ceilings.usable,
             }))
         );
     }
