Count the time since a restore from when it is known

Owners that live through a restore have two seconds to be found, and to hear of their witnesses, before their budgets are counted by the ceilings. A watch waits for up to half a minute, and where its response told of the restore first, that time counted from its call, so that it was over at once and tokens would have been stranded. Evidence: the new test of kv-history failed before. The time counts from the response now.

--- a/packages/budgets/src/budget-owner.ts
+++ b/packages/budgets/src/budget-owner.ts
@@ -201,11 +201,11 @@
 
     /** Returns for each budget whether it needs nothing more of this instance. */
     private async registerShards(budgets: readonly string[]): Promise<readonly boolean[]> {
-        const shards = new Map(budgets.map(budget => [getShard(budget), budget]));
+        const shards = new Set(budgets.map(budget => getShard(budget)));
         const { hub } = this.opts;
         const live = [hub.self(), ...hub.peers()].filter(peer => peer.state === "live");
         const registered = new Map<number, boolean>();
-        for (const shard of shards.keys()) {
+        for (const shard of shards) {
             const isOwn = this.shards.has(shard) || orderOwners(shard, live)[0]?.incarnation === hub.self().incarnation;
             const found = isOwn ? await this.findShard(shard) : undefined;
             registered.set(shard, found === undefined || !("kind" in found) || found.kind === "elsewhere");
--- a/packages/kv/src/kv-history.test.ts
+++ b/packages/kv/src/kv-history.test.ts
@@ -29,3 +29,12 @@
     history.record(0, 5);
     t.is(history.confirmedAtMs, 10);
 });
+
+test("an era counts as known from when a response tells it, also where its call was sent long before", t => {
+    const history = new KvHistory();
+    const sentAtMs = performance.now() - 30_000;
+    history.record(1, sentAtMs);
+    const before = performance.now();
+    history.record(2, sentAtMs);
+    t.true(history.knownAtMs >= before);
+});
--- a/packages/kv/src/kv-history.ts
+++ b/packages/kv/src/kv-history.ts
@@ -31,7 +31,7 @@
         const hasAdvanced = era > this.currentEra;
         const wasKnown = this.lastConfirmedAtMs !== Number.NEGATIVE_INFINITY;
         this.currentEra = era;
-        this.eraKnownAtMs = hasAdvanced || !wasKnown ? sentAtMs : this.eraKnownAtMs;
+        this.eraKnownAtMs = hasAdvanced || !wasKnown ? performance.now() : this.eraKnownAtMs;
         this.lastConfirmedAtMs = hasAdvanced ? sentAtMs : Math.max(this.lastConfirmedAtMs, sentAtMs);
         if (hasAdvanced && wasKnown) {
             this.listeners.forEach(listener => listener(era));
