Refuse at once where the owner of a budget tells when it can grant more

Cause: a draw whose time to come back is known was waited for if that was within a second. Change: it is waited for only if that is one retry away (50 ms).

--- a/packages/budgets/src/borrowed-budget.ts
+++ b/packages/budgets/src/borrowed-budget.ts
@@ -172,7 +172,9 @@
 
     /** Whether the waiting requests may go on waiting after a draw without a usable response. */
     private mayWait(retryAfterMs = 0): boolean {
-        return !this.isUnavailable && this.opts.isKvAvailable() && this.longestWaitMs + retryAfterMs < MAX_WAIT_MS;
+        // Where the owner tells when it can grant more, the caller comes back then.
+        const isSoon = retryAfterMs <= RETRY_DELAY_MS;
+        return isSoon && !this.isUnavailable && this.opts.isKvAvailable() && this.longestWaitMs < MAX_WAIT_MS;
     }
 
     private serveWaiters(): void {
