--- a/packages/budgets/src/known-budgets.ts
+++ b/packages/budgets/src/known-budgets.ts
@@ -27,11 +27,6 @@
         return added;
     }
 
-    /** All budgets. */
-    list(): readonly string[] {
-        return [...this.names];
-    }
-
     /** Whether a budget appeared in the present era, and so late that no restore can have lost its use. */
     isNew(name: string): boolean {
         this.forgetEarlierEra();
