Log where the first era could not be written

Found in the last read: the write beside the first claim was given up without a line, so that nobody could tell why new budgets are counted as half used after a later restore. It is logged and tried again at the next claim without a record.

--- a/packages/budgets/src/first-era.ts
+++ b/packages/budgets/src/first-era.ts
@@ -1,4 +1,5 @@
 import type { KvClient } from "@ospreyreel/kv";
+import type { BudgetLog } from "./budget-log.js";
 
 /** Key that is written once, when the first budget is used. */
 const KEY = "ospreyreel/budgets-since";
@@ -10,7 +11,7 @@
 export class FirstEra {
     private era: number | undefined;
 
-    constructor(private readonly kv: Pick<KvClient, "get" | "txn" | "history">) {}
+    constructor(private readonly kv: Pick<KvClient, "get" | "txn" | "history">, private readonly log: BudgetLog) {}
 
     /** Whether the service has come back from a copy since. Throws if the KV service is unavailable. */
     async wasRestored(): Promise<boolean> {
@@ -20,7 +21,7 @@
         }
         if (this.era === undefined) {
             // Nothing has been lost yet; later eras need it.
-            this.get().catch(() => this.era = undefined);
+            this.get().catch((err: unknown) => this.log("first era not written", { cause: String(err) }));
         }
         return false;
     }
--- a/packages/budgets/src/shard-claimer.ts
+++ b/packages/budgets/src/shard-claimer.ts
@@ -70,7 +70,7 @@
     private readonly firstEra: FirstEra;
 
     constructor(private readonly opts: ShardClaimerOptions) {
-        this.firstEra = new FirstEra(opts.kv);
+        this.firstEra = new FirstEra(opts.kv, opts.log);
     }
 
     /** Claims a shard, unless a live instance owns it; does not throw. */
