Show that a response cut within its head is no success

Reported by operators of similar systems: a target stops in the middle of its response's head and closes, and callers get a 200 with an empty or short body that looks whole.

--- a/packages/targets/src/client/target-client.test.ts
+++ b/packages/targets/src/client/target-client.test.ts
@@ -219,6 +219,21 @@
     });
 }
 
+test("a response whose connection closes within its head is no response", async t => {
+    const heads = [
+        `${RAW_HEAD}content-length: 5\r\n\r\n`,
+        `${RAW_HEAD}transfer-encoding: chunked\r\n\r\n`,
+        `${RAW_HEAD}\r\n`,
+    ];
+    const client = createClient(t);
+    for (const head of heads) {
+        for (let length = 1; length < head.length; length++) {
+            const target = await startRawTarget(t, socket => socket.end(head.slice(0, length)));
+            await expectResult(t, "targetFailed", () => client.call({ target, path: "/", streamId: "s1" }));
+        }
+    }
+});
+
 test("a response without a length is read up to the end of its connection", async t => {
     const target = await startRawTarget(t, socket => socket.end(`${RAW_HEAD}\r\nwhole`));
     const { body } = await createClient(t).call({ target, path: "/", streamId: "s1" });
