Continue no stream at another version at an instance that is out of step

Reported by operators of similar systems: while targets of a new version join, an instance that is cut off or stands still for some seconds continues streams that began there through others at a target of another version. Here it could, in three ways: a peer whose own view was as old counted as a proof that one version serves; the monotonic clock by which a view is current stands still while the machine is suspended; and a stream could begin at a version moments after its target had joined, which a view of up to two seconds of age does not have.

Now a peer says whether its view is current, and only such a word counts; the time of day counts beside the monotonic clock, whichever says longer; and a stream that may be resumed begins at a version 2.5 s after the instance has seen it while others serve, unless no other target can take it. Requests that are not resumed are placed as before.

A version that joins gets no resumable streams for its first 2.5 s during a release.

--- a/packages/relay/src/instance/relay-instance.ts
+++ b/packages/relay/src/instance/relay-instance.ts
@@ -21,7 +21,7 @@
 import { TargetFollower } from "../targets/target-follower.js";
 import { TargetSelector } from "../targets/target-selector.js";
 import { FleetStreamOrigins } from "../versions/fleet-stream-origins.js";
-import { VersionHistory } from "../versions/version-history.js";
+import { MAX_VIEW_AGE_MS, VersionHistory } from "../versions/version-history.js";
 import { VersionRecord } from "../versions/version-record.js";
 import { ViewFreshness } from "../watch/view-freshness.js";
 import { BoundedLog } from "./bounded-log.js";
@@ -47,9 +47,6 @@
  */
 const TARGET_REANNOUNCE_MS = 1_700;
 
-/** Age of the view of the KV service up to which a version that has begun to serve would be known, in milliseconds. */
-const MAX_VIEW_AGE_MS = 2_000;
-
 const METRICS_PATH = "/metrics";
 const STATE_PATH = "/state";
 const HTTP_NOT_FOUND = 404;
@@ -243,6 +240,7 @@
                 placement: new AffinityPlacement(),
                 availabilityZone: this.cfg.availabilityZone,
                 getConnectionLimit: service => this.shares.getConnectionLimit(service),
+                isSettled: (service, version) => this.versions.isSettled(service, version),
             }),
             port: this.sending.port,
             budgets: new FleetBudgetGate(this.budgets),
--- a/packages/relay/src/targets/target-selector.ts
+++ b/packages/relay/src/targets/target-selector.ts
@@ -11,6 +11,8 @@
     readonly availabilityZone: string;
     /** Maximum number of this instance's connections to one target of a service. */
     readonly getConnectionLimit: (service: string) => number;
+    /** Whether streams may begin at a version of a service; at each by default. */
+    readonly isSettled?: (service: string, version: string | undefined) => boolean;
     /** Monotonic clock, in milliseconds. */
     readonly now?: () => number;
 }
@@ -73,7 +75,8 @@
                 && state.getWaitMs(nowMs) === 0 && canContinue(state, begun)
             );
         const notFull = allowed.filter(({ state }) => !state.health.isFull(nowMs));
-        const candidates = notFull.length > 0 ? notFull : allowed;
+        const mayResume = route.kind === "streaming" && route.isResumable && begun === undefined;
+        const candidates = this.preferSettled(mayResume, notFull.length > 0 ? notFull : allowed);
         if (candidates.length === 0) {
             return undefined;
         }
@@ -91,6 +94,19 @@
         return candidates[this.opts.placement.choose(numbers)]?.state;
     }
 
+    /** Lets streams that may be resumed begin at versions that are known everywhere, where there is such a target. */
+    private preferSettled<T extends { readonly state: TargetState; }>(
+        mayResume: boolean,
+        candidates: readonly T[],
+    ): readonly T[] {
+        const { isSettled } = this.opts;
+        if (!mayResume || isSettled === undefined) {
+            return candidates;
+        }
+        const settled = candidates.filter(({ state: { target } }) => isSettled(target.service, target.version));
+        return settled.length > 0 ? settled : candidates;
+    }
+
     /**
      * Shortest time until a target that is only held back by its limit of requests a second, or by a pause that it asked
      * for, may get one, in milliseconds; undefined where no target is.
--- a/packages/relay/src/versions/fleet-stream-origins.test.ts
+++ b/packages/relay/src/versions/fleet-stream-origins.test.ts
@@ -99,6 +99,17 @@
     t.is(await find(second), undefined);
 });
 
+test("peers that do not reach the KV service either are no proof that one version serves", async t => {
+    const { fleet, second } = await start(["v1"]);
+    ["instance-1", "instance-2"].forEach(instance => fleet.stale.add(instance));
+    const first = fleet.members[0];
+    if (first !== undefined) {
+        fleet.network.disconnect(first.hub);
+    }
+    fleet.put(createVersion("t9", "v2"));
+    t.is(await find(second), undefined);
+});
+
 test("instances that ask each other do not keep a version that has left known forever", async t => {
     const { fleet, first, second } = await start(["v1", "v2"]);
     fleet.remove("t0");
--- a/packages/relay/src/versions/fleet-stream-origins.ts
+++ b/packages/relay/src/versions/fleet-stream-origins.ts
@@ -59,7 +59,7 @@
 
     /** Starts storing other instances' marks and responding to their questions. */
     serve(): void {
-        const { hub, history, nowMs } = this.opts;
+        const { hub, history, isViewCurrent, nowMs } = this.opts;
         hub.handle("streams.mark", ({ marks }) => {
             marks.forEach(({ stream, service, version }) =>
                 this.known.set(stream, { service, version, atMs: nowMs() })
@@ -70,6 +70,7 @@
             Promise.resolve({
                 origin: this.get(stream),
                 versions: services.flatMap(service => history.listWithAges(service)),
+                isCurrent: isViewCurrent(),
             }));
     }
 
@@ -116,7 +117,7 @@
         // A peer may have read of a version that this instance has not, for example while only this one cannot reach the KV service.
         told.flatMap(({ versions }) => versions)
             .forEach(({ service, version, msAgo }) => this.opts.history.remember(service, [version], msAgo));
-        const isCertain = this.opts.isViewCurrent() || told.length > 0;
+        const isCertain = this.opts.isViewCurrent() || told.some(({ isCurrent = false }) => isCurrent);
         const only = isCertain ? this.opts.history.getOnlyOrigin(services) : undefined;
         return this.record(resumed, only === undefined ? "unknown" : "history", only);
     }
--- a/packages/relay/src/versions/version-history.ts
+++ b/packages/relay/src/versions/version-history.ts
@@ -11,6 +11,15 @@
 /** Longest time from the first event of a stream until its caller resumes it, in milliseconds. */
 export const RESUME_HORIZON_MS = 60_000;
 
+/** Age of the view of the KV service up to which it counts as current, in milliseconds. */
+export const MAX_VIEW_AGE_MS = 2_000;
+
+/**
+ * Time for which a version is announced before streams begin at it while others serve, in milliseconds. By then each
+ * instance with a current view knows of it, and takes no other version for the only one.
+ */
+export const VERSION_SETTLE_MS = MAX_VIEW_AGE_MS + 500;
+
 /** Stands for the targets that announce no version; they are not known to be of the same one. */
 const UNNAMED = "";
 
@@ -20,6 +29,8 @@
     private present = new Map<string, ReadonlySet<string>>();
     /** Monotonic times in milliseconds at which other versions were last known to serve, by service. */
     private readonly gone = new Map<string, Map<string, number>>();
+    /** Monotonic times in milliseconds at which the versions of the announced targets were first seen, by service. */
+    private readonly seen = new Map<string, Map<string, number>>();
     private readonly startedAtMs: number;
     private hasEarlier = false;
 
@@ -69,6 +80,13 @@
         }));
     }
 
+    /** Whether each instance with a current view knows of an announced version, or there is no other one. */
+    isSettled(service: string, version: string = UNNAMED): boolean {
+        const seenAtMs = this.seen.get(service)?.get(version);
+        return !this.isMixed(service)
+            || (seenAtMs !== undefined && this.opts.nowMs() - seenAtMs >= VERSION_SETTLE_MS);
+    }
+
     /** Whether streams of several versions of a service may be resumed. */
     isMixed(service: string): boolean {
         return this.list(service).length > 1;
@@ -93,6 +111,16 @@
             this.remember(service, [...versions].filter(version => groups.get(service)?.has(version) !== true));
         }
         this.present = groups;
+        this.recordSeen();
+    }
+
+    private recordSeen(): void {
+        [...this.seen.keys()].filter(service => !this.present.has(service)).forEach(it => this.seen.delete(it));
+        for (const [service, versions] of this.present) {
+            const before = this.seen.get(service);
+            const nowMs = this.opts.nowMs();
+            this.seen.set(service, new Map([...versions].map(it => [it, before?.get(it) ?? nowMs])));
+        }
     }
 
     private removeExpired(service: string): void {
--- a/packages/relay/src/watch/view-freshness.test.ts
+++ b/packages/relay/src/watch/view-freshness.test.ts
@@ -3,9 +3,13 @@
 import { ViewFreshness } from "./view-freshness.js";
 
 const create = () => {
-    const clock = { ms: 0 };
+    const clock = { ms: 0, wallOffsetMs: 0 };
     const log = new MemoryLog();
-    const freshness = new ViewFreshness({ log, nowMs: () => clock.ms });
+    const freshness = new ViewFreshness({
+        log,
+        nowMs: () => clock.ms,
+        wallMs: () => clock.ms + clock.wallOffsetMs,
+    });
     const respond = (prefix: string, requestedAtMs: number, delayMs = 0): void =>
         freshness.recordResponse({ prefix, requestedAtMs, delayMs });
     return { clock, log, freshness, respond };
@@ -48,3 +52,22 @@
     respond("a/", 59_500, 300);
     t.false(freshness.isOutdated);
 });
+
+test("a view from before the machine was suspended is not current", t => {
+    const { clock, freshness, respond } = create();
+    clock.ms = 1_000;
+    respond("a/", 1_000);
+    clock.wallOffsetMs = 5_000;
+    t.is(freshness.ageMs, 5_000);
+    clock.ms = 1_100;
+    respond("a/", 1_050);
+    t.is(freshness.ageMs, 50);
+});
+
+test("a time of day that is set back does not make a view current", t => {
+    const { clock, freshness, respond } = create();
+    respond("a/", 0);
+    clock.ms = 3_000;
+    clock.wallOffsetMs = -5_000;
+    t.is(freshness.ageMs, 3_000);
+});
--- a/packages/relay/src/watch/view-freshness.ts
+++ b/packages/relay/src/watch/view-freshness.ts
@@ -14,6 +14,14 @@
     readonly log: RelayLog;
     /** Monotonic time in milliseconds; `performance.now` by default. */
     readonly nowMs?: () => number;
+    /** Time of day in milliseconds, which goes on while the machine is suspended; `Date.now` by default. */
+    readonly wallMs?: () => number;
+}
+
+/** Times of a request for changes, in milliseconds. */
+interface Confirmation {
+    readonly atMs: number;
+    readonly wallMs: number;
 }
 
 /** Delay of a response from which the network input counts as delayed, in milliseconds; far above a round trip. */
@@ -32,14 +40,16 @@
 
 /** Tracks how old this instance's view of the KV service is, and whether responses reach it late. */
 export class ViewFreshness {
-    private readonly confirmedAtMs = new Map<string, number>();
+    private readonly confirmed = new Map<string, Confirmation>();
     private readonly nowMs: () => number;
+    private readonly wallMs: () => number;
     private lastDelayMs = 0;
     private delayedUntilMs = Number.NEGATIVE_INFINITY;
     private wasDelayed = false;
 
     constructor(private readonly opts: ViewFreshnessOptions) {
         this.nowMs = opts.nowMs ?? (() => performance.now());
+        this.wallMs = opts.wallMs ?? (() => Date.now());
     }
 
     /**
@@ -47,7 +57,10 @@
      * no newer state can be known then.
      */
     recordResponse({ prefix, requestedAtMs, delayMs }: ChangesResponse): void {
-        this.confirmedAtMs.set(prefix, Math.max(requestedAtMs, this.confirmedAtMs.get(prefix) ?? requestedAtMs));
+        const last = this.confirmed.get(prefix);
+        if (last === undefined || requestedAtMs >= last.atMs) {
+            this.confirmed.set(prefix, { atMs: requestedAtMs, wallMs: this.wallMs() - (this.nowMs() - requestedAtMs) });
+        }
         if (delayMs >= MIN_DELAY_MS) {
             this.lastDelayMs = delayMs;
             this.delayedUntilMs = this.nowMs() + DELAY_MEMORY_MS;
@@ -65,9 +78,14 @@
         return this.isInputDelayed ? this.lastDelayMs : 0;
     }
 
-    /** Time up to which changes may be unknown here, in milliseconds; 0 before the first response. */
+    /**
+     * Time up to which changes may be unknown here, in milliseconds; 0 before the first response. The monotonic clock stands
+     * still while the machine is suspended, and the time of day may be set back, so the longer time counts.
+     */
     get ageMs(): number {
-        return this.confirmedAtMs.size === 0 ? 0 : this.nowMs() - Math.min(...this.confirmedAtMs.values());
+        const nowMs = this.nowMs();
+        const wallMs = this.wallMs();
+        return Math.max(0, ...[...this.confirmed.values()].map(it => Math.max(nowMs - it.atMs, wallMs - it.wallMs)));
     }
 
     /**
--- a/packages/types/src/peer-requests.ts
+++ b/packages/types/src/peer-requests.ts
@@ -440,7 +440,12 @@
      */
     readonly "streams.find": {
         readonly req: { readonly stream: string; readonly services: readonly string[]; };
-        readonly res: { readonly origin: StreamOrigin | undefined; readonly versions: readonly ServingVersion[]; };
+        readonly res: {
+            readonly origin: StreamOrigin | undefined;
+            readonly versions: readonly ServingVersion[];
+            /** Whether the receiver would know of a version that has begun to serve; undefined from older versions. */
+            readonly isCurrent?: boolean;
+        };
     };
     /** Asks whether the receiver reaches a target, by the name of its start. */
     readonly "targets.reach": {
