Hand the callers of an overloaded instance off to a larger one

Callers of some teams all stay at one instance, whatever addresses they are told. Every other team's request that came there met the same.

--- a/packages/bench/src/platform/platform-fleet.ts
+++ b/packages/bench/src/platform/platform-fleet.ts
@@ -21,7 +21,7 @@
 /** Main file of another build, which every other start of an instance runs; the same build by default. */
 const OTHER_BUILD = process.env["OSPREYREEL_OTHER_BUILD"] ?? MAIN;
 
-const PORTS_EACH = 5;
+const PORTS_EACH = 6;
 const PREPAID = 100_000;
 /** Time that a caller waits for addresses, in milliseconds. */
 const DIRECTORY_TIMEOUT_MS = 1_000;
@@ -402,7 +402,7 @@
     private async createInstance(
         folder: string,
         at: number,
-        [callers = "", readiness = "", directory = "", peer = "", metrics = ""]: readonly string[],
+        [callers = "", readiness = "", directory = "", peer = "", metrics = "", handoff = ""]: readonly string[],
         varying: RelaySettingsJson,
     ): Promise<PlatformInstance> {
         const name = `instance-${at}`;
@@ -415,6 +415,7 @@
             directory,
             peer,
             metrics,
+            handoff,
             sharedKey: "platform-fleet",
             retries: { ratio: 0.2, windowS: 10, slack: 50 },
             ...varying,
--- a/packages/peer/src/index.ts
+++ b/packages/peer/src/index.ts
@@ -1,6 +1,7 @@
 /** Links between instances, membership and address order. */
 export * from "./address-book.js";
 export * from "./address-order.js";
+export { connect } from "./connect.js";
 export * from "./copy-holder.js";
 export { wasNotSent } from "./errors.js";
 export * from "./even-spread-address-order.js";
--- a/packages/relay/src/document/document-holder.ts
+++ b/packages/relay/src/document/document-holder.ts
@@ -1,4 +1,4 @@
-import { EventEmitter } from "node:events";
+import { EventEmitter, once } from "node:events";
 import type { RelayDocument } from "./relay-document.js";
 import { RouteTable } from "./route-table.js";
 
@@ -34,6 +34,21 @@
         return true;
     }
 
+    /** Resolves whether a version, or a newer one, is active within a time in milliseconds. */
+    async waitFor(version: number, timeoutMs: number): Promise<boolean> {
+        const endsAtMs = performance.now() + timeoutMs;
+        while (this.version < version) {
+            const leftMs = endsAtMs - performance.now();
+            if (leftMs <= 0) {
+                return false;
+            }
+            await once(this.events, "change", { signal: AbortSignal.timeout(Math.ceil(leftMs)) }).catch(() =>
+                undefined
+            );
+        }
+        return true;
+    }
+
     /** Calls the listener with each newer state. */
     onChange(listener: (table: RouteTable) => void): void {
         this.events.on("change", listener);
--- /dev/null
+++ b/packages/relay/src/handoff/connection-handoff.ts
@@ -0,0 +1,299 @@
+import { connect, type MembershipChange, type PeerHub } from "@ospreyreel/peer";
+import type { Address, InstanceInfo } from "@ospreyreel/types";
+import type { Socket } from "node:net";
+import { chooseHelpers } from "../policy/choose-helpers.js";
+import { HandoffPolicy } from "../policy/handoff-policy.js";
+import type { RelayLog } from "../relay-log.js";
+import { EventLoopLoad } from "./event-loop-load.js";
+import { joinConnections } from "./join-connections.js";
+
+/** Options of {@link ConnectionHandoff}. */
+export interface ConnectionHandoffOptions {
+    readonly hub: PeerHub;
+    /** Version of the active desired state; 0 before the first one. */
+    readonly getVersion: () => number;
+    /** Number of requests that this instance has read itself. */
+    readonly getOwnRequests: () => number;
+    readonly log: RelayLog;
+    /** Adds one to a counter. */
+    readonly count: (name: string) => void;
+    /** Decides when connections are handed off; a {@link HandoffPolicy} by default. */
+    readonly policy?: Pick<HandoffPolicy, "isHandingOff" | "mayHelp" | "recordSample">;
+    /** Idle share of the event loop since the last call; measured by default. */
+    readonly takeIdleShare?: () => number;
+}
+
+/** Time between two samples of the load, in milliseconds. */
+const SAMPLE_INTERVAL_MS = 200;
+
+/** Time between two requests that renew a helper's ticket, in milliseconds. */
+const RENEW_INTERVAL_MS = 500;
+
+/** Timeout of a request to a helper, in milliseconds: some round trips and a burst on a slow link. */
+const HELPER_TIMEOUT_MS = 700;
+
+/** Timeout of a connection to a helper, in milliseconds; the caller is served here where it passes. */
+const CONNECT_TIMEOUT_MS = 300;
+
+/** Maximum number of peers that are asked to help, one after the other. */
+const MAX_ASKED = 4;
+
+/** Time after which peers are asked again where none would help, in milliseconds. */
+const SEARCH_INTERVAL_MS = 1_000;
+
+/** A peer that serves connections of this instance's callers. */
+interface Helper {
+    readonly info: InstanceInfo;
+    /** The callers' connections that it serves. */
+    readonly callers: Set<Socket>;
+    address: Address;
+    ticket: Uint8Array;
+    /** Requests that it has served for this instance. */
+    requests: number;
+}
+
+/** Connections that an overloaded instance hands off. */
+export interface HandoffView {
+    /** Instance that gets new connections; undefined where none does. */
+    readonly helper: string | undefined;
+    /** Open connections by the instance that serves them. */
+    readonly connections: Readonly<Record<string, number>>;
+    /** Newest version of the desired state with which a helper may have served; 0 where none has. */
+    readonly servedVersion: number;
+}
+
+/**
+ * Hands callers' connections off to a larger peer while this instance has more requests than it can serve. The peer does all work
+ * for them; this instance only copies their bytes, unread.
+ */
+export class ConnectionHandoff {
+    private readonly helpers = new Map<string, Helper>();
+    private readonly policy: Pick<HandoffPolicy, "isHandingOff" | "mayHelp" | "recordSample">;
+    private readonly takeIdleShare: () => number;
+    private readonly stopping = new AbortController();
+    private current: Helper | undefined;
+    private isSearching = false;
+    private searchAgainAtMs = 0;
+    private newestServed = 0;
+    private handedOff = 0;
+    private lastOwnRequests = 0;
+
+    constructor(private readonly opts: ConnectionHandoffOptions) {
+        this.policy = opts.policy ?? new HandoffPolicy();
+        const load = new EventLoopLoad();
+        this.takeIdleShare = opts.takeIdleShare ?? (() => load.takeIdleShare());
+    }
+
+    /** Starts measuring the load, until {@link stop}; does not keep the process alive. */
+    start(): void {
+        const timers = [
+            setInterval(() => this.sample(), SAMPLE_INTERVAL_MS).unref(),
+            setInterval(() => this.renewAll(), RENEW_INTERVAL_MS).unref(),
+        ];
+        this.stopping.signal.addEventListener("abort", () => clearInterval(timers[0]), { once: true });
+        void this.opts.hub.changes().observe(change => this.handleChange(change));
+    }
+
+    /** Hands no further connection off; those that peers serve stay open. */
+    stop(): void {
+        this.stopping.abort();
+        this.current = undefined;
+    }
+
+    /** Whether this instance has time for the callers of another one; one that it serves already is given up later. */
+    mayHelp(isHelping: boolean): boolean {
+        return this.policy.mayHelp(isHelping);
+    }
+
+    /** Whether new connections are handed off, so that a caller is better off with a new one. */
+    get isActive(): boolean {
+        return this.current !== undefined;
+    }
+
+    /** Number of open connections that peers serve. */
+    get openConnections(): number {
+        return [...this.helpers.values()].reduce((sum, { callers }) => sum + callers.size, 0);
+    }
+
+    /** Newest version of the desired state with which a peer may have served this instance's callers; 0 where none has. */
+    get servedVersion(): number {
+        return this.newestServed;
+    }
+
+    /** For the state dump. */
+    get view(): HandoffView {
+        return {
+            helper: this.current?.info.instance,
+            connections: Object.fromEntries(
+                [...this.helpers.values()].map(({ info, callers }) => [info.instance, callers.size]),
+            ),
+            servedVersion: this.newestServed,
+        };
+    }
+
+    /** Hands a caller's new connection off if one is to be; `serveHere` serves it where the helper cannot be reached. */
+    handOff(caller: Socket, serveHere: () => void): boolean {
+        const { current } = this;
+        if (current === undefined) {
+            return false;
+        }
+        void this.connect(current, caller, serveHere);
+        return true;
+    }
+
+    /** Closes the connections that peers still serve. */
+    closeAll(): void {
+        this.helpers.forEach(({ callers }) => callers.forEach(caller => caller.destroy()));
+    }
+
+    private async connect(helper: Helper, caller: Socket, serveHere: () => void): Promise<void> {
+        const ignoreError = (): void => undefined;
+        caller.on("error", ignoreError);
+        helper.callers.add(caller);
+        try {
+            const socket = await connect(helper.address, CONNECT_TIMEOUT_MS, this.stopping.signal);
+            socket.setNoDelay(true);
+            socket.write(helper.ticket);
+            this.opts.count("connections_handed_off");
+            joinConnections({
+                caller,
+                helper: socket,
+                confirmEnd: () => this.renew(helper),
+                onEnd: () => this.forget(helper, caller),
+            });
+        }
+        catch {
+            // Nothing of the caller's has been read yet.
+            this.forget(helper, caller);
+            this.drop(helper, "the peer accepts no connection");
+            serveHere();
+        }
+        finally {
+            caller.off("error", ignoreError);
+        }
+    }
+
+    private forget(helper: Helper, caller: Socket): void {
+        helper.callers.delete(caller);
+        if (helper.callers.size === 0 && helper !== this.current) {
+            this.helpers.delete(helper.info.incarnation);
+        }
+    }
+
+    private sample(): void {
+        const ownRequests = this.opts.getOwnRequests();
+        this.policy.recordSample({
+            idleShare: this.takeIdleShare(),
+            ownRequests: ownRequests - this.lastOwnRequests,
+            handedOff: this.handedOff,
+            intervalMs: SAMPLE_INTERVAL_MS,
+        });
+        this.lastOwnRequests = ownRequests;
+        this.handedOff = 0;
+        if (!this.policy.isHandingOff) {
+            if (this.current !== undefined) {
+                this.drop(this.current, "the load has fallen");
+            }
+        }
+        else if (this.current === undefined && performance.now() >= this.searchAgainAtMs) {
+            void this.findHelper();
+        }
+    }
+
+    /** Asks peers for help until one agrees. Does not throw. */
+    private async findHelper(): Promise<void> {
+        if (this.isSearching) {
+            return;
+        }
+        this.isSearching = true;
+        const { hub, log } = this.opts;
+        const candidates = chooseHelpers({ self: hub.self(), peers: hub.peers(), minVersion: this.minVersion });
+        for (const info of candidates.slice(0, MAX_ASKED)) {
+            const helper = this.helpers.get(info.incarnation)
+                ?? { info, callers: new Set(), address: info.caller, ticket: new Uint8Array(), requests: 0 };
+            if (await this.askOnce(helper) === "accepted" && !this.stopping.signal.aborted) {
+                this.helpers.set(info.incarnation, helper);
+                this.current = helper;
+                log.write("connections handed off", { helper: info.instance });
+                break;
+            }
+        }
+        this.searchAgainAtMs = performance.now() + SEARCH_INTERVAL_MS;
+        this.isSearching = false;
+    }
+
+    private renewAll(): void {
+        this.helpers.forEach(helper => void this.renew(helper));
+    }
+
+    /** Renews a helper's ticket; resolves whether its process lives. */
+    private async renew(helper: Helper): Promise<boolean> {
+        const answer = await this.askOnce(helper);
+        if (answer !== "accepted") {
+            this.drop(helper, answer === "refused" ? "the peer refuses" : "the peer does not respond");
+        }
+        return answer !== "silent";
+    }
+
+    private async askOnce(helper: Helper): Promise<"accepted" | "refused" | "silent"> {
+        const { hub, log } = this.opts;
+        const { incarnation, instance } = helper.info;
+        try {
+            const req = { version: this.minVersion };
+            const res = await hub.request(incarnation, "connections.take", req, HELPER_TIMEOUT_MS);
+            if (res.kind === "refused") {
+                log.write("connections not taken", { helper: instance, cause: res.cause });
+                return "refused";
+            }
+            this.handedOff += Math.max(0, res.requests - helper.requests);
+            Object.assign(helper, { address: res.address, ticket: res.ticket, requests: res.requests });
+            this.recordServed(res.version);
+            return "accepted";
+        }
+        catch (err) {
+            log.write("connections not taken", { helper: instance, cause: String(err) });
+            return "silent";
+        }
+    }
+
+    /** Oldest version with which a helper may serve: no caller gets an older one than it has seen here. */
+    private get minVersion(): number {
+        return Math.max(this.opts.getVersion(), this.newestServed);
+    }
+
+    private recordServed(version: number): void {
+        if (version > this.newestServed) {
+            this.newestServed = version;
+            // Other helpers may serve with an older version.
+            this.renewAll();
+        }
+    }
+
+    private handleChange({ kind, info }: MembershipChange): void {
+        const helper = this.helpers.get(info.incarnation);
+        if (helper === undefined) {
+            return;
+        }
+        if (kind === "lost") {
+            this.drop(helper, "the peer was lost");
+            helper.callers.forEach(caller => caller.resetAndDestroy());
+        }
+        else {
+            this.recordServed(info.configRevision);
+            if (info.state !== "live") {
+                this.drop(helper, "the peer leaves");
+            }
+        }
+    }
+
+    /** Gives a helper no further connections. */
+    private drop(helper: Helper, cause: string): void {
+        if (this.current === helper) {
+            this.current = undefined;
+            this.opts.log.write("connections kept", { helper: helper.info.instance, cause });
+        }
+        if (helper.callers.size === 0) {
+            this.helpers.delete(helper.info.incarnation);
+        }
+    }
+}
--- /dev/null
+++ b/packages/relay/src/handoff/handoff-port.ts
@@ -0,0 +1,143 @@
+import type { PeerHub } from "@ospreyreel/peer";
+import type { Address, HandoffResponse, InstanceInfo } from "@ospreyreel/types";
+import { once } from "node:events";
+import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
+import type { AcceptedConnection, ConnectionOrigin } from "../http/accepted-connection.js";
+import type { RelayLog } from "../relay-log.js";
+import { createTicket, readTicket } from "./handoff-preamble.js";
+
+/** Options of {@link HandoffPort}. */
+export interface HandoffPortOptions {
+    readonly hub: PeerHub;
+    /** Where peers connect. */
+    readonly listen: Address;
+    /** Version of the active desired state; 0 before the first one. */
+    readonly getVersion: () => number;
+    /** Why this instance takes no connections now, of a peer that it serves already or another one; undefined where it does. */
+    readonly getRefusal: (isHelping: boolean) => string | undefined;
+    /** Serves a caller's connection. */
+    readonly accept: (socket: Socket, origin: ConnectionOrigin) => AcceptedConnection;
+    readonly log: RelayLog;
+    /** Adds one to a counter. */
+    readonly count: (name: string) => void;
+}
+
+/** Time within which the ticket arrives on a new connection, in milliseconds. */
+const TICKET_TIMEOUT_MS = 1_000;
+
+/** Time without a request after which a connection is closed whose instance leaves, in milliseconds. */
+const LEAVING_IDLE_MS = 1_000;
+
+/** Interval of the checks for such connections, in milliseconds. */
+const IDLE_CHECK_MS = 250;
+
+/** A peer whose callers' connections this instance serves. */
+class Origin implements ConnectionOrigin {
+    readonly ticket = createTicket();
+    readonly connections = new Map<Socket, AcceptedConnection>();
+    requests = 0;
+    isLeaving = false;
+    minVersion = 0;
+
+    constructor(readonly instance: string) {}
+
+    recordRequest(): void {
+        this.requests += 1;
+    }
+}
+
+/** Connections of peers' callers that an instance serves, by instance. */
+export type TakenConnections = Readonly<Record<string, number>>;
+
+/** Takes callers' connections over from peers that have more requests than they can serve. */
+export class HandoffPort {
+    private readonly server: Server;
+    private readonly origins = new Map<string, Origin>();
+
+    constructor(private readonly opts: HandoffPortOptions) {
+        this.server = createServer({ allowHalfOpen: true, noDelay: true }, socket => void this.receive(socket));
+    }
+
+    /** Starts listening and responding to peers; throws if listening on the address fails. */
+    async start(): Promise<void> {
+        const { hub, listen } = this.opts;
+        this.server.listen(listen.port, listen.host);
+        await once(this.server, "listening");
+        hub.handle("connections.take", ({ version }, from) => Promise.resolve(this.agree(version, from)));
+        void hub.changes().observe(({ kind, info }) => {
+            const origin = this.origins.get(info.incarnation);
+            if (origin === undefined) {
+                return;
+            }
+            if (kind === "lost") {
+                this.origins.delete(info.incarnation);
+                origin.connections.forEach((_, socket) => socket.destroy());
+            }
+            else {
+                origin.minVersion = Math.max(origin.minVersion, info.configRevision);
+                origin.isLeaving = info.state !== "live";
+            }
+        });
+        setInterval(() => this.closeIdle(), IDLE_CHECK_MS).unref();
+    }
+
+    /** For the state dump. */
+    get view(): TakenConnections {
+        return Object.fromEntries(
+            [...this.origins.values()].map(({ instance, connections }) => [instance, connections.size]),
+        );
+    }
+
+    /** Stops listening; the connections are closed by the port that serves them. */
+    close(): void {
+        this.server.close();
+    }
+
+    private agree(version: number, { incarnation, instance, configRevision }: InstanceInfo): HandoffResponse {
+        const known = this.origins.get(incarnation);
+        const origin = known ?? new Origin(instance);
+        origin.minVersion = Math.max(origin.minVersion, version, configRevision);
+        const cause = this.opts.getVersion() < origin.minVersion
+            ? "the peer's desired state is older"
+            : this.opts.getRefusal((known?.connections.size ?? 0) > 0);
+        if (cause !== undefined) {
+            return { kind: "refused", cause };
+        }
+        if (known === undefined) {
+            this.origins.set(incarnation, origin);
+            this.opts.log.write("connections of a peer taken", { peer: instance });
+        }
+        const { port } = this.server.address() as AddressInfo;
+        return {
+            kind: "accepted",
+            address: { host: this.opts.listen.host, port },
+            ticket: origin.ticket,
+            version: this.opts.getVersion(),
+            requests: origin.requests,
+        };
+    }
+
+    private async receive(socket: Socket): Promise<void> {
+        socket.on("error", () => undefined);
+        const ticket = await readTicket(socket, TICKET_TIMEOUT_MS);
+        const origin = [...this.origins.values()].find(it => ticket !== undefined && it.ticket.equals(ticket));
+        if (origin === undefined) {
+            this.opts.count("connections_rejected");
+            socket.destroy();
+            return;
+        }
+        this.opts.count("connections_taken");
+        origin.connections.set(socket, this.opts.accept(socket, origin));
+        socket.once("close", () => origin.connections.delete(socket));
+        socket.resume();
+    }
+
+    private closeIdle(): void {
+        for (const origin of this.origins.values()) {
+            if (origin.isLeaving) {
+                [...origin.connections].filter(([, { idleMs }]) => idleMs >= LEAVING_IDLE_MS)
+                    .forEach(([socket]) => socket.destroySoon());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/packages/relay/src/http/accepted-connection.ts
@@ -0,0 +1,15 @@
+/** The instance through which a caller's connection comes that it does not serve itself. */
+export interface ConnectionOrigin {
+    /** Oldest version of the desired state with which its callers may be served. */
+    readonly minVersion: number;
+    /** Whether it leaves, so that its connections are closed after their requests. */
+    readonly isLeaving: boolean;
+    /** Counts a request that was read. */
+    recordRequest(): void;
+}
+
+/** A connection that a callers' port serves. */
+export interface AcceptedConnection {
+    /** Time since the end of its last request, in milliseconds; 0 while one is open. */
+    readonly idleMs: number;
+}
--- a/packages/relay/src/http/http-caller-port.ts
+++ b/packages/relay/src/http/http-caller-port.ts
@@ -6,7 +6,9 @@
 import type { CallerExchange } from "../caller-exchange.js";
 import type { CallerBounds } from "../document/relay-document.js";
 import type { RelayRequest } from "../relay-request.js";
-import type { CallerProtocol, DecodedHead } from "./caller-protocol.js";
+import type { AcceptedConnection, ConnectionOrigin } from "./accepted-connection.js";
+import type { CallerProtocol } from "./caller-protocol.js";
+import { ExchangeCounts } from "./exchange-counts.js";
 import { HttpCallerExchange } from "./http-caller-exchange.js";
 import { PipelineOrder } from "./pipeline-order.js";
 
@@ -19,6 +21,12 @@
     readonly getBounds: () => CallerBounds | undefined;
     /** Serves one request; does not throw. */
     readonly serve: (req: RelayRequest, caller: CallerExchange) => Promise<void>;
+    /** Hands a new connection off to a peer; returns whether it did. `serveHere` serves the connection at this port. */
+    readonly handOff?: (socket: Socket, serveHere: () => void) => boolean;
+    /** Whether callers' connections are closed after each response, since new ones are handed off. */
+    readonly isHandingOff?: () => boolean;
+    /** Oldest version of the desired state by which requests may be decided; any by default. */
+    readonly getMinVersion?: () => number;
     /** Takes an error of the code that ended a request; its connection is closed. */
     readonly onFailure?: (err: unknown) => void;
 }
@@ -51,6 +59,10 @@
     private read = 0;
     /** Connections that are closed after a refusal. */
     private readonly closing = new WeakSet<Socket>();
+    /** Connections that peers have handed off to this port. */
+    private readonly origins = new WeakMap<Socket, ConnectionOrigin>();
+    private readonly exchanges = new ExchangeCounts();
+    private readonly serveConnection: (socket: Socket) => void;
 
     constructor(private readonly opts: HttpCallerPortOptions) {
         this.server = createServer({
@@ -60,6 +72,19 @@
             noDelay: true,
         });
         lingerOnClose(this.server);
+        const listeners = this.server.listeners("connection") as unknown as readonly ((socket: Socket) => void)[];
+        this.server.removeAllListeners("connection");
+        this.serveConnection = socket => {
+            listeners.forEach(listener => {
+                listener.call(this.server, socket);
+            });
+        };
+        this.server.on("connection", (socket: Socket) => {
+            const serveHere = (): void => this.serveConnection(socket);
+            if (opts.handOff?.(socket, serveHere) !== true) {
+                serveHere();
+            }
+        });
         this.server.on("request", (req, res) => {
             this.serve(req, res).catch((err: unknown) => {
                 // What has been sent of the response must not look complete.
@@ -88,12 +113,19 @@
         this.server.keepAliveTimeout = idleTimeoutMs;
     }
 
+    /** Serves a caller's connection that came through a peer. */
+    accept(socket: Socket, origin: ConnectionOrigin): AcceptedConnection {
+        this.origins.set(socket, origin);
+        this.serveConnection(socket);
+        return this.exchanges.watch(socket);
+    }
+
     /** Starts closing callers' connections after each response. */
     drain(): void {
         this.isDraining = true;
     }
 
-    /** Number of valid requests whose heads were read since the start. */
+    /** Number of valid requests whose heads were read since the start, without those of connections from peers. */
     get readRequests(): number {
         return this.read;
     }
@@ -126,11 +158,15 @@
 
     private countUntilClosed({ socket }: IncomingMessage, res: ServerResponse): void {
         this.open += 1;
+        this.exchanges.add(socket, 1);
         let isOpen = true;
         const end = (): void => {
             socket.off("close", end);
-            this.open -= isOpen ? 1 : 0;
-            isOpen = false;
+            if (isOpen) {
+                isOpen = false;
+                this.open -= 1;
+                this.exchanges.add(socket, -1);
+            }
         };
         res.once("close", end);
         // A response that waits behind an earlier one on its connection does not see that connection close.
@@ -153,7 +189,8 @@
             req,
             res,
             protocol,
-            shouldCloseAfter: () => this.closing.has(socket) || (this.isDraining && this.order.isLast(socket, res)),
+            shouldCloseAfter: () =>
+                this.closing.has(socket) || (this.shouldClose(socket) && this.order.isLast(socket, res)),
         });
         req.on("error", () => undefined);
         res.on("error", () => undefined);
@@ -170,7 +207,11 @@
             caller.refuse({ reason: "badRequest" });
             return;
         }
-        this.read += 1;
+        const origin = this.origins.get(socket);
+        if (origin === undefined) {
+            this.read += 1;
+        }
+        origin?.recordRequest();
         const body = await readBody(req, this.bounds.maxBodyBytes);
         if (body === "cut") {
             res.destroy();
@@ -186,7 +227,13 @@
             return;
         }
         await readPendingClose();
-        await this.opts.serve(toRequest(head, body), caller);
+        const minVersion = Math.max(origin?.minVersion ?? 0, this.opts.getMinVersion?.() ?? 0);
+        await this.opts.serve({ ...head, body, minVersion }, caller);
+    }
+
+    private shouldClose(socket: Socket): boolean {
+        const origin = this.origins.get(socket);
+        return this.isDraining || (origin === undefined ? this.opts.isHandingOff?.() === true : origin.isLeaving);
     }
 }
 
@@ -202,8 +249,6 @@
     await nextTurn();
 };
 
-const toRequest = (head: DecodedHead, body: Buffer): RelayRequest => ({ ...head, body });
-
 const readBody = async (req: IncomingMessage, maxBytes: number): Promise<Buffer | "cut" | "too_large"> => {
     const chunks: Buffer[] = [];
     let bytes = 0;
--- a/packages/relay/src/instance/input-delay-meter.ts
+++ b/packages/relay/src/instance/input-delay-meter.ts
@@ -1,4 +1,4 @@
-import { connect } from "node:net";
+import { connect, type Socket } from "node:net";
 
 /** Time between two samples, in milliseconds; equals the shortest latency objective. */
 const SAMPLE_INTERVAL_MS = 200;
@@ -33,6 +33,7 @@
 export class InputDelayMeter {
     private lastMs = 0;
     private sentAtMs: number | undefined;
+    private socket: Socket | undefined;
 
     constructor(private readonly opts: InputDelayMeterOptions) {}
 
@@ -41,6 +42,11 @@
         return this.sentAtMs === undefined ? this.lastMs : Math.max(this.lastMs, performance.now() - this.sentAtMs);
     }
 
+    /** Whether a connection with this remote address and port is the pending probe. */
+    isOwn(address: string | undefined, port: number | undefined): boolean {
+        return port !== undefined && this.socket?.localPort === port && this.socket.localAddress === address;
+    }
+
     /** Starts measuring and calls `onSample` five times a second; does not keep the process alive. */
     start(onSample: (delayMs: number) => void): void {
         const startedAtMs = performance.now();
@@ -59,6 +65,7 @@
         const sentAtMs = performance.now();
         this.sentAtMs = sentAtMs;
         const socket = connect({ host, port });
+        this.socket = socket;
         const end = (delayMs: number): void => {
             socket.destroy();
             if (this.sentAtMs === sentAtMs) {
--- a/packages/relay/src/instance/relay-instance.ts
+++ b/packages/relay/src/instance/relay-instance.ts
@@ -1,9 +1,12 @@
 import { FleetBudgets } from "@ospreyreel/budgets";
 import { BreakerKvClient, type KvClient, KvHealth } from "@ospreyreel/kv";
 import type { TcpPeerHub } from "@ospreyreel/peer";
+import type { Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { DocumentFollower } from "../document/document-follower.js";
 import { DocumentHolder } from "../document/document-holder.js";
+import { ConnectionHandoff } from "../handoff/connection-handoff.js";
+import { HandoffPort } from "../handoff/handoff-port.js";
 import { HttpCallerPort } from "../http/http-caller-port.js";
 import { StatusPort, type StatusPortResponse } from "../http/status-port.js";
 import { CombinedSendPermits } from "../limits/combined-send-permits.js";
@@ -30,6 +33,7 @@
 import { FleetBudgetGate } from "./fleet-budget-gate.js";
 import { FleetRoster } from "./fleet-roster.js";
 import { FleetShares } from "./fleet-shares.js";
+import { InputDelayMeter } from "./input-delay-meter.js";
 import { formatAddress, parseAddress } from "./instance-addresses.js";
 import { PeerKvClient } from "./peer-kv-client.js";
 import type { InstanceView, RelayAdapter } from "./relay-adapter.js";
@@ -75,12 +79,16 @@
     private readonly health = new KvHealth();
     private readonly freshness = new ViewFreshness({ log: this.log });
     private readonly overload = new OverloadGuard({ nowMs: () => performance.now(), random: Math.random });
+    private readonly delays: InputDelayMeter;
     private readonly roster: FleetRoster;
     private readonly shares: FleetShares;
     private readonly kv: BreakerKvClient;
     private readonly watch: KvClient["watch"];
     private readonly sending: TargetSending;
     private readonly callerPort: HttpCallerPort;
+    private readonly handoff: ConnectionHandoff;
+    /** Undefined where no address for it is set. */
+    private readonly handoffPort: HandoffPort | undefined;
     private readonly statusPorts: readonly StatusPort[];
     private readonly follower: TargetFollower;
     private readonly relay: Relay;
@@ -116,6 +124,7 @@
             log: this.log,
             getPauseMs: () => this.shares.watchPauseMs,
         });
+        this.delays = new InputDelayMeter(parseAddress(cfg.callers));
         this.roster = new FleetRoster({ hub });
         this.shares = new FleetShares({ roster: this.roster, documents: this.documents, retries: cfg.retries });
         this.sending = this.createSending();
@@ -145,11 +154,22 @@
             onDecision: decision => void this.decisions.save(decision),
         });
         this.relay = this.createRelay();
+        this.handoff = new ConnectionHandoff({
+            hub,
+            getVersion: () => this.documents.version,
+            getOwnRequests: () => this.callerPort.readRequests,
+            log: this.log,
+            count: name => this.metrics.add(name),
+        });
+        this.handoffPort = this.createHandoffPort();
         this.callerPort = new HttpCallerPort({
             ...parseAddress(cfg.callers),
             protocol: adapter.callerProtocol,
             getBounds: () => this.documents.current()?.document.bounds,
             serve: (req, caller) => this.relay.serve(req, caller),
+            handOff: (socket, serveHere) => !this.isProbe(socket) && this.handoff.handOff(socket, serveHere),
+            isHandingOff: () => this.handoff.isActive,
+            getMinVersion: () => this.handoff.servedVersion,
             onFailure: err => this.log.write("request failed unexpectedly", { cause: String(err) }),
         });
         this.follower = new TargetFollower({
@@ -195,6 +215,8 @@
                 getTargetView(state, this.sending.paths.isDirect(state.target))
             ),
             forwardedSends: this.sending.forwardedSends.size,
+            handoff: this.handoff.view,
+            takenConnections: this.handoffPort?.view ?? {},
             budgets: this.budgets.list(),
             quarantine: this.parts.view,
             versions: this.versions.services.map(service => ({ service, versions: this.versions.list(service) })),
@@ -232,6 +254,32 @@
         });
     }
 
+    private createHandoffPort(): HandoffPort | undefined {
+        const { handoff } = this.cfg;
+        return handoff === undefined ? undefined : new HandoffPort({
+            hub: this.hub,
+            listen: parseAddress(handoff),
+            getVersion: () => this.documents.version,
+            getRefusal: isHelping => this.getTakeRefusal(isHelping),
+            accept: (socket, origin) => this.callerPort.accept(socket, origin),
+            log: this.log,
+            count: name => this.metrics.add(name),
+        });
+    }
+
+    /** Why this instance serves no connections of others; undefined where it does. */
+    private getTakeRefusal(isHelping: boolean): string | undefined {
+        if (!this.isReady) {
+            return "the peer is not ready";
+        }
+        return this.overload.isRefusing || !this.handoff.mayHelp(isHelping) ? "the peer is busy itself" : undefined;
+    }
+
+    /** Whether a connection is this instance's own, which measures how long new ones wait. */
+    private isProbe({ remoteAddress, remotePort }: Socket): boolean {
+        return this.delays.isOwn(remoteAddress, remotePort);
+    }
+
     private createRelay(): Relay {
         return new Relay({
             documents: this.documents,
@@ -351,7 +399,7 @@
             log,
         }).start();
         startOverloadWatch({
-            ...parseAddress(cfg.callers),
+            meter: this.delays,
             guard: this.overload,
             getReadRequests: () => this.callerPort.readRequests,
             log,
@@ -367,6 +415,8 @@
         this.parts.serve();
         void this.decisions.load().then(decisions => this.parts.receive(decisions, "kv"));
         hub.setPeerAddresses(cfg.seeds.map(parseAddress));
+        this.handoff.start();
+        await this.handoffPort?.start();
         await Promise.all([this.callerPort, ...this.statusPorts].map(port => port.start()));
         log.write("instance started", { instance: cfg.instance, incarnation: hub.self().incarnation });
         this.announceReady();
@@ -402,9 +452,15 @@
         this.relay.limitTo(window);
         this.hub.updateSelf({ state: "leaving" });
         this.callerPort.drain();
+        this.handoff.stop();
         void this.releaseBudgets();
-        await waitUntilDrained(window, () => this.callerPort.openExchanges + this.sending.forwardedSends.size);
+        await waitUntilDrained(
+            window,
+            () => this.callerPort.openExchanges + this.sending.forwardedSends.size + this.handoff.openConnections,
+        );
         const openRequests = this.relay.expireOpenRequests();
+        this.handoff.closeAll();
+        this.handoffPort?.close();
         const unsentResponses = await this.callerPort.close(stopMs * FLUSH_TIME_SHARE);
         log.write("instance stopped", {
             openRequests,
--- a/packages/relay/src/instance/relay-settings.ts
+++ b/packages/relay/src/instance/relay-settings.ts
@@ -16,6 +16,9 @@
     readiness: createAddress("Where the instance serves readiness checks."),
     directory: createAddress("Where callers request addresses."),
     peer: createAddress("Where other instances connect."),
+    handoff: Type.Optional(createAddress(
+        "Where other instances hand off connections of their callers; without it this instance takes none.",
+    )),
     metrics: createAddress("Where counters, histograms and the state dump are served."),
     sharedKey: Type.String({ description: "Key shared by all instances of the fleet.", minLength: 8 }),
     seeds: Type.Array(createAddress("Where some other instances listen for peers.")),
--- a/packages/relay/src/instance/relay-state.ts
+++ b/packages/relay/src/instance/relay-state.ts
@@ -1,5 +1,7 @@
 import type { BudgetView } from "@ospreyreel/budgets";
 import type { InstanceInfo } from "@ospreyreel/types";
+import type { HandoffView } from "../handoff/connection-handoff.js";
+import type { TakenConnections } from "../handoff/handoff-port.js";
 import type { QuarantineView } from "../quarantine/part-quarantine.js";
 import type { TargetState } from "../targets/target-state.js";
 
@@ -40,6 +42,10 @@
     readonly quarantine: QuarantineView;
     /** Number of sends that this instance makes for peers. */
     readonly forwardedSends: number;
+    /** Callers' connections that peers serve for this instance. */
+    readonly handoff: HandoffView;
+    /** Callers' connections that this instance serves for peers, by instance. */
+    readonly takenConnections: TakenConnections;
     /** Versions at which streams that are resumed now may have begun. */
     readonly versions: readonly { readonly service: string; readonly versions: readonly string[]; }[];
     /** Services whose targets break down when they reject requests. */
--- a/packages/relay/src/instance/start-overload-watch.ts
+++ b/packages/relay/src/instance/start-overload-watch.ts
@@ -1,9 +1,12 @@
+import { EventLoopLoad } from "../handoff/event-loop-load.js";
 import type { OverloadGuard } from "../policy/overload-guard.js";
 import type { RelayLog } from "../relay-log.js";
-import { InputDelayMeter, type InputDelayMeterOptions } from "./input-delay-meter.js";
+import type { InputDelayMeter } from "./input-delay-meter.js";
 
 /** Options of {@link startOverloadWatch}. */
-export interface OverloadWatchOptions extends InputDelayMeterOptions {
+export interface OverloadWatchOptions {
+    /** Measures the wait of new connections. */
+    readonly meter: InputDelayMeter;
     readonly guard: OverloadGuard;
     /** Number of callers' requests that were read since the start. */
     readonly getReadRequests: () => number;
@@ -25,14 +28,12 @@
 }
 
 /** Reports the wait of new connections and the idle time of the event loop to the guard, and logs when it starts and stops refusing. */
-export const startOverloadWatch = ({ guard, log, getReadRequests, ...port }: OverloadWatchOptions): void => {
+export const startOverloadWatch = ({ meter, guard, log, getReadRequests }: OverloadWatchOptions): void => {
     const counts: ReadCount[] = [];
-    let last = performance.eventLoopUtilization();
-    new InputDelayMeter(port).start(delayMs => {
+    const load = new EventLoopLoad();
+    meter.start(delayMs => {
         const wasRefusing = guard.isRefusing;
-        const current = performance.eventLoopUtilization();
-        const idleShare = 1 - performance.eventLoopUtilization(current, last).utilization;
-        last = current;
+        const idleShare = load.takeIdleShare();
         counts.push({ atMs: performance.now(), requests: getReadRequests() });
         counts.splice(0, counts.length - MAX_COUNTS);
         const requests = getRequestsSince(counts, performance.now() - delayMs - MEASURE_MS);
--- a/packages/relay/src/relay-request.ts
+++ b/packages/relay/src/relay-request.ts
@@ -34,6 +34,8 @@
     readonly lastEventId: number | undefined;
     /** Id of the attempt that began the resumed stream; undefined where the caller names no valid one. */
     readonly resumes: string | undefined;
+    /** Oldest version of the desired state by which it may be decided; undefined where any may. */
+    readonly minVersion?: number | undefined;
 }
 
 /** Maximum number of prompt parts of one request that are watched, beside the whole request; limits what a long prompt costs. */
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -57,6 +57,9 @@
 /** Retry-after time where this instance's view is outdated, in seconds; other instances can serve at once. */
 const OUTDATED_RETRY_AFTER_S = 0.5;
 
+/** Time for which a request waits for a version that another instance has, in milliseconds; the watch brings it by then. */
+const VERSION_WAIT_MS = 700;
+
 /** Retry-after time where this instance is leaving, in seconds; other instances can serve at once. */
 const LEAVING_RETRY_AFTER_S = 0.1;
 
@@ -138,10 +141,8 @@
             this.logEnd(req, "caller_left", { sends: 0 });
             return;
         }
-        const { documents, freshness, random } = this.opts;
-        if (freshness.isOutdated) {
-            const refusal = { reason: "viewOutdated", retryAfterS: OUTDATED_RETRY_AFTER_S } as const;
-            this.refuse(req, caller, "", refusal, { viewAgeMs: Math.round(freshness.ageMs) });
+        const { documents, random } = this.opts;
+        if (!await this.hasCurrentView(req, caller)) {
             return;
         }
         const admission = admit(documents.current(), req, random);
@@ -211,6 +212,22 @@
         }
     }
 
+    /** Refuses a request for which this instance's view is too old; returns whether it is not. */
+    private async hasCurrentView(req: RelayRequest, caller: CallerExchange): Promise<boolean> {
+        const { documents, freshness } = this.opts;
+        const refusal = { reason: "viewOutdated", retryAfterS: OUTDATED_RETRY_AFTER_S } as const;
+        if (freshness.isOutdated) {
+            this.refuse(req, caller, "", refusal, { viewAgeMs: Math.round(freshness.ageMs) });
+            return false;
+        }
+        const { minVersion = 0 } = req;
+        if (documents.version < minVersion && !await documents.waitFor(minVersion, VERSION_WAIT_MS)) {
+            this.refuse(req, caller, "", refusal, { minVersion });
+            return false;
+        }
+        return true;
+    }
+
     /** Finds where the stream began that a request continues; returns a refusal where it can't be continued there. */
     private async findOrigin(
         req: RelayRequest,
--- a/packages/types/src/peer-requests.ts
+++ b/packages/types/src/peer-requests.ts
@@ -370,6 +370,27 @@
     readonly end: { readonly cause: string | undefined; } | undefined;
 }
 
+/** Asks a peer to serve connections of the sender's callers, or to go on doing so. */
+export interface HandoffRequest {
+    /** Oldest version of the desired state with which they may be served. */
+    readonly version: number;
+}
+
+/** Whether a peer serves connections of the sender's callers. */
+export type HandoffResponse =
+    | {
+        readonly kind: "accepted";
+        /** Where the connections are handed off. */
+        readonly address: Address;
+        /** Precedes the caller's bytes on each connection. */
+        readonly ticket: Uint8Array;
+        /** Version of the desired state that is active at the peer. */
+        readonly version: number;
+        /** Requests that the peer has served for the sender. */
+        readonly requests: number;
+    }
+    | { readonly kind: "refused"; readonly cause: string; };
+
 /** Requests between instances by kind, with the types of request and response. */
 export interface PeerRequests {
     readonly "copy.open": { readonly req: CopyOpenRequest; readonly res: CopyResponse; };
@@ -460,6 +481,8 @@
     readonly "sends.watch": { readonly req: { readonly send: number; }; readonly res: Record<string, never>; };
     /** Ends a forwarded send whose response nobody needs any more; the response is empty. */
     readonly "sends.cancel": { readonly req: { readonly send: number; }; readonly res: Record<string, never>; };
+    /** Asks for a ticket with which connections can be handed off, or renews it. */
+    readonly "connections.take": { readonly req: HandoffRequest; readonly res: HandoffResponse; };
     /** Requests room for one send from the instance that keeps a target's room. */
     readonly "room.acquire": { readonly req: RoomRequest; readonly res: RoomResponse; };
     /** Reports sends to a target to the instance that keeps its room; the response is empty. */
