Compile a schema by its first check, and start in half the time

Of the 460 ms that the bundle takes to load on this machine, 280 ms compiled seven JSON schemas and the meta schema that checks them. An instance on the platform uses one of the seven.

Now a check compiles its schema when it is first used, and whether a schema is one is shown by tests instead of at each start. The bundle is written without white space; names stay as they are in stack traces.

--- a/packages/config/src/json/shape.ts
+++ b/packages/config/src/json/shape.ts
@@ -1,5 +1,5 @@
 import type { Static, TSchema } from "@sinclair/typebox";
-import { Ajv, type ErrorObject } from "ajv";
+import { Ajv, type ErrorObject, type ValidateFunction } from "ajv";
 import type { Fault, JsonPath } from "./fault.js";
 import { isIpBaseUrl, isIpNumber, isIpUrl } from "./ip-formats.js";
 
@@ -50,17 +50,38 @@
     }
 };
 
-/** Creates a check against a schema that reports all faults together and fills in defaults. */
-export const createShapeCheck = <T extends TSchema>(schema: T): (value: unknown) => ShapeResult<Static<T>> => {
-    const ajv = new Ajv({ allErrors: true, useDefaults: true, discriminator: true, strictTypes: false });
+/** Creates the compiler of schemas. Whether a schema is one is not checked at run time, which takes longer than to compile it. */
+const createCompiler = (): Ajv => {
+    const ajv = new Ajv({
+        allErrors: true,
+        useDefaults: true,
+        discriminator: true,
+        strictTypes: false,
+        validateSchema: false,
+        addUsedSchema: false,
+        meta: false,
+    });
     ajv.addFormat("ip-number", isIpNumber);
     ajv.addFormat("ip-base-url", isIpBaseUrl);
     ajv.addFormat("ip-url", isIpUrl);
-    const validate = ajv.compile<Static<T>>(schema);
+    return ajv;
+};
+
+/**
+ * Creates a check against a schema that reports all faults together and fills in defaults. The schema is compiled by the first
+ * check, so that a process that starts compiles only those that it needs.
+ */
+export const createShapeCheck = <T extends TSchema>(schema: T): (value: unknown) => ShapeResult<Static<T>> => {
+    let compiled: ValidateFunction<Static<T>> | undefined;
     return value => {
-        if (validate(value)) {
+        compiled ??= createCompiler().compile<Static<T>>(schema);
+        if (compiled(value)) {
             return { value, faults: [] };
         }
-        return { value: undefined, faults: (validate.errors ?? []).map(toFault) };
+        return { value: undefined, faults: (compiled.errors ?? []).map(toFault) };
     };
 };
+
+/** Whether a schema conforms to JSON Schema, as each that a check is created from must; for tests of schemas. */
+export const isValidSchema = (schema: TSchema): boolean =>
+    new Ajv({ strictTypes: false }).validateSchema(schema) === true;
--- a/packages/config/src/store/document-records.ts
+++ b/packages/config/src/store/document-records.ts
@@ -3,7 +3,8 @@
 import { type Static, type TSchema, Type } from "@sinclair/typebox";
 import { createShapeCheck } from "../json/shape.js";
 
-const versionedDocumentSchema = Type.Object({
+/** Schema of a document with its revision. */
+export const versionedDocumentSchema = Type.Object({
     revision: Type.Integer({ minimum: 1 }),
     editId: Type.String(),
     author: Type.String(),
@@ -11,7 +12,8 @@
     text: Type.String(),
 });
 
-const editRecordSchema = Type.Object({
+/** Schema of the record of an edit. */
+export const editRecordSchema = Type.Object({
     revision: Type.Integer({ minimum: 1 }),
     /** SHA-256 of the text; distinguishes a repeat from another edit with the same id. */
     textSha256: Type.String(),
--- a/scripts/build-platform.mjs
+++ b/scripts/build-platform.mjs
@@ -22,6 +22,9 @@
     // The CommonJS form of jsonc-parser hides its requires from a bundler.
     mainFields: ["module", "main"],
     legalComments: "none",
+    // Names stay readable in stack traces; less text is parsed at the start and kept in memory.
+    minifyWhitespace: true,
+    minifySyntax: true,
     logLevel: "warning",
     plugins: [workspaceSources],
 });
