--- a/packages/budgets/src/random-faults.test.ts
+++ b/packages/budgets/src/random-faults.test.ts
@@ -5,6 +5,13 @@
 const PREPAID = 6_000;
 const SEEDS = 60;
 
+test("no seed lets more tokens be used than are prepaid while all instances are isolated at once, beside other faults", async t => {
+    const faults = ["network", "isolation", "kill"] as const;
+    const results = await runScenarios(SEEDS, { faults, prepaid: PREPAID, steps: STEPS });
+    t.deepEqual(results.filter(({ used }) => used > PREPAID), []);
+    t.true(results.some(({ used }) => used > 0));
+});
+
 test("under random faults no seed lets more tokens be used than are prepaid", async t => {
     const results = await runScenarios(SEEDS, { faults: ["network", "kill"], prepaid: PREPAID, steps: STEPS });
     t.deepEqual(results.filter(({ used }) => used > PREPAID), []);
