Read the KV service once a second where watch sources cannot

A fleet of more than 16 reads changes through a few sources.

The path is not used in fleets of up to 16.

--- a/packages/relay/src/watch/shared-change-reader.test.ts
+++ b/packages/relay/src/watch/shared-change-reader.test.ts
@@ -113,6 +113,22 @@
     t.true(await awaitAll(({ values }) => values.has("targets/b"), sources) < MAX_PROPAGATION_MS);
 });
 
+test("instances whose sources are disconnected from the service do not overwhelm it, and still learn of changes in time", async t => {
+    const { service, followers, awaitAll } = createFleet(t);
+    await awaitAll(({ values }) => values.has("targets/a"));
+    const sources = followers.filter(({ isSource }) => isSource());
+    const others = followers.filter(follower => !sources.includes(follower));
+    sources.forEach(({ hub }) => service.cut.add(hub.self().instance));
+    service.put("targets/b", "ready-1");
+    await awaitAll(({ values }) => values.has("targets/b"), others);
+    service.calls.clear();
+    await sleep(2_000);
+    const calls = others.map(({ hub }) => service.calls.get(hub.self().instance) ?? 0);
+    t.true(calls.every(count => count <= 3), `${calls.join(" ")} calls in two seconds`);
+    service.put("targets/c", "ready-1");
+    t.true(await awaitAll(({ values }) => values.has("targets/c"), others) < MAX_PROPAGATION_MS);
+});
+
 test("sources that other instances cannot reach are bypassed in time", async t => {
     const { network, service, followers, awaitAll } = createFleet(t);
     await awaitAll(({ values }) => values.has("targets/a"));
--- a/packages/relay/src/watch/shared-change-reader.ts
+++ b/packages/relay/src/watch/shared-change-reader.ts
@@ -38,6 +38,12 @@
  */
 const SOURCE_PAUSE_MS = 300;
 
+/**
+ * Pause between two direct reads of an instance whose source does not respond or cannot read the service, in milliseconds. After an
+ * outage all instances read so until their sources have noticed its end.
+ */
+const BYPASS_PAUSE_MS = 1_000;
+
 /** Wait for changes at a source, in milliseconds; together with the other limits it stays below two seconds. */
 const PEER_WAIT_MS = 800;
 
@@ -137,7 +143,7 @@
             source,
             known,
             req,
-            () => this.requestFromService(prefix, known, after, 0, this.opts.getPauseMs()),
+            () => this.requestFromService(prefix, known, after, 0, BYPASS_PAUSE_MS),
         );
         if (response.kind === "service") {
             return this.applyChanges(known, response.read);
