Wait for an owner to start again before it is replaced without proof

Now such a takeover is made only after the owner was missed for four seconds, or for the age of the oldest copy if that is less. The owner's instance is back by then and proves that its earlier incarnation has ended; a request waits for it or is refused as before.

--- a/packages/budgets/src/copy-horizon.ts
+++ b/packages/budgets/src/copy-horizon.ts
@@ -11,6 +11,11 @@
 export class CopyHorizon {
     constructor(private readonly opts: CopyHorizonOptions) {}
 
+    /** Age of the oldest copy, in milliseconds. */
+    get maxCopyAgeMs(): number {
+        return this.opts.maxCopyAgeMs;
+    }
+
     /** Present era of the KV service's data. */
     get era(): number {
         return this.opts.history.era;
--- a/packages/budgets/src/fleet-budgets.test.ts
+++ b/packages/budgets/src/fleet-budgets.test.ts
@@ -70,6 +70,48 @@
     t.true(held >= 40_000, `only ${held} of ${100_000 - used} could be used`);
 });
 
+test("load pattern, all instances start again one after the other: budgets do not stand still for the age of a copy", async t => {
+    const fleet = createFleet(100_000, 0, 8_000);
+    const first = startAll(fleet, 6);
+    for (const instance of first) {
+        await instance.budgets.hold("team", 500);
+    }
+    const owner = first.find(({ budgets }) => budgets.list().length > 0);
+    if (owner === undefined) {
+        return t.fail();
+    }
+    first.forEach(kill);
+    const early = restart(fleet, first.filter(instance => instance !== owner));
+    const results = await Promise.all(early.map(({ budgets }) => budgets.hold("team", 500)));
+    t.deepEqual([...new Set(results.map(({ kind }) => kind))], ["unavailable"]);
+    restart(fleet, [owner]);
+    const endsAtMs = performance.now() + 3_000;
+    let isHeld = false;
+    while (!isHeld && performance.now() < endsAtMs) {
+        isHeld = (await early[0]?.budgets.hold("team", 500))?.kind === "held";
+        await sleep(50);
+    }
+    t.true(isHeld, "nothing was handed out after the owner's instance was back");
+});
+
+test("an owner that is gone for good is replaced, though not at once", async t => {
+    const fleet = createFleet(100_000, 0, 300);
+    const first = startAll(fleet, 6);
+    for (const instance of first) {
+        await instance.budgets.hold("team", 500);
+    }
+    const owner = first.find(({ budgets }) => budgets.list().length > 0);
+    first.forEach(kill);
+    const [one] = restart(fleet, first.filter(instance => instance !== owner));
+    const endsAtMs = performance.now() + 5_000;
+    let isHeld = false;
+    while (!isHeld && performance.now() < endsAtMs) {
+        isHeld = (await one?.budgets.hold("team", 500))?.kind === "held";
+        await sleep(50);
+    }
+    t.true(isHeld);
+});
+
 test("an owner that resumes after a pause and a takeover hands out nothing beyond its window", async t => {
     const fleet = createFleet(10_000);
     const instances = startAll(fleet, 4);
--- a/packages/budgets/src/shard-claimer.ts
+++ b/packages/budgets/src/shard-claimer.ts
@@ -49,6 +49,15 @@
 /** Time after a restore in which a live owner writes its record again, or counts as lost, in milliseconds. */
 const OWNER_RETURN_MS = 2_000;
 
+/**
+ * Time for which an owner must be missing before it is replaced without proof that it has ended, in milliseconds. A killed process is
+ * back by then and proves it; without the proof nothing could be handed out for the age of the oldest copy.
+ */
+const OWNER_RESTART_MS = 4_000;
+
+/** Time after which it is forgotten since when an owner has been missing, in milliseconds. */
+const MISSING_MEMORY_MS = 60_000;
+
 /** The budgets of an earlier owner, with bounds on its use. */
 interface ClosedBudgets {
     readonly budgets: Readonly<Record<string, StoredBudget>>;
@@ -68,6 +77,8 @@
 /** Makes this instance the owner of shards whose owner is gone. */
 export class ShardClaimer {
     private readonly firstEra: FirstEra;
+    /** Monotonic times in milliseconds since which owners have been missing, by incarnation. */
+    private readonly missingSinceMs = new Map<string, number>();
 
     constructor(private readonly opts: ShardClaimerOptions) {
         this.firstEra = new FirstEra(opts.kv, opts.log);
@@ -97,6 +108,9 @@
             const closed = isOutdated
                 ? await this.closeOutdated(shard, record)
                 : await this.closeEarlierOwner(shard, record, status, readAtMs);
+            if (closed.mustWait && !isOutdated && this.mayReturn(record)) {
+                return unavailable("the owner may be starting again");
+            }
             return await this.write(shard, entry, record, closed);
         }
         catch (err) {
@@ -119,6 +133,19 @@
         return hasDiscoveredPeers() ? "lost" : "unknown";
     }
 
+    /** Whether a missing owner may soon be seen as a new incarnation, which proves that the one of the record has ended. */
+    private mayReturn({ owner }: ShardRecord): boolean {
+        const nowMs = performance.now();
+        this.missingSinceMs.forEach((sinceMs, incarnation) =>
+            nowMs - sinceMs > MISSING_MEMORY_MS && this.missingSinceMs.delete(incarnation)
+        );
+        const incarnation = owner?.incarnation ?? "";
+        const sinceMs = this.missingSinceMs.get(incarnation) ?? nowMs;
+        this.missingSinceMs.set(incarnation, sinceMs);
+        // Without proof nothing can be handed out for the age of the oldest copy, so that a longer wait would gain nothing.
+        return nowMs - sinceMs < Math.min(OWNER_RESTART_MS, this.opts.horizon.maxCopyAgeMs);
+    }
+
     /** The owner that a record from before a restore names may have had successors, so that the peers are asked. */
     private async findLaterOwner(shard: number): Promise<OwnerStatus> {
         const { hasDiscoveredPeers, horizon, search } = this.opts;
