Decide handed-off requests by the version of their instance

Now an instance keeps its last three replaced states for ten seconds, and decides requests that come through another one by the version which that one has.

--- a/packages/relay/src/document/document-holder.ts
+++ b/packages/relay/src/document/document-holder.ts
@@ -2,17 +2,47 @@
 import type { RelayDocument } from "./relay-document.js";
 import { RouteTable } from "./route-table.js";
 
+/** Options of {@link DocumentHolder}. */
+export interface DocumentHolderOptions {
+    /** Monotonic time in milliseconds; `performance.now` by default. */
+    readonly nowMs?: () => number;
+}
+
+/** Time for which a replaced state is kept for instances that do not have the newer one yet, in milliseconds. */
+const REPLACED_TTL_MS = 10_000;
+
+/** Maximum number of replaced states that are kept; they are large where there are many routes. */
+const MAX_REPLACED = 3;
+
+interface ReplacedTable {
+    readonly table: RouteTable;
+    readonly untilMs: number;
+}
+
 /** Holds the newest desired state that this process has seen; an older one never replaces it. */
 export class DocumentHolder {
     private readonly events = new EventEmitter().setMaxListeners(0);
     private table: RouteTable | undefined;
     private encodedBytes: Uint8Array | undefined;
+    private replaced: readonly ReplacedTable[] = [];
+    private readonly nowMs: () => number;
+
+    constructor({ nowMs = () => performance.now() }: DocumentHolderOptions = {}) {
+        this.nowMs = nowMs;
+    }
 
     /** The active state; undefined before the first one. */
     current(): RouteTable | undefined {
         return this.table;
     }
 
+    /** The oldest state from a version on that is kept, for requests that come through an instance with that version. */
+    findOldest(fromVersion: number): RouteTable | undefined {
+        const nowMs = this.nowMs();
+        this.replaced = this.replaced.filter(({ untilMs }) => untilMs > nowMs);
+        return this.replaced.find(({ table }) => table.document.version >= fromVersion)?.table ?? this.table;
+    }
+
     /** Version of the active state; 0 before the first one. */
     get version(): number {
         return this.table?.document.version ?? 0;
@@ -28,6 +58,10 @@
         if (document.version <= this.version) {
             return false;
         }
+        if (this.table !== undefined) {
+            const kept = { table: this.table, untilMs: this.nowMs() + REPLACED_TTL_MS };
+            this.replaced = [...this.replaced, kept].slice(-MAX_REPLACED);
+        }
         this.table = new RouteTable(document);
         this.encodedBytes = encoded;
         this.events.emit("change", this.table);
--- a/packages/relay/src/handoff/connection-handoff.ts
+++ b/packages/relay/src/handoff/connection-handoff.ts
@@ -278,11 +278,8 @@
             this.drop(helper, "the peer was lost");
             helper.callers.forEach(caller => caller.resetAndDestroy());
         }
-        else {
-            this.recordServed(info.configRevision);
-            if (info.state !== "live") {
-                this.drop(helper, "the peer leaves");
-            }
+        else if (info.state !== "live") {
+            this.drop(helper, "the peer leaves");
         }
     }
 
--- a/packages/relay/src/handoff/handoff-port.ts
+++ b/packages/relay/src/handoff/handoff-port.ts
@@ -11,8 +11,8 @@
     readonly hub: PeerHub;
     /** Where peers connect. */
     readonly listen: Address;
-    /** Version of the active desired state; 0 before the first one. */
-    readonly getVersion: () => number;
+    /** Oldest version of the desired state from a version on by which requests can be decided; an older one if there is none. */
+    readonly findVersion: (from: number) => number;
     /** Why this instance takes no connections now, of a peer that it serves already or another one; undefined where it does. */
     readonly getRefusal: (isHelping: boolean) => string | undefined;
     /** Serves a caller's connection. */
@@ -97,7 +97,8 @@
         const known = this.origins.get(incarnation);
         const origin = known ?? new Origin(instance);
         origin.minVersion = Math.max(origin.minVersion, version, configRevision);
-        const cause = this.opts.getVersion() < origin.minVersion
+        const decidedBy = this.opts.findVersion(origin.minVersion);
+        const cause = decidedBy < origin.minVersion
             ? "the peer's desired state is older"
             : this.opts.getRefusal((known?.connections.size ?? 0) > 0);
         if (cause !== undefined) {
@@ -112,7 +113,7 @@
             kind: "accepted",
             address: { host: this.opts.listen.host, port },
             ticket: origin.ticket,
-            version: this.opts.getVersion(),
+            version: decidedBy,
             requests: origin.requests,
         };
     }
--- a/packages/relay/src/http/accepted-connection.ts
+++ b/packages/relay/src/http/accepted-connection.ts
@@ -1,6 +1,6 @@
 /** The instance through which a caller's connection comes that it does not serve itself. */
 export interface ConnectionOrigin {
-    /** Oldest version of the desired state with which its callers may be served. */
+    /** Version of its desired state, by which its callers' requests are decided as long as it is kept. */
     readonly minVersion: number;
     /** Whether it leaves, so that its connections are closed after their requests. */
     readonly isLeaving: boolean;
--- a/packages/relay/src/http/http-caller-port.ts
+++ b/packages/relay/src/http/http-caller-port.ts
@@ -228,7 +228,7 @@
         }
         await readPendingClose();
         const minVersion = Math.max(origin?.minVersion ?? 0, this.opts.getMinVersion?.() ?? 0);
-        await this.opts.serve({ ...head, body, minVersion }, caller);
+        await this.opts.serve({ ...head, body, minVersion, keepsVersion: origin !== undefined }, caller);
     }
 
     private shouldClose(socket: Socket): boolean {
--- a/packages/relay/src/instance/relay-instance.ts
+++ b/packages/relay/src/instance/relay-instance.ts
@@ -259,7 +259,7 @@
         return handoff === undefined ? undefined : new HandoffPort({
             hub: this.hub,
             listen: parseAddress(handoff),
-            getVersion: () => this.documents.version,
+            findVersion: from => this.documents.findOldest(from)?.document.version ?? 0,
             getRefusal: isHelping => this.getTakeRefusal(isHelping),
             accept: (socket, origin) => this.callerPort.accept(socket, origin),
             log: this.log,
--- a/packages/relay/src/relay-request.ts
+++ b/packages/relay/src/relay-request.ts
@@ -36,6 +36,8 @@
     readonly resumes: string | undefined;
     /** Oldest version of the desired state by which it may be decided; undefined where any may. */
     readonly minVersion?: number | undefined;
+    /** Whether the oldest such version decides: the instance through which the request came has no newer one yet. */
+    readonly keepsVersion?: boolean;
 }
 
 /** Maximum number of prompt parts of one request that are watched, beside the whole request; limits what a long prompt costs. */
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -145,7 +145,9 @@
         if (!await this.hasCurrentView(req, caller)) {
             return;
         }
-        const admission = admit(documents.current(), req, random);
+        const { minVersion = 0, keepsVersion = false } = req;
+        const table = keepsVersion ? documents.findOldest(minVersion) : documents.current();
+        const admission = admit(table, req, random);
         if (isRefusal(admission)) {
             this.refuse(req, caller, "", admission);
             return;
--- a/packages/types/src/peer-requests.ts
+++ b/packages/types/src/peer-requests.ts
@@ -384,7 +384,7 @@
         readonly address: Address;
         /** Precedes the caller's bytes on each connection. */
         readonly ticket: Uint8Array;
-        /** Version of the desired state that is active at the peer. */
+        /** Version of the desired state by which the peer decides requests of the sender's callers. */
         readonly version: number;
         /** Requests that the peer has served for the sender. */
         readonly requests: number;
