--- a/packages/relay/src/handoff/connection-handoff.test.ts
+++ b/packages/relay/src/handoff/connection-handoff.test.ts
@@ -131,6 +131,16 @@
     caller.destroy();
 });
 
+test("a caller that leaves while its connection is handed off keeps nothing open", async t => {
+    const { ports, handoff, requests } = await start(t);
+    const caller = await openCaller(ports.large.listenPort, "");
+    caller.destroy();
+    await once(caller, "close");
+    t.true(handoff.handOff(caller, () => t.fail("a connection that has ended was served")));
+    await until(t, () => handoff.openConnections === 0);
+    t.deepEqual(requests, []);
+});
+
 test("connections through a lost instance end, and new ones are served here", async t => {
     const { ports, requests, hubs, handoff, network } = await start(t, { serve: () => new Promise(() => undefined) });
     const caller = await openCaller(ports.small.listenPort, createRawRequest("a"));
--- a/packages/relay/src/handoff/connection-handoff.ts
+++ b/packages/relay/src/handoff/connection-handoff.ts
@@ -152,6 +152,11 @@
         helper.callers.add(caller);
         try {
             const socket = await connect(helper.address, CONNECT_TIMEOUT_MS, this.stopping.signal);
+            if (caller.destroyed) {
+                socket.destroy();
+                this.forget(helper, caller);
+                return;
+            }
             socket.setNoDelay(true);
             socket.write(helper.ticket);
             this.opts.count("connections_handed_off");
@@ -166,7 +171,9 @@
             // Nothing of the caller's has been read yet.
             this.forget(helper, caller);
             this.drop(helper, "the peer accepts no connection");
-            serveHere();
+            if (!caller.destroyed) {
+                serveHere();
+            }
         }
         finally {
             caller.off("error", ignoreError);
