--- a/packages/relay/src/handoff/connection-handoff.test.ts
+++ b/packages/relay/src/handoff/connection-handoff.test.ts
@@ -47,6 +47,9 @@
     t.is(end, "closed");
     t.deepEqual(requests.map(({ id }) => id), ["a", "b"]);
     t.is(counts.get("connections_handed_off"), 1);
+    // The larger instance's own overload is judged by all that it reads.
+    t.is(ports.large.readRequests, 2);
+    t.is(ports.large.ownRequests, 0);
 });
 
 test("a caller that leaves ends its request at the instance that serves it", async t => {
--- a/packages/relay/src/http/http-caller-port.ts
+++ b/packages/relay/src/http/http-caller-port.ts
@@ -57,6 +57,7 @@
     private isDraining = false;
     private open = 0;
     private read = 0;
+    private readOwn = 0;
     /** Connections that are closed after a refusal. */
     private readonly closing = new WeakSet<Socket>();
     /** Connections that peers have handed off to this port. */
@@ -126,6 +127,11 @@
     }
 
     /** Number of valid requests whose heads were read since the start, without those of connections from peers. */
+    get ownRequests(): number {
+        return this.readOwn;
+    }
+
+    /** Number of valid requests whose heads were read since the start. */
     get readRequests(): number {
         return this.read;
     }
@@ -208,8 +214,9 @@
             return;
         }
         const origin = this.origins.get(socket);
+        this.read += 1;
         if (origin === undefined) {
-            this.read += 1;
+            this.readOwn += 1;
         }
         origin?.recordRequest();
         const body = await readBody(req, this.bounds.maxBodyBytes);
--- a/packages/relay/src/instance/relay-instance.ts
+++ b/packages/relay/src/instance/relay-instance.ts
@@ -157,7 +157,7 @@
         this.handoff = new ConnectionHandoff({
             hub,
             getVersion: () => this.documents.version,
-            getOwnRequests: () => this.callerPort.readRequests,
+            getOwnRequests: () => this.callerPort.ownRequests,
             log: this.log,
             count: name => this.metrics.add(name),
         });
