Answer the requests that are on their way when a stop ends

A trace of the port shows two cases. A request whose body was still arriving when the stop's window ended was kept open until the flush time was over, then cut. A connection that was taken 50 to 200 ms before an idle instance closed had brought no byte yet and did not count as open, so it was closed under its request.

Change: stopAccepting() refuses what has not arrived whole at once and lets new connections bring their first request for up to a second. The drain waits for them.

--- a/packages/relay/src/http/http-caller-port.test.ts
+++ b/packages/relay/src/http/http-caller-port.test.ts
@@ -129,6 +129,45 @@
     await eventuallyIs(t, () => port.openExchanges, 0);
 });
 
+test("a request whose body is still arriving when a stop ends is refused, not cut", async t => {
+    const { callerStates, port, callers } = await open(t);
+    const socket = connect(port, HOST).on("error", () => undefined);
+    socket.write(createMessage("a").slice(0, -1));
+    await eventuallyIs(t, () => callers.openExchanges, 1);
+    const answer = once(socket, "data") as Promise<[Buffer]>;
+    const unsent = await callers.close(5_000);
+    const [response] = await answer;
+    t.regex(response.toString(), /^HTTP\/1.1 503 [^]*Connection: close[^]*leaving/);
+    t.is(unsent, 0);
+    t.deepEqual(callerStates, {});
+    socket.destroy();
+});
+
+test("load pattern, connections that are opened just before a stop ends: their requests are answered", async t => {
+    const { callerStates, port, callers } = await open(t);
+    const socket = connect(port, HOST).on("error", () => undefined);
+    await eventuallyIs(t, () => callers.newConnections, 1);
+    const chunks: Buffer[] = [];
+    socket.on("data", (chunk: Buffer) => chunks.push(chunk));
+    const closed = once(socket, "close");
+    const ended = callers.close(5_000);
+    await sleep(LATE_WRITE_MS);
+    socket.write(createMessage("a"));
+    await Promise.all([ended, closed]);
+    t.regex(Buffer.concat(chunks).toString(), /^HTTP\/1.1 503 [^]*Connection: close[^]*leaving/);
+    t.deepEqual(callerStates, {});
+});
+
+test("a connection that brings no request does not hold up a stop", async t => {
+    const { port, callers } = await open(t);
+    const socket = connect(port, HOST).on("error", () => undefined);
+    await eventuallyIs(t, () => callers.newConnections, 1);
+    const startedAtMs = performance.now();
+    await callers.close(60_000);
+    t.true(performance.now() - startedAtMs < 30_000);
+    socket.destroy();
+});
+
 /** Sends a head and then parts of a body later than the refusal, as a caller with a slow link does; returns what arrives. */
 const sendSlowly = async (port: number, head: string, parts: readonly string[]): Promise<string> => {
     const chunks: Buffer[] = [];
--- a/packages/relay/src/http/http-caller-port.ts
+++ b/packages/relay/src/http/http-caller-port.ts
@@ -5,11 +5,13 @@
 import { setImmediate as nextTurn, setTimeout as sleep } from "node:timers/promises";
 import type { CallerExchange } from "../caller-exchange.js";
 import type { CallerBounds } from "../document/relay-document.js";
+import { LEAVING_REFUSAL } from "../relay-refusal.js";
 import type { RelayRequest } from "../relay-request.js";
 import type { AcceptedConnection, ConnectionOrigin } from "./accepted-connection.js";
 import type { CallerProtocol } from "./caller-protocol.js";
 import { ExchangeCounts } from "./exchange-counts.js";
 import { HttpCallerExchange } from "./http-caller-exchange.js";
+import { NewConnections } from "./new-connections.js";
 import { PipelineOrder } from "./pipeline-order.js";
 
 /** Options of {@link HttpCallerPort}. */
@@ -55,6 +57,11 @@
     private readonly server: Server;
     private readonly order = new PipelineOrder();
     private isDraining = false;
+    private hasStopped = false;
+    /** Connections that have brought no request yet. */
+    private readonly unused = new NewConnections();
+    /** Each ends the reading of a body. */
+    private readonly bodyReads = new Set<() => void>();
     private open = 0;
     private read = 0;
     private readOwn = 0;
@@ -76,6 +83,7 @@
         const listeners = this.server.listeners("connection") as unknown as readonly ((socket: Socket) => void)[];
         this.server.removeAllListeners("connection");
         this.serveConnection = socket => {
+            this.unused.add(socket);
             listeners.forEach(listener => {
                 listener.call(this.server, socket);
             });
@@ -136,20 +144,37 @@
         return this.read;
     }
 
-    /** Number of requests that are being read or served, or whose response is being sent. */
+    /**
+     * Number of requests that are being read or served, or whose response is being sent. Once the port accepts no more,
+     * connections that were opened a moment ago count as well: their request may be on its way.
+     */
     get openExchanges(): number {
-        return this.open;
+        return this.open + (this.hasStopped ? this.unused.count() : 0);
+    }
+
+    /** Number of connections that were opened a moment ago and have brought no request yet. */
+    get newConnections(): number {
+        return this.unused.count();
+    }
+
+    /** Stops listening and refuses the requests that have not arrived whole; open connections are served on. */
+    stopAccepting(): void {
+        this.drain();
+        this.hasStopped = true;
+        stopListening(this.server);
+        this.bodyReads.forEach(end => {
+            end();
+        });
     }
 
     /**
-     * Stops listening, waits up to `flushMs` milliseconds until the last responses are sent, and closes all connections.
+     * Stops accepting, waits up to `flushMs` milliseconds until the last responses are sent, and closes all connections.
      * Returns the number of responses that were not sent completely.
      */
     async close(flushMs: number): Promise<number> {
-        this.drain();
-        stopListening(this.server);
+        this.stopAccepting();
         const endsAtMs = performance.now() + flushMs;
-        while (this.open > 0 && performance.now() < endsAtMs) {
+        while (this.openExchanges > 0 && performance.now() < endsAtMs) {
             await sleep(FLUSH_POLL_MS);
         }
         const unsent = this.open;
@@ -182,6 +207,7 @@
     private async serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
         const arrivedAtMs = performance.now();
         const { socket } = req;
+        this.unused.remove(socket);
         if (this.closing.has(socket) || !socket.writable) {
             // No response can be sent any more, so the request is not served.
             req.resume();
@@ -219,11 +245,17 @@
             this.readOwn += 1;
         }
         origin?.recordRequest();
-        const body = await readBody(req, this.bounds.maxBodyBytes);
+        const body = await this.readBody(req);
         if (body === "cut") {
             res.destroy();
             return;
         }
+        if (body === "leaving") {
+            this.closing.add(socket);
+            caller.refuse(LEAVING_REFUSAL);
+            req.resume();
+            return;
+        }
         if (body === "too_large") {
             this.closing.add(socket);
             caller.refuse({ reason: "bodyTooLarge" });
@@ -238,6 +270,22 @@
         await this.opts.serve({ ...head, body, minVersion, keepsVersion: origin !== undefined }, caller);
     }
 
+    /** Reads a body; `leaving` if it has not arrived when the port stops accepting. */
+    private async readBody(req: IncomingMessage): Promise<Buffer | "cut" | "too_large" | "leaving"> {
+        if (this.hasStopped) {
+            return "leaving";
+        }
+        let end = (): void => undefined;
+        const stopped = new Promise<"leaving">(resolve => end = () => resolve("leaving"));
+        this.bodyReads.add(end);
+        try {
+            return await Promise.race([readBody(req, this.bounds.maxBodyBytes), stopped]);
+        }
+        finally {
+            this.bodyReads.delete(end);
+        }
+    }
+
     private shouldClose(socket: Socket): boolean {
         const origin = this.origins.get(socket);
         return this.isDraining || (origin === undefined ? this.opts.isHandingOff?.() === true : origin.isLeaving);
--- a/packages/relay/src/instance/relay-instance.ts
+++ b/packages/relay/src/instance/relay-instance.ts
@@ -454,10 +454,12 @@
         this.callerPort.drain();
         this.handoff.stop();
         void this.releaseBudgets();
-        await waitUntilDrained(
+        await waitUntilDrained({
             window,
-            () => this.callerPort.openExchanges + this.sending.forwardedSends.size + this.handoff.openConnections,
-        );
+            getOpenExchanges: () =>
+                this.callerPort.openExchanges + this.sending.forwardedSends.size + this.handoff.openConnections,
+            stopAccepting: () => this.callerPort.stopAccepting(),
+        });
         const openRequests = this.relay.expireOpenRequests();
         this.handoff.closeAll();
         this.handoffPort?.close();
--- a/packages/relay/src/instance/wait-until-drained.ts
+++ b/packages/relay/src/instance/wait-until-drained.ts
@@ -9,16 +9,25 @@
     }
 };
 
+/** Options of {@link waitUntilDrained}. */
+export interface DrainOptions {
+    readonly window: StopWindow;
+    readonly getOpenExchanges: () => number;
+    /** Stops taking connections; called once no request is accepted any more. */
+    readonly stopAccepting: () => void;
+}
+
 /**
  * Resolves when a stopping instance may close its connections: all exchanges have ended, or the window has. No request is
- * accepted any more by then.
+ * accepted any more by then, and no connection is taken.
  */
-export const waitUntilDrained = async (window: StopWindow, getOpenExchanges: () => number): Promise<void> => {
+export const waitUntilDrained = async ({ window, getOpenExchanges, stopAccepting }: DrainOptions): Promise<void> => {
     await sleep(window.servesUntilMs - performance.now());
     await waitUntilIdle(window.endsAtMs, getOpenExchanges);
     window.close();
     // After a pause of the process, what arrived during it is read first.
     await nextTurn();
     await nextTurn();
+    stopAccepting();
     await waitUntilIdle(window.endsAtMs, getOpenExchanges);
 };
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -11,7 +11,7 @@
 import { getQuarantineReason, WatchedRequest } from "./quarantine/watched-request.js";
 import { type AttemptsResult, RelayAttempts } from "./relay-attempts.js";
 import type { LogFields, RelayLog } from "./relay-log.js";
-import type { RefusalReason, RelayRefusal } from "./relay-refusal.js";
+import { LEAVING_REFUSAL, type RefusalReason, type RelayRefusal } from "./relay-refusal.js";
 import type { RelayRequest } from "./relay-request.js";
 import { RequestClock } from "./request-clock.js";
 import { type HeldResponse, ResponseMemory } from "./response-memory.js";
@@ -60,9 +60,6 @@
 /** Time for which a request waits for a version that another instance has, in milliseconds; the watch brings it by then. */
 const VERSION_WAIT_MS = 700;
 
-/** Retry-after time where this instance is leaving, in seconds; other instances can serve at once. */
-const LEAVING_RETRY_AFTER_S = 0.1;
-
 /** Retry-after time where it is not known which version began a stream, in seconds; a peer may be reachable again. */
 const UNKNOWN_ORIGIN_RETRY_AFTER_S = 1;
 
@@ -164,8 +161,7 @@
         const waitsMs = Math.min(route.timeoutMs, req.waitsMs ?? route.timeoutMs);
         const deadlineMs = req.arrivedAtMs + waitsMs;
         if (this.stopWindow?.isAccepting(performance.now(), deadlineMs) === false) {
-            const refusal = { reason: "leaving", retryAfterS: LEAVING_RETRY_AFTER_S } as const;
-            this.refuse(req, caller, service, refusal, { team });
+            this.refuse(req, caller, service, LEAVING_REFUSAL, { team });
             return;
         }
         this.acceptedAtMs = performance.now();
