Free replaced desired states by a timer, and say why no peer takes connections

Cause: replaced states were dropped only when a handed-off request asked for one, so most instances held three of them for good; they are large where there are many routes.

Change: a timer drops them after their ten seconds; one line for each search; the error is named. The new test of document-holder fails without the timer (nothing calls findOldest).

--- a/packages/relay/src/document/document-holder.test.ts
+++ b/packages/relay/src/document/document-holder.test.ts
@@ -1,4 +1,5 @@
 import test from "ava";
+import { setTimeout as sleep } from "node:timers/promises";
 import { createDocument } from "../fixtures/documents.js";
 import { DocumentHolder } from "./document-holder.js";
 
@@ -25,6 +26,17 @@
     t.is(find(1), 6);
 });
 
+test("a replaced desired state leaves the memory though nobody asks for it", async t => {
+    const holder = new DocumentHolder({ replacedTtlMs: 20 });
+    [1, 2].forEach(version => holder.replaceIfNewer(createDocument({ version }), Buffer.alloc(0)));
+    t.deepEqual(holder.replacedVersions, [1]);
+    const endsAtMs = performance.now() + 10_000;
+    while (holder.replacedVersions.length > 0 && performance.now() < endsAtMs) {
+        await sleep(10);
+    }
+    t.deepEqual(holder.replacedVersions, []);
+});
+
 test("an older desired state never replaces a newer one", t => {
     const { holder, find } = createHolder([5]);
     t.false(holder.replaceIfNewer(createDocument({ version: 4 }), Buffer.alloc(0)));
--- a/packages/relay/src/document/document-holder.ts
+++ b/packages/relay/src/document/document-holder.ts
@@ -6,9 +6,10 @@
 export interface DocumentHolderOptions {
     /** Monotonic time in milliseconds; `performance.now` by default. */
     readonly nowMs?: () => number;
+    /** Time for which a replaced state is kept for instances that do not have the newer one yet, in milliseconds. */
+    readonly replacedTtlMs?: number;
 }
 
-/** Time for which a replaced state is kept for instances that do not have the newer one yet, in milliseconds. */
 const REPLACED_TTL_MS = 10_000;
 
 /** Maximum number of replaced states that are kept; they are large where there are many routes. */
@@ -26,9 +27,13 @@
     private encodedBytes: Uint8Array | undefined;
     private replaced: readonly ReplacedTable[] = [];
     private readonly nowMs: () => number;
+    private readonly replacedTtlMs: number;
 
-    constructor({ nowMs = () => performance.now() }: DocumentHolderOptions = {}) {
+    constructor(
+        { nowMs = () => performance.now(), replacedTtlMs = REPLACED_TTL_MS }: DocumentHolderOptions = {},
+    ) {
         this.nowMs = nowMs;
+        this.replacedTtlMs = replacedTtlMs;
     }
 
     /** The active state; undefined before the first one. */
@@ -38,11 +43,15 @@
 
     /** The oldest state from a version on that is kept, for requests that come through an instance with that version. */
     findOldest(fromVersion: number): RouteTable | undefined {
-        const nowMs = this.nowMs();
-        this.replaced = this.replaced.filter(({ untilMs }) => untilMs > nowMs);
+        this.dropExpired();
         return this.replaced.find(({ table }) => table.document.version >= fromVersion)?.table ?? this.table;
     }
 
+    /** Versions of the replaced states that are still in memory, the oldest one first. */
+    get replacedVersions(): readonly number[] {
+        return this.replaced.map(({ table }) => table.document.version);
+    }
+
     /** Version of the active state; 0 before the first one. */
     get version(): number {
         return this.table?.document.version ?? 0;
@@ -59,8 +68,10 @@
             return false;
         }
         if (this.table !== undefined) {
-            const kept = { table: this.table, untilMs: this.nowMs() + REPLACED_TTL_MS };
+            const kept = { table: this.table, untilMs: this.nowMs() + this.replacedTtlMs };
             this.replaced = [...this.replaced, kept].slice(-MAX_REPLACED);
+            // Where no request asks for an old state, nothing else frees its memory.
+            setTimeout(() => this.dropExpired(), this.replacedTtlMs + 1).unref();
         }
         this.table = new RouteTable(document);
         this.encodedBytes = encoded;
@@ -87,4 +98,9 @@
     onChange(listener: (table: RouteTable) => void): void {
         this.events.on("change", listener);
     }
+
+    private dropExpired(): void {
+        const nowMs = this.nowMs();
+        this.replaced = this.replaced.filter(({ untilMs }) => untilMs > nowMs);
+    }
 }
--- a/packages/relay/src/handoff/connection-handoff.ts
+++ b/packages/relay/src/handoff/connection-handoff.ts
@@ -52,6 +52,12 @@
     requests: number;
 }
 
+/** What a peer answers that is asked to help, and why. */
+interface HelperAnswer {
+    readonly kind: "accepted" | "refused" | "silent";
+    readonly cause: string;
+}
+
 /** Connections that an overloaded instance hands off. */
 export interface HandoffView {
     /** Instance that gets new connections; undefined where none does. */
@@ -167,10 +173,10 @@
                 onEnd: () => this.forget(helper, caller),
             });
         }
-        catch {
+        catch (err) {
             // Nothing of the caller's has been read yet.
             this.forget(helper, caller);
-            this.drop(helper, "the peer accepts no connection");
+            this.drop(helper, `the peer accepts no connection: ${String(err)}`);
             if (!caller.destroyed) {
                 serveHere();
             }
@@ -215,15 +221,21 @@
         this.isSearching = true;
         const { hub, log } = this.opts;
         const candidates = chooseHelpers({ self: hub.self(), peers: hub.peers(), minVersion: this.minVersion });
+        const refusals: string[] = [];
         for (const info of candidates.slice(0, MAX_ASKED)) {
             const helper = this.helpers.get(info.incarnation)
                 ?? { info, callers: new Set(), address: info.caller, ticket: new Uint8Array(), requests: 0 };
-            if (await this.askOnce(helper) === "accepted" && !this.stopping.signal.aborted) {
+            const answer = await this.askOnce(helper);
+            if (answer.kind === "accepted" && !this.stopping.signal.aborted) {
                 this.helpers.set(info.incarnation, helper);
                 this.current = helper;
                 log.write("connections handed off", { helper: info.instance });
                 break;
             }
+            refusals.push(`${info.instance}: ${answer.cause}`);
+        }
+        if (this.current === undefined && refusals.length > 0) {
+            log.write("connections not taken", { peers: candidates.length, answers: refusals.join("; ") });
         }
         this.searchAgainAtMs = performance.now() + SEARCH_INTERVAL_MS;
         this.isSearching = false;
@@ -235,31 +247,31 @@
 
     /** Renews a helper's ticket; resolves whether its process lives. */
     private async renew(helper: Helper): Promise<boolean> {
-        const answer = await this.askOnce(helper);
-        if (answer !== "accepted") {
-            this.drop(helper, answer === "refused" ? "the peer refuses" : "the peer does not respond");
+        const { kind, cause } = await this.askOnce(helper);
+        if (kind !== "accepted") {
+            this.drop(
+                helper,
+                kind === "refused" ? `the peer refuses: ${cause}` : `the peer does not respond: ${cause}`,
+            );
         }
-        return answer !== "silent";
+        return kind !== "silent";
     }
 
-    private async askOnce(helper: Helper): Promise<"accepted" | "refused" | "silent"> {
-        const { hub, log } = this.opts;
-        const { incarnation, instance } = helper.info;
+    private async askOnce(helper: Helper): Promise<HelperAnswer> {
         try {
             const req = { version: this.minVersion };
-            const res = await hub.request(incarnation, "connections.take", req, HELPER_TIMEOUT_MS);
+            const { incarnation } = helper.info;
+            const res = await this.opts.hub.request(incarnation, "connections.take", req, HELPER_TIMEOUT_MS);
             if (res.kind === "refused") {
-                log.write("connections not taken", { helper: instance, cause: res.cause });
-                return "refused";
+                return res;
             }
             this.handedOff += Math.max(0, res.requests - helper.requests);
             Object.assign(helper, { address: res.address, ticket: res.ticket, requests: res.requests });
             this.recordServed(res.version);
-            return "accepted";
+            return { kind: "accepted", cause: "" };
         }
         catch (err) {
-            log.write("connections not taken", { helper: instance, cause: String(err) });
-            return "silent";
+            return { kind: "silent", cause: String(err) };
         }
     }
 
