Charge a request of which the caller gets nothing with nothing

Change: the prompt is charged once any part of an answer was relayed. Until its end a request holds its worst case as before.

The new test of relay.test.ts fails with the earlier rule.

--- a/packages/relay/src/relay-attempts.ts
+++ b/packages/relay/src/relay-attempts.ts
@@ -59,6 +59,7 @@
     private readonly firstTokensPerEvent: number | undefined;
     /** Whether the caller got a successful response that is no stream, whose output cannot be counted. */
     private hasWholeAnswer = false;
+    private hasWholeStream = false;
     /** Whether the caller's connection still holds the response. */
     private isSending = false;
 
@@ -238,6 +239,7 @@
         if (result.kind === "complete") {
             state.health.recordResponse(false, firstByteMs);
             caller.endStream();
+            this.hasWholeStream = true;
             return { kind: "end", end: "streamed" };
         }
         if (clock.endReason === "caller_left") {
@@ -356,10 +358,11 @@
         return this.opts.documents.current()?.findService(this.request.admission.service)?.tokensPerEvent;
     }
 
-    /** Tokens to charge: the prompt if it may have run, and the output that was relayed. */
+    /** Tokens to charge: the prompt and the output, once any part of the answer was relayed. */
     private getUsedTokens(): number {
         const { generation } = this.request.req;
-        if (generation === undefined || !this.mayHaveRun) {
+        const isServed = this.stream.eventCount > 0 || this.hasWholeAnswer || this.hasWholeStream;
+        if (generation === undefined || !isServed) {
             return 0;
         }
         const sizes = [this.firstTokensPerEvent, this.tokensPerEvent].filter(size => size !== undefined);
--- a/packages/relay/src/relay.test.ts
+++ b/packages/relay/src/relay.test.ts
@@ -461,6 +461,23 @@
     t.deepEqual(gate.settled, [110]);
 });
 
+test("a budget is charged for nothing where the caller gets no part of an answer", async t => {
+    const streaming = { kind: "streaming" } as const;
+    const gate = new RecordingGate();
+    const noRepeat = { ...streaming, maxAttempts: 1 };
+    await serve([failing], noRepeat, GENERATION, { budgets: gate });
+    await serve([respond(["error"], false, 500)], noRepeat, GENERATION, { budgets: gate });
+    await serve([respond(["id: 1\n"], true)], noRepeat, GENERATION, { budgets: gate });
+    await serve([unresponsive], noRepeat, GENERATION, { budgets: gate, disconnectsAfterMs: 30 });
+    t.deepEqual(gate.settled, [0, 0, 0, 0]);
+});
+
+test("a budget is charged for what was relayed of a stream that broke off", async t => {
+    const gate = new RecordingGate();
+    await serve([respond(["id: 1\n\n"], true)], { kind: "streaming", maxAttempts: 1 }, GENERATION, { budgets: gate });
+    t.deepEqual(gate.settled, [105]);
+});
+
 test("nothing is charged for a request that did not run", async t => {
     const gate = new RecordingGate();
     await serve([full], { kind: "streaming", maxAttempts: 1 }, GENERATION, { budgets: gate });
