Judge how late an answer is by the time of its way to the instance

Eighty callers start at once in the rig's process; their requests reach the instances 0.5 to 0.75 s after they were sent (logs: 'caller_left' after 3.75 to 3.98 s of the route's 4 s, or 504 after 4,000 ms). The instance counts from the arrival.

A test holds each bound.

--- a/packages/bench/src/platform/soak/judge-platform.test.ts
+++ b/packages/bench/src/platform/soak/judge-platform.test.ts
@@ -22,6 +22,7 @@
     paddingBytes: 0,
     instance: CUT,
     usedKeptConnection: false,
+    readPauseMs: 0,
     sentAtMs: LONG_MS,
     bodySentAtMs: LONG_MS,
     headAtMs: LONG_MS + 10,
@@ -99,6 +100,22 @@
     t.is(count(disturbed("instance-2"), createForwards("attempt-1", PEER)), 1);
 });
 
+test("an answer is overdue half a second after the deadline, and the time that the way to the instance takes", t => {
+    const count = (change: Partial<PlatformCall>, callerPathMs = 0): number | undefined => {
+        const call = createCall({ kind: "plain", endedAtMs: LONG_MS + 4_600, ...change });
+        const probe = { instance: CUT, askedAtMs: LONG_MS, atMs: LONG_MS + 1, status: 200, callerPathMs };
+        return judge({ calls: [call], readiness: [probe] }).violations["overdue"];
+    };
+    t.is(count({ end: "overdue" }), 1);
+    t.is(count({ end: "answered" }), 1);
+    t.is(count({ end: "cut" }), 1);
+    t.is(count({ end: "callerLeft" }), 0);
+    t.is(count({ end: "answered", endedAtMs: LONG_MS + 4_500 }), 0);
+    t.is(count({ end: "answered", readPauseMs: 200 }), 0);
+    t.is(count({ end: "overdue" }, 50), 1);
+    t.is(count({ end: "overdue" }, 150), 0);
+});
+
 test("a request on a route that was added is denied unless the store was away when the instance had to learn of it", t => {
     const count = (change: Partial<PlatformCall>, timeline = new FaultTimeline()): number | undefined => {
         timeline.addVersion({ modelTimeoutMs: 12_000, hasNewRoute: true });
--- a/packages/bench/src/platform/soak/judge-platform.ts
+++ b/packages/bench/src/platform/soak/judge-platform.ts
@@ -3,7 +3,7 @@
 import type { CutOffSpan, FaultTimeline, LimitSpan, StopRecord } from "./fault-timeline.js";
 import { STORE_PART } from "./fault-timeline.js";
 import type { ForwardLog } from "./forward-log.js";
-import type { DirectoryAnswer, PlatformCall } from "./platform-call.js";
+import type { CallEnd, DirectoryAnswer, PlatformCall } from "./platform-call.js";
 import type { ReadinessAnswer } from "./readiness-probe.js";
 import { DEADLINE_MS, getEvents } from "./send-call.js";
 
@@ -62,6 +62,12 @@
 /** Time in which a request that is refused gets its refusal, in milliseconds. */
 const REFUSED_WITHIN_MS = 500;
 
+/** Time after its deadline in which a call ends, in milliseconds. */
+const ENDS_WITHIN_MS = 500;
+
+/** Ends of calls that were not their callers' doing. */
+const ENDED_BY_FLEET: readonly CallEnd[] = ["answered", "cut", "overdue"];
+
 /** Reason of a refusal that the instance only knows once it has asked the budget's owner. */
 const ASKED_OTHERS = "budgetUnavailable";
 
@@ -149,7 +155,7 @@
             withoutTimeToComeBack: this.describe(refused.filter(call => call.retryAfterS === undefined)),
             refusedLate: this.describe(refused.filter(call => this.isRefusedLate(call))),
             lost: this.describe(calls.filter(call => call.end === "cut" && this.isLost(call))),
-            overdue: this.describe(calls.filter(call => call.end === "overdue" && this.isCalm(call))),
+            overdue: this.describe(calls.filter(call => this.isOverdue(call) && this.isCalm(call))),
             denied: this.describe(answered.filter(call => this.isDenied(call))),
             servedThoughRemoved: this.describe(served.filter(call => this.isRemoved(call))),
             joinedVersions: this.describe(served.filter(call => this.isJoined(call))),
@@ -221,6 +227,13 @@
             && this.evidence.timeline.isCalm(STORE_PART, sentAtMs, endedAtMs);
     }
 
+    private isOverdue(call: PlatformCall): boolean {
+        const { kind, end, sentAtMs, readPauseMs, endedAtMs } = call;
+        // The instance counts a request's time from its arrival.
+        const lateMs = endedAtMs - sentAtMs - readPauseMs - this.getProbeMs(call) - DEADLINE_MS[kind];
+        return ENDED_BY_FLEET.includes(end) && lateMs > ENDS_WITHIN_MS;
+    }
+
     /** Longest time that a request on the same way took around a call, and was refused without any decision. */
     private getProbeMs({ instance, sentAtMs, endedAtMs }: PlatformCall): number {
         const probes = this.evidence.readiness.filter(probe =>
--- a/packages/bench/src/platform/soak/platform-call.ts
+++ b/packages/bench/src/platform/soak/platform-call.ts
@@ -11,7 +11,7 @@
     | "unreachable"
     /** The caller disconnected. */
     | "callerLeft"
-    /** There was no whole response some time after the deadline. */
+    /** There was no whole response until the caller gave up, some time after its deadline. */
     | "overdue";
 
 /** One request and what its caller saw; times are monotonic, in milliseconds. */
@@ -24,6 +24,8 @@
     /** Name of the instance. */
     readonly instance: string;
     readonly usedKeptConnection: boolean;
+    /** Time for which the caller read nothing after the head of the response, in milliseconds. */
+    readonly readPauseMs: number;
     readonly sentAtMs: number;
     /** When the last byte of the body was written. */
     readonly bodySentAtMs: number | undefined;
