Count the calls to the KV service by kind and purpose

Operators pay for these calls and could not see what they are for. ospreyreel_kv_calls_total{call,area} counts each call that is sent; the client reports it, the instance names the area.

--- a/packages/kv/src/index.ts
+++ b/packages/kv/src/index.ts
@@ -1,6 +1,7 @@
 /** Client of the platform's key-value service. */
 export * from "./breaker-kv-client.js";
 export * from "./etcd-kv-client.js";
+export * from "./kv-call.js";
 export * from "./kv-change-reader.js";
 export * from "./kv-client.js";
 export type * from "./kv-entry.js";
--- a/packages/relay/src/instance/relay-adapter.ts
+++ b/packages/relay/src/instance/relay-adapter.ts
@@ -1,4 +1,4 @@
-import type { KvHealth, PolledKvClient } from "@ospreyreel/kv";
+import type { KvCall, KvHealth, PolledKvClient } from "@ospreyreel/kv";
 import type { DocumentCodec } from "../document/document-codec.js";
 import type { CallerProtocol } from "../http/caller-protocol.js";
 import type { StatusPortResponse } from "../http/status-port.js";
@@ -15,6 +15,18 @@
     readonly addressTtlS: number;
 }
 
+/** Options of {@link RelayAdapter.createKvClient}. */
+export interface KvClientOptions {
+    /** Host and port of the KV service. */
+    readonly address: string;
+    /** Maximum time without progress of a call, in milliseconds. */
+    readonly deadlineMs: number;
+    /** Records the outcomes of the change reader's calls. */
+    readonly health: KvHealth;
+    /** Called with each call that is sent. */
+    readonly onCall: (call: KvCall) => void;
+}
+
 /** The platform's protocols and formats; contains no decisions. */
 export abstract class RelayAdapter {
     abstract readonly documentCodec: DocumentCodec;
@@ -22,11 +34,8 @@
     abstract readonly callerProtocol: CallerProtocol;
     abstract readonly targetProtocol: TargetProtocol;
 
-    /**
-     * Creates the client of the KV service at an address; its change reader reports the outcome of its calls to
-     * `health`.
-     */
-    abstract createKvClient(address: string, deadlineMs: number, health: KvHealth): PolledKvClient;
+    /** Creates the client of the KV service. */
+    abstract createKvClient(opts: KvClientOptions): PolledKvClient;
 
     /** Responds to a readiness check. */
     abstract handleReadinessRequest(method: string, url: URL, view: InstanceView): StatusPortResponse;
--- a/packages/relay/src/instance/relay-instance.ts
+++ b/packages/relay/src/instance/relay-instance.ts
@@ -1,5 +1,5 @@
 import { FleetBudgets } from "@ospreyreel/budgets";
-import { BreakerKvClient, type KvClient, KvHealth } from "@ospreyreel/kv";
+import { BreakerKvClient, type KvCall, type KvClient, KvHealth } from "@ospreyreel/kv";
 import type { TcpPeerHub } from "@ospreyreel/peer";
 import type { Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
@@ -113,7 +113,8 @@
         this.ready = new Promise(resolve => {
             this.resolveReady = resolve;
         });
-        const platformKv = adapter.createKvClient(cfg.kv.address, cfg.kv.deadlineMs, this.health);
+        const onCall = (call: KvCall): void => this.metrics.recordKvCall(call);
+        const platformKv = adapter.createKvClient({ ...cfg.kv, health: this.health, onCall });
         this.kv = new BreakerKvClient(platformKv, this.health);
         this.watch = createSharedWatch({
             kv: platformKv,
--- a/packages/relay/src/instance/relay-metrics.ts
+++ b/packages/relay/src/instance/relay-metrics.ts
@@ -1,5 +1,7 @@
+import type { KvCall } from "@ospreyreel/kv";
 import { collectDefaultMetrics, Counter, Gauge, Histogram, Registry } from "prom-client";
 import type { RelayMeter } from "../relay.js";
+import { getKeyArea } from "./get-key-area.js";
 
 /** Upper bounds of the latency histogram's buckets, in seconds; they cover the usual latency targets and timeouts. */
 const LATENCY_BUCKETS_S = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 1, 2, 4, 8, 12];
@@ -12,6 +14,7 @@
     private readonly ends: Counter;
     private readonly sends: Counter;
     private readonly endsBeforeAnswer: Counter;
+    private readonly kvCalls: Counter;
     private readonly latency: Histogram;
     private readonly gauges = new Map<string, Gauge>();
     private readonly counters = new Map<string, Counter>();
@@ -37,6 +40,12 @@
             labelNames: ["service"],
             registers,
         });
+        this.kvCalls = new Counter({
+            name: "ospreyreel_kv_calls_total",
+            help: "Calls to the KV service by kind and by what they are for.",
+            labelNames: ["call", "area"],
+            registers,
+        });
         this.latency = new Histogram({
             name: "ospreyreel_request_seconds",
             help: "Time from a request's arrival to its end.",
@@ -59,6 +68,11 @@
         this.endsBeforeAnswer.inc({ service });
     }
 
+    /** Counts a call to the KV service. */
+    recordKvCall({ kind, key }: KvCall): void {
+        this.kvCalls.inc({ call: kind, area: getKeyArea(key) });
+    }
+
     /** Adds to a counter, which is created on first use. */
     add(name: string, amount = 1): void {
         const known = this.counters.get(name);
