Refuse requests that no target can serve at once

Change: an ejected target is on trial until it responds, for one request at a time and one trial a request. A request without any usable target waits for no budget.

Tests of target-selector and relay fail without the changes.

--- a/packages/relay/src/relay-attempts.ts
+++ b/packages/relay/src/relay-attempts.ts
@@ -54,6 +54,8 @@
     /** Monotonic time of the last send, in milliseconds. */
     private sentAtMs = 0;
     private mayHaveRun = false;
+    /** Whether it has tried an ejected target. */
+    private hasTrial = false;
     private blockedPart: string | undefined;
     private chargedTokens = 0;
     private readonly firstTokensPerEvent: number | undefined;
@@ -119,10 +121,15 @@
             return { kind: "end", end: this.failRequest(getQuarantineReason(blocked.part), blocked.retryAfterS) };
         }
         const tried = new Set([...this.tried, ...this.limited]);
-        const state = this.opts.selector.select(req, route, service, { tried, begun: this.begun });
+        const limits = { tried, begun: this.begun, mayTry: !this.hasTrial };
+        const state = this.opts.selector.select(req, route, service, limits);
         if (state === undefined) {
             return { kind: "end", end: this.failWithoutTarget() };
         }
+        if (state.health.isOnTrial) {
+            this.hasTrial = true;
+            state.health.beginTrial(performance.now());
+        }
         if (!await this.opts.permits.acquire(state)) {
             this.limited.add(state.target.id);
             return RETRY_STEP;
@@ -171,6 +178,7 @@
                     : { kind: "end", end: this.failRequest("noTarget") };
             case "not_run":
                 this.sends += 1;
+                state.health.recordRejection();
                 if (outcome.reason === "full") {
                     state.health.recordFull(performance.now(), FULL_BACKOFF_MS);
                 }
--- a/packages/relay/src/relay-refusal.ts
+++ b/packages/relay/src/relay-refusal.ts
@@ -30,6 +30,9 @@
 /** Refusal of an instance that is leaving; other instances can serve at once. */
 export const LEAVING_REFUSAL = { reason: "leaving", retryAfterS: 0.1 } as const satisfies RelayRefusal;
 
+/** Refusal where no target can serve a request; one that comes back is found by then. */
+export const NO_TARGET_REFUSAL = { reason: "noTarget", retryAfterS: 0.5 } as const satisfies RelayRefusal;
+
 /** HTTP status of each refusal. 503 guarantees that the request has not run; 502 and 504 guarantee nothing. */
 export const REFUSAL_STATUS: Readonly<Record<RefusalReason, number>> = {
     notReady: 503,
--- a/packages/relay/src/relay.test.ts
+++ b/packages/relay/src/relay.test.ts
@@ -552,6 +552,21 @@
     t.deepEqual(gate.settled, [0]);
 });
 
+test("a request that no target can serve is refused at once, not after its budget", async t => {
+    const gate = new LateGate();
+    const startedAtMs = performance.now();
+    const { caller } = await serve([], {}, GENERATION, { budgets: gate, versions: [] });
+    t.true(performance.now() - startedAtMs < 2 * SHORT_WAIT_MS);
+    t.deepEqual(caller.refusal, { reason: "noTarget", retryAfterS: 0.5 });
+    await sleep(2 * SHORT_WAIT_MS);
+    t.deepEqual(gate.settled, [0]);
+    const exhausted = await serve([], {}, GENERATION, {
+        budgets: new RefusingGate({ kind: "exhausted" }),
+        versions: [],
+    });
+    t.is(exhausted.caller.refusal?.reason, "budgetExhausted");
+});
+
 test("an exhausted budget and an unavailable budget are refused with different reasons", async t => {
     const exhausted = await serve([full], {}, GENERATION, { budgets: new RefusingGate({ kind: "exhausted" }) });
     t.is(exhausted.caller.refusal?.reason, "budgetExhausted");
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -1,4 +1,5 @@
 import type { StreamOrigin } from "@ospreyreel/types";
+import { setImmediate as nextTurn } from "node:timers/promises";
 import { type Admission, admit, isRepeatable } from "./admission.js";
 import type { BudgetGate, BudgetHold } from "./budget-gate.js";
 import type { CallerExchange } from "./caller-exchange.js";
@@ -11,7 +12,7 @@
 import { getQuarantineReason, WatchedRequest } from "./quarantine/watched-request.js";
 import { type AttemptsResult, RelayAttempts } from "./relay-attempts.js";
 import type { LogFields, RelayLog } from "./relay-log.js";
-import { LEAVING_REFUSAL, type RefusalReason, type RelayRefusal } from "./relay-refusal.js";
+import { LEAVING_REFUSAL, NO_TARGET_REFUSAL, type RefusalReason, type RelayRefusal } from "./relay-refusal.js";
 import type { RelayRequest } from "./relay-request.js";
 import { RequestClock } from "./request-clock.js";
 import { type HeldResponse, ResponseMemory } from "./response-memory.js";
@@ -173,7 +174,7 @@
                 this.refuse(req, caller, service, origin, { team, resumes: req.resumes ?? "" });
                 return;
             }
-            const held = await this.holdBudget(req, admission, clock);
+            const held = await this.holdBudget(req, admission, clock, origin?.service ?? service);
             if (held !== undefined && "reason" in held) {
                 this.refuse(req, caller, service, held, { team, tokens: getMaxTokens(req) });
                 return;
@@ -254,17 +255,22 @@
         req: RelayRequest,
         admission: Admission,
         clock: RequestClock,
+        service: string,
     ): Promise<BudgetHold | RelayRefusal | undefined> {
         const { generation } = req;
         if (generation === undefined || admission.team === undefined || !admission.isPrepaid) {
             return undefined;
         }
         const deciding = this.opts.budgets.hold(admission.team, getMaxTokens(req));
-        const decision = await Promise.race([deciding, clock.ended]);
+        // A request that no target can serve waits for no budget; what is known here is told at once.
+        const decision = await Promise.race([
+            deciding,
+            this.opts.selector.hasTarget(service) ? clock.ended : nextTurn(),
+        ]);
         if (decision === undefined) {
             void deciding.then(late => late.kind === "held" ? late.hold.settle(0) : undefined);
             // A request whose time has ended is not sent.
-            return undefined;
+            return clock.endReason === undefined ? NO_TARGET_REFUSAL : undefined;
         }
         switch (decision.kind) {
             case "held":
--- a/packages/relay/src/targets/target-health.ts
+++ b/packages/relay/src/targets/target-health.ts
@@ -7,6 +7,9 @@
 /** Maximum duration of an ejection, in milliseconds. */
 const MAX_EJECTION_MS = 4_000;
 
+/** Time for which one request tries an ejected target, in milliseconds; longer than a connection attempt. */
+const TRIAL_MS = 500;
+
 /** Weight of the newest sample in the moving averages. */
 const NEWEST_WEIGHT = 0.1;
 
@@ -34,6 +37,16 @@
         return nowMs >= this.ejectedUntilMs;
     }
 
+    /** Whether the target was ejected and has not responded since. */
+    get isOnTrial(): boolean {
+        return this.consecutiveFailures >= FAILURES_TO_EJECT;
+    }
+
+    /** Keeps other requests away while one finds out whether an ejected target responds again. */
+    beginTrial(nowMs: number): void {
+        this.ejectedUntilMs = Math.max(this.ejectedUntilMs, nowMs + TRIAL_MS);
+    }
+
     /** Whether the target reported recently that it is full. */
     isFull(nowMs: number): boolean {
         return nowMs < this.fullUntilMs;
@@ -76,6 +89,12 @@
         this.ejectedUntilMs = 0;
     }
 
+    /** Records that the target rejected a request; so it responds. */
+    recordRejection(): void {
+        this.consecutiveFailures = 0;
+        this.ejectedUntilMs = 0;
+    }
+
     /** Records that the target reported to be full. */
     recordFull(nowMs: number, forMs: number): void {
         this.fullUntilMs = nowMs + forMs;
--- a/packages/relay/src/targets/target-selector.test.ts
+++ b/packages/relay/src/targets/target-selector.test.ts
@@ -10,6 +10,7 @@
 
 /** A service with one target of a version that is known everywhere, and one of a new version. */
 const createSelector = () => {
+    const clock = { nowMs: 0 };
     const directory = new TargetDirectory();
     directory.put(createVersion("old", "v1"));
     directory.put(createVersion("new", "v2"));
@@ -19,11 +20,18 @@
         availabilityZone: "zone-a",
         getConnectionLimit: () => 100,
         isSettled: (_service, version) => version === "v1",
-        now: () => 0,
+        now: () => clock.nowMs,
     });
-    const select = (route = RESUMABLE, tried: readonly string[] = [], begun?: BegunStream): string | undefined =>
-        selector.select(createRequest({ id: "a" }), route, "service-1", { tried: new Set(tried), begun })?.target.id;
-    return { directory, select };
+    const select = (
+        route = RESUMABLE,
+        tried: readonly string[] = [],
+        begun?: BegunStream,
+        mayTry = true,
+    ): string | undefined => {
+        const limits = { tried: new Set(tried), begun, mayTry };
+        return selector.select(createRequest({ id: "a" }), route, "service-1", limits)?.target.id;
+    };
+    return { directory, select, clock };
 };
 
 test("a stream that may be resumed does not begin at a version that other instances may not know yet", t => {
@@ -42,3 +50,30 @@
     t.is(select(RESUMABLE, ["old"]), "new");
     t.is(select(RESUMABLE, [], { version: "v2" }), "new");
 });
+
+test("load pattern, an instance that reaches no target: one request at a time tries one, the others are refused at once", t => {
+    const { directory, select, clock } = createSelector();
+    const route = createRoute();
+    const health = directory.findStart("old@1")?.health;
+    health?.recordUnreachable(0, 0);
+    directory.findStart("new@1")?.health.recordUnreachable(0, 0);
+    t.is(select(route), undefined);
+    clock.nowMs = 600;
+    // A request that has waited for one connection in vain waits for no second one.
+    t.is(select(route, [], undefined, false), undefined);
+    t.is(select(route, ["new"]), "old");
+    t.true(health?.isOnTrial);
+    health?.beginTrial(clock.nowMs);
+    t.is(select(route, ["new"]), undefined);
+    health?.recordResponse(false, 10);
+    t.false(health?.isOnTrial);
+    t.is(select(route, ["new"], undefined, false), "old");
+});
+
+test("a target that rejects a request is no longer on trial", t => {
+    const { directory, select } = createSelector();
+    const health = directory.findStart("old@1")?.health;
+    health?.recordUnreachable(0, 0);
+    health?.recordRejection();
+    t.is(select(RESUMABLE, ["new"], undefined, false), "old");
+});
--- a/packages/relay/src/targets/target-selector.ts
+++ b/packages/relay/src/targets/target-selector.ts
@@ -43,6 +43,8 @@
     readonly tried: ReadonlySet<string>;
     /** Undefined before the first event. */
     readonly begun: BegunStream | undefined;
+    /** Whether the request may find out if an ejected target responds again; it costs the time of a connection attempt. */
+    readonly mayTry: boolean;
 }
 
 const canContinue = ({ target }: TargetState, begun: BegunStream | undefined): boolean =>
@@ -64,7 +66,7 @@
         req: RelayRequest,
         route: RelayRoute,
         service: string,
-        { tried, begun }: SelectionLimits,
+        { tried, begun, mayTry }: SelectionLimits,
     ): TargetState | undefined {
         const { states, scores } = this.opts.directory.getServing(service);
         const nowMs = this.now();
@@ -72,7 +74,7 @@
         const allowed = states.map((state, index) => ({ state, index }))
             .filter(({ state }) =>
                 !tried.has(state.target.id) && state.inFlight < limit && state.health.isUsable(nowMs)
-                && state.getWaitMs(nowMs) === 0 && canContinue(state, begun)
+                && state.getWaitMs(nowMs) === 0 && canContinue(state, begun) && (mayTry || !state.health.isOnTrial)
             );
         const notFull = allowed.filter(({ state }) => !state.health.isFull(nowMs));
         const mayResume = route.kind === "streaming" && route.isResumable && begun === undefined;
@@ -94,6 +96,14 @@
         return candidates[this.opts.placement.choose(numbers)]?.state;
     }
 
+    /** Whether a target of a service may get a request now, or as soon as its limit or a pause allows it. */
+    hasTarget(service: string): boolean {
+        const nowMs = this.now();
+        const limit = this.opts.getConnectionLimit(service);
+        return this.opts.directory.getServing(service).states
+            .some(state => state.health.isUsable(nowMs) && state.inFlight < limit);
+    }
+
     /** Lets streams that may be resumed begin at versions that are known everywhere, where there is such a target. */
     private preferSettled<T extends { readonly state: TargetState; }>(
         mayResume: boolean,
@@ -111,7 +121,7 @@
      * Shortest time until a target that is only held back by its limit of requests a second, or by a pause that it asked
      * for, may get one, in milliseconds; undefined where no target is.
      */
-    getWaitMs(service: string, { tried, begun }: SelectionLimits): number | undefined {
+    getWaitMs(service: string, { tried, begun }: Omit<SelectionLimits, "mayTry">): number | undefined {
         const nowMs = this.now();
         const waits = this.opts.directory.getServing(service).states
             .filter(state => !tried.has(state.target.id) && state.health.isUsable(nowMs) && canContinue(state, begun))
