--- a/review/rig.mjs
+++ b/review/rig.mjs
@@ -111,7 +111,7 @@
     async start({ document, workers, instances }) {
         this.storeAddress = await this.store.start();
         for (const opts of workers) {
-            const worker = new PlatformTargetStandIn(opts);
+            const worker = opts.createWorker?.() ?? new PlatformTargetStandIn(opts);
             await worker.start();
             this.workers.push(worker);
             this.store.put(...worker.getEntry());
