--- a/review/rig.mjs
+++ b/review/rig.mjs
@@ -51,7 +51,13 @@
         this.settings = settings;
         this.name = settings.instance;
         this.file = join(folder, `${this.name}.jsonc`);
-        writeFileSync(this.file, JSON.stringify(settings));
+        this.change({});
+    }
+
+    /** Changes settings, before the start. */
+    change(settings) {
+        this.settings = { ...this.settings, ...settings };
+        writeFileSync(this.file, JSON.stringify(this.settings));
     }
 
     start() {
@@ -108,7 +114,7 @@
         this.agent = new Agent({ keepAlive: true });
     }
 
-    async start({ document, workers, instances }) {
+    async start({ document, workers, instances, beforeStart }) {
         this.storeAddress = await this.store.start();
         for (const opts of workers) {
             const worker = opts.createWorker?.() ?? new PlatformTargetStandIn(opts);
@@ -121,6 +127,7 @@
         const addresses = ports.map(port => `127.0.0.1:${port}`);
         const seeds = instances.map((_, at) => addresses[at * PORTS_EACH + 3]).slice(0, 3);
         instances.forEach((opts, at) => this.addInstance(opts, addresses.slice(at * PORTS_EACH), seeds));
+        await beforeStart?.();
         this.instances.forEach(instance => instance.start());
         await this.awaitReady();
     }
--- a/review/worker.mjs
+++ b/review/worker.mjs
@@ -11,7 +11,12 @@
     sockets = new Set();
     port = 0;
 
-    /** `deadlyBody` crashes the worker after it has written `eventsBeforeCrash` events. */
+    version = "v1";
+
+    /**
+     * `deadlyBody` crashes the worker after it has written `eventsBeforeCrash` events; `onStart` is called at each start, before
+     * the worker listens if its port is known.
+     */
     constructor({ id, service, zone, events, stepMs, downMs, deadlyBody, eventsBeforeCrash, onStart }) {
         Object.assign(this, { id, service, zone, events, stepMs, downMs, deadlyBody, eventsBeforeCrash, onStart });
     }
@@ -26,16 +31,22 @@
             socket.on("error", () => undefined);
             socket.once("close", () => this.sockets.delete(socket));
         });
+        this.born = Date.now();
+        const isRestart = this.port !== 0;
+        if (isRestart) {
+            this.onStart?.(this);
+        }
         this.server.listen(this.port, HOST);
         await once(this.server, "listening");
         this.port = this.server.address().port;
-        this.born = Date.now();
-        this.onStart?.(this);
+        if (!isRestart) {
+            this.onStart?.(this);
+        }
     }
 
     getEntry() {
-        const { id, service, zone, port, born } = this;
-        const fixed = { version: "v1", slots: 96, state: "ready", coldRemainingMs: 0, seq: 1 };
+        const { id, service, zone, port, born, version } = this;
+        const fixed = { version, slots: 96, state: "ready", coldRemainingMs: 0, seq: 1 };
         return [`servers/${id}`, { service, address: `${HOST}:${port}`, zone, born, ...fixed }];
     }
 
@@ -44,11 +55,12 @@
         this.end();
     }
 
-    /** Resets all channels and refuses new ones for some seconds. */
-    async crash() {
+    /** Resets all channels and refuses new ones for some seconds; it comes back with a version of its software. */
+    async crash(version = this.version) {
         this.crashedAtMs.push(performance.now());
         this.end();
         await sleep(this.downMs);
+        this.version = version;
         if (this.isOpen) {
             await this.start();
         }
@@ -69,6 +81,7 @@
             res.writeHead(421, { "Attempt-Id": attempt, "Instance-Id": this.id }).end();
             return;
         }
+        const { version } = this;
         const isDeadly = body === this.deadlyBody;
         const run = { id: attempt, target: this.id, path: req.url, isDeadly, atMs: performance.now(), end: undefined };
         this.ran.push(run);
@@ -78,14 +91,18 @@
             "Response-Seal": `seal-${this.id}`,
             "Content-Type": "text/event-stream",
         });
-        for (let at = Number(req.headers["last-event-id"] ?? 0) + 1, written = 0; at <= this.events; at++, written++) {
+        for (
+            let at = Number(req.headers["last-event-id"] ?? 0) + 1, written = 0;
+            at <= this.events && !res.destroyed;
+            at++, written++
+        ) {
             await sleep(this.stepMs);
             if (isDeadly && written >= this.eventsBeforeCrash) {
                 run.end = { how: "crashed" };
                 await this.crash();
                 return;
             }
-            res.write(`id: ${at}\ndata: ${attempt}\n\n`);
+            res.write(`id: ${at}\ndata: ${attempt} ${version}\n\n`);
         }
         res.end();
     }
