--- a/review/rig.mjs
+++ b/review/rig.mjs
@@ -107,6 +107,8 @@
     workers = [];
     instances = [];
     attempts = 0;
+    watched = new WeakSet();
+    reset = new WeakSet();
 
     constructor(recorder) {
         this.recorder = recorder;
@@ -186,18 +188,31 @@
             const req = request({ host, port, path, method, headers: all, agent: this.agent }, res => {
                 let text = "";
                 res.setEncoding("utf8").on("data", part => text += part);
-                res.on(
-                    "close",
-                    () => end({ status: res.statusCode, headers: res.headers, body: text, isWhole: res.complete }),
-                );
+                // Without a length, the parser takes a reset for the end.
+                res.on("close", () =>
+                    end({
+                        status: res.statusCode,
+                        headers: res.headers,
+                        body: text,
+                        isWhole: res.complete && !this.reset.has(req.socket),
+                    }));
                 res.on("error", () => undefined);
             });
+            req.on("socket", socket => this.watch(socket));
             req.setTimeout(6_000, () => req.destroy());
             req.on("error", () => end({ status: 0, headers: {}, body: "", isWhole: false }));
             req.end(body);
         });
     }
 
+    /** Remembers whether a client's channel was reset. */
+    watch(socket) {
+        if (!this.watched.has(socket)) {
+            this.watched.add(socket);
+            socket.on("error", () => this.reset.add(socket));
+        }
+    }
+
     /** Records what the workers ran. */
     recordRuns() {
         for (const { id, target, path, end } of this.workers.flatMap(worker => worker.ran)) {
@@ -224,10 +239,10 @@
     const recorder = new Recorder(folder);
     const deployment = new Deployment(recorder);
     let code = EXIT.notRun;
+    process.once("exit", () => deployment.instances.forEach(({ child }) => child?.kill("SIGKILL")));
     const timer = setTimeout(() => {
         recorder.add("the run takes too long");
         recorder.save();
-        deployment.instances.forEach(({ child }) => child?.kill("SIGKILL"));
         process.exit(EXIT.notRun);
     }, MAX_RUN_MS);
     try {
--- a/review/worker.mjs
+++ b/review/worker.mjs
@@ -85,7 +85,7 @@
         const isDeadly = body === this.deadlyBody;
         const run = { id: attempt, target: this.id, path: req.url, isDeadly, atMs: performance.now(), end: undefined };
         this.ran.push(run);
-        res.once("close", () => run.end = { how: res.writableFinished ? "complete" : "disconnected" });
+        res.once("close", () => run.end ??= { how: res.writableFinished ? "complete" : "disconnected" });
         res.writeHead(200, {
             "Attempt-Id": attempt,
             "Response-Seal": `seal-${this.id}`,
