--- a/review/rig.mjs
+++ b/review/rig.mjs
@@ -174,7 +174,7 @@
     }
 
     /** Sends a request as a client does, and reads the whole answer. */
-    send(instance, { path, method = "POST", headers = {}, body = "question" }) {
+    send(instance, { path, method = "POST", headers = {}, body = "question", agent = this.agent }) {
         this.attempts += 1;
         const id = `attempt-${this.attempts}`;
         const [host, port] = instance.settings.callers.split(":");
@@ -183,9 +183,9 @@
         return new Promise(resolve => {
             const end = answer => {
                 this.recorder.add(`answer to ${id}: ${answer.status} ${answer.isWhole ? "whole" : "cut"}`);
-                resolve({ id, ...answer });
+                resolve({ id, isKept: req.reusedSocket, ...answer });
             };
-            const req = request({ host, port, path, method, headers: all, agent: this.agent }, res => {
+            const req = request({ host, port, path, method, headers: all, agent }, res => {
                 let text = "";
                 res.setEncoding("utf8").on("data", part => text += part);
                 // Without a length, the parser takes a reset for the end.
