Keep borrowers and owners of budgets to epochs that only go forward

Cause: counts of another epoch were read as "the borrower has received nothing in mine". A borrower whose draw came too late at the successor asked the earlier owner, which took counts of the later epoch that way, counted all that it had handed out as lost in transit, and handed it out again; the borrower then went back to its epoch, and the successor did the same.

Change: an owner that gets a draw of a later epoch gives the budget up at once, since borrowers know an epoch only from its owner; a borrower takes no response of an earlier epoch; an owner to which a borrower has counted leaves what it handed out as spent when that borrower's counts are of an earlier epoch, as those of earlier builds can be.

--- a/packages/budgets/src/borrowed-budget.ts
+++ b/packages/budgets/src/borrowed-budget.ts
@@ -13,7 +13,7 @@
 /** Options of {@link BorrowedBudget}. */
 export interface BorrowedBudgetOptions {
     readonly name: string;
-    /** Sends a draw to the budget's owner; does not throw. */
+    /** Sends a draw to the budget's owner, whose epoch is never before that of the draw; does not throw. */
     readonly draw: (req: BudgetDrawRequest) => Promise<BudgetDrawResponse>;
     /** Whether the KV service responds, so that a missing owner is replaced soon. */
     readonly isKvAvailable: () => boolean;
@@ -150,7 +150,7 @@
             return response;
         }
         this.isUnavailable = false;
-        if (response.epoch !== this.epoch) {
+        if (response.epoch > this.epoch) {
             // Tokens left of an earlier epoch count as spent in this one too, so they are returned in this epoch.
             this.epoch = response.epoch;
             this.received = 0;
--- a/packages/budgets/src/budget-owner.ts
+++ b/packages/budgets/src/budget-owner.ts
@@ -147,7 +147,9 @@
 
     /** Reconciles a borrower's counts and hands out the tokens it requests if the bounds cover them; does not throw. */
     async draw(req: BudgetDrawRequest, from: InstanceInfo): Promise<BudgetDrawResponse> {
-        const found = await this.findShard(getShard(req.budget));
+        const shard = getShard(req.budget);
+        this.dropIfSuperseded(shard, req.epoch);
+        const found = await this.findShard(shard);
         if ("kind" in found) {
             return found;
         }
@@ -315,10 +317,18 @@
         }
     }
 
-    private drop(owned: OwnedShard): void {
+    /** Gives a shard up that another instance owns in a later epoch: borrowers know an epoch only from its owner. */
+    private dropIfSuperseded(shard: number, knownEpoch: number): void {
+        const owned = this.shards.get(shard);
+        if (owned !== undefined && owned.epoch < knownEpoch) {
+            this.drop(owned, { laterEpoch: knownEpoch });
+        }
+    }
+
+    private drop(owned: OwnedShard, fields: Readonly<Record<string, number>> = {}): void {
         if (this.shards.get(owned.shard) === owned) {
             this.shards.delete(owned.shard);
-            this.log("budgets lost to another owner", { shard: owned.shard, epoch: owned.epoch });
+            this.log("budgets lost to another owner", { shard: owned.shard, epoch: owned.epoch, ...fields });
         }
     }
 
--- a/packages/budgets/src/fleet-budgets.test.ts
+++ b/packages/budgets/src/fleet-budgets.test.ts
@@ -24,6 +24,15 @@
     }
 };
 
+/** Holds 100 tokens so many times; returns the total held. */
+const holdSome = async (instance: BudgetInstance, times: number): Promise<number> => {
+    let held = 0;
+    for (let i = 0; i < times; i++) {
+        held += (await instance.budgets.hold("team", 100)).kind === "held" ? 100 : 0;
+    }
+    return held;
+};
+
 test("several instances together can use a whole budget and no more", async t => {
     const fleet = createFleet(1_000);
     const [a, b] = startAll(fleet, 3);
@@ -132,6 +141,39 @@
     t.true(held.some(tokens => tokens > 0), "nobody took the budget over");
 });
 
+// Guards against a borrower that goes back to an earlier owner's epoch, so that both owners take what it has used for lost in transit.
+test("a budget is not overspent after its owner and later its successor did not respond for a time", async t => {
+    const prepaid = 10_000;
+    const fleet = createFleet(prepaid, 0);
+    const instances = startAll(fleet, 4);
+    await instances[0]?.budgets.hold("team", 100);
+    const owner = instances.find(({ budgets }) => budgets.list().length > 0);
+    const borrower = instances.find(instance => instance !== owner && instance !== instances[0]);
+    if (owner === undefined || borrower === undefined) {
+        return t.fail();
+    }
+    let held = 100 + await holdSome(borrower, 20);
+    fleet.network.disconnect(owner.hub);
+    held += await holdSome(borrower, 30);
+    t.is(instances.filter(({ budgets }) => budgets.list().length > 0).length, 2, "nobody took the budget over");
+    fleet.network.reconnect(owner.hub);
+    // The successor's response comes too late, so that the preferred owner, which is the earlier one, is asked next.
+    borrower.hub.input.delayMs = 400;
+    const late = holdSome(borrower, 1);
+    await sleep(300);
+    borrower.hub.input.delayMs = 0;
+    held += await late;
+    let refusals = 0;
+    while (refusals < 10) {
+        const tokens = await holdAll(borrower, 100);
+        held += tokens;
+        refusals = tokens > 0 ? 0 : refusals + 1;
+        await sleep(50);
+    }
+    t.true(held <= prepaid, `${held} of ${prepaid} were held`);
+    t.true(held >= prepaid / 2, `only ${held} of ${prepaid} could be used`);
+});
+
 test("an owner whose record the KV service has lost writes it again and forgets no use", async t => {
     const fleet = createFleet(10_000);
     const instances = startAll(fleet, 4);
--- a/packages/budgets/src/owned-budget.test.ts
+++ b/packages/budgets/src/owned-budget.test.ts
@@ -55,3 +55,27 @@
     budget.reconcile("a", draw(2, 2, 0, 120), 2);
     t.is(budget.spent, 380);
 });
+
+// Guards against borrowers that go back to an earlier owner, as those of earlier versions do.
+test("what a borrower has used stays spent when its counts are of another epoch than before", t => {
+    const budget = createBudget({ window: 0, limit: 0 });
+    budget.reconcile("a", draw(1, 1, 0, 0), 2);
+    budget.reserve(70);
+    budget.handOut("a", 70);
+    budget.reconcile("a", draw(2, 2, 70, 0), 2);
+    t.true(budget.reconcile("a", draw(3, 1, 40, 0), 2));
+    t.is(budget.spent, 70);
+    budget.reserve(20);
+    budget.handOut("a", 20);
+    t.true(budget.reconcile("a", draw(4, 2, 20, 5), 2));
+    t.is(budget.spent, 85);
+});
+
+test("a draw of a later owner's epoch changes no counts", t => {
+    const budget = createBudget({ window: 0, limit: 0 });
+    budget.reconcile("a", draw(1, 1, 0, 0), 1);
+    budget.reserve(70);
+    budget.handOut("a", 70);
+    t.false(budget.reconcile("a", draw(2, 2, 0, 0), 1));
+    t.is(budget.spent, 70);
+});
--- a/packages/budgets/src/owned-budget.ts
+++ b/packages/budgets/src/owned-budget.ts
@@ -5,9 +5,11 @@
 
 /** Tokens that one borrower received and returned in this epoch. */
 interface Borrower {
-    seq: number;
+    readonly seq: number;
     handed: number;
-    returned: number;
+    readonly returned: number;
+    /** Whether it has counted tokens of this epoch. */
+    readonly hasCounted: boolean;
 }
 
 /** One budget at its owner. */
@@ -68,18 +70,27 @@
         return performance.now() - this.ownedSinceMs;
     }
 
-    /** Applies a borrower's counts; returns false where the request is not newer than the last one that was applied. */
+    /**
+     * Applies a borrower's counts. Returns false where the request is not newer than the last one that was applied, or where its
+     * counts are of a later owner.
+     */
     reconcile(borrowerId: string, req: BudgetDrawRequest, epoch: number): boolean {
-        const borrower = this.borrowers.get(borrowerId) ?? { seq: 0, handed: 0, returned: 0 };
-        if (req.seq <= borrower.seq) {
+        const borrower = this.borrowers.get(borrowerId) ?? { seq: 0, handed: 0, returned: 0, hasCounted: false };
+        if (req.seq <= borrower.seq || req.epoch > epoch) {
             return false;
         }
-        const counts = req.epoch === epoch ? req : { received: 0, returned: 0 };
+        const { seq } = req;
+        if (req.epoch < epoch && borrower.hasCounted) {
+            // The borrower went back to an earlier owner's epoch; what it had of this one is not known and stays spent.
+            this.borrowers.set(borrowerId, { seq, handed: 0, returned: 0, hasCounted: true });
+            return true;
+        }
+        const hasCounted = req.epoch === epoch;
+        const { received, returned } = hasCounted ? req : { received: 0, returned: 0 };
         // Tokens that the borrower never received were lost in transit: it discards late responses.
-        const lost = borrower.handed - counts.received;
-        const returned = counts.returned - borrower.returned;
-        this.handedOut -= lost + returned;
-        this.borrowers.set(borrowerId, { seq: req.seq, handed: counts.received, returned: counts.returned });
+        const lost = borrower.handed - received;
+        this.handedOut -= lost + returned - borrower.returned;
+        this.borrowers.set(borrowerId, { seq, handed: received, returned, hasCounted });
         return true;
     }
 
--- a/packages/budgets/src/owner-finder.ts
+++ b/packages/budgets/src/owner-finder.ts
@@ -40,8 +40,12 @@
             tried.add(next);
             const response = await this.requestDraw(next, req);
             if (response.kind === "granted" || response.kind === "exhausted") {
-                this.owners.set(shard, next);
-                return response;
+                if (response.epoch >= req.epoch) {
+                    this.owners.set(shard, next);
+                    return response;
+                }
+                // Counts of an earlier epoch would tell the later owner that all it has handed out was lost in transit.
+                cause = "an earlier owner responded";
             }
             if (response.kind === "unavailable" && response.isOwner) {
                 return response;
--- a/packages/budgets/src/random-faults.test.ts
+++ b/packages/budgets/src/random-faults.test.ts
@@ -17,3 +17,10 @@
     t.deepEqual(results.filter(({ used }) => used > PREPAID), []);
     t.true(results.some(({ used }) => used > 0));
 });
+
+test("no seed lets more tokens be used than are prepaid while owners freeze in turn and responses come late", async t => {
+    const faults = ["late", "network"] as const;
+    const results = await runScenarios(SEEDS, { faults, prepaid: PREPAID, steps: 2 * STEPS });
+    t.deepEqual(results.filter(({ used }) => used > PREPAID), []);
+    t.true(results.some(({ used }) => used > 0));
+});
