Limit what many endless responses take of an instance at once

What callers saw, in another operator's report: a target that sends bytes without end fills the memory of the instance that called it, and the requests of others end with it.

Cause: each endless response was limited, many at once were not enough. Held responses could take 64 MiB and copies that are not collected yet came on top; a chunked body of one-byte chunks passed the limit on framing (6 bytes for one, 16 are allowed) and took all of the processor's time.

Change: responses hold 32 MiB at most; a response of more than 65,536 parts with a mean below 16 bytes is abandoned.

--- a/packages/relay/src/http/slow-caller.test.ts
+++ b/packages/relay/src/http/slow-caller.test.ts
@@ -88,7 +88,7 @@
         await sleep(10);
     }
     const { heldResponseBytes } = path.relay;
-    t.true(heldResponseBytes > 0 && heldResponseBytes < 64 * 1_024 * 1_024, String(heldResponseBytes));
+    t.true(heldResponseBytes > 0 && heldResponseBytes <= 32 * 1_024 * 1_024, String(heldResponseBytes));
     t.true(path.log.lines.some(({ event }) => event === "request refused"));
     const small = await openCaller(
         path.callerPort,
--- a/packages/relay/src/http/target-call-handler.ts
+++ b/packages/relay/src/http/target-call-handler.ts
@@ -8,6 +8,12 @@
 /** Maximum size of a complete or streamed response, in bytes; limits the use of memory. */
 const MAX_RESPONSE_BYTES = 16 * 1_024 * 1_024;
 
+/** Number of parts from which a response must be larger than so many parts of the minimum mean size. */
+const MAX_SMALL_PARTS = 65_536;
+
+/** Minimum mean size of the parts of a response with many of them, in bytes; smaller ones take a processor's time without end. */
+const MIN_MEAN_PART_BYTES = 16;
+
 /** Maximum size of a body that is read only to reuse its connection, in bytes. */
 const MAX_DISCARDED_BYTES = 65_536;
 
@@ -30,6 +36,7 @@
     private sent = false;
     private settled = false;
     private bytes = 0;
+    private parts = 0;
     private aborted: Error | undefined;
 
     constructor(
@@ -91,11 +98,16 @@
 
     onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
         this.bytes += chunk.length;
+        this.parts += 1;
         this.watch.addBody(chunk.length);
         if (this.bytes > (this.discardTimer === undefined ? MAX_RESPONSE_BYTES : MAX_DISCARDED_BYTES)) {
             this.abort(new Error("the response is too large"));
             return;
         }
+        if (this.parts > MAX_SMALL_PARTS && this.bytes < this.parts * MIN_MEAN_PART_BYTES) {
+            this.abort(new Error("the response has too many small parts"));
+            return;
+        }
         this.body.push(chunk);
     }
 
--- a/packages/relay/src/response-memory.ts
+++ b/packages/relay/src/response-memory.ts
@@ -1,5 +1,8 @@
-/** Maximum size of all responses that are held in memory, in bytes; a fifth of the memory of a small instance. */
-const MAX_HELD_BYTES = 64 * 1_024 * 1_024;
+/**
+ * Maximum size of all responses that are held in memory, in bytes. Until they are collected, copies take about as much again; both
+ * fit into the 250 MB of the smallest instances.
+ */
+const MAX_HELD_BYTES = 32 * 1_024 * 1_024;
 
 /**
  * Limits the bytes of all responses that are held at the same time. A response may hold at most as much as is still
