--- a/packages/bench/src/platform/connection-handoff.test.ts
+++ b/packages/bench/src/platform/connection-handoff.test.ts
@@ -2,13 +2,23 @@
 import { once } from "node:events";
 import { connect } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
-import { request } from "undici";
-import { PlatformFleet, type PlatformInstance } from "./platform-fleet.js";
+import { Client, request } from "undici";
+import { MODEL_EVENTS, PlatformFleet, type PlatformInstance } from "./platform-fleet.js";
 
 /** Body that takes long to read in relation to sending it, in bytes; below the limit of the desired state. */
 const BODY = Buffer.alloc(900_000, "x");
 
 const UPLOADERS = 8;
+
+/** Callers that keep their connections. */
+const CALLERS = 24;
+const STOP_WITHIN_S = 4;
+
+/**
+ * Who stops, and the time for each event of a stream. Callers of the busy instance learn of its stop, so that it accepts all requests at
+ * first; their streams take less than the rest of the stop. Those of the helper's stop take longer.
+ */
+const STOPS = [{ who: "helper", stepMs: 450 }, { who: "busy instance", stepMs: 350 }] as const;
 const REQUESTS = 10;
 
 /** Time in which an instance hands connections off, or keeps them again, on a busy machine; in milliseconds. */
@@ -44,6 +54,93 @@
     return false;
 };
 
+/** Loads an instance until another one serves its callers; returns that one and a function that ends the load. */
+const loadUntilHandedOff = async (fleet: PlatformFleet, busy: PlatformInstance) => {
+    let isLoaded = true;
+    const uploaders = Array.from({ length: UPLOADERS }, async (_, uploader) => {
+        for (let turn = 0; isLoaded; turn++) {
+            await upload(busy, `upload-${uploader}-${turn}`);
+        }
+    });
+    let helper: PlatformInstance | undefined;
+    await until(async () => {
+        const { handoff } = await getState(busy);
+        helper = fleet.instances.find(({ name }) => name === handoff.helper);
+        return helper !== undefined;
+    });
+    const endLoad = async (): Promise<void> => {
+        isLoaded = false;
+        await Promise.all(uploaders);
+    };
+    return { helper, endLoad };
+};
+
+interface StreamCall {
+    readonly id: string;
+    readonly status: number;
+    readonly isWhole: boolean;
+}
+
+/** Asks a model again and again on one connection, until it is told to end. */
+const streamInTurn = async (
+    fleet: PlatformFleet,
+    { callers }: PlatformInstance,
+    calls: StreamCall[],
+    state: { isOpen: boolean; },
+): Promise<void> => {
+    const connection = new Client(`http://${callers}`);
+    while (state.isOpen) {
+        const headers = fleet.createHeaders(10);
+        const id = headers["attempt-id"] ?? "";
+        try {
+            const res = await connection.request({ method: "POST", path: "/fixed/x", headers });
+            const text = await res.body.text();
+            calls.push({ id, status: res.statusCode, isWhole: text.includes(`id: ${MODEL_EVENTS}\n`) });
+            await sleep(res.statusCode === 200 ? 0 : 100);
+        }
+        catch {
+            calls.push({ id, status: 0, isWhole: false });
+        }
+    }
+    await connection.destroy();
+};
+
+for (const { who, stepMs } of STOPS) {
+    // Guards against requests that are taken late in a stop, on connections whose callers do not know of it.
+    test.serial(`requests on connections that were handed off are answered or refused when the ${who} stops`, async t => {
+        const fleet = await PlatformFleet.start({ models: { stepMs }, stopWithinS: STOP_WITHIN_S });
+        t.teardown(() => fleet.close());
+        const streamMs = stepMs * MODEL_EVENTS;
+        const [busy] = fleet.instances;
+        if (busy === undefined) {
+            throw new Error("no instances");
+        }
+        const { helper, endLoad } = await loadUntilHandedOff(fleet, busy);
+        const calls: StreamCall[] = [];
+        const state = { isOpen: true };
+        const callers = Array.from({ length: CALLERS }, async (_, at) => {
+            await sleep(at * streamMs / CALLERS);
+            await streamInTurn(fleet, busy, calls, state);
+        });
+        const areHandedOff = await until(async () =>
+            ((await getState(busy)).handoff.connections[helper?.name ?? ""] ?? 0) >= CALLERS * 0.75
+        );
+        await endLoad();
+        // One more whole stream, so that the connections have brought responses before.
+        await sleep(streamMs + stepMs);
+        const before = calls.length;
+        const stopping = (who === "helper" ? helper : busy)?.process.stop();
+        t.is((await stopping)?.code, 0);
+        state.isOpen = false;
+        await Promise.all(callers);
+        t.true(areHandedOff, fleet.logTails);
+        const ran = new Set(fleet.ran.map(({ id }) => id));
+        const cut = calls.slice(before).filter(({ id, isWhole }) => ran.has(id) && !isWhole);
+        t.deepEqual(cut, [], fleet.logTails);
+        t.true(calls.slice(before).some(({ isWhole }) => isWhole));
+    });
+}
+
 test.serial("callers of an instance that has too much to do are served by another one, each request once", async t => {
     const fleet = await PlatformFleet.start();
     t.teardown(() => fleet.close());
--- a/packages/relay/src/handoff/connection-handoff.ts
+++ b/packages/relay/src/handoff/connection-handoff.ts
@@ -1,8 +1,9 @@
 import { connect, type MembershipChange, type PeerHub } from "@ospreyreel/peer";
-import type { Address, InstanceInfo } from "@ospreyreel/types";
+import type { Address, HandoffStop, InstanceInfo } from "@ospreyreel/types";
 import type { Socket } from "node:net";
 import { chooseHelpers } from "../policy/choose-helpers.js";
 import { HandoffPolicy } from "../policy/handoff-policy.js";
+import type { StopWindow } from "../policy/stop-window.js";
 import type { RelayLog } from "../relay-log.js";
 import { EventLoopLoad } from "./event-loop-load.js";
 import { joinConnections } from "./join-connections.js";
@@ -78,6 +79,7 @@
     private readonly takeIdleShare: () => number;
     private readonly stopping = new AbortController();
     private current: Helper | undefined;
+    private stopWindow: StopWindow | undefined;
     private isSearching = false;
     private searchAgainAtMs = 0;
     private newestServed = 0;
@@ -100,10 +102,12 @@
         void this.opts.hub.changes().observe(change => this.handleChange(change));
     }
 
-    /** Hands no further connection off; those that peers serve stay open. */
-    stop(): void {
+    /** Hands no further connection off; those that peers serve stay open until the end of the window, of which they are told. */
+    stop(window?: StopWindow): void {
         this.stopping.abort();
         this.current = undefined;
+        this.stopWindow = window;
+        this.renewAll();
     }
 
     /** Whether this instance has time for the callers of another one; one that it serves already is given up later. */
@@ -259,7 +263,7 @@
 
     private async askOnce(helper: Helper): Promise<HelperAnswer> {
         try {
-            const req = { version: this.minVersion };
+            const req = { version: this.minVersion, stop: this.getStop() };
             const { incarnation } = helper.info;
             const res = await this.opts.hub.request(incarnation, "connections.take", req, HELPER_TIMEOUT_MS);
             if (res.kind === "refused") {
@@ -275,6 +279,15 @@
         }
     }
 
+    private getStop(): HandoffStop | undefined {
+        if (this.stopWindow === undefined) {
+            return undefined;
+        }
+        const { servesUntilMs, endsAtMs } = this.stopWindow;
+        const nowMs = performance.now();
+        return { servesForMs: servesUntilMs - nowMs, endsInMs: endsAtMs - nowMs - HELPER_TIMEOUT_MS };
+    }
+
     /** Oldest version with which a helper may serve: no caller gets an older one than it has seen here. */
     private get minVersion(): number {
         return Math.max(this.opts.getVersion(), this.newestServed);
--- a/packages/relay/src/handoff/handoff-port.ts
+++ b/packages/relay/src/handoff/handoff-port.ts
@@ -1,8 +1,9 @@
 import type { PeerHub } from "@ospreyreel/peer";
-import type { Address, HandoffResponse, InstanceInfo } from "@ospreyreel/types";
+import type { Address, HandoffRequest, HandoffResponse, HandoffStop, InstanceInfo } from "@ospreyreel/types";
 import { once } from "node:events";
 import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
 import type { AcceptedConnection, ConnectionOrigin } from "../http/accepted-connection.js";
+import { StopWindow } from "../policy/stop-window.js";
 import type { RelayLog } from "../relay-log.js";
 import { createTicket, readTicket } from "./handoff-preamble.js";
 
@@ -25,7 +26,7 @@
 /** Time within which the ticket arrives on a new connection, in milliseconds. */
 const TICKET_TIMEOUT_MS = 1_000;
 
-/** Time without a request after which a connection is closed whose instance leaves, in milliseconds. */
+/** Time without a request after which a connection is closed when its instance or this one leaves, in milliseconds. */
 const LEAVING_IDLE_MS = 1_000;
 
 /** Interval of the checks for such connections, in milliseconds. */
@@ -38,12 +39,19 @@
     requests = 0;
     isLeaving = false;
     minVersion = 0;
+    stopWindow: StopWindow | undefined;
 
     constructor(readonly instance: string) {}
 
     recordRequest(): void {
         this.requests += 1;
     }
+
+    stopBy({ servesForMs, endsInMs }: HandoffStop): void {
+        const nowMs = performance.now();
+        this.isLeaving = true;
+        this.stopWindow ??= new StopWindow({ servesUntilMs: nowMs + servesForMs, endsAtMs: nowMs + endsInMs });
+    }
 }
 
 /** Connections of peers' callers that an instance serves, by instance. */
@@ -53,6 +61,7 @@
 export class HandoffPort {
     private readonly server: Server;
     private readonly origins = new Map<string, Origin>();
+    private isLeaving = false;
 
     constructor(private readonly opts: HandoffPortOptions) {
         this.server = createServer({ allowHalfOpen: true, noDelay: true }, socket => void this.receive(socket));
@@ -63,7 +72,7 @@
         const { hub, listen } = this.opts;
         this.server.listen(listen.port, listen.host);
         await once(this.server, "listening");
-        hub.handle("connections.take", ({ version }, from) => Promise.resolve(this.agree(version, from)));
+        hub.handle("connections.take", (req, from) => Promise.resolve(this.agree(req, from)));
         void hub.changes().observe(({ kind, info }) => {
             const origin = this.origins.get(info.incarnation);
             if (origin === undefined) {
@@ -88,14 +97,25 @@
         );
     }
 
+    /** Starts closing the connections that bring no request, since their callers learn nothing of this instance's stop. */
+    leave(): void {
+        this.isLeaving = true;
+    }
+
     /** Stops listening; the connections are closed by the port that serves them. */
     close(): void {
         this.server.close();
     }
 
-    private agree(version: number, { incarnation, instance, configRevision }: InstanceInfo): HandoffResponse {
+    private agree(
+        { version, stop }: HandoffRequest,
+        { incarnation, instance, configRevision }: InstanceInfo,
+    ): HandoffResponse {
         const known = this.origins.get(incarnation);
         const origin = known ?? new Origin(instance);
+        if (stop !== undefined) {
+            origin.stopBy(stop);
+        }
         origin.minVersion = Math.max(origin.minVersion, version, configRevision);
         const decidedBy = this.opts.findVersion(origin.minVersion);
         const cause = decidedBy < origin.minVersion
@@ -135,7 +155,7 @@
 
     private closeIdle(): void {
         for (const origin of this.origins.values()) {
-            if (origin.isLeaving) {
+            if (this.isLeaving || origin.isLeaving) {
                 [...origin.connections].filter(([, { idleMs }]) => idleMs >= LEAVING_IDLE_MS)
                     .forEach(([socket]) => socket.destroySoon());
             }
--- a/packages/relay/src/http/http-caller-port.ts
+++ b/packages/relay/src/http/http-caller-port.ts
@@ -267,7 +267,8 @@
         }
         await readPendingClose();
         const minVersion = Math.max(origin?.minVersion ?? 0, this.opts.getMinVersion?.() ?? 0);
-        await this.opts.serve({ ...head, body, minVersion, keepsVersion: origin !== undefined }, caller);
+        const handedOff = origin === undefined ? {} : { keepsVersion: true, handedOffBy: origin };
+        await this.opts.serve({ ...head, body, minVersion, ...handedOff }, caller);
     }
 
     /** Reads a body; `leaving` if it has not arrived when the port stops accepting. */
--- a/packages/relay/src/instance/relay-instance.ts
+++ b/packages/relay/src/instance/relay-instance.ts
@@ -444,7 +444,7 @@
         const { cfg, log } = this;
         const startedAtMs = performance.now();
         const stopMs = cfg.stopWithinS * MS_PER_S;
-        const window = new StopWindow({
+        const window = StopWindow.open({
             startedAtMs,
             lengthMs: stopMs * STOP_TIME_SHARE,
             addressLifetimeMs: ADDRESS_TTL_FACTOR * cfg.addressTtlS * MS_PER_S,
@@ -453,7 +453,8 @@
         this.relay.limitTo(window);
         this.hub.updateSelf({ state: "leaving" });
         this.callerPort.drain();
-        this.handoff.stop();
+        this.handoff.stop(window);
+        this.handoffPort?.leave();
         void this.releaseBudgets();
         await waitUntilDrained({
             window,
--- a/packages/relay/src/instance/wait-until-drained.test.ts
+++ b/packages/relay/src/instance/wait-until-drained.test.ts
@@ -3,7 +3,7 @@
 import { waitUntilDrained } from "./wait-until-drained.js";
 
 const createWindow = (lengthMs: number): StopWindow =>
-    new StopWindow({ startedAtMs: performance.now(), lengthMs, addressLifetimeMs: 20 });
+    StopWindow.open({ startedAtMs: performance.now(), lengthMs, addressLifetimeMs: 20 });
 
 test("a request that arrives while an idle instance closes its connections is not accepted and cut", async t => {
     const window = createWindow(60_000);
--- a/packages/relay/src/policy/stop-window.test.ts
+++ b/packages/relay/src/policy/stop-window.test.ts
@@ -3,7 +3,7 @@
 import { StopWindow } from "./stop-window.js";
 
 const createWindow = (addressLifetimeMs: number): StopWindow =>
-    new StopWindow({ startedAtMs: 1_000, lengthMs: 8_000, addressLifetimeMs });
+    StopWindow.open({ startedAtMs: 1_000, lengthMs: 8_000, addressLifetimeMs });
 
 test("callers that do not know of the stop yet are served whatever their deadline", t => {
     const window = createWindow(3_000);
@@ -25,3 +25,12 @@
     }));
     t.pass();
 });
+
+// Guards against requests on handed-off connections that are cut at the end of the stop of the instance that serves them.
+test("of a peer's callers only requests are accepted that end before the stop does", t => {
+    const window = createWindow(3_000);
+    t.false(window.isAcceptingForPeer(9_001));
+    t.true(window.isAcceptingForPeer(9_000));
+    window.close();
+    t.false(window.isAcceptingForPeer(9_000));
+});
--- a/packages/relay/src/policy/stop-window.ts
+++ b/packages/relay/src/policy/stop-window.ts
@@ -1,5 +1,5 @@
-/** Options of {@link StopWindow}. */
-export interface StopWindowOptions {
+/** Options of {@link StopWindow.open}. */
+export interface StopOptions {
     /** Monotonic time of the stop's start, in milliseconds. */
     readonly startedAtMs: number;
     /** Time from the start until the requests that still run are ended, in milliseconds. */
@@ -8,6 +8,14 @@
     readonly addressLifetimeMs: number;
 }
 
+/** Options of {@link StopWindow}; monotonic times in milliseconds. */
+export interface StopWindowOptions {
+    /** Until when every request is accepted. */
+    readonly servesUntilMs: number;
+    /** When the requests that still run are ended. */
+    readonly endsAtMs: number;
+}
+
 /** Share of the stop in which every request is accepted at most; the rest is left for those requests to end. */
 const MAX_SERVING_SHARE = 0.4;
 
@@ -22,9 +30,17 @@
     readonly endsAtMs: number;
     private isClosed = false;
 
-    constructor({ startedAtMs, lengthMs, addressLifetimeMs }: StopWindowOptions) {
-        this.servesUntilMs = startedAtMs + Math.min(addressLifetimeMs, MAX_SERVING_SHARE * lengthMs);
-        this.endsAtMs = startedAtMs + lengthMs;
+    constructor({ servesUntilMs, endsAtMs }: StopWindowOptions) {
+        this.servesUntilMs = servesUntilMs;
+        this.endsAtMs = endsAtMs;
+    }
+
+    /** Opens the window of a stop of this instance. */
+    static open({ startedAtMs, lengthMs, addressLifetimeMs }: StopOptions): StopWindow {
+        return new StopWindow({
+            servesUntilMs: startedAtMs + Math.min(addressLifetimeMs, MAX_SERVING_SHARE * lengthMs),
+            endsAtMs: startedAtMs + lengthMs,
+        });
     }
 
     /** Whether a request that has to end by `deadlineMs` is accepted. Both are monotonic times in milliseconds. */
@@ -32,6 +48,14 @@
         return !this.isClosed && (nowMs < this.servesUntilMs || deadlineMs <= this.endsAtMs);
     }
 
+    /**
+     * Whether a request is accepted of a caller that another instance told its address, and that learns nothing of this stop: one that
+     * has to end by `deadlineMs`, a monotonic time in milliseconds.
+     */
+    isAcceptingForPeer(deadlineMs: number): boolean {
+        return !this.isClosed && deadlineMs <= this.endsAtMs;
+    }
+
     /** Accepts nothing any more. */
     close(): void {
         this.isClosed = true;
--- a/packages/relay/src/relay-request.ts
+++ b/packages/relay/src/relay-request.ts
@@ -1,3 +1,5 @@
+import type { StopWindow } from "./policy/stop-window.js";
+
 /** One part of a prompt; requests with the same preceding parts can share a target's cached state of it. */
 export interface PromptPart {
     readonly id: string;
@@ -38,6 +40,14 @@
     readonly minVersion?: number | undefined;
     /** Whether the oldest such version decides: the instance through which the request came has no newer one yet. */
     readonly keepsVersion?: boolean;
+    /** Set where the request came on a connection that a peer has handed off. */
+    readonly handedOffBy?: HandedOffBy;
+}
+
+/** The peer that handed a request's connection off. */
+export interface HandedOffBy {
+    /** Which requests are accepted until the peer ends; undefined where it is not stopping. */
+    readonly stopWindow: Pick<StopWindow, "isAccepting"> | undefined;
 }
 
 /** Maximum number of prompt parts of one request that are watched, beside the whole request; limits what a long prompt costs. */
--- a/packages/relay/src/relay.test.ts
+++ b/packages/relay/src/relay.test.ts
@@ -158,7 +158,7 @@
         random: () => 0,
     });
     if (stop === "late") {
-        relay.limitTo(new StopWindow({ startedAtMs: performance.now(), lengthMs: 0, addressLifetimeMs: 0 }));
+        relay.limitTo(StopWindow.open({ startedAtMs: performance.now(), lengthMs: 0, addressLifetimeMs: 0 }));
     }
     const caller = new FakeExchange();
     if (disconnectsAfterMs === "before") {
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -161,7 +161,7 @@
         this.opts.getRetries(service).recordRequest();
         const waitsMs = Math.min(route.timeoutMs, req.waitsMs ?? route.timeoutMs);
         const deadlineMs = req.arrivedAtMs + waitsMs;
-        if (this.stopWindow?.isAccepting(performance.now(), deadlineMs) === false) {
+        if (!this.isAccepting(req, deadlineMs)) {
             this.refuse(req, caller, service, LEAVING_REFUSAL, { team });
             return;
         }
@@ -211,6 +211,15 @@
         }
     }
 
+    /** Whether the stop of this instance, or of the one that handed the connection off, leaves time for a request. */
+    private isAccepting({ handedOffBy }: RelayRequest, deadlineMs: number): boolean {
+        const nowMs = performance.now();
+        const isAccepted = handedOffBy === undefined
+            ? this.stopWindow?.isAccepting(nowMs, deadlineMs)
+            : this.stopWindow?.isAcceptingForPeer(deadlineMs);
+        return isAccepted !== false && handedOffBy?.stopWindow?.isAccepting(nowMs, deadlineMs) !== false;
+    }
+
     /** Refuses a request for which this instance's view is too old; returns whether it is not. */
     private async hasCurrentView(req: RelayRequest, caller: CallerExchange): Promise<boolean> {
         const { documents, freshness } = this.opts;
--- a/packages/types/src/peer-requests.ts
+++ b/packages/types/src/peer-requests.ts
@@ -374,6 +374,16 @@
 export interface HandoffRequest {
     /** Oldest version of the desired state with which they may be served. */
     readonly version: number;
+    /** Set while the sender is stopping. */
+    readonly stop?: HandoffStop | undefined;
+}
+
+/** How long an instance that hands connections off goes on with them while it stops, in milliseconds from now. */
+export interface HandoffStop {
+    /** Time for which every request is accepted. */
+    readonly servesForMs: number;
+    /** Time until the connections are closed. */
+    readonly endsInMs: number;
 }
 
 /** Whether a peer serves connections of the sender's callers. */
