Continue streams only where it is certain which start of a target began them

Cause: the version of a stream was the one that the directory held of the target's id, however old the directory was. A target that starts again as another version accepts requests for its id, so the instance took v2 for v1, or continued a stream there.

Change: the start that responded is checked. A target writes its entry before it listens and a connection ends with its process, so a view that was confirmed, or an entry that is read, after the connection was open names the start at its other end. The entry is read only where a stream breaks off, is continued, or begins while several versions serve; through a peer where the KV service is not reached. What stays unknown is not continued and not remembered.

--- a/packages/relay/src/http/target-call-handler.ts
+++ b/packages/relay/src/http/target-call-handler.ts
@@ -84,6 +84,7 @@
                     kind: "answer",
                     head: { status, headers: decoded.headers, isFramed: this.isFramed },
                     body: this.body,
+                    connectedAtMs: this.watch.connectedAtMs,
                     ...(decoded.notes === undefined ? {} : { notes: decoded.notes }),
                 });
                 break;
--- a/packages/relay/src/instance/relay-instance.ts
+++ b/packages/relay/src/instance/relay-instance.ts
@@ -20,6 +20,7 @@
 import { DecisionStore } from "../quarantine/decision-store.js";
 import { PartQuarantine } from "../quarantine/part-quarantine.js";
 import { Relay } from "../relay.js";
+import { AnnouncedStartCheck } from "../targets/start-check.js";
 import { TargetDirectory } from "../targets/target-directory.js";
 import { TargetFollower } from "../targets/target-follower.js";
 import { TargetSelector } from "../targets/target-selector.js";
@@ -98,6 +99,7 @@
     private readonly versions: VersionHistory;
     private readonly versionRecord: VersionRecord;
     private readonly origins: FleetStreamOrigins;
+    private readonly starts: AnnouncedStartCheck;
     private readonly parts: PartQuarantine;
     private readonly decisions: DecisionStore;
     /** Resolves once requests are accepted. */
@@ -131,6 +133,14 @@
         this.sending = this.createSending();
         const fleetKv = new PeerKvClient({ own: this.kv, hub });
         fleetKv.serve();
+        this.starts = new AnnouncedStartCheck({
+            kv: fleetKv,
+            codec: adapter.targetCodec,
+            directory: this.directory,
+            freshness: this.freshness,
+            log: this.log,
+            count: name => this.metrics.add(name),
+        });
         this.budgets = new FleetBudgets({
             kv: fleetKv,
             isKvAvailable: () => this.health.isAvailable || fleetKv.hasHelper,
@@ -298,6 +308,7 @@
             freshness: this.freshness,
             permits: new CombinedSendPermits([this.permits, this.room]),
             origins: this.origins,
+            starts: this.starts,
             parts: this.parts,
             log: this.log,
             meter: this.metrics,
--- a/packages/relay/src/paths/forwarded-calls.ts
+++ b/packages/relay/src/paths/forwarded-calls.ts
@@ -57,7 +57,9 @@
         }
         void this.watch(send, peer, call.leftMs);
         const { status, headers, isFramed, notes } = head;
-        return { kind: "answer", head: { status, headers, isFramed }, body: opened.body, notes };
+        // The peer's connection was open before the head arrived here.
+        const connectedAtMs = performance.now();
+        return { kind: "answer", head: { status, headers, isFramed }, body: opened.body, notes, connectedAtMs };
     }
 
     private openCall(send: number, peer: string): OpenCall {
--- a/packages/relay/src/relay-attempts.ts
+++ b/packages/relay/src/relay-attempts.ts
@@ -4,6 +4,7 @@
 import type { RefusalReason, RelayRefusal } from "./relay-refusal.js";
 import type { AdmittedRequest, RelayOptions } from "./relay.js";
 import { StreamRelay } from "./stream/stream-relay.js";
+import type { RespondingTarget } from "./targets/start-check.js";
 import type { TargetOutcome } from "./targets/target-port.js";
 import type { BegunStream } from "./targets/target-selector.js";
 import type { TargetState } from "./targets/target-state.js";
@@ -12,6 +13,8 @@
 /** Result of a request that got a response, or whose caller no longer waits. */
 export type AttemptsResult = "answered" | "streamed" | "broken" | "caller_left";
 
+type TargetAnswer = Extract<TargetOutcome, { readonly kind: "answer"; }>;
+
 type Step =
     | { readonly kind: "end"; readonly end: AttemptsResult | RelayRefusal; }
     /** Another target may be tried. */
@@ -48,6 +51,9 @@
     private readonly stream: StreamRelay;
     /** Version of the stream that the sends have to continue. */
     private begun: BegunStream | undefined;
+    /** Resolves whether it is known which start of a target sent the first event; undefined where that is certain. */
+    private verifying: Promise<boolean> | undefined;
+    private uncertain: RespondingTarget | undefined;
     private sends = 0;
     private lastTarget = "";
     private failedConnects = 0;
@@ -191,7 +197,7 @@
             case "answer":
                 this.sends += 1;
                 this.mayHaveRun = true;
-                return await this.relayResponse(state, outcome.head, outcome.body, firstByteMs);
+                return await this.relayResponse(state, outcome, firstByteMs);
         }
     }
 
@@ -221,28 +227,30 @@
         );
     }
 
-    private async relayResponse(
-        state: TargetState,
-        head: ResponseHead,
-        body: AsyncIterable<Buffer>,
-        firstByteMs: number,
-    ): Promise<Step> {
+    private async relayResponse(state: TargetState, answer: TargetAnswer, firstByteMs: number): Promise<Step> {
+        const { head, body } = answer;
         const isOk = head.status >= HTTP_OK_FROM && head.status < HTTP_OK_BELOW;
         return isOk && this.request.admission.route.kind === "streaming"
-            ? await this.relayStream(state, head, body, firstByteMs)
+            ? await this.relayStream(state, answer, firstByteMs)
             : await this.relayBuffered(state, head, body, firstByteMs);
     }
 
     private async relayStream(
         state: TargetState,
-        head: ResponseHead,
-        body: AsyncIterable<Buffer>,
+        { head, body, connectedAtMs }: TargetAnswer,
         firstByteMs: number,
     ): Promise<Step> {
         const { caller, clock } = this.request;
+        const responding = { target: state.target, connectedAtMs };
+        if (this.begun !== undefined && !await this.opts.starts.verify(responding)) {
+            // What another version writes does not continue the stream.
+            await body[Symbol.asyncIterator]().return?.();
+            this.logSend(state, "unknown start", "the target may have started again as another version");
+            return this.canRepeat() ? RETRY_STEP : { kind: "end", end: this.failRequest("versionUnavailable") };
+        }
         const result = await this.stream.relay(head, body, {
             signal: clock.signal,
-            onFirstEvent: () => this.recordBegun(state),
+            onFirstEvent: () => this.recordBegun(responding),
         });
         if (result.kind === "complete") {
             state.health.recordResponse(false, firstByteMs);
@@ -250,13 +258,14 @@
             this.hasWholeStream = true;
             return { kind: "end", end: "streamed" };
         }
+        const isOriginKnown = this.verifyOrigin();
         if (clock.endReason === "caller_left") {
             return { kind: "end", end: "caller_left" };
         }
         const cause = result.kind === "cut" ? result.cause : "events out of order";
         if (clock.endReason === undefined && result.kind === "cut") {
             const step = await this.handleFailure(state, cause);
-            if (step.kind === "again" || !this.stream.isStarted) {
+            if (!this.stream.isStarted || (step.kind === "again" && await isOriginKnown)) {
                 return step;
             }
         }
@@ -268,15 +277,44 @@
         return { kind: "end", end: "broken" };
     }
 
-    private recordBegun({ target: { service, version } }: TargetState): void {
-        const { req, watched, admission } = this.request;
-        this.begun ??= { version };
-        this.opts.parts.recordBegun(watched);
+    private recordBegun(responding: RespondingTarget): void {
+        const isContinued = this.begun !== undefined;
+        this.begun ??= { version: responding.target.version };
+        this.opts.parts.recordBegun(this.request.watched);
+        if (isContinued || this.opts.starts.isCertain(responding)) {
+            this.recordOrigin(responding);
+        }
+        else {
+            this.uncertain = responding;
+            if (this.opts.origins.isMixed(responding.target.service)) {
+                // Other instances have to know the origin before this one may be killed.
+                void this.verifyOrigin();
+            }
+        }
+    }
+
+    private recordOrigin({ target: { service, version } }: RespondingTarget): void {
+        const { req, admission } = this.request;
         if (version !== undefined) {
             this.opts.origins.recordBegun(getStreamName(admission.team, req.id), { service, version });
         }
     }
 
+    /** Finds out which version began the stream; returns whether that is known. Does not throw. */
+    private async verifyOrigin(): Promise<boolean> {
+        const { uncertain } = this;
+        if (uncertain === undefined) {
+            return true;
+        }
+        this.verifying ??= this.opts.starts.verify(uncertain).then(isKnown => {
+            if (isKnown) {
+                this.recordOrigin(uncertain);
+            }
+            return isKnown;
+        });
+        return await this.verifying;
+    }
+
     private async relayBuffered(
         state: TargetState,
         head: ResponseHead,
--- a/packages/relay/src/relay.test.ts
+++ b/packages/relay/src/relay.test.ts
@@ -6,6 +6,7 @@
 import { createDocument, createRoute } from "./fixtures/documents.js";
 import { FakeExchange } from "./fixtures/fake-exchange.js";
 import { FakeTargetPort } from "./fixtures/fake-target-port.js";
+import { KnownStarts } from "./fixtures/known-starts.js";
 import { MemoryLog } from "./fixtures/memory-log.js";
 import { createRequest } from "./fixtures/plain-protocol.js";
 import { SingleVersionOrigins } from "./fixtures/single-version-origins.js";
@@ -16,6 +17,7 @@
 import { type BlockedPart, OpenPartGate, PartGate } from "./quarantine/part-gate.js";
 import type { RelayRequest } from "./relay-request.js";
 import { Relay } from "./relay.js";
+import { type RespondingTarget, StartCheck } from "./targets/start-check.js";
 import { TargetDirectory } from "./targets/target-directory.js";
 import type { TargetCall, TargetOutcome } from "./targets/target-port.js";
 import { TargetSelector } from "./targets/target-selector.js";
@@ -66,6 +68,7 @@
     /** Software versions of the three targets; the same by default. */
     readonly versions?: readonly (string | undefined)[];
     readonly origins?: StreamOrigins;
+    readonly starts?: StartCheck;
     readonly budgets?: BudgetGate;
     readonly parts?: PartGate;
     readonly disconnectsAfterMs?: number | "before";
@@ -77,12 +80,31 @@
     readonly laterEventTokens?: number;
 }
 
+/** Knows the starts of some targets only. */
+class SomeStarts extends StartCheck {
+    constructor(private readonly verified: readonly string[]) {
+        super();
+    }
+
+    override isCertain(): boolean {
+        return false;
+    }
+
+    override verify({ target: { id } }: RespondingTarget): Promise<boolean> {
+        return Promise.resolve(this.verified.includes(id));
+    }
+}
+
 /** Knows no stream. */
 class UnknownOrigins extends StreamOrigins {
     override recordBegun(): void {
         // Nothing is remembered.
     }
 
+    override isMixed(): boolean {
+        return false;
+    }
+
     override find(): Promise<undefined> {
         return Promise.resolve(undefined);
     }
@@ -105,6 +127,7 @@
 ) => {
     const { budgets = new OpenBudgetGate(), parts = new OpenPartGate(), origins = new SingleVersionOrigins("v1") } =
         opts;
+    const { starts = new KnownStarts() } = opts;
     const { versions = ["v1", "v1", "v1"] } = opts;
     const { disconnectsAfterMs, overloadedForS, viewIsOutdated = false, stop, laterEventTokens } = opts;
     const documents = new DocumentHolder();
@@ -146,6 +169,7 @@
         freshness: view,
         permits: new UnlimitedSends(),
         origins,
+        starts,
         parts,
         log,
         meter: {
@@ -299,6 +323,32 @@
     t.is(caller.ended, "broken");
 });
 
+// Guards against streams of two versions in one answer, where a target has started again as another version unnoticed.
+test("an interrupted stream is continued by no other target where it is not known which start of a target began it", async t => {
+    const outcomes = [respond(["id: 1\ndata: a\n\n"], true), respond(["id: 2\ndata: b\n\n"])];
+    const route = { kind: "streaming", isResumable: true, maxAttempts: 3 } as const;
+    const unknown = await serve(outcomes, route, {}, { starts: new SomeStarts([]) });
+    t.is(unknown.port.calls.length, 1);
+    t.is(unknown.caller.events, "id: 1\ndata: a\n\n");
+    t.is(unknown.caller.ended, "broken");
+    const known = await serve(outcomes, route, {}, { starts: new SomeStarts(["t1", "t2", "t3"]) });
+    t.is(known.caller.ended, "complete");
+});
+
+test("nothing of a target is in a stream that another one began where it is not known which start of it responds", async t => {
+    const first = await serve([respond(["id: 1\ndata: a\n\n"])]);
+    const began = first.port.calls[0]?.target.id ?? "";
+    const { caller, port } = await serve(
+        [respond(["id: 1\ndata: a\n\n"], true), respond(["id: 2\ndata: b\n\n"]), respond(["id: 2\ndata: c\n\n"])],
+        { kind: "streaming", isResumable: true, maxAttempts: 3 },
+        {},
+        { starts: new SomeStarts([began]) },
+    );
+    t.is(port.calls.length, 3);
+    t.is(caller.events, "id: 1\ndata: a\n\n");
+    t.is(caller.ended, "broken");
+});
+
 test("before its first event a stream may be sent to a target of any version", async t => {
     const { caller } = await serve(
         [failing, respond(["id: 1\ndata: a\n\n"])],
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -16,6 +16,7 @@
 import type { RelayRequest } from "./relay-request.js";
 import { RequestClock } from "./request-clock.js";
 import { type HeldResponse, ResponseMemory } from "./response-memory.js";
+import type { StartCheck } from "./targets/start-check.js";
 import type { TargetPort } from "./targets/target-port.js";
 import type { TargetSelector } from "./targets/target-selector.js";
 import { getStreamName } from "./versions/stream-name.js";
@@ -47,6 +48,8 @@
     readonly permits: SendPermits;
     /** Knows where streams began that callers resume. */
     readonly origins: StreamOrigins;
+    /** Tells which start of a target responded. */
+    readonly starts: StartCheck;
     /** Keeps requests with a prompt part that crashes targets away from them. */
     readonly parts: PartGate;
     readonly log: RelayLog;
--- a/packages/relay/src/targets/target-port.ts
+++ b/packages/relay/src/targets/target-port.ts
@@ -37,6 +37,8 @@
         readonly kind: "answer";
         readonly head: ResponseHead;
         readonly body: AsyncIterable<Buffer>;
+        /** Monotonic time by which its connection was open, in milliseconds; undefined where that is not known. */
+        readonly connectedAtMs?: number | undefined;
         readonly notes?: TargetNotes;
     };
 
--- a/packages/relay/src/versions/fleet-stream-origins.ts
+++ b/packages/relay/src/versions/fleet-stream-origins.ts
@@ -103,6 +103,10 @@
         }
     }
 
+    override isMixed(service: string): boolean {
+        return this.opts.history.isMixed(service);
+    }
+
     override async find(resumed: ResumedStream): Promise<StreamOrigin | undefined> {
         const { stream, services } = resumed;
         const own = stream === undefined ? undefined : this.get(stream);
--- a/packages/relay/src/versions/stream-origins.ts
+++ b/packages/relay/src/versions/stream-origins.ts
@@ -13,6 +13,9 @@
     /** Records that the first event of a request's stream has arrived. */
     abstract recordBegun(stream: string, origin: StreamOrigin): void;
 
+    /** Whether several versions of a service serve, so that a stream is not continued without its origin. */
+    abstract isMixed(service: string): boolean;
+
     /** Finds where a stream began; undefined where that is not certain. Does not throw. */
     abstract find(resumed: ResumedStream): Promise<StreamOrigin | undefined>;
 }
--- a/packages/targets/src/connection/exchange-watch.ts
+++ b/packages/targets/src/connection/exchange-watch.ts
@@ -29,6 +29,11 @@
         this.connection?.watch(() => this.check());
     }
 
+    /** Monotonic time at which the exchange's connection was open, in milliseconds; undefined before that. */
+    get connectedAtMs(): number | undefined {
+        return this.connection?.connectedAtMs;
+    }
+
     /** Adds bytes of the body. */
     addBody(bytes: number): void {
         this.bodyBytes += bytes;
--- a/packages/targets/src/connection/target-connection.ts
+++ b/packages/targets/src/connection/target-connection.ts
@@ -4,14 +4,21 @@
 export class TargetConnection {
     private socket: Socket | undefined;
     private onReceive: (() => void) | undefined;
+    private openedAtMs: number | undefined;
 
     /** Sets the connection that was opened last. */
     attach(socket: Socket): void {
         this.socket = socket;
+        this.openedAtMs = performance.now();
         // Registered before the listener of the HTTP client, so it runs before new bytes are parsed.
         socket.on("readable", () => this.onReceive?.());
     }
 
+    /** Monotonic time at which the current connection was open, in milliseconds; undefined before the first one. */
+    get connectedAtMs(): number | undefined {
+        return this.openedAtMs;
+    }
+
     /** Number of bytes that were received and parsed. */
     get parsedBytes(): number {
         const { socket } = this;
