Keep removed targets in mind when the KV service comes back from an older copy

Cause: the directory forgot a removed target, and took its entry in the older copy for a new one. Its limit, its pause and its leaving were forgotten in the same way when the entry of a living target was gone for a moment, and an older copy could replace the present start of a target.

An older announcement of the same or an earlier start is not used; a later one is, with what the start has told before.

--- a/packages/relay/src/instance/relay-instance.ts
+++ b/packages/relay/src/instance/relay-instance.ts
@@ -222,6 +222,7 @@
             kvEra: this.kv.history.era,
             openRequests: this.relay.openRequests,
             peers: this.hub.peers(),
+            removedTargets: this.directory.removedIds,
             targets: this.directory.list().map(state =>
                 getTargetView(state, this.sending.paths.isDirect(state.target))
             ),
--- a/packages/relay/src/instance/relay-state.ts
+++ b/packages/relay/src/instance/relay-state.ts
@@ -37,6 +37,8 @@
     readonly openRequests: number;
     readonly peers: readonly InstanceInfo[];
     readonly targets: readonly TargetView[];
+    /** Ids of targets that are gone, which an older copy of the KV service may still announce. */
+    readonly removedTargets: readonly string[];
     /** Budgets that this instance owns. */
     readonly budgets: readonly BudgetView[];
     readonly quarantine: QuarantineView;
--- a/packages/relay/src/targets/target-directory.ts
+++ b/packages/relay/src/targets/target-directory.ts
@@ -1,4 +1,5 @@
 import { NameScores } from "@ospreyreel/peer";
+import { isOfEarlierStart, RemovedTargets } from "./removed-targets.js";
 import { TargetState } from "./target-state.js";
 import { getStartKey, type Target } from "./target.js";
 
@@ -14,6 +15,9 @@
 /** The announced targets, by id and by service. */
 export class TargetDirectory {
     private readonly states = new Map<string, TargetState>();
+    /** Revisions of the targets' last announcements, by id. */
+    private readonly revisions = new Map<string, number>();
+    private readonly removed = new RemovedTargets();
     private readonly listeners: (() => void)[] = [];
     private byService: ReadonlyMap<string, ServiceTargets> = new Map();
 
@@ -38,9 +42,21 @@
         this.listeners.push(listener);
     }
 
-    /** Adds or updates a target from its announcement; returns what changed. */
-    put(target: Target): "added" | "restarted" | "leaving" | "updated" {
+    /** Ids of targets that are gone and would be recognized in an older copy of their announcements. */
+    get removedIds(): readonly string[] {
+        return this.removed.ids;
+    }
+
+    /**
+     * Adds or updates a target from its announcement at a revision of the KV service; returns what changed. `outdated` is an
+     * announcement from before the target's removal, which the service came back with.
+     */
+    put(target: Target, revision = 0): "added" | "restarted" | "leaving" | "updated" | "outdated" {
         const known = this.states.get(target.id);
+        if (this.isOutdated(target, revision, known)) {
+            return "outdated";
+        }
+        this.revisions.set(target.id, revision);
         const isSameStart = known !== undefined && known.target.startedAtMs === target.startedAtMs;
         if (isSameStart) {
             const startsLeaving = target.leaving && !known.target.leaving;
@@ -50,7 +66,9 @@
             return startsLeaving ? "leaving" : "updated";
         }
         known?.markLeaving();
-        this.states.set(target.id, new TargetState(target));
+        const earlier = this.removed.take(target);
+        const leaving = target.leaving || earlier?.wasLeaving === true;
+        this.states.set(target.id, new TargetState({ ...target, leaving }, earlier?.state));
         this.handleChange();
         return known === undefined ? "added" : "restarted";
     }
@@ -61,6 +79,8 @@
         if (state === undefined) {
             return false;
         }
+        this.removed.add(state, { revision: this.revisions.get(id) ?? 0, seq: state.target.seq });
+        this.revisions.delete(id);
         state.markLeaving();
         this.states.delete(id);
         this.handleChange();
@@ -78,6 +98,12 @@
         return true;
     }
 
+    private isOutdated(target: Target, revision: number, known: TargetState | undefined): boolean {
+        return known === undefined
+            ? this.removed.isOutdated(target, { revision, seq: target.seq })
+            : isOfEarlierStart(target, revision, known.target, this.revisions.get(target.id) ?? 0);
+    }
+
     private handleChange(): void {
         const groups = new Map<string, TargetState[]>();
         for (const state of this.states.values()) {
--- a/packages/relay/src/targets/target-follower.ts
+++ b/packages/relay/src/targets/target-follower.ts
@@ -82,7 +82,7 @@
             directory.remove(id);
             return;
         }
-        const change = directory.put(target);
+        const change = directory.put(target, entry.modRevision);
         if (change !== "updated") {
             log.write(`target ${change}`, { target: id, service: target.service, leaving: target.leaving });
         }
--- a/packages/relay/src/targets/target-state.ts
+++ b/packages/relay/src/targets/target-state.ts
@@ -7,14 +7,19 @@
     /** This instance's requests in flight at the target. */
     inFlight = 0;
     readonly health = new TargetHealth();
-    readonly limit = new TargetLimit();
+    readonly limit: TargetLimit;
 
     /** This instance's sends that have acquired room at the target, through peers or not. */
     openSends = 0;
-    private pausedUntilMs = Number.NEGATIVE_INFINITY;
-    private noRoomUntilMs = Number.NEGATIVE_INFINITY;
-
-    constructor(public target: Target) {}
+    private pausedUntilMs: number;
+    private noRoomUntilMs: number;
+
+    /** `earlier` is what was known of the same start before its announcement was removed. */
+    constructor(public target: Target, earlier?: TargetState) {
+        this.limit = earlier?.limit ?? new TargetLimit();
+        this.pausedUntilMs = earlier?.pausedUntilMs ?? Number.NEGATIVE_INFINITY;
+        this.noRoomUntilMs = earlier?.noRoomUntilMs ?? Number.NEGATIVE_INFINITY;
+    }
 
     /** Whether the target may get a request now; `nowMs` is a monotonic time. */
     isAccepting(nowMs: number): boolean {
