Use what a restored KV service announces of a removed target only once it was written again

Cause: revisions contain the era, so that the entry of an older copy has a later revision than the removed one; and the numbers of a target's announcements can't tell, since changes of only that number are not passed on.

Change: the first announcement of a removed start, or of an earlier one, that is seen in a later era may come from the copy. It is not used but read again each second, and used once it has a later revision in that era. The encoding of eras in revisions moves to the kv package, which both sides use.

--- a/packages/kv/src/index.ts
+++ b/packages/kv/src/index.ts
@@ -12,3 +12,4 @@
 export * from "./kv-watch-source.js";
 export * from "./polled-kv-client.js";
 export * from "./polling-kv-watch.js";
+export * from "./revision-era.js";
--- a/platform/src/store-revision.ts
+++ b/packages/kv/src/revision-era.ts
@@ -1,11 +1,11 @@
-/** Revisions that fit into one era; the store counts changes and stays far below. */
+/** Revisions that fit into one era; a service counts changes and stays far below. */
 const REVISIONS_PER_ERA = 2 ** 40;
 
-/** Revision that no entry of the store has. */
+/** Revision that no entry of a service has. */
 const UNKNOWN_REVISION = Number.MAX_SAFE_INTEGER;
 
 /**
- * Returns a revision that also increases when the store restarts from an older copy and assigns its revisions again,
+ * Returns a revision that also increases when the service restarts from an older copy and assigns its revisions again,
  * which begins a new era. 0 stands for a missing entry in every era.
  */
 export const toRevision = (era: number, storeRevision: number): number =>
@@ -14,7 +14,7 @@
 /** Returns the era of a revision. */
 export const getEra = (revision: number): number => Math.floor(revision / REVISIONS_PER_ERA);
 
-/** Returns the store's own number of a revision. */
+/** Returns the service's own number of a revision. */
 export const toStoreRevision = (revision: number): number => revision % REVISIONS_PER_ERA;
 
 /** Returns the number for a condition on a revision, which never holds for an entry of an earlier era. */
--- a/packages/relay/src/instance/relay-instance.ts
+++ b/packages/relay/src/instance/relay-instance.ts
@@ -133,14 +133,7 @@
         this.sending = this.createSending();
         const fleetKv = new PeerKvClient({ own: this.kv, hub });
         fleetKv.serve();
-        this.starts = new AnnouncedStartCheck({
-            kv: fleetKv,
-            codec: adapter.targetCodec,
-            directory: this.directory,
-            freshness: this.freshness,
-            log: this.log,
-            count: name => this.metrics.add(name),
-        });
+        this.starts = this.createStartCheck(fleetKv);
         this.budgets = new FleetBudgets({
             kv: fleetKv,
             isKvAvailable: () => this.health.isAvailable || fleetKv.hasHelper,
@@ -183,15 +176,7 @@
             getMinVersion: () => this.handoff.servedVersion,
             onFailure: err => this.log.write("request failed unexpectedly", { cause: String(err) }),
         });
-        this.follower = new TargetFollower({
-            watch: this.watch,
-            health: this.health,
-            hub,
-            codec: adapter.targetCodec,
-            directory: this.directory,
-            log: this.log,
-            reannounceMs: TARGET_REANNOUNCE_MS,
-        });
+        this.follower = this.createFollower(fleetKv);
         this.statusPorts = this.createStatusPorts();
     }
 
@@ -253,6 +238,30 @@
         return this.stopping === undefined && this.documents.current() !== undefined && this.follower.isSynced;
     }
 
+    private createStartCheck(kv: KvClient): AnnouncedStartCheck {
+        return new AnnouncedStartCheck({
+            kv,
+            codec: this.adapter.targetCodec,
+            directory: this.directory,
+            freshness: this.freshness,
+            log: this.log,
+            count: name => this.metrics.add(name),
+        });
+    }
+
+    private createFollower(kv: KvClient): TargetFollower {
+        return new TargetFollower({
+            watch: this.watch,
+            get: key => kv.get(key),
+            health: this.health,
+            hub: this.hub,
+            codec: this.adapter.targetCodec,
+            directory: this.directory,
+            log: this.log,
+            reannounceMs: TARGET_REANNOUNCE_MS,
+        });
+    }
+
     private createSending(): TargetSending {
         return new TargetSending({
             protocol: this.adapter.targetProtocol,
--- a/packages/relay/src/targets/removed-targets.ts
+++ b/packages/relay/src/targets/removed-targets.ts
@@ -1,29 +1,27 @@
+import { getEra } from "@ospreyreel/kv";
 import { BoundedMap } from "../bounded-map.js";
 import type { TargetState } from "./target-state.js";
-import type { Announcement, Target } from "./target.js";
+import type { Target } from "./target.js";
 
 /** A start of a target whose announcement was removed. */
 interface RemovedTarget {
     readonly state: TargetState;
     /** Whether it was leaving before it was removed. */
     readonly wasLeaving: boolean;
-    /** Its last announcement. */
-    readonly last: Announcement;
+    /** Revision of its newest known announcement. */
+    readonly revision: number;
 }
 
 /** Maximum number of removed targets that are remembered. */
 const MAX_REMOVED = 1_024;
 
 /**
- * Whether an announcement was written before another one of the same start, or is that one. Revisions go back when the KV service comes
- * back from a copy, so that a living target may write at a smaller one later.
+ * Whether an announcement may be an older one of a start, or one of an earlier start: it was not written after the newest known one. In a
+ * later era the first one that is seen may come from the copy, and only the next one was certainly written since.
  */
-const isOlder = ({ revision, seq }: Announcement, last: Announcement): boolean =>
-    revision <= last.revision && (seq === undefined || last.seq === undefined || seq <= last.seq);
-
-/** Whether an announcement is one of an earlier start than a known one whose last announcement had a revision. */
-export const isOfEarlierStart = (target: Target, revision: number, known: Target, knownRevision: number): boolean =>
-    revision <= knownRevision && (target.startedAtMs ?? 0) < (known.startedAtMs ?? 0);
+export const isOutdated = (target: Target, revision: number, known: Target, knownRevision: number): boolean =>
+    (target.startedAtMs ?? 0) <= (known.startedAtMs ?? 0)
+    && (getEra(revision) !== getEra(knownRevision) || revision <= knownRevision);
 
 /**
  * Remembers targets whose announcements were removed: after the KV service came back from an older copy, such an announcement is there
@@ -37,21 +35,19 @@
         return this.removed.list().map(([id]) => id);
     }
 
-    /** Remembers a target that is removed. */
-    add(state: TargetState, last: Announcement): void {
-        this.removed.set(state.target.id, { state, wasLeaving: state.target.leaving, last });
+    /** Remembers a target that is removed, with the revision of its last announcement. */
+    add(state: TargetState, revision: number): void {
+        this.removed.set(state.target.id, { state, wasLeaving: state.target.leaving, revision });
     }
 
-    /** Whether an announcement is that of a removed target, from before its removal. */
-    isOutdated(target: Target, announcement: Announcement): boolean {
+    /** Whether an announcement may be one from before the target's removal; remembers that it was seen. */
+    isOutdated(target: Target, revision: number): boolean {
         const known = this.removed.get(target.id);
-        if (known === undefined) {
+        if (known === undefined || !isOutdated(target, revision, known.state.target, known.revision)) {
             return false;
         }
-        const { state, last } = known;
-        return state.target.startedAtMs === target.startedAtMs
-            ? isOlder(announcement, last)
-            : isOfEarlierStart(target, announcement.revision, state.target, last.revision);
+        this.removed.set(target.id, { ...known, revision: Math.max(revision, known.revision) });
+        return true;
     }
 
     /** Forgets a target that announces itself again; returns what its start has told, undefined for another start. */
--- a/packages/relay/src/targets/target-directory.ts
+++ b/packages/relay/src/targets/target-directory.ts
@@ -1,5 +1,5 @@
 import { NameScores } from "@ospreyreel/peer";
-import { isOfEarlierStart, RemovedTargets } from "./removed-targets.js";
+import { isOutdated, RemovedTargets } from "./removed-targets.js";
 import { TargetState } from "./target-state.js";
 import { getStartKey, type Target } from "./target.js";
 
@@ -79,7 +79,7 @@
         if (state === undefined) {
             return false;
         }
-        this.removed.add(state, { revision: this.revisions.get(id) ?? 0, seq: state.target.seq });
+        this.removed.add(state, this.revisions.get(id) ?? 0);
         this.revisions.delete(id);
         state.markLeaving();
         this.states.delete(id);
@@ -99,9 +99,16 @@
     }
 
     private isOutdated(target: Target, revision: number, known: TargetState | undefined): boolean {
-        return known === undefined
-            ? this.removed.isOutdated(target, { revision, seq: target.seq })
-            : isOfEarlierStart(target, revision, known.target, this.revisions.get(target.id) ?? 0);
+        if (known === undefined) {
+            return this.removed.isOutdated(target, revision);
+        }
+        const knownRevision = this.revisions.get(target.id) ?? 0;
+        const isOther = known.target.startedAtMs !== target.startedAtMs;
+        if (!isOther || !isOutdated(target, revision, known.target, knownRevision)) {
+            return false;
+        }
+        this.revisions.set(target.id, Math.max(revision, knownRevision));
+        return true;
     }
 
     private handleChange(): void {
--- a/packages/relay/src/targets/target-follower.ts
+++ b/packages/relay/src/targets/target-follower.ts
@@ -8,6 +8,8 @@
 export interface TargetFollowerOptions {
     /** Watches the changes under a prefix. */
     readonly watch: KvClient["watch"];
+    /** Reads one entry. */
+    readonly get: KvClient["get"];
     readonly health: KvHealth;
     readonly hub: PeerHub;
     readonly codec: TargetCodec;
@@ -25,9 +27,14 @@
  */
 const MAX_NOTIFIED_PEERS = 8;
 
+/** Time after which an entry that may come from an older copy is read again, in milliseconds. */
+const RECHECK_MS = 1_000;
+
 /** Keeps the target directory current from the KV service's watch and from peers' notifications of leaving targets. */
 export class TargetFollower {
     private readonly missing = new Map<string, NodeJS.Timeout>();
+    /** Keys of outdated entries that are read again. */
+    private readonly rechecks = new Set<string>();
     private synced = false;
 
     constructor(private readonly opts: TargetFollowerOptions) {}
@@ -83,6 +90,9 @@
             return;
         }
         const change = directory.put(target, entry.modRevision);
+        if (change === "outdated") {
+            this.recheckLater(entry.key);
+        }
         if (change !== "updated") {
             log.write(`target ${change}`, { target: id, service: target.service, leaving: target.leaving });
         }
@@ -122,6 +132,31 @@
         }
     }
 
+    /**
+     * Reads an outdated entry again after a time: a target that lives has written it by then, which the watch does not tell where nothing
+     * else has changed.
+     */
+    private recheckLater(key: string): void {
+        if (this.rechecks.has(key)) {
+            return;
+        }
+        this.rechecks.add(key);
+        const recheck = async (): Promise<void> => {
+            this.rechecks.delete(key);
+            try {
+                const entry = await this.opts.get(key);
+                if (entry !== undefined) {
+                    this.put(entry);
+                }
+            }
+            catch (err) {
+                this.opts.log.write("target not read", { key, cause: String(err) });
+                this.recheckLater(key);
+            }
+        };
+        setTimeout(() => void recheck(), RECHECK_MS).unref();
+    }
+
     /** Notifies a few peers that a target is leaving, for instances that are disconnected from the KV service. */
     private notifyPeers(id: string): void {
         const { hub, log } = this.opts;
--- a/packages/relay/src/targets/target.ts
+++ b/packages/relay/src/targets/target.ts
@@ -14,15 +14,6 @@
     readonly leaving: boolean;
     /** Start time in Unix milliseconds, if announced; a later start under the same id is another target. */
     readonly startedAtMs: number | undefined;
-    /** Grows with each announcement of one start, if announced. */
-    readonly seq?: number | undefined;
-}
-
-/** Which of a target's announcements one is. */
-export interface Announcement {
-    /** Revision of the KV service at which it was written; a later one may be smaller after the service came back from a copy. */
-    readonly revision: number;
-    readonly seq: number | undefined;
 }
 
 /** Names one start of one target. */
