Refuse what crashes its targets after the first event of an answer

Cause: a loss after the first event accused nothing, and the first event refuted all that spoke against the request and its parts.

Change: such a loss accuses under a name of its own, which only a whole answer refutes; all else stays the same. A stream whose request was in a second such crash is not continued.

The test that a first event proves parts sound is replaced by one that a whole answer does: the old expectation is the fault.

--- a/packages/bench/src/platform/deadly-request.test.ts
+++ b/packages/bench/src/platform/deadly-request.test.ts
@@ -72,19 +72,22 @@
     });
 }
 
-test.serial("a request to a model that crashes each target that runs it is sent to few targets, and its prompt parts go on", async t => {
-    const fleet = await PlatformFleet.start({
-        prepaid: 10_000_000,
-        modelCount: 4,
-        models: { deadlyBody: DEADLY_BODY, stepMs: 20 },
+for (const eventsBeforeCrash of [0, 1]) {
+    const when = eventsBeforeCrash === 0 ? "" : " after its first event";
+    test.serial(`a request to a model that crashes each target that runs it${when} is sent to few targets, and its prompt parts go on`, async t => {
+        const fleet = await PlatformFleet.start({
+            prepaid: 10_000_000,
+            modelCount: 4,
+            models: { deadlyBody: DEADLY_BODY, eventsBeforeCrash, stepMs: 20 },
+        });
+        t.teardown(() => fleet.close());
+        const { crashMs, laterSends, later, served } = await playDeadlyRequest(
+            fleet,
+            instance => fleet.ask(instance, 60, { "prompt-prefix": "5a5a:20,beef:20,dead:20" }, DEADLY_BODY),
+            (instance, index) => fleet.ask(instance, 60, { "prompt-prefix": `5a5a:20,beef:20,c${index}:20` }),
+        );
+        t.log(`crashes after ${crashMs.join(", ")} ms`);
+        t.true(laterSends <= MAX_LATER_SENDS, `${laterSends} later sends`);
+        t.true(served >= later * 0.9, `${served} of ${later} sound requests served`);
     });
-    t.teardown(() => fleet.close());
-    const { crashMs, laterSends, later, served } = await playDeadlyRequest(
-        fleet,
-        instance => fleet.ask(instance, 60, { "prompt-prefix": "5a5a:20,beef:20,dead:20" }, DEADLY_BODY),
-        (instance, index) => fleet.ask(instance, 60, { "prompt-prefix": `5a5a:20,beef:20,c${index}:20` }),
-    );
-    t.log(`crashes after ${crashMs.join(", ")} ms`);
-    t.true(laterSends <= MAX_LATER_SENDS, `${laterSends} later sends`);
-    t.true(served >= later * 0.9, `${served} of ${later} sound requests served`);
-});
+}
--- a/packages/bench/src/platform/platform-fleet.ts
+++ b/packages/bench/src/platform/platform-fleet.ts
@@ -57,7 +57,10 @@
     readonly plains?: Pick<PlatformTargetOptions, "stepMs" | "deadlyBody" | "downMs">;
     readonly modelCount?: number;
     /** How the model targets work. */
-    readonly models?: Pick<PlatformTargetOptions, "events" | "stepMs" | "deadlyPart" | "deadlyBody" | "downMs">;
+    readonly models?: Pick<
+        PlatformTargetOptions,
+        "events" | "stepMs" | "deadlyPart" | "deadlyBody" | "eventsBeforeCrash" | "downMs"
+    >;
     /** Software versions of the model targets, which then name them in their events; all the same by default. */
     readonly modelVersions?: readonly string[];
     /** Time from SIGTERM to the end of an instance, in seconds; {@link STOP_WITHIN_S} by default. */
--- a/packages/relay/src/quarantine/part-gate.ts
+++ b/packages/relay/src/quarantine/part-gate.ts
@@ -9,6 +9,14 @@
     readonly retryAfterS: number;
 }
 
+/** When a request was lost. */
+export interface RequestLoss {
+    /** Time since it was sent, in milliseconds. */
+    readonly ranMs: number;
+    /** Whether its answer had begun. */
+    readonly hasBegun: boolean;
+}
+
 /** Keeps requests away from targets that crash them, as a whole or by a part of their prompt. */
 export abstract class PartGate {
     /** Returns the part because of which a request must not be sent; undefined where it may be sent. */
@@ -17,11 +25,11 @@
     /** Records that the answer to a request has begun. */
     abstract recordBegun(watched: WatchedRequest): void;
 
-    /**
-     * Records that a target lost a request before its answer began, some milliseconds after it was sent. Returns whether
-     * the request may be sent to another target. Does not throw.
-     */
-    abstract recordLoss(watched: WatchedRequest, target: Target, ranMs: number): Promise<boolean>;
+    /** Records that a request has got its whole answer. */
+    abstract recordWhole(watched: WatchedRequest): void;
+
+    /** Records that a target lost a request. Returns whether the request may be sent to another target. Does not throw. */
+    abstract recordLoss(watched: WatchedRequest, target: Target, loss: RequestLoss): Promise<boolean>;
 }
 
 /** Lets every request pass. */
@@ -34,6 +42,10 @@
         // Nothing is remembered.
     }
 
+    override recordWhole(): void {
+        // Nothing is remembered.
+    }
+
     override recordLoss(): Promise<boolean> {
         return Promise.resolve(true);
     }
--- a/packages/relay/src/quarantine/part-quarantine.test.ts
+++ b/packages/relay/src/quarantine/part-quarantine.test.ts
@@ -144,7 +144,10 @@
 test("one request that is lost in several crashes of one start counts once", async t => {
     const fleet = new QuarantineFleet(2);
     for (let index = 0; index < 5; index++) {
-        await fleet.get(index).parts.recordLoss(createPromptRequest(`r-${index}`, ["topic"]), createStart("t", 1), 0);
+        await fleet.get(index).parts.recordLoss(createPromptRequest(`r-${index}`, ["topic"]), createStart("t", 1), {
+            ranMs: 0,
+            hasBegun: false,
+        });
         await fleet.advance(400);
     }
     t.is(fleet.countRefusing(["topic"]), 0);
@@ -264,7 +267,7 @@
             return false;
         case "loss":
             fleet.crashes.crashed = false;
-            await parts.recordLoss(sound, createStart("t", 1), 0);
+            await parts.recordLoss(sound, createStart("t", 1), { ranMs: 0, hasBegun: false });
             fleet.crashes.crashed = true;
             return false;
         case "deadly":
--- a/packages/relay/src/quarantine/part-quarantine.ts
+++ b/packages/relay/src/quarantine/part-quarantine.ts
@@ -9,9 +9,9 @@
 import { DecisionBook } from "./decision-book.js";
 import { DecisionSpreader } from "./decision-spreader.js";
 import { PartCollector } from "./part-collector.js";
-import { type BlockedPart, PartGate } from "./part-gate.js";
+import { type BlockedPart, PartGate, type RequestLoss } from "./part-gate.js";
 import { getQuarantineMs } from "./quarantine-table.js";
-import { isWholeRequest, type WatchedRequest } from "./watched-request.js";
+import { isWholeRequest, toBegunPart, type WatchedRequest } from "./watched-request.js";
 
 /** Options of {@link PartQuarantine}. */
 export interface PartQuarantineOptions {
@@ -73,8 +73,8 @@
 /**
  * Learns which prompt parts and which whole requests crash targets, together with all other instances, and refuses them.
  *
- * A request that is lost in a crash of its target accuses itself as a whole and its shared parts; an answer that begins
- * refutes all accusations of them. Two instances for each part collect the accusations. Below, a part is one of a prompt or a
+ * A request that is lost in a crash of its target accuses itself as a whole and its shared parts. What is lost before its answer
+ * begins is refuted by an answer that begins; what is lost afterwards only by one that is whole. Two instances for each part collect the accusations. Below, a part is one of a prompt or a
  * whole request.
  */
 export class PartQuarantine extends PartGate {
@@ -148,7 +148,8 @@
             return undefined;
         }
         const nowMs = this.nowMs();
-        for (const part of [watched.whole, ...watched.sharedParts]) {
+        const parts = [watched.whole, ...watched.sharedParts];
+        for (const part of [...parts, ...parts.map(toBegunPart)]) {
             const phase = this.book.table.getPhase(part, nowMs);
             const untilMs = this.book.table.get(part, nowMs)?.untilMs ?? nowMs;
             if (phase === "quarantined") {
@@ -162,19 +163,25 @@
     }
 
     override recordBegun(watched: WatchedRequest): void {
-        const parts = [...(this.isWholeRemembered(watched) ? [watched.whole] : []), ...watched.sharedParts];
-        this.book.answers.record(parts, this.nowMs());
-        if (!this.book.table.isEmpty) {
-            parts.filter(part => this.book.isActive(part)).forEach(part => this.refute(part));
-        }
+        this.recordAnswer(this.getRemembered(watched));
     }
 
-    override async recordLoss(watched: WatchedRequest, target: Target, ranMs: number): Promise<boolean> {
+    override recordWhole(watched: WatchedRequest): void {
+        this.recordAnswer(this.getRemembered(watched).map(toBegunPart));
+    }
+
+    override async recordLoss(
+        watched: WatchedRequest,
+        target: Target,
+        { ranMs, hasBegun }: RequestLoss,
+    ): Promise<boolean> {
         const lostAtMs = this.nowMs();
         if (!await this.opts.crashes.hasCrashed(target)) {
             return true;
         }
-        const { sharedParts, whole } = watched;
+        const toAccused = hasBegun ? toBegunPart : (part: string): string => part;
+        const sharedParts = watched.sharedParts.map(toAccused);
+        const whole = toAccused(watched.whole);
         const parts = [whole, ...sharedParts];
         this.suspect(parts);
         // A part that is known to crash targets explains the crash.
@@ -190,7 +197,20 @@
                 followers: isWholeRequest(part) ? 0 : sharedParts.length - 1 - sharedParts.indexOf(part),
             })
         ));
-        return active.length === 0 && crashes.every(count => count <= 1);
+        // All streams at a crashing target break at once, those of sound requests with the same parts too.
+        const decisive = hasBegun ? crashes.filter((_, at) => accused[at] === whole) : crashes;
+        return active.length === 0 && decisive.every(count => count <= 1);
+    }
+
+    private recordAnswer(parts: readonly string[]): void {
+        this.book.answers.record(parts, this.nowMs());
+        if (!this.book.table.isEmpty) {
+            parts.filter(part => this.book.isActive(part)).forEach(part => this.refute(part));
+        }
+    }
+
+    private getRemembered(watched: WatchedRequest): readonly string[] {
+        return [...(this.isWholeRemembered(watched) ? [watched.whole] : []), ...watched.sharedParts];
     }
 
     /** Whether an answer to the request is remembered for the request as a whole; large bodies only while one is suspected. */
--- a/packages/relay/src/quarantine/watched-request.ts
+++ b/packages/relay/src/quarantine/watched-request.ts
@@ -7,8 +7,18 @@
 /** Length of a request's digest, in hexadecimal digits. */
 const DIGEST_LENGTH = 32;
 
+/** Distinguishes what is accused of crashes after the first event of an answer. */
+const BEGUN_PREFIX = "begun:";
+
+/**
+ * Name under which a part is accused of crashes after the first event of an answer. They are kept apart, since an answer that begins
+ * refutes only the others.
+ */
+export const toBegunPart = (part: string): string => BEGUN_PREFIX + part;
+
 /** Whether a watched part is a request as a whole. */
-export const isWholeRequest = (part: string): boolean => part.startsWith(WHOLE_PREFIX);
+export const isWholeRequest = (part: string): boolean =>
+    part.startsWith(WHOLE_PREFIX) || part.startsWith(BEGUN_PREFIX + WHOLE_PREFIX);
 
 /** What of a request may crash targets: the parts of its prompt that other requests may have too, and the request as a whole. */
 export class WatchedRequest {
--- a/packages/relay/src/quarantine/whole-request.test.ts
+++ b/packages/relay/src/quarantine/whole-request.test.ts
@@ -123,7 +123,7 @@
             100,
         );
     t.deepEqual((await getAnswered()).answered, []);
-    await first?.parts.recordLoss(createPlainRequest("lost"), createStart("t", 1), 0);
+    await first?.parts.recordLoss(createPlainRequest("lost"), createStart("t", 1), { ranMs: 0, hasBegun: false });
     first?.parts.recordBegun(large);
     t.is((await getAnswered()).answered.length, 1);
 });
@@ -137,3 +137,72 @@
     t.not(new WatchedRequest({ ...base, method: "PUT" }, "team-1").whole, whole);
     t.not(new WatchedRequest({ ...base, body: Buffer.from("y") }, "team-1").whole, whole);
 });
+
+/** One stream that crashes its target after its first event, through one member; returns which of the others may be continued. */
+const crashAfterBegin = async (
+    fleet: QuarantineFleet,
+    member: number,
+    deadly: WatchedRequest,
+    others: readonly WatchedRequest[],
+) => {
+    const lost = [deadly, ...others].map((req, index) => [member + index, req] as const);
+    lost.forEach(([at, req]) => fleet.get(at).parts.recordBegun(req));
+    const mayRepeat = await fleet.crash(lost, 300, true);
+    await fleet.advance(500);
+    return mayRepeat;
+};
+
+// Guards against requests whose own first event counts as proof that they are sound.
+test("a request that crashes its targets after its first event is refused at all instances after three crashes", async t => {
+    const fleet = new QuarantineFleet(8);
+    for (let crashes = 0; crashes < 3; crashes++) {
+        t.is(countRefusing(fleet, DEADLY), 0);
+        await crashAfterBegin(fleet, crashes, DEADLY, []);
+    }
+    t.is(countRefusing(fleet, createPlainRequest("deadly", "another id")), 8);
+    t.is(countRefusing(fleet, createPlainRequest("sound")), 0);
+});
+
+test("a stream that was in a second crash after its first event is not continued at a third target", async t => {
+    const fleet = new QuarantineFleet(8);
+    t.deepEqual(await crashAfterBegin(fleet, 0, DEADLY, []), [true]);
+    t.deepEqual(await crashAfterBegin(fleet, 1, DEADLY, []), [false]);
+});
+
+test("sound streams that break on crashing targets are continued and not refused, whatever they share with each other", async t => {
+    const fleet = new QuarantineFleet(8);
+    for (let crashes = 0; crashes < 6; crashes++) {
+        const sound = [1, 2, 3].map(index => createPromptRequest(`sound-${crashes}-${index}`, ["root", "topic"]));
+        const mayRepeat = await crashAfterBegin(fleet, crashes, DEADLY, sound);
+        t.deepEqual(mayRepeat.slice(1), [true, true, true]);
+        fleet.get(crashes + 4).parts.recordWhole(createPromptRequest(`whole-${crashes}`, ["root", "topic"]));
+        t.deepEqual(sound.map(req => countRefusing(fleet, req)), [0, 0, 0]);
+    }
+    t.is(countRefusing(fleet, DEADLY), 8);
+});
+
+test("a part that crashes targets after the first event is refused, and the parts that it was in flight with are not", async t => {
+    const fleet = new QuarantineFleet(8);
+    fleet.members.forEach(({ parts }) => parts.recordWhole(createPromptRequest("before", ["root"])));
+    for (let crashes = 0; crashes < 3; crashes++) {
+        const deadly = createPromptRequest(`deadly-${crashes}`, ["root", "deadly"]);
+        await crashAfterBegin(fleet, crashes, deadly, [createPromptRequest(`sound-${crashes}`, ["root", "topic"])]);
+        fleet.get(crashes + 4).parts.recordWhole(createPromptRequest(`whole-${crashes}`, ["root", "topic"]));
+    }
+    await fleet.advance(1_000);
+    t.is(fleet.countRefusing(["root", "deadly"]), 8);
+    t.is(fleet.countRefusing(["root", "topic"]), 0);
+});
+
+test("a whole answer to a request ends its quarantine, and one that only begins does not", async t => {
+    const fleet = new QuarantineFleet(8);
+    for (let crashes = 0; crashes < 3; crashes++) {
+        await crashAfterBegin(fleet, crashes, DEADLY, []);
+    }
+    fleet.get(2).parts.recordBegun(DEADLY);
+    await fleet.settle();
+    t.is(countRefusing(fleet, DEADLY), 8);
+    fleet.get(2).parts.recordWhole(DEADLY);
+    await fleet.settle();
+    t.is(countRefusing(fleet, DEADLY), 0);
+});
--- a/packages/relay/src/relay-attempts.ts
+++ b/packages/relay/src/relay-attempts.ts
@@ -216,15 +216,12 @@
 
     /** Records a lost send; returns whether another one is unlikely to crash its target. */
     private async recordLoss(state: TargetState): Promise<boolean> {
-        if (this.stream.eventCount > 0) {
-            return true;
+        const hasBegun = this.stream.eventCount > 0;
+        if (!hasBegun) {
+            this.opts.meter.recordEndBeforeAnswer(this.request.admission.service);
         }
-        this.opts.meter.recordEndBeforeAnswer(this.request.admission.service);
-        return await this.opts.parts.recordLoss(
-            this.request.watched,
-            state.target,
-            performance.now() - this.sentAtMs,
-        );
+        const loss = { ranMs: performance.now() - this.sentAtMs, hasBegun };
+        return await this.opts.parts.recordLoss(this.request.watched, state.target, loss);
     }
 
     private async relayResponse(state: TargetState, answer: TargetAnswer, firstByteMs: number): Promise<Step> {
@@ -255,6 +252,7 @@
         if (result.kind === "complete") {
             state.health.recordResponse(false, firstByteMs);
             caller.endStream();
+            this.opts.parts.recordWhole(this.request.watched);
             this.hasWholeStream = true;
             return { kind: "end", end: "streamed" };
         }
@@ -338,6 +336,7 @@
         state.health.recordResponse(isError, firstByteMs);
         if (head.status >= HTTP_OK_FROM && head.status < HTTP_OK_BELOW) {
             this.opts.parts.recordBegun(this.request.watched);
+            this.opts.parts.recordWhole(this.request.watched);
             this.hasWholeAnswer = true;
         }
         if (isError && !this.stream.isStarted && this.canRepeat()) {
--- a/packages/relay/src/relay.test.ts
+++ b/packages/relay/src/relay.test.ts
@@ -14,13 +14,15 @@
 import { AffinityPlacement } from "./policy/affinity-placement.js";
 import { RetryAllowance } from "./policy/retry-allowance.js";
 import { StopWindow } from "./policy/stop-window.js";
-import { type BlockedPart, OpenPartGate, PartGate } from "./quarantine/part-gate.js";
+import { type BlockedPart, OpenPartGate, PartGate, type RequestLoss } from "./quarantine/part-gate.js";
+import type { WatchedRequest } from "./quarantine/watched-request.js";
 import type { RelayRequest } from "./relay-request.js";
 import { Relay } from "./relay.js";
 import { type RespondingTarget, StartCheck } from "./targets/start-check.js";
 import { TargetDirectory } from "./targets/target-directory.js";
 import type { TargetCall, TargetOutcome } from "./targets/target-port.js";
 import { TargetSelector } from "./targets/target-selector.js";
+import type { Target } from "./targets/target.js";
 import { StreamOrigins } from "./versions/stream-origins.js";
 
 interface View {
@@ -679,8 +681,12 @@
         this.calls.push("begun");
     }
 
-    override recordLoss(): Promise<boolean> {
-        this.calls.push("lost");
+    override recordWhole(): void {
+        this.calls.push("whole");
+    }
+
+    override recordLoss(_watched: WatchedRequest, _target: Target, { hasBegun }: RequestLoss): Promise<boolean> {
+        this.calls.push(hasBegun ? "lost after begin" : "lost");
         return Promise.resolve(this.mayRepeat);
     }
 
@@ -726,11 +732,20 @@
     t.deepEqual(parts.calls, ["lost"]);
 });
 
-test("a stream that breaks after its first event proves its parts sound", async t => {
-    const parts = new RecordingPartGate(false);
+// A first event proves nothing: a request may crash its targets after it.
+test("a stream that breaks after its first event accuses its parts, and only a whole one proves them sound", async t => {
+    const parts = new RecordingPartGate(true);
     const { caller } = await serveThrough(parts, [respond(["id: 1\n\n"], true), respond(["id: 2\n\n"])]);
     t.is(caller.ended, "complete");
-    t.deepEqual(parts.calls, ["begun"]);
+    t.deepEqual(parts.calls, ["begun", "lost after begin", "whole"]);
+});
+
+test("a stream that broke in a crash like others of the request before is not continued", async t => {
+    const parts = new RecordingPartGate(false);
+    const { caller, port } = await serveThrough(parts, [respond(["id: 1\n\n"], true), respond(["id: 2\n\n"])]);
+    t.is(port.calls.length, 1);
+    t.is(caller.ended, "broken");
+    t.deepEqual(parts.calls, ["begun", "lost after begin"]);
 });
 
 test("an error answer of a target neither proves nor accuses the parts of its request", async t => {
@@ -745,5 +760,5 @@
     const { caller, port } = await serveThrough(parts, [ended, respond(["id: 1\n\n"])]);
     t.is(port.calls.length, 2);
     t.is(caller.events, "id: 1\n\n");
-    t.deepEqual(parts.calls, ["lost", "begun"]);
+    t.deepEqual(parts.calls, ["lost", "begun", "whole"]);
 });
--- a/packages/stand-ins/src/platform/platform-target-stand-in.ts
+++ b/packages/stand-ins/src/platform/platform-target-stand-in.ts
@@ -45,6 +45,8 @@
     readonly deadlyPart?: string;
     /** Crashes the target when it runs a request with this body. */
     readonly deadlyBody?: string;
+    /** Events of a deadly request's answer that are sent before the crash; none by default. */
+    readonly eventsBeforeCrash?: number;
     /** Time from a crash to the next start, in milliseconds. */
     readonly downMs?: number;
 }
@@ -214,9 +216,10 @@
             return;
         }
         res.writeHead(200, { ...headers, "Content-Type": "text/event-stream" });
-        for (let at = Number(req.headers["last-event-id"] ?? 0) + 1; at <= events && !res.destroyed; at++) {
+        const first = Number(req.headers["last-event-id"] ?? 0) + 1;
+        for (let at = first; at <= events && !res.destroyed; at++) {
             await sleep(stepMs);
-            if (isDeadly) {
+            if (isDeadly && at - first >= (this.opts.eventsBeforeCrash ?? 0)) {
                 await this.crash();
                 return;
             }
