--- a/spec/models.mjs
+++ b/spec/models.mjs
@@ -1,4 +1,5 @@
 import { BROKEN_BILLS } from "./broken-bills.mjs";
+import { BROKEN_BORROWERS } from "./broken-borrowers.mjs";
 import { BROKEN_CONFIG } from "./broken-config.mjs";
 import { BROKEN_GRANTS } from "./broken-grants.mjs";
 import { BROKEN_RESTORES } from "./broken-restores.mjs";
@@ -14,6 +15,7 @@
     { spec: "Config", cfg: "Config" },
     { spec: "Config", cfg: "ConfigStart" },
     { spec: "Windows", cfg: "Windows" },
+    { spec: "Borrowers", cfg: "Borrowers" },
     { spec: "Restores", cfg: "Restores" },
 ];
 
@@ -31,5 +33,6 @@
     ...BROKEN_BILLS,
     ...BROKEN_CONFIG,
     ...BROKEN_WINDOWS,
+    ...BROKEN_BORROWERS,
     ...BROKEN_RESTORES,
 ];
