Give up the connection of a response that is not used, and read entries only for streams that may go on

What callers saw: nothing yet; found by reading the change. Where a target's response was not used, since it was not known which start of it responded, its connection stayed open and half read: return() on a generator that nobody has read from runs none of its code.

Change: such a body is read once and then given up. The entry of a target is read only where the stream may be continued or resumed and its target names a version; for others the answer would not be used.

Evidence: the new test of relay.test.ts fails with return() alone.

--- a/packages/relay/src/quarantine/part-quarantine.ts
+++ b/packages/relay/src/quarantine/part-quarantine.ts
@@ -74,8 +74,8 @@
  * Learns which prompt parts and which whole requests crash targets, together with all other instances, and refuses them.
  *
  * A request that is lost in a crash of its target accuses itself as a whole and its shared parts. What is lost before its answer
- * begins is refuted by an answer that begins; what is lost afterwards only by one that is whole. Two instances for each part collect the accusations. Below, a part is one of a prompt or a
- * whole request.
+ * begins is refuted by an answer that begins; what is lost afterwards only by one that is whole. Two instances for each part collect
+ * the accusations. Below, a part is one of a prompt or a whole request.
  */
 export class PartQuarantine extends PartGate {
     private readonly book: DecisionBook;
--- a/packages/relay/src/relay-attempts.ts
+++ b/packages/relay/src/relay-attempts.ts
@@ -51,9 +51,10 @@
     private readonly stream: StreamRelay;
     /** Version of the stream that the sends have to continue. */
     private begun: BegunStream | undefined;
-    /** Resolves whether it is known which start of a target sent the first event; undefined where that is certain. */
-    private verifying: Promise<boolean> | undefined;
+    /** The target that sent the first event, where it was not certain then which start of it did; undefined where that does not matter. */
     private uncertain: RespondingTarget | undefined;
+    /** Resolves whether it has become known. */
+    private verifying: Promise<boolean> | undefined;
     private sends = 0;
     private lastTarget = "";
     private failedConnects = 0;
@@ -241,7 +242,7 @@
         const responding = { target: state.target, connectedAtMs };
         if (this.begun !== undefined && !await this.opts.starts.verify(responding)) {
             // What another version writes does not continue the stream.
-            await body[Symbol.asyncIterator]().return?.();
+            abandon(body);
             this.logSend(state, "unknown start", "the target may have started again as another version");
             return this.canRepeat() ? RETRY_STEP : { kind: "end", end: this.failRequest("versionUnavailable") };
         }
@@ -276,15 +277,16 @@
     }
 
     private recordBegun(responding: RespondingTarget): void {
+        const { service, version } = responding.target;
         const isContinued = this.begun !== undefined;
-        this.begun ??= { version: responding.target.version };
+        this.begun ??= { version };
         this.opts.parts.recordBegun(this.request.watched);
         if (isContinued || this.opts.starts.isCertain(responding)) {
             this.recordOrigin(responding);
         }
-        else {
+        else if (version !== undefined && this.request.isRepeatable) {
             this.uncertain = responding;
-            if (this.opts.origins.isMixed(responding.target.service)) {
+            if (this.opts.origins.isMixed(service)) {
                 // Other instances have to know the origin before this one may be killed.
                 void this.verifyOrigin();
             }
@@ -433,3 +435,9 @@
         });
     }
 }
+
+/** Ends the reading of a body that nobody has read from; a generator gives its source up only once it has begun. */
+const abandon = (body: AsyncIterable<Buffer>): void => {
+    const chunks = body[Symbol.asyncIterator]();
+    chunks.next().then(() => chunks.return?.()).catch(() => undefined);
+};
--- a/packages/relay/src/relay.test.ts
+++ b/packages/relay/src/relay.test.ts
@@ -351,6 +351,30 @@
     t.is(caller.ended, "broken");
 });
 
+test("the connection of a response that is not used is given up, though nobody has read from it", async t => {
+    let isGivenUp = false;
+    const endless = async function*(): AsyncGenerator<Buffer> {
+        try {
+            for (let id = 2;; id++) {
+                await sleep(1);
+                yield Buffer.from(`id: ${id}\n\n`);
+            }
+        }
+        finally {
+            isGivenUp = true;
+        }
+    };
+    const first = await serve([respond(["id: 1\ndata: a\n\n"])]);
+    await serve(
+        [respond(["id: 1\ndata: a\n\n"], true), () => ({ kind: "answer", head: HEAD, body: endless() })],
+        { kind: "streaming", isResumable: true, maxAttempts: 2 },
+        {},
+        { starts: new SomeStarts([first.port.calls[0]?.target.id ?? ""]) },
+    );
+    await sleep(50);
+    t.true(isGivenUp);
+});
+
 test("before its first event a stream may be sent to a target of any version", async t => {
     const { caller } = await serve(
         [failing, respond(["id: 1\ndata: a\n\n"])],
