Wait for whole answers before what crashed targets after the first event is refused

A deadly request crashed all four targets of a fleet within 0.6 s; the sound streams, which look alike, were lost in the same crashes, none could be whole in that time, and they were refused with the deadly one.

Cause: three crashes without a whole answer since the first decide at once; an answer that only begins refutes nothing there.

Change: such a decision comes two seconds after the third crash, within the three that are allowed. Whole answers elsewhere, or at a target that is back, tell the sound ones apart.

--- a/packages/relay/src/quarantine/part-collector.ts
+++ b/packages/relay/src/quarantine/part-collector.ts
@@ -4,7 +4,7 @@
 import type { RelayLog } from "../relay-log.js";
 import { AccusationTable, type PartEvidence } from "./accusation-table.js";
 import type { DecisionBook } from "./decision-book.js";
-import { isWholeRequest } from "./watched-request.js";
+import { isBegunPart, isWholeRequest } from "./watched-request.js";
 
 /** Options of {@link PartCollector}. */
 export interface PartCollectorOptions {
@@ -55,6 +55,12 @@
 /** Maximum wait for the parts that follow, in milliseconds; a long conversation has many. */
 const MAX_FOLLOWER_WAIT_MS = 1_000;
 
+/**
+ * Time for which what is accused of crashes after the first event waits, in milliseconds. All streams at a crashing target break at
+ * once, and sound ones need the time of a whole answer, elsewhere or at the target that is back, to be told apart.
+ */
+const BEGUN_DOUBT_WAIT_MS = 2_000;
+
 /** Collects the accusations of parts from all instances, and quarantines parts that crash targets. */
 export class PartCollector {
     private readonly table = new AccusationTable();
@@ -109,7 +115,8 @@
             const { crashes, followers } = this.getEvidence(part);
             const followerWaitMs = Math.min(MAX_FOLLOWER_WAIT_MS, followers * WAIT_PER_FOLLOWER_MS);
             const doubtWaitMs = isWholeRequest(part) ? REQUEST_DOUBT_WAIT_MS : DOUBT_WAIT_MS;
-            const waitMs = followerWaitMs + (crashes.length < SURE_CRASHES ? doubtWaitMs : 0);
+            const begunWaitMs = isBegunPart(part) ? BEGUN_DOUBT_WAIT_MS : 0;
+            const waitMs = begunWaitMs + followerWaitMs + (crashes.length < SURE_CRASHES ? doubtWaitMs : 0);
             if (waitMs > 0) {
                 await this.wait(waitMs);
                 await this.removeRefuted([part], [part]);
--- a/packages/relay/src/quarantine/watched-request.ts
+++ b/packages/relay/src/quarantine/watched-request.ts
@@ -16,6 +16,9 @@
  */
 export const toBegunPart = (part: string): string => BEGUN_PREFIX + part;
 
+/** Whether a name is one for crashes after the first event. */
+export const isBegunPart = (part: string): boolean => part.startsWith(BEGUN_PREFIX);
+
 /** Whether a watched part is a request as a whole. */
 export const isWholeRequest = (part: string): boolean =>
     part.startsWith(WHOLE_PREFIX) || part.startsWith(BEGUN_PREFIX + WHOLE_PREFIX);
