--- a/packages/relay/src/handoff/connection-handoff.ts
+++ b/packages/relay/src/handoff/connection-handoff.ts
@@ -174,6 +174,7 @@
                 caller,
                 helper: socket,
                 confirmEnd: () => this.renew(helper),
+                onReset: () => this.opts.count("handed_off_connections_reset"),
                 onEnd: () => this.forget(helper, caller),
             });
         }
@@ -308,7 +309,14 @@
         }
         if (kind === "lost") {
             this.drop(helper, "the peer was lost");
-            helper.callers.forEach(caller => caller.resetAndDestroy());
+            this.opts.log.write("connections of a lost peer reset", {
+                helper: info.instance,
+                connections: helper.callers.size,
+            });
+            helper.callers.forEach(caller => {
+                this.opts.count("handed_off_connections_reset");
+                caller.resetAndDestroy();
+            });
         }
         else if (info.state !== "live") {
             this.drop(helper, "the peer leaves");
--- a/packages/relay/src/handoff/join-connections.ts
+++ b/packages/relay/src/handoff/join-connections.ts
@@ -12,12 +12,14 @@
      * a response that ends with its connection would look complete.
      */
     readonly confirmEnd: () => Promise<boolean>;
+    /** Called when the caller's connection is reset since the helper's has failed. */
+    readonly onReset: () => void;
     /** Called once when both connections are closed or closing. */
     readonly onEnd: () => void;
 }
 
 /** Copies bytes between a caller and its helper in both directions until either of them ends. */
-export const joinConnections = ({ caller, helper, confirmEnd, onEnd }: JoinOptions): void => {
+export const joinConnections = ({ caller, helper, confirmEnd, onReset, onEnd }: JoinOptions): void => {
     let isEnded = false;
     const end = (): void => {
         if (!isEnded) {
@@ -26,6 +28,9 @@
         }
     };
     const reset = (): void => {
+        if (!isEnded && !caller.destroyed) {
+            onReset();
+        }
         caller.resetAndDestroy();
         helper.destroy();
         end();
