--- a/packages/relay/src/handoff/connection-handoff.ts
+++ b/packages/relay/src/handoff/connection-handoff.ts
@@ -1,12 +1,13 @@
 import { connect, type MembershipChange, type PeerHub } from "@ospreyreel/peer";
 import type { Address, HandoffStop, InstanceInfo } from "@ospreyreel/types";
 import type { Socket } from "node:net";
+import type { RequestHead } from "../http/caller-protocol.js";
 import { chooseHelpers } from "../policy/choose-helpers.js";
 import { HandoffPolicy } from "../policy/handoff-policy.js";
 import type { StopWindow } from "../policy/stop-window.js";
 import type { RelayLog } from "../relay-log.js";
 import { EventLoopLoad } from "./event-loop-load.js";
-import { joinConnections } from "./join-connections.js";
+import { HandedOffConnection, type HandoffEnd, type RequestTerms } from "./handed-off-connection.js";
 
 /** Options of {@link ConnectionHandoff}. */
 export interface ConnectionHandoffOptions {
@@ -15,6 +16,8 @@
     readonly getVersion: () => number;
     /** Number of requests that this instance has read itself. */
     readonly getOwnRequests: () => number;
+    /** Finds what holds for a request by its head; undefined where that is not known. */
+    readonly getTerms: (head: RequestHead) => RequestTerms | undefined;
     readonly log: RelayLog;
     /** Adds one to a counter. */
     readonly count: (name: string) => void;
@@ -45,8 +48,8 @@
 /** A peer that serves connections of this instance's callers. */
 interface Helper {
     readonly info: InstanceInfo;
-    /** The callers' connections that it serves. */
-    readonly callers: Set<Socket>;
+    /** The callers' connections that it serves; undefined while the one to the helper is opened. */
+    readonly callers: Map<Socket, HandedOffConnection | undefined>;
     address: Address;
     ticket: Uint8Array;
     /** Requests that it has served for this instance. */
@@ -59,6 +62,20 @@
     readonly cause: string;
 }
 
+/**
+ * Serves a caller's connection at this instance. `interruptedAtMs` is the monotonic arrival time of its first request, in milliseconds, where a
+ * target may have run that one already.
+ */
+export type ServeHere = (interruptedAtMs?: number) => void;
+
+/** Counters of how connections stop being served by helpers. */
+const END_COUNTERS: Readonly<Record<HandoffEnd, string | undefined>> = {
+    closed: undefined,
+    returned: "handed_off_connections_returned",
+    interrupted: "handed_off_requests_interrupted",
+    cut: "handed_off_responses_cut",
+};
+
 /** Connections that an overloaded instance hands off. */
 export interface HandoffView {
     /** Instance that gets new connections; undefined where none does. */
@@ -71,7 +88,7 @@
 
 /**
  * Hands callers' connections off to a larger peer while this instance has more requests than it can serve. The peer does all work
- * for them; this instance only copies their bytes, unread.
+ * for them; this instance copies their bytes, and serves them again once the load has fallen or the peer is gone.
  */
 export class ConnectionHandoff {
     private readonly helpers = new Map<string, Helper>();
@@ -141,8 +158,8 @@
         };
     }
 
-    /** Hands a caller's new connection off if one is to be; `serveHere` serves it where the helper cannot be reached. */
-    handOff(caller: Socket, serveHere: () => void): boolean {
+    /** Hands a caller's new connection off if one is to be; `serveHere` serves it where the helper does not, or no longer. */
+    handOff(caller: Socket, serveHere: ServeHere): boolean {
         const { current } = this;
         if (current === undefined) {
             return false;
@@ -151,15 +168,17 @@
         return true;
     }
 
-    /** Closes the connections that peers still serve. */
+    /** Ends the connections that peers still serve; requests without a response are answered here. */
     closeAll(): void {
-        this.helpers.forEach(({ callers }) => callers.forEach(caller => caller.destroy()));
+        this.helpers.forEach(({ callers }) =>
+            callers.forEach((connection, caller) => connection === undefined ? caller.destroy() : connection.giveUp())
+        );
     }
 
-    private async connect(helper: Helper, caller: Socket, serveHere: () => void): Promise<void> {
+    private async connect(helper: Helper, caller: Socket, serveHere: ServeHere): Promise<void> {
         const ignoreError = (): void => undefined;
         caller.on("error", ignoreError);
-        helper.callers.add(caller);
+        helper.callers.set(caller, undefined);
         try {
             const socket = await connect(helper.address, CONNECT_TIMEOUT_MS, this.stopping.signal);
             if (caller.destroyed) {
@@ -170,13 +189,18 @@
             socket.setNoDelay(true);
             socket.write(helper.ticket);
             this.opts.count("connections_handed_off");
-            joinConnections({
+            helper.callers.set(
                 caller,
-                helper: socket,
-                confirmEnd: () => this.renew(helper),
-                onReset: () => this.opts.count("handed_off_connections_reset"),
-                onEnd: () => this.forget(helper, caller),
-            });
+                new HandedOffConnection({
+                    caller,
+                    helper: socket,
+                    getTerms: this.opts.getTerms,
+                    confirmEnd: () => this.renew(helper),
+                    serveHere,
+                    isStopping: () => this.stopping.signal.aborted,
+                    onEnd: end => this.recordEnd(helper, caller, end),
+                }),
+            );
         }
         catch (err) {
             // Nothing of the caller's has been read yet.
@@ -191,6 +215,14 @@
         }
     }
 
+    private recordEnd(helper: Helper, caller: Socket, end: HandoffEnd): void {
+        this.forget(helper, caller);
+        const counter = END_COUNTERS[end];
+        if (counter !== undefined) {
+            this.opts.count(counter);
+        }
+    }
+
     private forget(helper: Helper, caller: Socket): void {
         helper.callers.delete(caller);
         if (helper.callers.size === 0 && helper !== this.current) {
@@ -210,7 +242,9 @@
         this.handedOff = 0;
         if (!this.policy.isHandingOff) {
             if (this.current !== undefined) {
-                this.drop(this.current, "the load has fallen");
+                const { current } = this;
+                this.drop(current, "the load has fallen");
+                returnWhenIdle(current);
             }
         }
         else if (this.current === undefined && performance.now() >= this.searchAgainAtMs) {
@@ -229,7 +263,7 @@
         const refusals: string[] = [];
         for (const info of candidates.slice(0, MAX_ASKED)) {
             const helper = this.helpers.get(info.incarnation)
-                ?? { info, callers: new Set(), address: info.caller, ticket: new Uint8Array(), requests: 0 };
+                ?? { info, callers: new Map(), address: info.caller, ticket: new Uint8Array(), requests: 0 };
             const answer = await this.askOnce(helper);
             if (answer.kind === "accepted" && !this.stopping.signal.aborted) {
                 this.helpers.set(info.incarnation, helper);
@@ -309,17 +343,12 @@
         }
         if (kind === "lost") {
             this.drop(helper, "the peer was lost");
-            this.opts.log.write("connections of a lost peer reset", {
-                helper: info.instance,
-                connections: helper.callers.size,
-            });
-            helper.callers.forEach(caller => {
-                this.opts.count("handed_off_connections_reset");
-                caller.resetAndDestroy();
-            });
+            this.opts.log.write("helper lost", { helper: info.instance, connections: helper.callers.size });
+            helper.callers.forEach(connection => connection?.loseHelper());
         }
         else if (info.state !== "live") {
             this.drop(helper, "the peer leaves");
+            returnWhenIdle(helper);
         }
     }
 
@@ -334,3 +363,8 @@
         }
     }
 }
+
+/** Serves a helper's connections here again, each as soon as it has no request open. */
+const returnWhenIdle = ({ callers }: Helper): void => {
+    callers.forEach(connection => connection?.returnWhenIdle());
+};
--- /dev/null
+++ b/packages/relay/src/handoff/handed-off-connection.ts
@@ -0,0 +1,371 @@
+import { closeWithLinger } from "@ospreyreel/peer";
+import type { Socket } from "node:net";
+import type { RequestHead } from "../http/caller-protocol.js";
+import { MessageReader } from "./message-reader.js";
+
+/** What the active desired state says of a request. */
+export interface RequestTerms {
+    /** Whether it may be sent to another target after one that may have run it. */
+    readonly isRepeatable: boolean;
+    /** Monotonic time at which its response is due, in milliseconds. */
+    readonly endsAtMs: number;
+}
+
+/**
+ * How a connection stopped being served by a helper: `closed` in order, `returned` to be served here, with an open request if
+ * `interrupted`, or `cut` in the middle of a response.
+ */
+export type HandoffEnd = "closed" | "returned" | "interrupted" | "cut";
+
+/** Options of {@link HandedOffConnection}. */
+export interface HandedOffConnectionOptions {
+    /** The caller's connection. */
+    readonly caller: Socket;
+    /** Connection to the helper that serves the caller. */
+    readonly helper: Socket;
+    /** Finds what holds for a request; undefined where that is not known. */
+    readonly getTerms: (head: RequestHead) => RequestTerms | undefined;
+    /**
+     * Resolves whether the helper's process lives, so that it has closed its connection on purpose; does not reject. After a crash
+     * a response that ends with its connection would look complete.
+     */
+    readonly confirmEnd: () => Promise<boolean>;
+    /**
+     * Serves the caller's connection here from now on. `interruptedAtMs` is the monotonic arrival time of its first request, in milliseconds, where
+     * a target may have run that one already.
+     */
+    readonly serveHere: (interruptedAtMs: number | undefined) => void;
+    /** Whether this instance stops, so that connections without a request are closed. */
+    readonly isStopping: () => boolean;
+    /** Called once. */
+    readonly onEnd: (end: HandoffEnd) => void;
+}
+
+/** Maximum size of what arrives behind an open request before the caller is no longer read, in bytes. */
+const MAX_QUEUED_BYTES = 65_536;
+
+/** Time after the end of a request's time in which the helper may still end the response, in milliseconds. */
+const LATE_END_MS = 1_000;
+
+/** Statuses below this one announce another response to the same request. */
+const FINAL_STATUS_FROM = 200;
+
+/**
+ * Copies bytes between a caller and its helper, one request at a time, and follows where requests and responses begin and end. So the caller's connection
+ * can be served here again between two requests, and a request whose helper is gone is answered as long as no byte of its response was sent.
+ */
+export class HandedOffConnection {
+    /** The open request. */
+    private request: MessageReader | undefined;
+    /** The response that has begun. */
+    private response: MessageReader | undefined;
+    private isAnswered = false;
+    private arrivedAtMs = 0;
+    /** What was copied of the open request, while it may have to be served here. */
+    private held: Buffer[] = [];
+    /** What arrived behind the open request. */
+    private queued: Buffer[] = [];
+    private queuedBytes = 0;
+    /** Whether the bytes are no requests and responses that can be followed. */
+    private isOpaque = false;
+    /** Whether a response has told the caller that the connection closes. */
+    private announcesClose = false;
+    private isReturning = false;
+    /** Whether it is being found out how the helper's connection has ended. */
+    private isEnding = false;
+    private hasEnded = false;
+    private timer: NodeJS.Timeout | undefined;
+    private readonly detachers: (() => void)[] = [];
+
+    constructor(private readonly opts: HandedOffConnectionOptions) {
+        const { caller, helper } = opts;
+        this.listen(caller, "data", chunk => this.readCaller(chunk as Buffer));
+        this.listen(caller, "drain", () => helper.resume());
+        this.listen(caller, "end", () => helper.end());
+        this.listen(caller, "error", () => this.end("closed"));
+        this.listen(caller, "close", () => this.end("closed"));
+        this.listen(helper, "data", chunk => this.readHelper(chunk as Buffer));
+        this.listen(helper, "drain", () => this.resumeCaller());
+        this.listen(helper, "error", () => this.loseConnection(false));
+        this.listen(helper, "end", () => this.loseConnection(true));
+        this.listen(helper, "close", () => this.loseConnection(false));
+    }
+
+    /** Serves the connection here once its helper has answered the open request. */
+    returnWhenIdle(): void {
+        this.isReturning = true;
+        if (this.request === undefined && !this.announcesClose && !this.isOpaque) {
+            this.takeBack();
+        }
+    }
+
+    /**
+     * Takes note that the helper cannot be reached or has stopped, which may pass. A begun response is waited for; a request that may be repeated
+     * is served here at once, and another one when its time is over.
+     */
+    loseHelper(): void {
+        if (this.isOpaque) {
+            this.cut();
+            return;
+        }
+        this.returnWhenIdle();
+        const { request } = this;
+        if (this.hasEnded || request === undefined || this.timer !== undefined) {
+            return;
+        }
+        const terms = this.getTerms();
+        if (!this.hasBegun && (!request.isComplete || terms?.isRepeatable === true)) {
+            this.takeBack();
+            return;
+        }
+        const endsAtMs = terms?.endsAtMs ?? performance.now();
+        this.timer = setTimeout(() => this.expire(endsAtMs), endsAtMs - performance.now()).unref();
+    }
+
+    /** Ends what the helper serves: a request without a response is answered here, a begun response is cut. */
+    giveUp(): void {
+        if (this.hasEnded) {
+            return;
+        }
+        if (this.isOpaque || this.hasBegun) {
+            this.cut();
+        }
+        else if (this.request === undefined) {
+            this.close("closed");
+        }
+        else {
+            this.takeBack();
+        }
+    }
+
+    /** Whether any byte of the open request's final response may have been sent to the caller. */
+    private get hasBegun(): boolean {
+        return this.response !== undefined || this.isAnswered;
+    }
+
+    private listen(socket: Socket, event: string, listener: (arg: unknown) => void): void {
+        socket.on(event, listener);
+        this.detachers.push(() => socket.off(event, listener));
+    }
+
+    private getTerms(): RequestTerms | undefined {
+        const head = this.request?.head;
+        if (head === undefined) {
+            return undefined;
+        }
+        const { method, target, rawHeaders } = head;
+        return this.opts.getTerms({ method, target, rawHeaders, arrivedAtMs: this.arrivedAtMs });
+    }
+
+    private readCaller(chunk: Buffer): void {
+        if (this.isOpaque) {
+            this.sendToHelper(chunk);
+            return;
+        }
+        if (this.request?.isComplete === true || this.announcesClose) {
+            this.queue(chunk);
+            return;
+        }
+        if (this.request === undefined) {
+            this.request = new MessageReader({ kind: "request" });
+            this.arrivedAtMs = performance.now();
+        }
+        const own = chunk.subarray(0, this.request.read(chunk));
+        if (!this.hasBegun) {
+            this.held.push(own);
+        }
+        this.sendToHelper(own);
+        if (this.request.isInvalid || this.request.head?.changesProtocol === true) {
+            this.follow(chunk.subarray(own.length));
+            return;
+        }
+        if (own.length < chunk.length) {
+            this.queue(chunk.subarray(own.length));
+        }
+        this.finishExchange();
+    }
+
+    private readHelper(chunk: Buffer): void {
+        let rest = chunk;
+        while (rest.length > 0) {
+            if (this.isOpaque || this.request === undefined) {
+                // A close that the helper explains without a request, or no HTTP any more.
+                this.isOpaque = true;
+                this.sendToCaller(rest);
+                return;
+            }
+            this.response ??= new MessageReader({
+                kind: "response",
+                hasNoBody: this.request.head?.method === "HEAD",
+            });
+            const { response } = this;
+            const own = rest.subarray(0, response.read(rest));
+            rest = rest.subarray(own.length);
+            this.sendToCaller(own);
+            if (response.isInvalid || response.head?.changesProtocol === true) {
+                this.isOpaque = true;
+                continue;
+            }
+            const isFinal = (response.head?.status ?? 0) >= FINAL_STATUS_FROM;
+            if (isFinal) {
+                this.held = [];
+                this.announcesClose ||= response.head?.keepsConnection === false;
+            }
+            if (response.isComplete) {
+                this.response = undefined;
+                this.isAnswered = isFinal;
+                this.finishExchange();
+            }
+        }
+    }
+
+    /** Copies the rest of the connection without following it. */
+    private follow(chunk: Buffer): void {
+        this.isOpaque = true;
+        this.held = [];
+        if (chunk.length > 0) {
+            this.sendToHelper(chunk);
+        }
+    }
+
+    private finishExchange(): void {
+        if (!this.isAnswered || this.request?.isComplete !== true) {
+            return;
+        }
+        this.request = undefined;
+        this.isAnswered = false;
+        this.held = [];
+        clearTimeout(this.timer);
+        this.timer = undefined;
+        if (this.announcesClose) {
+            return;
+        }
+        if (this.isReturning) {
+            this.takeBack();
+            return;
+        }
+        const next = Buffer.concat(this.queued);
+        this.queued = [];
+        this.queuedBytes = 0;
+        if (next.length > 0) {
+            this.resumeCaller();
+            this.readCaller(next);
+        }
+    }
+
+    private queue(chunk: Buffer): void {
+        this.queued.push(chunk);
+        this.queuedBytes += chunk.length;
+        if (this.queuedBytes > MAX_QUEUED_BYTES) {
+            this.opts.caller.pause();
+        }
+    }
+
+    private resumeCaller(): void {
+        if (this.queuedBytes <= MAX_QUEUED_BYTES) {
+            this.opts.caller.resume();
+        }
+    }
+
+    private sendToHelper(chunk: Buffer): void {
+        if (!this.opts.helper.write(chunk)) {
+            this.opts.caller.pause();
+        }
+    }
+
+    private sendToCaller(chunk: Buffer): void {
+        if (!this.opts.caller.write(chunk)) {
+            this.opts.helper.pause();
+        }
+    }
+
+    /** Ends a request whose time is over, and whose response is over a moment later. */
+    private expire(endsAtMs: number): void {
+        const leftMs = endsAtMs + LATE_END_MS - performance.now();
+        if (this.hasBegun && leftMs > 0) {
+            this.timer = setTimeout(() => this.giveUp(), leftMs).unref();
+        }
+        else {
+            this.giveUp();
+        }
+    }
+
+    /** Takes note that the connection to the helper has ended; `isOrderly` unless it was reset. */
+    private loseConnection(isOrderly: boolean): void {
+        const { caller, helper, confirmEnd } = this.opts;
+        if (this.isEnding) {
+            return;
+        }
+        if (caller.readableEnded) {
+            caller.end();
+            this.end("closed");
+        }
+        else if (!this.isOpaque && !this.hasBegun && !this.announcesClose) {
+            this.takeBack();
+        }
+        else if (!this.isOpaque && (this.request === undefined || this.isAnswered)) {
+            this.close("closed");
+        }
+        else if (!this.isOpaque && this.response?.head?.isFramed !== false) {
+            // The caller sees by the framing that the response is not whole.
+            this.close("cut");
+        }
+        else if (isOrderly) {
+            this.isEnding = true;
+            helper.end();
+            void confirmEnd().then(isConfirmed => isConfirmed ? this.close("closed") : this.cut());
+        }
+        else {
+            this.cut();
+        }
+    }
+
+    private close(end: HandoffEnd): void {
+        if (this.end(end)) {
+            closeWithLinger(this.opts.caller);
+        }
+    }
+
+    private cut(): void {
+        if (this.end("cut")) {
+            this.opts.caller.resetAndDestroy();
+        }
+    }
+
+    /** Serves the connection here, with what its caller has sent since the last response. */
+    private takeBack(): void {
+        const { caller, serveHere } = this.opts;
+        const isInterrupted = this.request?.isComplete === true;
+        const unserved = Buffer.concat([...this.held, ...this.queued]);
+        if (unserved.length === 0 && this.opts.isStopping()) {
+            this.close("closed");
+            return;
+        }
+        if (!this.end(isInterrupted ? "interrupted" : "returned") || caller.destroyed) {
+            return;
+        }
+        caller.off("error", ignoreError).pause();
+        if (unserved.length > 0) {
+            caller.unshift(unserved);
+        }
+        serveHere(isInterrupted ? this.arrivedAtMs : undefined);
+        caller.resume();
+    }
+
+    /** Stops copying; returns whether it had not stopped before. */
+    private end(end: HandoffEnd): boolean {
+        if (this.hasEnded) {
+            return false;
+        }
+        this.hasEnded = true;
+        clearTimeout(this.timer);
+        this.detachers.forEach(detach => detach());
+        const { caller, helper, onEnd } = this.opts;
+        caller.on("error", ignoreError);
+        helper.on("error", ignoreError).destroy();
+        onEnd(end);
+        return true;
+    }
+}
+
+const ignoreError = (): void => undefined;
--- a/packages/relay/src/handoff/handoff-port.ts
+++ b/packages/relay/src/handoff/handoff-port.ts
@@ -26,7 +26,7 @@
 /** Time within which the ticket arrives on a new connection, in milliseconds. */
 const TICKET_TIMEOUT_MS = 1_000;
 
-/** Time without a request after which a connection is closed when its instance or this one leaves, in milliseconds. */
+/** Time without a request after which a connection is closed when its instance or this one leaves, or is lost, in milliseconds. */
 const LEAVING_IDLE_MS = 1_000;
 
 /** Interval of the checks for such connections, in milliseconds. */
@@ -38,6 +38,8 @@
     readonly connections = new Map<Socket, AcceptedConnection>();
     requests = 0;
     isLeaving = false;
+    /** Whether the peer counts as lost; it may live and read what it is sent. */
+    isLost = false;
     minVersion = 0;
     stopWindow: StopWindow | undefined;
 
@@ -79,10 +81,12 @@
                 return;
             }
             if (kind === "lost") {
-                this.origins.delete(info.incarnation);
-                origin.connections.forEach((_, socket) => socket.destroy());
+                // Requests that run are answered; a process that has ended closes its connections itself.
+                origin.isLost = true;
+                this.forgetLost(info.incarnation, origin);
             }
             else {
+                origin.isLost = false;
                 origin.minVersion = Math.max(origin.minVersion, info.configRevision);
                 origin.isLeaving = info.state !== "live";
             }
@@ -113,6 +117,7 @@
     ): HandoffResponse {
         const known = this.origins.get(incarnation);
         const origin = known ?? new Origin(instance);
+        origin.isLost = false;
         if (stop !== undefined) {
             origin.stopBy(stop);
         }
@@ -141,7 +146,8 @@
     private async receive(socket: Socket): Promise<void> {
         socket.on("error", () => undefined);
         const ticket = await readTicket(socket, TICKET_TIMEOUT_MS);
-        const origin = [...this.origins.values()].find(it => ticket !== undefined && it.ticket.equals(ticket));
+        const [incarnation = "", origin] =
+            [...this.origins].find(([, it]) => ticket !== undefined && it.ticket.equals(ticket)) ?? [];
         if (origin === undefined) {
             this.opts.count("connections_rejected");
             socket.destroy();
@@ -149,13 +155,22 @@
         }
         this.opts.count("connections_taken");
         origin.connections.set(socket, this.opts.accept(socket, origin));
-        socket.once("close", () => origin.connections.delete(socket));
+        socket.once("close", () => {
+            origin.connections.delete(socket);
+            this.forgetLost(incarnation, origin);
+        });
         socket.resume();
     }
 
+    private forgetLost(incarnation: string, { isLost, connections }: Origin): void {
+        if (isLost && connections.size === 0) {
+            this.origins.delete(incarnation);
+        }
+    }
+
     private closeIdle(): void {
         for (const origin of this.origins.values()) {
-            if (this.isLeaving || origin.isLeaving) {
+            if (this.isLeaving || origin.isLeaving || origin.isLost) {
                 [...origin.connections].filter(([, { idleMs }]) => idleMs >= LEAVING_IDLE_MS)
                     .forEach(([socket]) => socket.destroySoon());
             }
--- a/packages/relay/src/http/http-caller-port.ts
+++ b/packages/relay/src/http/http-caller-port.ts
@@ -5,7 +5,7 @@
 import { setImmediate as nextTurn, setTimeout as sleep } from "node:timers/promises";
 import type { CallerExchange } from "../caller-exchange.js";
 import type { CallerBounds } from "../document/relay-document.js";
-import { LEAVING_REFUSAL } from "../relay-refusal.js";
+import { LEAVING_REFUSAL, withoutPromise } from "../relay-refusal.js";
 import type { RelayRequest } from "../relay-request.js";
 import type { AcceptedConnection, ConnectionOrigin } from "./accepted-connection.js";
 import type { CallerProtocol } from "./caller-protocol.js";
@@ -23,8 +23,11 @@
     readonly getBounds: () => CallerBounds | undefined;
     /** Serves one request; does not throw. */
     readonly serve: (req: RelayRequest, caller: CallerExchange) => Promise<void>;
-    /** Hands a new connection off to a peer; returns whether it did. `serveHere` serves the connection at this port. */
-    readonly handOff?: (socket: Socket, serveHere: () => void) => boolean;
+    /**
+     * Hands a new connection off to a peer; returns whether it did. `serveHere` serves the connection at this port, with the monotonic arrival
+     * time of its first request, in milliseconds, where a target may have run that one already.
+     */
+    readonly handOff?: (socket: Socket, serveHere: (interruptedAtMs?: number) => void) => boolean;
     /** Whether callers' connections are closed after each response, since new ones are handed off. */
     readonly isHandingOff?: () => boolean;
     /** Oldest version of the desired state by which requests may be decided; any by default. */
@@ -69,6 +72,8 @@
     private readonly closing = new WeakSet<Socket>();
     /** Connections that peers have handed off to this port. */
     private readonly origins = new WeakMap<Socket, ConnectionOrigin>();
+    /** When the next request of a connection arrived that a peer may have sent to a target. */
+    private readonly interrupted = new WeakMap<Socket, number>();
     private readonly exchanges = new ExchangeCounts();
     private readonly serveConnection: (socket: Socket) => void;
 
@@ -89,7 +94,12 @@
             });
         };
         this.server.on("connection", (socket: Socket) => {
-            const serveHere = (): void => this.serveConnection(socket);
+            const serveHere = (interruptedAtMs?: number): void => {
+                if (interruptedAtMs !== undefined) {
+                    this.interrupted.set(socket, interruptedAtMs);
+                }
+                this.serveConnection(socket);
+            };
             if (opts.handOff?.(socket, serveHere) !== true) {
                 serveHere();
             }
@@ -205,8 +215,11 @@
     }
 
     private async serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
-        const arrivedAtMs = performance.now();
         const { socket } = req;
+        const interruptedAtMs = this.interrupted.get(socket);
+        this.interrupted.delete(socket);
+        const isInterrupted = interruptedAtMs !== undefined;
+        const arrivedAtMs = interruptedAtMs ?? performance.now();
         this.unused.remove(socket);
         if (this.closing.has(socket) || !socket.writable) {
             // No response can be sent any more, so the request is not served.
@@ -252,7 +265,7 @@
         }
         if (body === "leaving") {
             this.closing.add(socket);
-            caller.refuse(LEAVING_REFUSAL);
+            caller.refuse(isInterrupted ? withoutPromise(LEAVING_REFUSAL) : LEAVING_REFUSAL);
             req.resume();
             return;
         }
@@ -268,7 +281,7 @@
         await readPendingClose();
         const minVersion = Math.max(origin?.minVersion ?? 0, this.opts.getMinVersion?.() ?? 0);
         const handedOff = origin === undefined ? {} : { keepsVersion: true, handedOffBy: origin };
-        await this.opts.serve({ ...head, body, minVersion, ...handedOff }, caller);
+        await this.opts.serve({ ...head, body, minVersion, isInterrupted, ...handedOff }, caller);
     }
 
     /** Reads a body; `leaving` if it has not arrived when the port stops accepting. */
--- a/packages/relay/src/instance/relay-instance.ts
+++ b/packages/relay/src/instance/relay-instance.ts
@@ -68,6 +68,8 @@
 /** Share of the stop time in which the last responses are sent. */
 const FLUSH_TIME_SHARE = 0.03;
 
+const NO_BODY = Buffer.alloc(0);
+
 /** Some callers use addresses for this many times their TTL. */
 const ADDRESS_TTL_FACTOR = 3;
 
@@ -162,6 +164,10 @@
             hub,
             getVersion: () => this.documents.version,
             getOwnRequests: () => this.callerPort.ownRequests,
+            getTerms: head => {
+                const req = adapter.callerProtocol.decode(head);
+                return req === undefined ? undefined : this.relay.getTerms({ ...req, body: NO_BODY });
+            },
             log: this.log,
             count: name => this.metrics.add(name),
         });
--- a/packages/relay/src/relay-attempts.ts
+++ b/packages/relay/src/relay-attempts.ts
@@ -55,6 +55,7 @@
     private uncertain: RespondingTarget | undefined;
     /** Resolves whether it has become known. */
     private verifying: Promise<boolean> | undefined;
+    /** Sends to targets, with the one of an instance that ended before its response. */
     private sends = 0;
     private lastTarget = "";
     private failedConnects = 0;
@@ -79,6 +80,10 @@
             held: request.held,
         });
         this.begun = request.origin;
+        if (request.req.isInterrupted === true) {
+            this.sends = 1;
+            this.mayHaveRun = true;
+        }
         this.firstTokensPerEvent = this.tokensPerEvent;
     }
 
--- a/packages/relay/src/relay-refusal.ts
+++ b/packages/relay/src/relay-refusal.ts
@@ -55,3 +55,9 @@
     targetFailed: 502,
     timedOut: 504,
 };
+
+const NOT_RUN_STATUS = 503;
+
+/** Refusal of a request that may have run: one that guarantees the opposite becomes one that guarantees nothing. */
+export const withoutPromise = (refusal: RelayRefusal): RelayRefusal =>
+    REFUSAL_STATUS[refusal.reason] === NOT_RUN_STATUS ? { reason: "targetFailed" } : refusal;
--- a/packages/relay/src/relay-request.ts
+++ b/packages/relay/src/relay-request.ts
@@ -40,6 +40,8 @@
     readonly minVersion?: number | undefined;
     /** Whether the oldest such version decides: the instance through which the request came has no newer one yet. */
     readonly keepsVersion?: boolean;
+    /** Whether another instance that ended before its response may have sent it to a target. */
+    readonly isInterrupted?: boolean;
     /** Set where the request came on a connection that a peer has handed off. */
     readonly handedOffBy?: HandedOffBy;
 }
--- a/packages/relay/src/relay.test.ts
+++ b/packages/relay/src/relay.test.ts
@@ -214,6 +214,55 @@
     t.is(caller.refusal?.reason, "targetFailed");
 });
 
+// Guards against requests that run twice, or are refused as not run, after the instance that served them has ended.
+test("an interrupted request that may run once only is not sent, and is not reported as not run", async t => {
+    const { caller, port } = await serve([respond(["whole"])], { kind: "non_idempotent" }, { isInterrupted: true });
+    t.is(port.calls.length, 0);
+    t.is(caller.refusal?.reason, "targetFailed");
+});
+
+test("an interrupted request whose time is over is told so", async t => {
+    const { caller } = await serve([respond(["whole"])], { kind: "non_idempotent", timeoutMs: 1_000 }, {
+        isInterrupted: true,
+        arrivedAtMs: performance.now() - 1_001,
+    });
+    t.is(caller.refusal?.reason, "timedOut");
+});
+
+test("an interrupted request that may be repeated is sent as a repeat", async t => {
+    const { caller, port, lines } = await serve([respond(["whole"])], {}, { isInterrupted: true });
+    t.is(caller.response?.body, "whole");
+    t.is(port.calls.length, 1);
+    t.is(lines.at(-1)?.["sends"], 2);
+});
+
+test("an interrupted request is not sent beyond its route's attempts", async t => {
+    const { caller, port } = await serve([respond(["whole"])], { maxAttempts: 1 }, { isInterrupted: true });
+    t.is(port.calls.length, 0);
+    t.is(caller.refusal?.reason, "targetFailed");
+});
+
+test("an interrupted stream is not begun again while several versions serve", async t => {
+    class MixedOrigins extends SingleVersionOrigins {
+        override isMixed(): boolean {
+            return true;
+        }
+    }
+    const { caller, port } = await serve(
+        [respond(["id: 1\n\n"])],
+        { kind: "streaming", isResumable: true },
+        { isInterrupted: true },
+        { origins: new MixedOrigins("v1") },
+    );
+    t.is(port.calls.length, 0);
+    t.is(caller.refusal?.reason, "targetFailed");
+});
+
+test("an interrupted request that cannot be repeated now is not reported as not run", async t => {
+    const { caller } = await serve([respond(["whole"])], {}, { isInterrupted: true }, { overloadedForS: 1 });
+    t.deepEqual(caller.refusal, { reason: "targetFailed" });
+});
+
 test("a non-idempotent request that no target ran is refused as not run, with a retry-after time", async t => {
     const { caller } = await serve([full], { kind: "non_idempotent", maxAttempts: 1 });
     t.is(caller.refusal?.reason, "overloaded");
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -4,6 +4,7 @@
 import type { BudgetGate, BudgetHold } from "./budget-gate.js";
 import type { CallerExchange } from "./caller-exchange.js";
 import type { DocumentHolder } from "./document/document-holder.js";
+import type { RequestTerms } from "./handoff/handed-off-connection.js";
 import type { SendPermits } from "./limits/send-permits.js";
 import type { OverloadGuard } from "./policy/overload-guard.js";
 import type { RetryAllowance } from "./policy/retry-allowance.js";
@@ -12,7 +13,13 @@
 import { getQuarantineReason, WatchedRequest } from "./quarantine/watched-request.js";
 import { type AttemptsResult, RelayAttempts } from "./relay-attempts.js";
 import type { LogFields, RelayLog } from "./relay-log.js";
-import { LEAVING_REFUSAL, NO_TARGET_REFUSAL, type RefusalReason, type RelayRefusal } from "./relay-refusal.js";
+import {
+    LEAVING_REFUSAL,
+    NO_TARGET_REFUSAL,
+    type RefusalReason,
+    type RelayRefusal,
+    withoutPromise,
+} from "./relay-refusal.js";
 import type { RelayRequest } from "./relay-request.js";
 import { RequestClock } from "./request-clock.js";
 import { type HeldResponse, ResponseMemory } from "./response-memory.js";
@@ -69,6 +76,10 @@
 
 const isRefusal = (admitted: Admission | RelayRefusal): admitted is RelayRefusal => "reason" in admitted;
 
+/** Monotonic time at which a request's time is over, in milliseconds. */
+const getDeadlineMs = ({ arrivedAtMs, waitsMs }: RelayRequest, { route }: Admission): number =>
+    arrivedAtMs + Math.min(route.timeoutMs, waitsMs ?? route.timeoutMs);
+
 /** Maximum number of tokens that a request may use; 0 where it requests no generation. */
 const getMaxTokens = ({ generation }: RelayRequest): number =>
     generation === undefined ? 0 : generation.promptTokens + generation.maxOutputTokens;
@@ -126,6 +137,14 @@
         return this.memory.heldBytes;
     }
 
+    /** Finds what holds for a request by the active desired state; undefined where that does not allow it. */
+    getTerms(req: RelayRequest): RequestTerms | undefined {
+        const admission = admit(this.opts.documents.current(), req, this.opts.random);
+        return isRefusal(admission)
+            ? undefined
+            : { isRepeatable: this.mayRepeatInterrupted(admission), endsAtMs: getDeadlineMs(req, admission) };
+    }
+
     /** Serves one request; does not throw. */
     async serve(req: RelayRequest, caller: CallerExchange): Promise<void> {
         this.open += 1;
@@ -154,6 +173,10 @@
             return;
         }
         const { route, service, team = "", priority } = admission;
+        const deadlineMs = getDeadlineMs(req, admission);
+        if (this.endInterrupted(req, caller, admission, deadlineMs)) {
+            return;
+        }
         const watched = new WatchedRequest(req, admission.team);
         const blocked = this.opts.parts.getBlockedPart(watched);
         if (blocked !== undefined) {
@@ -161,9 +184,9 @@
             this.refuse(req, caller, service, { reason: getQuarantineReason(part), retryAfterS }, { team, part });
             return;
         }
-        this.opts.getRetries(service).recordRequest();
-        const waitsMs = Math.min(route.timeoutMs, req.waitsMs ?? route.timeoutMs);
-        const deadlineMs = req.arrivedAtMs + waitsMs;
+        if (req.isInterrupted !== true) {
+            this.opts.getRetries(service).recordRequest();
+        }
         if (!this.isAccepting(req, deadlineMs)) {
             this.refuse(req, caller, service, LEAVING_REFUSAL, { team });
             return;
@@ -214,6 +237,28 @@
         }
     }
 
+    /** Ends a request that another instance may have sent before it ended, and that may not be repeated; returns whether it is one. */
+    private endInterrupted(
+        req: RelayRequest,
+        caller: CallerExchange,
+        admission: Admission,
+        deadlineMs: number,
+    ): boolean {
+        if (req.isInterrupted !== true || this.mayRepeatInterrupted(admission)) {
+            return false;
+        }
+        const reason = performance.now() < deadlineMs ? "targetFailed" : "timedOut";
+        this.refuse(req, caller, admission.service, { reason }, { team: admission.team ?? "" });
+        return true;
+    }
+
+    /** Whether a request may be sent here that another instance may have sent before it ended. */
+    private mayRepeatInterrupted({ route, service }: Admission): boolean {
+        // The other instance may have named another version as the one that began the stream.
+        const isCertain = route.kind !== "streaming" || !this.opts.origins.isMixed(service);
+        return isRepeatable(route) && route.maxAttempts > 1 && isCertain;
+    }
+
     /** Whether the stop of this instance, or of the one that handed the connection off, leaves time for a request. */
     private isAccepting({ handedOffBy }: RelayRequest, deadlineMs: number): boolean {
         const nowMs = performance.now();
@@ -307,6 +352,7 @@
             result,
             service,
             ...decisionFields,
+            ...(req.isInterrupted === true ? { interrupted: true } : {}),
             document: this.opts.documents.version,
             ms: Math.round(ms),
         });
@@ -316,9 +362,10 @@
         req: RelayRequest,
         caller: CallerExchange,
         service: string,
-        refusal: RelayRefusal,
+        cause: RelayRefusal,
         decidedBy: LogFields = {},
     ): void {
+        const refusal = req.isInterrupted === true ? withoutPromise(cause) : cause;
         caller.refuse(refusal);
         const ms = performance.now() - req.arrivedAtMs;
         this.opts.meter.recordEnd(refusal.reason satisfies RefusalReason, service, ms);
@@ -327,6 +374,7 @@
             reason: refusal.reason,
             service,
             ...decidedBy,
+            ...(req.isInterrupted === true ? { interrupted: true, cause: cause.reason } : {}),
             document: this.opts.documents.version,
             ms: Math.round(ms),
             retryAfterS: refusal.retryAfterS ?? 0,
