Let the rig cut the link between two instances

Cause: proxies stood before the KV service, callers and targets only; instances reach each other by the addresses that they announce, so that no two could be parted while both reach all others.

Change: PeerLinks puts a proxy between each two instances for the ports of callers, peers and handed-off connections. A module that the rig loads into an instance before its main module has it connect to these. TargetLinks is InstanceLinks now, since both use it. No product code changes.

--- a/packages/bench/src/platform/cut-off-instances.test.ts
+++ b/packages/bench/src/platform/cut-off-instances.test.ts
@@ -1,8 +1,8 @@
 import test, { type ExecutionContext } from "ava";
 import { setTimeout as sleep } from "node:timers/promises";
+import type { LinkCut } from "./instance-links.js";
 import { PlatformFleet, type PlatformInstance } from "./platform-fleet.js";
 import { openStream } from "./stream-caller.js";
-import type { LinkCut } from "./target-links.js";
 
 const HTTP_OK = 200;
 
--- a/packages/bench/src/platform/target-links.ts
+++ b/packages/bench/src/platform/instance-links.ts
@@ -4,7 +4,7 @@
 import { fileURLToPath } from "node:url";
 import { RigProcess } from "../rig/rig-process.js";
 
-/** How an instance loses its links to targets. */
+/** How an instance loses its links. */
 export type LinkCut =
     /** Nothing gets through and nothing is answered, new connections included. */
     | "hang"
@@ -20,8 +20,8 @@
 
 const UNACCEPTING = fileURLToPath(new URL("unaccepting-main.js", import.meta.url));
 
-/** Links of one instance to all targets, which can be cut. */
-export class TargetLinks {
+/** Links of one instance to targets or other instances, which can be cut. */
+export class InstanceLinks {
     private readonly links = new Map<string, FaultProxy>();
     private unaccepting: RigProcess | undefined;
     private readonly filling: Socket[] = [];
@@ -29,15 +29,20 @@
     /** Whether the links are cut. */
     isCut = false;
 
-    /** Starts links to targets by id. */
-    static async start(targets: ReadonlyMap<string, Address>): Promise<TargetLinks> {
-        const links = new TargetLinks();
-        for (const [id, target] of targets) {
+    /** Starts links to what listens on the addresses, by id. */
+    static async start(addresses: ReadonlyMap<string, Address>): Promise<InstanceLinks> {
+        const links = new InstanceLinks();
+        for (const [id, target] of addresses) {
             links.links.set(id, await startFaultProxy({ target }));
         }
         return links;
     }
 
+    /** Where the instance connects to for each id. */
+    get addresses(): ReadonlyMap<string, Address> {
+        return new Map([...this.links].map(([id, { address }]) => [id, address]));
+    }
+
     /** Returns a target's entry with the address of this instance's link to it. */
     rewrite(key: string, value: string): string {
         const link = this.links.get(key.replace(/^servers\//, ""));
@@ -51,7 +56,7 @@
         return Buffer.from(JSON.stringify({ ...entry, address: `${address.host}:${address.port}` })).toString("base64");
     }
 
-    /** Cuts the links to some targets by id, or to all. */
+    /** Cuts some links by id, or all. */
     async cut(how: LinkCut, ids: readonly string[] = [...this.links.keys()]): Promise<void> {
         this.isCut = true;
         const links = ids.map(id => this.links.get(id)).filter(link => link !== undefined);
--- a/packages/bench/src/platform/platform-fleet.ts
+++ b/packages/bench/src/platform/platform-fleet.ts
@@ -14,14 +14,23 @@
 import { join } from "node:path";
 import { Agent, request } from "undici";
 import { RigProcess } from "../rig/rig-process.js";
-import { TargetLinks } from "./target-links.js";
+import { InstanceLinks } from "./instance-links.js";
+import { PeerLinks } from "./peer-links.js";
+import { REDIRECTS_VARIABLE } from "./redirects-variable.js";
 
 const MAIN = createRequire(import.meta.url).resolve("@ospreyreel/platform/main");
 
 /** Main file of another build, which every other start of an instance runs; the same build by default. */
 const OTHER_BUILD = process.env["OSPREYREEL_OTHER_BUILD"] ?? MAIN;
 
+/** Module that has an instance connect to its peers through {@link PeerLinks}. */
+const REDIRECT = new URL("redirect-connections.js", import.meta.url).href;
+
 const PORTS_EACH = 6;
+
+/** Which of its ports other instances connect to: those of callers, of peers and of connections that are handed off. */
+const PEER_PORTS = [0, 3, 5] as const;
+
 const PREPAID = 100_000;
 /** Time that a caller waits for addresses, in milliseconds. */
 const DIRECTORY_TIMEOUT_MS = 1_000;
@@ -51,6 +60,8 @@
     readonly withProxies?: boolean;
     /** Number of instances, the first ones, whose links to targets can be cut; none by default. */
     readonly cuttable?: number;
+    /** Puts links that can be cut between each two instances; false by default. */
+    readonly withPeerLinks?: boolean;
     /** Number of targets of the plain service; one by default. */
     readonly plainCount?: number;
     /** How the targets of the plain service work. */
@@ -158,7 +169,9 @@
     /** Before the plain target and the models, if asked for. */
     readonly targetProxies: FaultProxy[] = [];
     /** Links to targets of the instances that can be cut off from them. */
-    readonly targetLinks: TargetLinks[] = [];
+    readonly targetLinks: InstanceLinks[] = [];
+    /** Links between the instances, if asked for. */
+    peerLinks: PeerLinks | undefined;
     private readonly agent = new Agent({ pipelining: 1 });
     private requests = 0;
     private starts = 0;
@@ -212,6 +225,12 @@
         for (let at = 0; at < (opts.cuttable ?? 0); at++) {
             await fleet.startLinks(at, storeFor);
         }
+        if (opts.withPeerLinks === true) {
+            fleet.peerLinks = await PeerLinks.start([...Array(count).keys()].map(at => ({
+                name: getName(at),
+                addresses: PEER_PORTS.map(port => toAddress(addresses[at * PORTS_EACH + port] ?? "")),
+            })));
+        }
         const folder = await mkdtemp(join(tmpdir(), "ospreyreel-platform-"));
         const seeds = [...Array(count).keys()].map(at => addresses[at * PORTS_EACH + 3] ?? "");
         for (const at of Array(count).keys()) {
@@ -281,7 +300,7 @@
     }
 
     private async startLinks(at: number, storeFor: (string | undefined)[]): Promise<void> {
-        const links = await TargetLinks.start(new Map(this.targets.map(target => [target.id, target.address])));
+        const links = await InstanceLinks.start(new Map(this.targets.map(target => [target.id, target.address])));
         this.targetLinks.push(links);
         const view = await this.store.openView((key, value) => links.rewrite(key, value));
         this.storeProxies[at]?.redirect(toAddress(view));
@@ -391,13 +410,20 @@
         await this.agent.destroy();
         const proxies = [...this.storeProxies, ...this.callerProxies, ...this.targetProxies];
         await Promise.all([...this.targets, this.store, ...proxies, ...this.targetLinks].map(part => part.close()));
+        await this.peerLinks?.close();
     }
 
     private startProcess(name: string, settingsFile: string): RigProcess {
         this.starts += 1;
+        const redirects = this.peerLinks?.getRedirects(name);
         return new RigProcess({
             script: this.starts % 2 === 0 ? OTHER_BUILD : MAIN,
-            env: { OSPREYREEL_SETTINGS: settingsFile, ...(this.onLine === undefined ? {} : { ROARR_LOG: "true" }) },
+            nodeArgs: redirects === undefined ? [] : ["--import", REDIRECT],
+            env: {
+                OSPREYREEL_SETTINGS: settingsFile,
+                ...(this.onLine === undefined ? {} : { ROARR_LOG: "true" }),
+                ...(redirects === undefined ? {} : { [REDIRECTS_VARIABLE]: JSON.stringify(redirects) }),
+            },
             onLine: line => this.onLine?.(name, line),
         });
     }
@@ -408,7 +434,7 @@
         [callers = "", readiness = "", directory = "", peer = "", metrics = "", handoff = ""]: readonly string[],
         varying: RelaySettingsJson,
     ): Promise<PlatformInstance> {
-        const name = `instance-${at}`;
+        const name = getName(at);
         const settings: RelaySettingsJson = {
             instance: name,
             availabilityZone: `zone-${at}`,
@@ -430,6 +456,8 @@
     }
 }
 
+const getName = (at: number): string => `instance-${at}`;
+
 const getVersion = (version: string | undefined): Pick<PlatformTargetOptions, "version"> =>
     version === undefined ? {} : { version };
 
--- a/packages/bench/src/platform/soak/platform-schedule.ts
+++ b/packages/bench/src/platform/soak/platform-schedule.ts
@@ -1,7 +1,7 @@
 import type { ProxyMode } from "@ospreyreel/stand-ins";
 import { drawEntries, type ScheduleBounds, type TimedFault } from "../../faults/draw-entries.js";
 import type { RandomSource } from "../../faults/random-source.js";
-import type { LinkCut } from "../target-links.js";
+import type { LinkCut } from "../instance-links.js";
 
 /** Signals that follow a SIGTERM of the same process. */
 export type StopKind = "stop" | "stopTwice" | "stopThenReload" | "freezeInStop" | "killInStop";
