--- a/packages/bench/src/platform/connection-handoff.test.ts
+++ b/packages/bench/src/platform/connection-handoff.test.ts
@@ -1,15 +1,9 @@
 import test from "ava";
-import { once } from "node:events";
-import { connect } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
-import { Client, request } from "undici";
+import { Client } from "undici";
+import { getState, loadInstance, loadUntilHandedOff, until } from "./handoff-load.js";
 import { MODEL_EVENTS, PlatformFleet, type PlatformInstance } from "./platform-fleet.js";
 
-/** Body that takes long to read in relation to sending it, in bytes; below the limit of the desired state. */
-const BODY = Buffer.alloc(900_000, "x");
-
-const UPLOADERS = 8;
-
 /** Callers that keep their connections. */
 const CALLERS = 24;
 
@@ -25,60 +19,6 @@
 const STOPS = [{ who: "helper", stepMs: 450 }, { who: "busy instance", stepMs: 300 }] as const;
 const REQUESTS = 10;
 
-/** Time in which an instance hands connections off, or keeps them again, on a busy machine; in milliseconds. */
-const CHANGE_MS = 20_000;
-
-/** The part of the state dump that the tests read. */
-interface State {
-    readonly handoff: { readonly helper?: string; readonly connections: Readonly<Record<string, number>>; };
-}
-
-const getState = async ({ metrics }: PlatformInstance): Promise<State> =>
-    await (await request(`http://${metrics}/state`)).body.json() as State;
-
-/** Sends a large request for which there is no route, on a connection of its own, and reads the response. */
-const upload = async ({ callers }: PlatformInstance, id: string): Promise<void> => {
-    const [host = "", port = ""] = callers.split(":");
-    const socket = connect(Number(port), host).on("error", () => undefined);
-    const head = ["POST /none/ HTTP/1.1", "Host: users.example", `Attempt-Id: ${id}`, "Authorization: Bearer key-1"];
-    socket.write(`${[...head, "Connection: close", `Content-Length: ${BODY.length}`].join("\r\n")}\r\n\r\n`);
-    socket.write(BODY);
-    socket.resume();
-    await once(socket, "close");
-};
-
-const until = async (check: () => Promise<boolean>): Promise<boolean> => {
-    const endsAtMs = performance.now() + CHANGE_MS;
-    while (performance.now() < endsAtMs) {
-        if (await check()) {
-            return true;
-        }
-        await sleep(50);
-    }
-    return false;
-};
-
-/** Loads an instance until another one serves its callers; returns that one and a function that ends the load. */
-const loadUntilHandedOff = async (fleet: PlatformFleet, busy: PlatformInstance) => {
-    let isLoaded = true;
-    const uploaders = Array.from({ length: UPLOADERS }, async (_, uploader) => {
-        for (let turn = 0; isLoaded; turn++) {
-            await upload(busy, `upload-${uploader}-${turn}`);
-        }
-    });
-    let helper: PlatformInstance | undefined;
-    await until(async () => {
-        const { handoff } = await getState(busy);
-        helper = fleet.instances.find(({ name }) => name === handoff.helper);
-        return helper !== undefined;
-    });
-    const endLoad = async (): Promise<void> => {
-        isLoaded = false;
-        await Promise.all(uploaders);
-    };
-    return { helper, endLoad };
-};
-
 interface StreamCall {
     readonly id: string;
     readonly status: number;
@@ -153,19 +93,13 @@
     if (first === undefined) {
         throw new Error("no instances");
     }
-    let isLoaded = true;
-    const uploaders = Array.from({ length: UPLOADERS }, async (_, uploader) => {
-        for (let turn = 0; isLoaded; turn++) {
-            await upload(first, `upload-${uploader}-${turn}`);
-        }
-    });
+    const endLoad = loadInstance(first);
     const isHandedOff = await until(async () => (await getState(first)).handoff.helper !== undefined);
     const answers = [];
     for (let turn = 0; turn < REQUESTS; turn++) {
         answers.push(await fleet.call(first, "/once/a"));
     }
-    isLoaded = false;
-    await Promise.all(uploaders);
+    await endLoad();
     t.true(isHandedOff, fleet.logTails);
     t.deepEqual(answers.filter(({ status }) => status !== 200 && status !== 503), [], fleet.logTails);
     const served = answers.filter(({ status }) => status === 200).length;
