Answer a request whose handling fails with a status in place of a reset

What callers saw: an unexpected error of the instance's own code reset the connection of the request, though nothing of a response had been sent. A request that had been passed on to a sound target got no answer then, and requests behind it on the connection neither. Where the error came after a whole response, the reset could take the end of it away.

Cause: HttpCallerPort reset the connection on each error of serving, whatever had been sent.

Change: before the head is sent the caller gets 502, which promises nothing, with `Connection: close`; a response of which a part was sent is reset as before, since it must not look complete; one that was sent whole is left as it is. The error is reported in each case.

The test "a request whose handling fails ends its connection" waited for the reset of a connection that it did not read; it reads the response now and also asserts its status.

--- a/packages/relay/src/http/http-caller-port.test.ts
+++ b/packages/relay/src/http/http-caller-port.test.ts
@@ -3,6 +3,7 @@
 import { connect, type Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { isDeepStrictEqual } from "node:util";
+import type { CallerExchange } from "../caller-exchange.js";
 import type { CallerBounds } from "../document/relay-document.js";
 import { PlainCallerProtocol } from "../fixtures/plain-protocol.js";
 import type { RelayRequest } from "../relay-request.js";
@@ -255,10 +256,87 @@
     await port.start();
     t.teardown(() => port.close(0));
     const broken = send(port.listenPort, "broken", false);
+    const chunks: Buffer[] = [];
+    broken.on("data", (chunk: Buffer) => chunks.push(chunk));
     await new Promise(resolve => broken.once("close", resolve));
+    t.regex(Buffer.concat(chunks).toString(), /^HTTP\/1.1 502/);
     t.is(failures.length, 1);
     const other = send(port.listenPort, "other", false);
     const [response] = await once(other, "data") as [Buffer];
     t.regex(response.toString(), /^HTTP\/1.1 503/);
     other.destroy();
 });
+
+const HEAD = { status: 200, headers: [], isFramed: true };
+
+/** A port with a way to serve, and one caller's connection to it. */
+const connectTo = async (
+    t: ExecutionContext,
+    serve: (req: RelayRequest, caller: CallerExchange) => Promise<void>,
+    bounds?: CallerBounds,
+) => {
+    const failures: unknown[] = [];
+    const port = new HttpCallerPort({
+        host: HOST,
+        port: 0,
+        protocol: new PlainCallerProtocol(),
+        getBounds: () => bounds,
+        serve,
+        onFailure: err => failures.push(err),
+    });
+    await port.start();
+    t.teardown(() => port.close(0));
+    const state = { text: "", end: "" };
+    const socket = connect(port.listenPort, HOST)
+        .on("data", (chunk: Buffer) => state.text += chunk.toString("latin1"))
+        .on("error", () => state.end = "reset")
+        .on("close", () => state.end ||= "closed");
+    t.teardown(() => socket.destroy());
+    await once(socket, "connect");
+    return { failures, socket, state };
+};
+
+// Guards against requests that were passed on and whose connection was reset, though nothing of a response had been sent.
+test("a request whose handling fails before its response gets a status that promises nothing", async t => {
+    const { failures, socket, state } = await connectTo(t, () => Promise.reject(new Error("a fault of the code")));
+    socket.write(createMessage("a"));
+    await eventuallyIs(t, () => state.end, "closed");
+    t.regex(state.text, /^HTTP\/1\.1 502 [^]*Connection: close[^]*targetFailed/);
+    t.is(failures.length, 1);
+});
+
+test("a response whose head cannot be written is replaced by a status that promises nothing", async t => {
+    const head = { ...HEAD, headers: [["name", "\0"]] } as const;
+    const { socket, state } = await connectTo(t, (_req, caller) => caller.sendResponse(head, Buffer.from("whole")));
+    socket.write(createMessage("a"));
+    await eventuallyIs(t, () => state.end, "closed");
+    t.regex(state.text, /^HTTP\/1\.1 502 [^]*targetFailed/);
+    t.notRegex(state.text, /whole/);
+});
+
+test("a stream whose handling fails after its first event does not look complete", async t => {
+    const { socket, state } = await connectTo(t, async (_req, caller) => {
+        caller.startStream(HEAD);
+        await caller.sendEvents(Buffer.from("id: 1\n\n"), new AbortController().signal);
+        throw new Error("a fault of the code");
+    });
+    socket.write(createMessage("a"));
+    await eventuallyIs(t, () => state.end, "reset");
+    t.notRegex(state.text, /\r\n0\r\n/);
+});
+
+// Guards against a whole response that is lost with its connection, where what fails comes after it.
+test("a response that was sent whole stays whole though its handling fails afterwards", async t => {
+    const { failures, socket, state } = await connectTo(t, async (req, caller) => {
+        caller.startStream(HEAD);
+        await caller.sendEvents(Buffer.from(`id: ${req.id}\n\n`), new AbortController().signal);
+        caller.endStream();
+        throw new Error("a fault of the code");
+    });
+    socket.write(createMessage("1"));
+    await eventuallyIs(t, () => failures.length, 1);
+    socket.write(createMessage("2"));
+    await eventuallyIs(t, () => failures.length, 2);
+    await eventuallyIs(t, () => state.text.match(/\r\n0\r\n/g)?.length, 2);
+    t.is(state.end, "");
+});
--- a/packages/relay/src/http/http-caller-port.ts
+++ b/packages/relay/src/http/http-caller-port.ts
@@ -29,7 +29,7 @@
     readonly isHandingOff?: () => boolean;
     /** Oldest version of the desired state by which requests may be decided; any by default. */
     readonly getMinVersion?: () => number;
-    /** Takes an error of the code that ended a request; its connection is closed. */
+    /** Takes an error of the code that ended a request; its connection is closed unless the response was sent whole. */
     readonly onFailure?: (err: unknown) => void;
 }
 
@@ -96,8 +96,7 @@
         });
         this.server.on("request", (req, res) => {
             this.serve(req, res).catch((err: unknown) => {
-                // What has been sent of the response must not look complete.
-                req.socket.resetAndDestroy();
+                this.failRequest(req, res);
                 this.opts.onFailure?.(err);
             });
         });
@@ -271,6 +270,29 @@
         await this.opts.serve({ ...head, body, minVersion, ...handedOff }, caller);
     }
 
+    /** Ends a request whose handling failed; what was sent of its response must not look complete. */
+    private failRequest(req: IncomingMessage, res: ServerResponse): void {
+        const { socket } = req;
+        if (res.writableEnded) {
+            return;
+        }
+        if (res.headersSent) {
+            socket.resetAndDestroy();
+            return;
+        }
+        // The request may have run.
+        this.closing.add(socket);
+        const { protocol } = this.opts;
+        const caller = new HttpCallerExchange({ req, res, protocol, shouldCloseAfter: () => true });
+        try {
+            caller.refuse({ reason: "targetFailed" });
+            req.resume();
+        }
+        catch {
+            socket.resetAndDestroy();
+        }
+    }
+
     /** Reads a body; `leaving` if it has not arrived when the port stops accepting. */
     private async readBody(req: IncomingMessage): Promise<Buffer | "cut" | "too_large" | "leaving"> {
         if (this.hasStopped) {
