Let a request that was passed on get its own response whatever follows it on its connection

What callers saw: where invalid bytes, too large headers or headers that take longer than `headerTimeoutMs` followed a request on its connection while a target ran it, the connection was closed with 400, 431 or 408 in the place of that request's response. A status 408 says that the request has not run. A begun stream was cut.

Cause: node:http answers errors of its parser itself unless `clientError` is handled. It only asks whether the head of the open response was sent.

Change: the port handles these errors. Where a request of the connection was read whole and has no whole response yet, the connection is closed after that response; else the error is answered as before, and the connection is closed as after other refusals.

It takes a caller that sends a part of a next request before it has its response.

--- a/packages/relay/src/http/http-caller-port.test.ts
+++ b/packages/relay/src/http/http-caller-port.test.ts
@@ -340,3 +340,75 @@
     await eventuallyIs(t, () => state.text.match(/\r\n0\r\n/g)?.length, 2);
     t.is(state.end, "");
 });
+
+/** Serves with the request's id once it is told to. */
+const serveLater = () => {
+    const waiting: (() => void)[] = [];
+    const serve = async (req: RelayRequest, caller: CallerExchange): Promise<void> => {
+        await new Promise<void>(resolve => waiting.push(resolve));
+        await caller.sendResponse(HEAD, Buffer.from(`whole ${req.id}`));
+    };
+    return { waiting, serve };
+};
+
+// Guards against requests that were passed on and got the 400, 431 or 408 of later bytes on their connection.
+for (
+    const [name, bytes] of [
+        ["no request", "no request\r\n\r\n"],
+        ["a request with too large headers", `GET / HTTP/1.1\r\nLong: ${"x".repeat(70_000)}\r\n\r\n`],
+        ["a request with an invalid body", "POST / HTTP/1.1\r\nid: b\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"],
+    ] as const
+) {
+    test(`a request gets its own response though ${name} follows on its connection`, async t => {
+        const { waiting, serve } = serveLater();
+        const { socket, state } = await connectTo(t, serve);
+        socket.write(createMessage("a"));
+        await eventuallyIs(t, () => waiting.length, 1);
+        socket.write(bytes);
+        await sleep(LATE_WRITE_MS);
+        waiting[0]?.();
+        await eventuallyIs(t, () => state.end, "closed");
+        t.regex(state.text, /^HTTP\/1\.1 200 [^]*Connection: close[^]*whole a$/);
+    });
+}
+
+test("a request gets its own response though the headers of the next one on its connection take too long", async t => {
+    const { waiting, serve } = serveLater();
+    const { socket, state } = await connectTo(t, serve, {
+        ...SMALL_BOUNDS,
+        maxBodyBytes: 30_000,
+        headerTimeoutMs: 200,
+    });
+    socket.write(createMessage("a"));
+    await eventuallyIs(t, () => waiting.length, 1);
+    socket.write("GET / HTTP/1.1\r\n");
+    // The checks for slow heads are a second apart.
+    await sleep(2_300);
+    waiting[0]?.();
+    await eventuallyIs(t, () => state.end, "closed");
+    t.regex(state.text, /^HTTP\/1\.1 200 [^]*whole a$/);
+});
+
+test("a stream that has begun is completed though no request follows on its connection, which is closed then", async t => {
+    let finish: () => void = () => undefined;
+    const { socket, state } = await connectTo(t, async (_req, caller) => {
+        caller.startStream(HEAD);
+        await caller.sendEvents(Buffer.from("id: 1\n\n"), new AbortController().signal);
+        await new Promise<void>(resolve => finish = resolve);
+        caller.endStream();
+    });
+    socket.write(createMessage("a"));
+    await eventuallyIs(t, () => state.text.includes("id: 1"), true);
+    socket.write("no request\r\n\r\n");
+    await sleep(LATE_WRITE_MS);
+    finish();
+    await eventuallyIs(t, () => state.end, "closed");
+    t.regex(state.text, /^HTTP\/1\.1 200 [^]*id: 1[^]*\r\n0\r\n\r\n$/);
+});
+
+test("bytes that are no request are answered where no request is open", async t => {
+    const { socket, state } = await connectTo(t, () => Promise.resolve());
+    socket.write("no request\r\n\r\n");
+    await eventuallyIs(t, () => state.end, "closed");
+    t.regex(state.text, /^HTTP\/1\.1 400 Bad Request\r\nConnection: close\r\n\r\n$/);
+});
--- a/packages/relay/src/http/http-caller-port.ts
+++ b/packages/relay/src/http/http-caller-port.ts
@@ -13,6 +13,8 @@
 import { HttpCallerExchange } from "./http-caller-exchange.js";
 import { NewConnections } from "./new-connections.js";
 import { PipelineOrder } from "./pipeline-order.js";
+import { ReadRequests } from "./read-requests.js";
+import { rejectUnparsed } from "./reject-unparsed.js";
 
 /** Options of {@link HttpCallerPort}. */
 export interface HttpCallerPortOptions {
@@ -65,8 +67,13 @@
     private open = 0;
     private read = 0;
     private readOwn = 0;
-    /** Connections that are closed after a refusal. */
+    /** Connections that are closed after the response to a request that was read whole, or after a refusal. */
     private readonly closing = new WeakSet<Socket>();
+    private readonly readWhole = new ReadRequests(socket => {
+        if (this.closing.has(socket)) {
+            socket.destroySoon();
+        }
+    });
     /** Connections that peers have handed off to this port. */
     private readonly origins = new WeakMap<Socket, ConnectionOrigin>();
     private readonly exchanges = new ExchangeCounts();
@@ -100,6 +107,7 @@
                 this.opts.onFailure?.(err);
             });
         });
+        this.server.on("clientError", (err: NodeJS.ErrnoException, socket: Socket) => this.rejectUnparsed(err, socket));
         this.updateBounds();
     }
 
@@ -261,6 +269,7 @@
             req.resume();
             return;
         }
+        this.readWhole.add(socket, res);
         if (!await turn) {
             return;
         }
@@ -293,6 +302,21 @@
         }
     }
 
+    /** Ends a connection whose bytes are no valid request; a request that was read whole before them gets its response. */
+    private rejectUnparsed(err: NodeJS.ErrnoException, socket: Socket): void {
+        if (!socket.writable) {
+            socket.destroy(err);
+            return;
+        }
+        if (this.closing.has(socket)) {
+            return;
+        }
+        this.closing.add(socket);
+        if (!this.readWhole.has(socket)) {
+            rejectUnparsed(socket, err);
+        }
+    }
+
     /** Reads a body; `leaving` if it has not arrived when the port stops accepting. */
     private async readBody(req: IncomingMessage): Promise<Buffer | "cut" | "too_large" | "leaving"> {
         if (this.hasStopped) {
--- /dev/null
+++ b/packages/relay/src/http/reject-unparsed.ts
@@ -0,0 +1,19 @@
+import { closeWithLinger } from "@ospreyreel/peer";
+import { STATUS_CODES } from "node:http";
+import type { Socket } from "node:net";
+
+const HTTP_BAD_REQUEST = 400;
+
+/** Status for each error of the parser; 400 for all others. */
+const STATUS_BY_CODE: Readonly<Record<string, number>> = {
+    ERR_HTTP_REQUEST_TIMEOUT: 408,
+    HPE_CHUNK_EXTENSIONS_OVERFLOW: 413,
+    HPE_HEADER_OVERFLOW: 431,
+};
+
+/** Answers bytes that are no valid request and closes the connection; no other response may be open on it. */
+export const rejectUnparsed = (socket: Socket, { code = "" }: NodeJS.ErrnoException): void => {
+    const status = STATUS_BY_CODE[code] ?? HTTP_BAD_REQUEST;
+    socket.write(`HTTP/1.1 ${status} ${STATUS_CODES[status] ?? ""}\r\nConnection: close\r\n\r\n`);
+    closeWithLinger(socket);
+};
