Refuse paths that can't be sent to targets

What callers saw: a request whose path holds a tab or a form feed was refused with 503 `noTarget`, and three sound targets counted as unreachable at its instance, which does not use such ones for a while, so other callers' requests were refused or went elsewhere.

Cause: the parser of the callers' port accepts these characters, and the client of the targets' port rejects them; that came back as "not sent", like a connection that can't be opened.

Change: such a path gets 400 like other invalid requests, before a target is chosen.

Evidence: with three targets such a request left three lines "send without answer", outcome not_sent, "invalid request path", and was refused as noTarget; the new test fails on the commit before. That TargetHealth ejects a target at the first such send is read from the code, not measured.

--- a/packages/relay/src/http/http-caller-port.test.ts
+++ b/packages/relay/src/http/http-caller-port.test.ts
@@ -412,3 +412,16 @@
     await eventuallyIs(t, () => state.end, "closed");
     t.regex(state.text, /^HTTP\/1\.1 400 Bad Request\r\nConnection: close\r\n\r\n$/);
 });
+
+// Guards against sound targets that count as unreachable since a caller's path can't be sent to any.
+test("a path that cannot be sent on is refused", async t => {
+    let served = 0;
+    const { socket, state } = await connectTo(t, () => {
+        served += 1;
+        return Promise.resolve();
+    });
+    socket.write(createMessage("a").replace("/x", "/x\ty"));
+    await eventuallyIs(t, () => state.end, "closed");
+    t.regex(state.text, /^HTTP\/1\.1 400 [^]*badRequest/);
+    t.is(served, 0);
+});
--- a/packages/relay/src/http/http-caller-port.ts
+++ b/packages/relay/src/http/http-caller-port.ts
@@ -54,6 +54,9 @@
 
 const HTTP_HEADERS_TOO_LARGE = 431;
 
+/** Characters that the parser accepts in a path and the client of targets does not. */
+const UNSENDABLE_PATH = /[^\x21-\xff]/;
+
 /** The port for callers. */
 export class HttpCallerPort {
     private readonly server: Server;
@@ -240,7 +243,9 @@
             res.writeHead(HTTP_HEADERS_TOO_LARGE, { "Connection": "close" }).end();
             return;
         }
-        const head = protocol.decode({ method, target: url, rawHeaders, arrivedAtMs });
+        const head = UNSENDABLE_PATH.test(url)
+            ? undefined
+            : protocol.decode({ method, target: url, rawHeaders, arrivedAtMs });
         if (head === undefined) {
             this.closing.add(socket);
             caller.refuse({ reason: "badRequest" });
