Send what is written before a closing connection lingers

What callers see: a slow caller whose connection is handed off could lose the last bytes of a response that ends with its connection: up to some 80 KB, what is still held when the serving instance has closed.

Cause: closeWithLinger destroyed the connection two seconds after its end was requested, whether or not everything had been sent by then. Responses of the callers' port are sent by then; what joinConnections copies may not be.

--- a/packages/peer/src/lingering-close.test.ts
+++ b/packages/peer/src/lingering-close.test.ts
@@ -1,10 +1,10 @@
 import test, { type ExecutionContext } from "ava";
 import { once } from "node:events";
 import { createServer, type Server } from "node:http";
-import { type AddressInfo, connect, type Socket } from "node:net";
+import { type AddressInfo, connect, createServer as createTcpServer, type Socket } from "node:net";
 import { text } from "node:stream/consumers";
 import { setTimeout as sleep } from "node:timers/promises";
-import { lingerOnClose } from "./lingering-close.js";
+import { closeWithLinger, lingerOnClose } from "./lingering-close.js";
 
 const HOST = "127.0.0.1";
 const LATE_WRITE_MS = 50;
@@ -63,3 +63,38 @@
     await once(socket, "close");
     t.true(socket.destroyed);
 });
+
+// Guards against responses that lose their end where a caller reads them slower than the connection is closed.
+test("what is still to be sent arrives whole, however long the other side takes to read it", async t => {
+    const sent = Buffer.alloc(24 * 1_024 * 1_024, "x");
+    const server = createTcpServer(socket => {
+        socket.write(sent);
+        closeWithLinger(socket, LATE_WRITE_MS);
+    }).listen(0, HOST);
+    await once(server, "listening");
+    t.teardown(() => server.close());
+    const client = connect({ host: HOST, port: (server.address() as AddressInfo).port });
+    await once(client, "connect");
+    client.pause();
+    await sleep(10 * LATE_WRITE_MS);
+    t.is((await text(client)).length, sent.length);
+});
+
+test("the connection of a client that does not read is closed after a longer time", async t => {
+    const closed: Socket[] = [];
+    const server = createTcpServer(socket => {
+        socket.write(Buffer.alloc(24 * 1_024 * 1_024, "x"));
+        closeWithLinger(socket, LATE_WRITE_MS, 4 * LATE_WRITE_MS);
+        socket.once("close", () => closed.push(socket));
+    }).listen(0, HOST);
+    await once(server, "listening");
+    t.teardown(() => server.close());
+    const client = connect({ host: HOST, port: (server.address() as AddressInfo).port });
+    t.teardown(() => client.destroy());
+    client.on("error", () => undefined).pause();
+    const endsAtMs = performance.now() + 10_000;
+    while (closed.length === 0 && performance.now() < endsAtMs) {
+        await sleep(LATE_WRITE_MS);
+    }
+    t.is(closed.length, 1);
+});
