Know a stream's origin from each view that is read while it runs

What callers saw: a stream that breaks off ended there, though another target could go on, where the entry of the target that began it had been removed by then and the view had not been newer than the connection at the first event. That is the order in which targets are taken away: their entry goes first, then their process.

Cause: the start of the target was checked at the first event and when the stream breaks off, and by then neither the view nor the KV service names it.

Change: while the start isn't certain, each part of the stream asks the view again; that reads nothing from the KV service. What no view has named is still not continued: a target may have started again as another version.

--- a/packages/relay/src/relay-attempts.ts
+++ b/packages/relay/src/relay-attempts.ts
@@ -249,6 +249,7 @@
         const result = await this.stream.relay(head, body, {
             signal: clock.signal,
             onFirstEvent: () => this.recordBegun(responding),
+            onEvents: () => this.recordOriginIfCertain(),
         });
         if (result.kind === "complete") {
             state.health.recordResponse(false, firstByteMs);
@@ -300,6 +301,15 @@
         }
     }
 
+    /** Records the origin once a newer view tells it: the target's entry may be gone when the stream breaks off. */
+    private recordOriginIfCertain(): void {
+        const { uncertain } = this;
+        if (uncertain !== undefined && this.opts.starts.isCertain(uncertain)) {
+            this.uncertain = undefined;
+            this.recordOrigin(uncertain);
+        }
+    }
+
     /** Finds out which version began the stream; returns whether that is known. Does not throw. */
     private async verifyOrigin(): Promise<boolean> {
         const { uncertain } = this;
--- a/packages/relay/src/relay.test.ts
+++ b/packages/relay/src/relay.test.ts
@@ -97,6 +97,19 @@
     }
 }
 
+/** Knows the start of a target while its entry is there. */
+class PassingStarts extends StartCheck {
+    isAnnounced = false;
+
+    override isCertain(): boolean {
+        return this.isAnnounced;
+    }
+
+    override verify(): Promise<boolean> {
+        return Promise.resolve(this.isAnnounced);
+    }
+}
+
 /** Knows no stream. */
 class UnknownOrigins extends StreamOrigins {
     override recordBegun(): void {
@@ -337,6 +350,32 @@
     t.is(known.caller.ended, "complete");
 });
 
+// Guards against streams that end midway with a target whose entry is removed before its process stops.
+test("an interrupted stream is continued where it was certain meanwhile which start of a target began it", async t => {
+    const starts = new PassingStarts();
+    const body = async function*(): AsyncGenerator<Buffer> {
+        yield Buffer.from("id: 1\ndata: a\n\n");
+        await Promise.resolve();
+        starts.isAnnounced = true;
+        yield Buffer.from("id: 2\ndata: b\n\n");
+        starts.isAnnounced = false;
+        throw new Error("cut off");
+    };
+    const continued: Outcome = () => {
+        starts.isAnnounced = true;
+        return { kind: "answer", head: HEAD, body: createBody(["id: 3\ndata: c\n\n"]) };
+    };
+    const { caller, port } = await serve(
+        [() => ({ kind: "answer", head: HEAD, body: body() }), continued],
+        { kind: "streaming", isResumable: true, maxAttempts: 3 },
+        {},
+        { starts },
+    );
+    t.is(port.calls.length, 2);
+    t.is(caller.events, "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n");
+    t.is(caller.ended, "complete");
+});
+
 test("nothing of a target is in a stream that another one began where it is not known which start of it responds", async t => {
     const first = await serve([respond(["id: 1\ndata: a\n\n"])]);
     const began = first.port.calls[0]?.target.id ?? "";
--- a/packages/relay/src/stream/stream-relay.ts
+++ b/packages/relay/src/stream/stream-relay.ts
@@ -26,6 +26,8 @@
     readonly signal: AbortSignal;
     /** Called when the first event of the whole answer has arrived, before the caller gets it. */
     readonly onFirstEvent: () => void;
+    /** Called when further events have arrived, before the caller gets them. */
+    readonly onEvents: () => void;
 }
 
 const isEventStream = ({ headers }: ResponseHead): boolean =>
@@ -63,7 +65,7 @@
     async relay(
         head: ResponseHead,
         body: AsyncIterable<Buffer>,
-        { signal, onFirstEvent }: StreamPartOptions,
+        { signal, onFirstEvent, onEvents }: StreamPartOptions,
     ): Promise<StreamRelayResult> {
         const splitter = new EventSplitter();
         const eventsBefore = this.events;
@@ -81,7 +83,10 @@
                 if (!this.acceptIds(ids)) {
                     return { kind: "out_of_order" };
                 }
-                if (this.events === 0 && count > 0) {
+                if (this.events > 0) {
+                    onEvents();
+                }
+                else if (count > 0) {
                     onFirstEvent();
                 }
                 this.events += count;
