--- a/packages/relay/src/http/http-caller-port.ts
+++ b/packages/relay/src/http/http-caller-port.ts
@@ -13,6 +13,8 @@
 import { HttpCallerExchange } from "./http-caller-exchange.js";
 import { NewConnections } from "./new-connections.js";
 import { PipelineOrder } from "./pipeline-order.js";
+import { ReadRequests } from "./read-requests.js";
+import { rejectUnparsed } from "./reject-unparsed.js";
 
 /** Options of {@link HttpCallerPort}. */
 export interface HttpCallerPortOptions {
@@ -32,7 +34,7 @@
     readonly isHandingOff?: () => boolean;
     /** Oldest version of the desired state by which requests may be decided; any by default. */
     readonly getMinVersion?: () => number;
-    /** Takes an error of the code that ended a request; its connection is closed. */
+    /** Takes an error of the code that ended a request; its connection is closed unless the response was sent whole. */
     readonly onFailure?: (err: unknown) => void;
 }
 
@@ -55,6 +57,9 @@
 
 const HTTP_HEADERS_TOO_LARGE = 431;
 
+/** Characters that the parser accepts in a path and the client of targets does not. */
+const UNSENDABLE_PATH = /[^\x21-\xff]/;
+
 /** The port for callers. */
 export class HttpCallerPort {
     private readonly server: Server;
@@ -68,8 +73,13 @@
     private open = 0;
     private read = 0;
     private readOwn = 0;
-    /** Connections that are closed after a refusal. */
+    /** Connections that are closed after the response to a request that was read whole, or after a refusal. */
     private readonly closing = new WeakSet<Socket>();
+    private readonly readWhole = new ReadRequests(socket => {
+        if (this.closing.has(socket)) {
+            socket.destroySoon();
+        }
+    });
     /** Connections that peers have handed off to this port. */
     private readonly origins = new WeakMap<Socket, ConnectionOrigin>();
     /** When the next request of a connection arrived that a peer may have sent to a target. */
@@ -106,11 +116,11 @@
         });
         this.server.on("request", (req, res) => {
             this.serve(req, res).catch((err: unknown) => {
-                // What has been sent of the response must not look complete.
-                req.socket.resetAndDestroy();
+                this.failRequest(req, res);
                 this.opts.onFailure?.(err);
             });
         });
+        this.server.on("clientError", (err: NodeJS.ErrnoException, socket: Socket) => this.rejectUnparsed(err, socket));
         this.updateBounds();
     }
 
@@ -246,7 +256,9 @@
             res.writeHead(HTTP_HEADERS_TOO_LARGE, { "Connection": "close" }).end();
             return;
         }
-        const head = protocol.decode({ method, target: url, rawHeaders, arrivedAtMs });
+        const head = UNSENDABLE_PATH.test(url)
+            ? undefined
+            : protocol.decode({ method, target: url, rawHeaders, arrivedAtMs });
         if (head === undefined) {
             this.closing.add(socket);
             caller.refuse({ reason: "badRequest" });
@@ -275,6 +287,7 @@
             req.resume();
             return;
         }
+        this.readWhole.add(socket, res);
         if (!await turn) {
             return;
         }
@@ -284,6 +297,44 @@
         await this.opts.serve({ ...head, body, minVersion, isInterrupted, ...handedOff }, caller);
     }
 
+    /** Ends a request whose handling failed; what was sent of its response must not look complete. */
+    private failRequest(req: IncomingMessage, res: ServerResponse): void {
+        const { socket } = req;
+        if (res.writableEnded) {
+            return;
+        }
+        if (res.headersSent) {
+            socket.resetAndDestroy();
+            return;
+        }
+        // The request may have run.
+        this.closing.add(socket);
+        const { protocol } = this.opts;
+        const caller = new HttpCallerExchange({ req, res, protocol, shouldCloseAfter: () => true });
+        try {
+            caller.refuse({ reason: "targetFailed" });
+            req.resume();
+        }
+        catch {
+            socket.resetAndDestroy();
+        }
+    }
+
+    /** Ends a connection whose bytes are no valid request; a request that was read whole before them gets its response. */
+    private rejectUnparsed(err: NodeJS.ErrnoException, socket: Socket): void {
+        if (!socket.writable) {
+            socket.destroy(err);
+            return;
+        }
+        if (this.closing.has(socket)) {
+            return;
+        }
+        this.closing.add(socket);
+        if (!this.readWhole.has(socket)) {
+            rejectUnparsed(socket, err);
+        }
+    }
+
     /** Reads a body; `leaving` if it has not arrived when the port stops accepting. */
     private async readBody(req: IncomingMessage): Promise<Buffer | "cut" | "too_large" | "leaving"> {
         if (this.hasStopped) {
