--- a/packages/relay/src/handoff/connection-handoff.ts
+++ b/packages/relay/src/handoff/connection-handoff.ts
@@ -7,7 +7,7 @@
 import type { StopWindow } from "../policy/stop-window.js";
 import type { RelayLog } from "../relay-log.js";
 import { EventLoopLoad } from "./event-loop-load.js";
-import { HandedOffConnection, type HandoffEnd, type RequestTerms } from "./handed-off-connection.js";
+import { HandedOffConnection, type HandoffEnd, type RequestTerms, type ServeHere } from "./handed-off-connection.js";
 
 /** Options of {@link ConnectionHandoff}. */
 export interface ConnectionHandoffOptions {
@@ -52,6 +52,8 @@
     readonly callers: Map<Socket, HandedOffConnection | undefined>;
     address: Address;
     ticket: Uint8Array;
+    /** Whether it counts as lost. */
+    isLost: boolean;
     /** Requests that it has served for this instance. */
     requests: number;
 }
@@ -62,12 +64,6 @@
     readonly cause: string;
 }
 
-/**
- * Serves a caller's connection at this instance. `interruptedAtMs` is the monotonic arrival time of its first request, in milliseconds, where a
- * target may have run that one already.
- */
-export type ServeHere = (interruptedAtMs?: number) => void;
-
 /** Counters of how connections stop being served by helpers. */
 const END_COUNTERS: Readonly<Record<HandoffEnd, string | undefined>> = {
     closed: undefined,
@@ -186,6 +182,10 @@
                 this.forget(helper, caller);
                 return;
             }
+            if (helper.isLost) {
+                socket.destroy();
+                throw new Error("it was lost");
+            }
             socket.setNoDelay(true);
             socket.write(helper.ticket);
             this.opts.count("connections_handed_off");
@@ -263,7 +263,14 @@
         const refusals: string[] = [];
         for (const info of candidates.slice(0, MAX_ASKED)) {
             const helper = this.helpers.get(info.incarnation)
-                ?? { info, callers: new Map(), address: info.caller, ticket: new Uint8Array(), requests: 0 };
+                ?? {
+                    info,
+                    callers: new Map(),
+                    address: info.caller,
+                    ticket: new Uint8Array(),
+                    isLost: false,
+                    requests: 0,
+                };
             const answer = await this.askOnce(helper);
             if (answer.kind === "accepted" && !this.stopping.signal.aborted) {
                 this.helpers.set(info.incarnation, helper);
@@ -341,14 +348,18 @@
         if (helper === undefined) {
             return;
         }
+        helper.isLost = kind === "lost";
         if (kind === "lost") {
             this.drop(helper, "the peer was lost");
             this.opts.log.write("helper lost", { helper: info.instance, connections: helper.callers.size });
             helper.callers.forEach(connection => connection?.loseHelper());
         }
-        else if (info.state !== "live") {
-            this.drop(helper, "the peer leaves");
-            returnWhenIdle(helper);
+        else {
+            helper.callers.forEach(connection => connection?.regainHelper());
+            if (info.state !== "live") {
+                this.drop(helper, "the peer leaves");
+                returnWhenIdle(helper);
+            }
         }
     }
 
--- a/packages/relay/src/handoff/handed-off-connection.ts
+++ b/packages/relay/src/handoff/handed-off-connection.ts
@@ -5,12 +5,25 @@
 
 /** What the active desired state says of a request. */
 export interface RequestTerms {
-    /** Whether it may be sent to another target after one that may have run it. */
-    readonly isRepeatable: boolean;
+    /** Acquires one repeat at this instance; false where the request may not be repeated, or no repeat is left. */
+    readonly acquireRepeat: () => boolean;
     /** Monotonic time at which its response is due, in milliseconds. */
     readonly endsAtMs: number;
 }
 
+/** The open request of a connection that comes back from a helper. */
+export interface ReturnedRequest {
+    /** Monotonic time at which its first bytes arrived, in milliseconds. */
+    readonly arrivedAtMs: number;
+    /** Whether the helper may have sent it to a target. */
+    readonly isInterrupted: boolean;
+    /** Whether a repeat was acquired for it. */
+    readonly hasRepeat: boolean;
+}
+
+/** Serves a caller's connection at this instance, with its open request if there is one. */
+export type ServeHere = (returned?: ReturnedRequest) => void;
+
 /**
  * How a connection stopped being served by a helper: `closed` in order, `returned` to be served here, with an open request if
  * `interrupted`, or `cut` in the middle of a response.
@@ -30,11 +43,7 @@
      * a response that ends with its connection would look complete.
      */
     readonly confirmEnd: () => Promise<boolean>;
-    /**
-     * Serves the caller's connection here from now on. `interruptedAtMs` is the monotonic arrival time of its first request, in milliseconds, where
-     * a target may have run that one already.
-     */
-    readonly serveHere: (interruptedAtMs: number | undefined) => void;
+    readonly serveHere: ServeHere;
     /** Whether this instance stops, so that connections without a request are closed. */
     readonly isStopping: () => boolean;
     /** Called once. */
@@ -47,6 +56,9 @@
 /** Time after the end of a request's time in which the helper may still end the response, in milliseconds. */
 const LATE_END_MS = 1_000;
 
+/** Time for which a begun response is waited for where the time of its request is not known, in milliseconds. */
+const UNKNOWN_TIME_MS = 30_000;
+
 /** Statuses below this one announce another response to the same request. */
 const FINAL_STATUS_FROM = 200;
 
@@ -110,29 +122,40 @@
         }
         this.returnWhenIdle();
         const { request } = this;
-        if (this.hasEnded || request === undefined || this.timer !== undefined) {
+        if (this.hasEnded || this.timer !== undefined) {
+            return;
+        }
+        if (request === undefined) {
+            // The last response has announced the close.
+            this.close("closed");
             return;
         }
         const terms = this.getTerms();
-        if (!this.hasBegun && (!request.isComplete || terms?.isRepeatable === true)) {
-            this.takeBack();
+        if (!this.hasBegun && (!request.isComplete || terms === undefined || terms.acquireRepeat())) {
+            this.takeBack({ hasRepeat: request.isComplete && terms !== undefined });
             return;
         }
-        const endsAtMs = terms?.endsAtMs ?? performance.now();
+        const endsAtMs = terms?.endsAtMs ?? performance.now() + UNKNOWN_TIME_MS;
         this.timer = setTimeout(() => this.expire(endsAtMs), endsAtMs - performance.now()).unref();
     }
 
+    /** Takes note that the helper is back. */
+    regainHelper(): void {
+        clearTimeout(this.timer);
+        this.timer = undefined;
+    }
+
     /** Ends what the helper serves: a request without a response is answered here, a begun response is cut. */
     giveUp(): void {
         if (this.hasEnded) {
             return;
         }
-        if (this.isOpaque || this.hasBegun) {
-            this.cut();
-        }
-        else if (this.request === undefined) {
+        if (!this.isOpaque && (this.request === undefined || this.isAnswered)) {
             this.close("closed");
         }
+        else if (this.isOpaque || this.hasBegun) {
+            this.cut();
+        }
         else {
             this.takeBack();
         }
@@ -143,6 +166,11 @@
         return this.response !== undefined || this.isAnswered;
     }
 
+    /** Whether the head of the final response has arrived. */
+    private get hasFinalHead(): boolean {
+        return (this.response?.head?.status ?? 0) >= FINAL_STATUS_FROM;
+    }
+
     private listen(socket: Socket, event: string, listener: (arg: unknown) => void): void {
         socket.on(event, listener);
         this.detachers.push(() => socket.off(event, listener));
@@ -171,12 +199,13 @@
             this.arrivedAtMs = performance.now();
         }
         const own = chunk.subarray(0, this.request.read(chunk));
-        if (!this.hasBegun) {
+        if (!this.hasFinalHead && !this.isAnswered) {
             this.held.push(own);
         }
         this.sendToHelper(own);
-        if (this.request.isInvalid || this.request.head?.changesProtocol === true) {
-            this.follow(chunk.subarray(own.length));
+        if (this.request.isInvalid || this.request.head?.isUnfollowable === true) {
+            this.queue(chunk.subarray(own.length));
+            this.stopFollowing();
             return;
         }
         if (own.length < chunk.length) {
@@ -190,7 +219,7 @@
         while (rest.length > 0) {
             if (this.isOpaque || this.request === undefined) {
                 // A close that the helper explains without a request, or no HTTP any more.
-                this.isOpaque = true;
+                this.stopFollowing();
                 this.sendToCaller(rest);
                 return;
             }
@@ -202,11 +231,11 @@
             const own = rest.subarray(0, response.read(rest));
             rest = rest.subarray(own.length);
             this.sendToCaller(own);
-            if (response.isInvalid || response.head?.changesProtocol === true) {
-                this.isOpaque = true;
+            if (response.isInvalid || response.head?.isUnfollowable === true) {
+                this.stopFollowing();
                 continue;
             }
-            const isFinal = (response.head?.status ?? 0) >= FINAL_STATUS_FROM;
+            const isFinal = this.hasFinalHead;
             if (isFinal) {
                 this.held = [];
                 this.announcesClose ||= response.head?.keepsConnection === false;
@@ -220,11 +249,15 @@
     }
 
     /** Copies the rest of the connection without following it. */
-    private follow(chunk: Buffer): void {
+    private stopFollowing(): void {
         this.isOpaque = true;
         this.held = [];
-        if (chunk.length > 0) {
-            this.sendToHelper(chunk);
+        const unsent = Buffer.concat(this.queued);
+        this.queued = [];
+        this.queuedBytes = 0;
+        if (unsent.length > 0) {
+            this.opts.caller.resume();
+            this.sendToHelper(unsent);
         }
     }
 
@@ -296,17 +329,17 @@
         if (this.isEnding) {
             return;
         }
-        if (caller.readableEnded) {
-            caller.end();
-            this.end("closed");
+        const mayLookWhole = this.isOpaque || this.response?.head?.isFramed === false;
+        if (!this.isOpaque && this.response !== undefined && this.response.head === undefined) {
+            this.cut();
         }
-        else if (!this.isOpaque && !this.hasBegun && !this.announcesClose) {
+        else if (!mayLookWhole && !this.hasBegun && !this.announcesClose && !caller.readableEnded) {
             this.takeBack();
         }
-        else if (!this.isOpaque && (this.request === undefined || this.isAnswered)) {
+        else if (!mayLookWhole && (this.request === undefined || !this.hasBegun || this.isAnswered)) {
             this.close("closed");
         }
-        else if (!this.isOpaque && this.response?.head?.isFramed !== false) {
+        else if (!mayLookWhole) {
             // The caller sees by the framing that the response is not whole.
             this.close("cut");
         }
@@ -333,9 +366,10 @@
     }
 
     /** Serves the connection here, with what its caller has sent since the last response. */
-    private takeBack(): void {
+    private takeBack({ hasRepeat = false } = {}): void {
         const { caller, serveHere } = this.opts;
-        const isInterrupted = this.request?.isComplete === true;
+        const { arrivedAtMs, request } = this;
+        const isInterrupted = request?.isComplete === true;
         const unserved = Buffer.concat([...this.held, ...this.queued]);
         if (unserved.length === 0 && this.opts.isStopping()) {
             this.close("closed");
@@ -348,8 +382,7 @@
         if (unserved.length > 0) {
             caller.unshift(unserved);
         }
-        serveHere(isInterrupted ? this.arrivedAtMs : undefined);
-        caller.resume();
+        serveHere(request === undefined ? undefined : { arrivedAtMs, isInterrupted, hasRepeat });
     }
 
     /** Stops copying; returns whether it had not stopped before. */
--- a/packages/relay/src/handoff/handoff-port.ts
+++ b/packages/relay/src/handoff/handoff-port.ts
@@ -29,6 +29,9 @@
 /** Time without a request after which a connection is closed when its instance or this one leaves, or is lost, in milliseconds. */
 const LEAVING_IDLE_MS = 1_000;
 
+/** Time for which the ticket of a lost peer is accepted, in milliseconds; one that lives learns of the loss by then. */
+const LOST_TICKET_MS = 5_000;
+
 /** Interval of the checks for such connections, in milliseconds. */
 const IDLE_CHECK_MS = 250;
 
@@ -38,8 +41,8 @@
     readonly connections = new Map<Socket, AcceptedConnection>();
     requests = 0;
     isLeaving = false;
-    /** Whether the peer counts as lost; it may live and read what it is sent. */
-    isLost = false;
+    /** Monotonic time since which the peer counts as lost, in milliseconds; it may live, and hand connections off until it knows. */
+    lostAtMs: number | undefined;
     minVersion = 0;
     stopWindow: StopWindow | undefined;
 
@@ -82,11 +85,10 @@
             }
             if (kind === "lost") {
                 // Requests that run are answered; a process that has ended closes its connections itself.
-                origin.isLost = true;
-                this.forgetLost(info.incarnation, origin);
+                origin.lostAtMs ??= performance.now();
             }
             else {
-                origin.isLost = false;
+                origin.lostAtMs = undefined;
                 origin.minVersion = Math.max(origin.minVersion, info.configRevision);
                 origin.isLeaving = info.state !== "live";
             }
@@ -117,7 +119,7 @@
     ): HandoffResponse {
         const known = this.origins.get(incarnation);
         const origin = known ?? new Origin(instance);
-        origin.isLost = false;
+        origin.lostAtMs = undefined;
         if (stop !== undefined) {
             origin.stopBy(stop);
         }
@@ -146,8 +148,7 @@
     private async receive(socket: Socket): Promise<void> {
         socket.on("error", () => undefined);
         const ticket = await readTicket(socket, TICKET_TIMEOUT_MS);
-        const [incarnation = "", origin] =
-            [...this.origins].find(([, it]) => ticket !== undefined && it.ticket.equals(ticket)) ?? [];
+        const origin = [...this.origins.values()].find(it => ticket !== undefined && it.ticket.equals(ticket));
         if (origin === undefined) {
             this.opts.count("connections_rejected");
             socket.destroy();
@@ -155,25 +156,20 @@
         }
         this.opts.count("connections_taken");
         origin.connections.set(socket, this.opts.accept(socket, origin));
-        socket.once("close", () => {
-            origin.connections.delete(socket);
-            this.forgetLost(incarnation, origin);
-        });
+        socket.once("close", () => origin.connections.delete(socket));
         socket.resume();
     }
 
-    private forgetLost(incarnation: string, { isLost, connections }: Origin): void {
-        if (isLost && connections.size === 0) {
-            this.origins.delete(incarnation);
-        }
-    }
-
     private closeIdle(): void {
-        for (const origin of this.origins.values()) {
-            if (this.isLeaving || origin.isLeaving || origin.isLost) {
-                [...origin.connections].filter(([, { idleMs }]) => idleMs >= LEAVING_IDLE_MS)
+        for (const [incarnation, origin] of this.origins) {
+            const { connections, lostAtMs } = origin;
+            if (this.isLeaving || origin.isLeaving || lostAtMs !== undefined) {
+                [...connections].filter(([, { idleMs }]) => idleMs >= LEAVING_IDLE_MS)
                     .forEach(([socket]) => socket.destroySoon());
             }
+            if (lostAtMs !== undefined && connections.size === 0 && performance.now() - lostAtMs >= LOST_TICKET_MS) {
+                this.origins.delete(incarnation);
+            }
         }
     }
 }
--- a/packages/relay/src/handoff/lost-helper.test.ts
+++ b/packages/relay/src/handoff/lost-helper.test.ts
@@ -110,7 +110,7 @@
 // Guards against waiting for a helper that cannot be reached while another target could answer.
 test("a request that may be repeated is served here once its helper is lost", async t => {
     const { caller, cut, requests, hasLeft } = await startUnanswered(t, {
-        isRepeatable: true,
+        acquireRepeat: () => true,
         endsAtMs: performance.now() + LONG_MS,
     });
     cut();
@@ -125,7 +125,7 @@
 // Guards against requests that are given up while their helper is only out of touch for a moment.
 test("a request that may run once only is answered by its helper when that is back in time", async t => {
     const { caller, cut, answer, requests } = await startUnanswered(t, {
-        isRepeatable: false,
+        acquireRepeat: () => false,
         endsAtMs: performance.now() + LONG_MS,
     });
     cut();
@@ -138,7 +138,7 @@
 
 test("a request that may run once only is given up when its time is over", async t => {
     const { caller, cut, requests, counts } = await startUnanswered(t, {
-        isRepeatable: false,
+        acquireRepeat: () => false,
         endsAtMs: performance.now() + LOST_MS,
     });
     cut();
@@ -166,6 +166,7 @@
 test("a request behind one that its helper answered is served here as a new one", async t => {
     let finish: () => void = () => undefined;
     const { ports, cut, requests } = await start(t, {
+        terms: { acquireRepeat: () => false, endsAtMs: performance.now() + LONG_MS },
         serve: async (req, caller) => {
             await new Promise<void>(resolve => {
                 finish = resolve;
@@ -211,7 +212,7 @@
 // Guards against requests that end without a status at the end of a stop.
 test("a request that a helper has not answered by the end of a stop is answered here", async t => {
     const { caller, handoff, requests } = await startUnanswered(t, {
-        isRepeatable: false,
+        acquireRepeat: () => false,
         endsAtMs: performance.now() + LONG_MS,
     });
     handoff.stop();
--- a/packages/relay/src/handoff/message-reader.ts
+++ b/packages/relay/src/handoff/message-reader.ts
@@ -21,8 +21,8 @@
     readonly keepsConnection: boolean;
     /** Whether its end can be told without the end of the connection; always true of a request. */
     readonly isFramed: boolean;
-    /** Whether other bytes than messages may follow on the connection. */
-    readonly changesProtocol: boolean;
+    /** Whether its end, or what follows it, can't be told here. */
+    readonly isUnfollowable: boolean;
 }
 
 /** The parser moves it; its type declarations leave it out. */
@@ -32,10 +32,23 @@
 
 const HTTP_SWITCHING_PROTOCOLS = 101;
 
+// Like the parser of node:http; its default takes some bytes of other languages' letters for line ends.
+HTTPParser.encoding = "latin1";
+
 /** Whether an entry of a list of names and values is the name of a header that tells where a body ends. */
 const isFraming = (text: string, at: number): boolean =>
     at % 2 === 0 && /^(content-length|transfer-encoding)$/i.test(text);
 
+/**
+ * Whether a body's coding is not just `chunked`, or comes with the offer of another protocol: the parser then ends the message elsewhere
+ * than others do.
+ */
+const hasOddCoding = (rawHeaders: readonly string[], offersUpgrade: boolean): boolean =>
+    rawHeaders.some((text, at) =>
+        at % 2 === 0 && /^transfer-encoding$/i.test(text)
+        && (offersUpgrade || rawHeaders[at + 1]?.toLowerCase() !== "chunked")
+    );
+
 /** Skips a body whatever the head says. */
 const NO_BODY = 1;
 
@@ -58,7 +71,8 @@
                     rawHeaders: info.headers,
                     keepsConnection: info.shouldKeepAlive,
                     isFramed: kind === "request" || hasNoBody || info.headers.some(isFraming),
-                    changesProtocol: info.upgrade || info.statusCode === HTTP_SWITCHING_PROTOCOLS,
+                    isUnfollowable: methods[info.method] === "CONNECT" || info.statusCode === HTTP_SWITCHING_PROTOCOLS
+                        || hasOddCoding(info.headers, info.upgrade),
                 };
             }
             return hasNoBody ? NO_BODY : undefined;
--- a/packages/relay/src/http/http-caller-port.ts
+++ b/packages/relay/src/http/http-caller-port.ts
@@ -1,10 +1,11 @@
-import { lingerOnClose, stopListening } from "@ospreyreel/peer";
+import { closeWithLinger, lingerOnClose, stopListening } from "@ospreyreel/peer";
 import { once } from "node:events";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
 import { setImmediate as nextTurn, setTimeout as sleep } from "node:timers/promises";
 import type { CallerExchange } from "../caller-exchange.js";
 import type { CallerBounds } from "../document/relay-document.js";
+import type { ReturnedRequest, ServeHere } from "../handoff/handed-off-connection.js";
 import { LEAVING_REFUSAL, withoutPromise } from "../relay-refusal.js";
 import type { RelayRequest } from "../relay-request.js";
 import type { AcceptedConnection, ConnectionOrigin } from "./accepted-connection.js";
@@ -25,11 +26,8 @@
     readonly getBounds: () => CallerBounds | undefined;
     /** Serves one request; does not throw. */
     readonly serve: (req: RelayRequest, caller: CallerExchange) => Promise<void>;
-    /**
-     * Hands a new connection off to a peer; returns whether it did. `serveHere` serves the connection at this port, with the monotonic arrival
-     * time of its first request, in milliseconds, where a target may have run that one already.
-     */
-    readonly handOff?: (socket: Socket, serveHere: (interruptedAtMs?: number) => void) => boolean;
+    /** Hands a new connection off to a peer; returns whether it did. `serveHere` serves the connection at this port. */
+    readonly handOff?: (socket: Socket, serveHere: ServeHere) => boolean;
     /** Whether callers' connections are closed after each response, since new ones are handed off. */
     readonly isHandingOff?: () => boolean;
     /** Oldest version of the desired state by which requests may be decided; any by default. */
@@ -82,8 +80,10 @@
     });
     /** Connections that peers have handed off to this port. */
     private readonly origins = new WeakMap<Socket, ConnectionOrigin>();
-    /** When the next request of a connection arrived that a peer may have sent to a target. */
-    private readonly interrupted = new WeakMap<Socket, number>();
+    /** First requests of connections that came back from peers. */
+    private readonly returned = new WeakMap<Socket, ReturnedRequest>();
+    /** Connections that came back without a request and have brought none since. */
+    private readonly idle = new Set<Socket>();
     private readonly exchanges = new ExchangeCounts();
     private readonly serveConnection: (socket: Socket) => void;
 
@@ -104,14 +104,8 @@
             });
         };
         this.server.on("connection", (socket: Socket) => {
-            const serveHere = (interruptedAtMs?: number): void => {
-                if (interruptedAtMs !== undefined) {
-                    this.interrupted.set(socket, interruptedAtMs);
-                }
+            if (opts.handOff?.(socket, returned => this.serveReturned(socket, returned)) !== true) {
                 this.serveConnection(socket);
-            };
-            if (opts.handOff?.(socket, serveHere) !== true) {
-                serveHere();
             }
         });
         this.server.on("request", (req, res) => {
@@ -200,9 +194,47 @@
         const unsent = this.open;
         this.server.close();
         this.server.closeAllConnections();
+        this.idle.forEach(socket => socket.destroy());
         return unsent;
     }
 
+    /** Serves a connection that was not, or no longer, handed off. */
+    private serveReturned(socket: Socket, returned: ReturnedRequest | undefined): void {
+        if (returned !== undefined) {
+            this.returned.set(socket, returned);
+        }
+        if (returned === undefined && socket.bytesRead > 0 && socket.readableLength === 0) {
+            this.serveWhenReadable(socket);
+            return;
+        }
+        this.serveConnection(socket);
+        socket.resume();
+    }
+
+    /** Serves a kept connection once it brings a request: a new one without a request would be closed earlier. */
+    private serveWhenReadable(socket: Socket): void {
+        this.idle.add(socket);
+        const end = (): void => {
+            clearTimeout(timer);
+            this.idle.delete(socket);
+            socket.off("readable", onReadable).off("close", end).off("error", ignoreError);
+        };
+        const timer = setTimeout(() => {
+            end();
+            closeWithLinger(socket.on("error", ignoreError));
+        }, this.bounds.idleTimeoutMs).unref();
+        const onReadable = (): void => {
+            end();
+            if (socket.readableLength === 0) {
+                closeWithLinger(socket.on("error", ignoreError));
+                return;
+            }
+            this.serveConnection(socket);
+            socket.resume();
+        };
+        socket.on("error", ignoreError).once("close", end).once("readable", onReadable);
+    }
+
     private get bounds(): CallerBounds {
         return this.opts.getBounds() ?? DEFAULT_BOUNDS;
     }
@@ -226,10 +258,9 @@
 
     private async serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
         const { socket } = req;
-        const interruptedAtMs = this.interrupted.get(socket);
-        this.interrupted.delete(socket);
-        const isInterrupted = interruptedAtMs !== undefined;
-        const arrivedAtMs = interruptedAtMs ?? performance.now();
+        const { arrivedAtMs = performance.now(), isInterrupted = false, hasRepeat = false } = this.returned.get(socket)
+            ?? {};
+        this.returned.delete(socket);
         this.unused.remove(socket);
         if (this.closing.has(socket) || !socket.writable) {
             // No response can be sent any more, so the request is not served.
@@ -294,7 +325,7 @@
         await readPendingClose();
         const minVersion = Math.max(origin?.minVersion ?? 0, this.opts.getMinVersion?.() ?? 0);
         const handedOff = origin === undefined ? {} : { keepsVersion: true, handedOffBy: origin };
-        await this.opts.serve({ ...head, body, minVersion, isInterrupted, ...handedOff }, caller);
+        await this.opts.serve({ ...head, body, minVersion, isInterrupted, hasRepeat, ...handedOff }, caller);
     }
 
     /** Ends a request whose handling failed; what was sent of its response must not look complete. */
@@ -357,6 +388,8 @@
     }
 }
 
+const ignoreError = (): void => undefined;
+
 /** Colon, space and line end of a header, divided between its name and its value. */
 const HEADER_SEPARATOR_BYTES = 2;
 
--- a/packages/relay/src/relay-attempts.ts
+++ b/packages/relay/src/relay-attempts.ts
@@ -62,6 +62,8 @@
     /** Monotonic time of the last send, in milliseconds. */
     private sentAtMs = 0;
     private mayHaveRun = false;
+    /** Whether a repeat is acquired and not used. */
+    private hasRepeat = false;
     /** Whether it has tried an ejected target. */
     private hasTrial = false;
     private blockedPart: string | undefined;
@@ -83,6 +85,7 @@
         if (request.req.isInterrupted === true) {
             this.sends = 1;
             this.mayHaveRun = true;
+            this.hasRepeat = request.req.hasRepeat === true;
         }
         this.firstTokensPerEvent = this.tokensPerEvent;
     }
@@ -146,7 +149,7 @@
             this.limited.add(state.target.id);
             return RETRY_STEP;
         }
-        if (this.sends > 0 && !this.opts.getRetries(service).tryAcquire()) {
+        if (!this.acquireSend(service)) {
             this.opts.permits.release(state);
             return { kind: "end", end: this.failRequest("overloaded") };
         }
@@ -177,6 +180,13 @@
         }
     }
 
+    /** Acquires the next send; the first one of a request needs no repeat. */
+    private acquireSend(service: string): boolean {
+        const isAcquired = this.sends === 0 || this.hasRepeat || this.opts.getRetries(service).tryAcquire();
+        this.hasRepeat = false;
+        return isAcquired;
+    }
+
     private async handleOutcome(state: TargetState, outcome: TargetOutcome, firstByteMs: number): Promise<Step> {
         switch (outcome.kind) {
             case "not_sent":
--- a/packages/relay/src/relay-request.ts
+++ b/packages/relay/src/relay-request.ts
@@ -42,6 +42,8 @@
     readonly keepsVersion?: boolean;
     /** Whether another instance that ended before its response may have sent it to a target. */
     readonly isInterrupted?: boolean;
+    /** Whether a repeat was acquired for it. */
+    readonly hasRepeat?: boolean;
     /** Set where the request came on a connection that a peer has handed off. */
     readonly handedOffBy?: HandedOffBy;
 }
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -142,7 +142,11 @@
         const admission = admit(this.opts.documents.current(), req, this.opts.random);
         return isRefusal(admission)
             ? undefined
-            : { isRepeatable: this.mayRepeatInterrupted(admission), endsAtMs: getDeadlineMs(req, admission) };
+            : {
+                acquireRepeat: () =>
+                    this.mayRepeatInterrupted(admission) && this.opts.getRetries(admission.service).tryAcquire(),
+                endsAtMs: getDeadlineMs(req, admission),
+            };
     }
 
     /** Serves one request; does not throw. */
