Read what arrived in a pause before a timer closes its connection

What callers saw: after a pause of an instance a kept connection that had been idle for `idleTimeoutMs` by then was reset, and a new one without headers for `headerTimeoutMs` was closed with 408, though a whole request waited to be read on each.

Cause: expired timers run before pending reads, and node:http closes connections in its timers.

Change: the port waits for the pending reads, and closes the connection only if they brought no request. A connection whose request is still served or whose response is still sent is not closed as idle any more; node:http keeps the time-out of the response before for it where it arrived early.

None of these requests had been passed on to a target.

--- a/packages/relay/src/http/http-caller-port.test.ts
+++ b/packages/relay/src/http/http-caller-port.test.ts
@@ -425,3 +425,57 @@
     t.regex(state.text, /^HTTP\/1\.1 400 [^]*badRequest/);
     t.is(served, 0);
 });
+
+/** Keeps the event loop busy, like a pause of the process. */
+const pauseProcess = (ms: number): void => {
+    const endsAtMs = performance.now() + ms;
+    while (performance.now() < endsAtMs) {
+        // Nothing else runs.
+    }
+};
+
+// Guards against requests that arrive during a pause of the process and whose connections are closed by timers after it.
+test.serial("a request that arrives in a pause of the process is served though the time for its headers is over", async t => {
+    const answer = (req: RelayRequest, caller: CallerExchange): Promise<void> =>
+        caller.sendResponse(HEAD, Buffer.from(`whole ${req.id}`));
+    const { socket, state } = await connectTo(t, answer, {
+        ...SMALL_BOUNDS,
+        maxBodyBytes: 30_000,
+        headerTimeoutMs: 200,
+    });
+    await sleep(LATE_WRITE_MS);
+    socket.write(createMessage("a"));
+    pauseProcess(1_300);
+    await eventuallyIs(t, () => state.text.endsWith("whole a") || state.end, true);
+    t.regex(state.text, /^HTTP\/1\.1 200 /);
+});
+
+test.serial("a request that arrives in a pause of the process is served though its connection was idle for too long", async t => {
+    const answer = (req: RelayRequest, caller: CallerExchange): Promise<void> =>
+        caller.sendResponse(HEAD, Buffer.from(`whole ${req.id}`));
+    const { socket, state } = await connectTo(t, answer, { ...SMALL_BOUNDS, maxBodyBytes: 30_000, idleTimeoutMs: 500 });
+    socket.write(createMessage("a"));
+    await eventuallyIs(t, () => state.text.endsWith("whole a"), true);
+    await sleep(LATE_WRITE_MS);
+    socket.write(createMessage("b"));
+    pauseProcess(2_000);
+    await eventuallyIs(t, () => state.text.endsWith("whole b") || state.end, true);
+});
+
+test("a connection that is idle for too long is closed", async t => {
+    const { socket, state } = await connectTo(
+        t,
+        (_req, caller) => caller.sendResponse(HEAD, Buffer.from("whole")),
+        { ...SMALL_BOUNDS, maxBodyBytes: 30_000, idleTimeoutMs: 100 },
+    );
+    socket.write(createMessage("a"));
+    await eventuallyIs(t, () => state.text.endsWith("whole"), true);
+    await eventuallyIs(t, () => state.end, "closed");
+});
+
+test("a connection that brings no whole headers is answered with a time-out", async t => {
+    const { socket, state } = await connectTo(t, () => Promise.resolve(), { ...SMALL_BOUNDS, headerTimeoutMs: 200 });
+    socket.write("GET / HTTP/1.1\r\n");
+    await eventuallyIs(t, () => state.end, "closed");
+    t.regex(state.text, /^HTTP\/1\.1 408 Request Timeout\r\nConnection: close\r\n\r\n$/);
+});
--- a/packages/relay/src/http/http-caller-port.ts
+++ b/packages/relay/src/http/http-caller-port.ts
@@ -110,7 +110,20 @@
                 this.opts.onFailure?.(err);
             });
         });
-        this.server.on("clientError", (err: NodeJS.ErrnoException, socket: Socket) => this.rejectUnparsed(err, socket));
+        this.server.on("clientError", (err: NodeJS.ErrnoException, socket: Socket) => {
+            if (err.code === "ERR_HTTP_REQUEST_TIMEOUT") {
+                void this.unlessRequestArrives(socket, () => this.rejectUnparsed(err, socket));
+                return;
+            }
+            this.rejectUnparsed(err, socket);
+        });
+        this.server.on("timeout", (socket: Socket) => {
+            void this.unlessRequestArrives(socket, () => {
+                if (!this.readWhole.has(socket)) {
+                    socket.destroy();
+                }
+            });
+        });
         this.updateBounds();
     }
 
@@ -278,7 +291,7 @@
         if (!await turn) {
             return;
         }
-        await readPendingClose();
+        await readPendingInput();
         const minVersion = Math.max(origin?.minVersion ?? 0, this.opts.getMinVersion?.() ?? 0);
         const handedOff = origin === undefined ? {} : { keepsVersion: true, handedOffBy: origin };
         await this.opts.serve({ ...head, body, minVersion, ...handedOff }, caller);
@@ -307,6 +320,15 @@
         }
     }
 
+    /** Closes a connection for a timer, unless a request has arrived: after a pause of the process timers run before pending reads. */
+    private async unlessRequestArrives(socket: Socket, close: () => void): Promise<void> {
+        const last = this.order.getLast(socket);
+        await readPendingInput();
+        if (this.order.getLast(socket) === last) {
+            close();
+        }
+    }
+
     /** Ends a connection whose bytes are no valid request; a request that was read whole before them gets its response. */
     private rejectUnparsed(err: NodeJS.ErrnoException, socket: Socket): void {
         if (!socket.writable) {
@@ -348,10 +370,10 @@
 const HEADER_SEPARATOR_BYTES = 2;
 
 /**
- * Waits until the end of a connection can be read, which happens in the turn after its last bytes. Only then is it
- * visible that a caller disconnected while its connection waited to be accepted.
+ * Waits until what has arrived on a connection is read, and its end, which happens in the turn after its last bytes. Only
+ * then is it visible that a caller disconnected while its connection waited to be accepted.
  */
-const readPendingClose = async (): Promise<void> => {
+const readPendingInput = async (): Promise<void> => {
     await nextTurn();
     await nextTurn();
 };
--- a/packages/relay/src/http/pipeline-order.ts
+++ b/packages/relay/src/http/pipeline-order.ts
@@ -15,6 +15,11 @@
         return socket.writable;
     }
 
+    /** Response to the newest request of the connection; undefined before the first one. */
+    getLast(socket: Socket): ServerResponse | undefined {
+        return this.last.get(socket);
+    }
+
     /** Whether no later request has arrived on the connection. */
     isLast(socket: Socket, res: ServerResponse): boolean {
         return this.last.get(socket) === res;
