Count a connection that opens in a pause as open

Cause: the time-out of a connection attempt to a target was a plain timer. After a pause of the process, or a turn of the event loop that takes longer, it ends the attempt before it is read that the connection is open. Targets count as not reached then: by SilenceWatch, which ends repeatable requests where both of its tries fail while peers reach the target, by TargetPaths, which goes on sending through peers, and by an instance that a peer asks.

Change: the time-out waits for one more round of reads, like those of targets' connections and peers' responses.

A request that was ended by it was not seen; SilenceWatch tries twice, so one pause is not enough.

--- a/packages/relay/src/http/http-caller-port.test.ts
+++ b/packages/relay/src/http/http-caller-port.test.ts
@@ -5,6 +5,7 @@
 import { isDeepStrictEqual } from "node:util";
 import type { CallerExchange } from "../caller-exchange.js";
 import type { CallerBounds } from "../document/relay-document.js";
+import { pauseProcess } from "../fixtures/pause-process.js";
 import { PlainCallerProtocol } from "../fixtures/plain-protocol.js";
 import type { RelayRequest } from "../relay-request.js";
 import { HttpCallerPort } from "./http-caller-port.js";
@@ -426,14 +427,6 @@
     t.is(served, 0);
 });
 
-/** Keeps the event loop busy, like a pause of the process. */
-const pauseProcess = (ms: number): void => {
-    const endsAtMs = performance.now() + ms;
-    while (performance.now() < endsAtMs) {
-        // Nothing else runs.
-    }
-};
-
 // Guards against requests that arrive during a pause of the process and whose connections are closed by timers after it.
 test.serial("a request that arrives in a pause of the process is served though the time for its headers is over", async t => {
     const answer = (req: RelayRequest, caller: CallerExchange): Promise<void> =>
--- a/packages/relay/src/http/probe-connection.ts
+++ b/packages/relay/src/http/probe-connection.ts
@@ -1,3 +1,4 @@
+import { IoTimeout } from "@ospreyreel/peer";
 import { createConnection } from "node:net";
 
 /** Outcome of a connection attempt. */
@@ -11,11 +12,11 @@
     new Promise(resolve => {
         const socket = createConnection({ host, port });
         const end = (outcome: ProbeOutcome): void => {
-            clearTimeout(timeout);
+            timeout.cancel();
             socket.destroy();
             resolve(outcome);
         };
-        const timeout = setTimeout(() => end("failed"), timeoutMs);
+        const timeout = new IoTimeout(() => end("failed"), timeoutMs);
         socket.once("connect", () => end("open"));
         socket.once("error", (err: NodeJS.ErrnoException) => end(err.code === "ECONNREFUSED" ? "refused" : "failed"));
     });
