Read the KV service's response before the check of a start times out

What callers saw: a stream that breaks off ended there where the instance was paused while it asked the KV service which start of the target had begun it, though the answer was there.

Cause: the 300 ms for that answer were a plain timer, which runs before pending reads.

Change: the time-out waits for one more round of reads.

Evidence: the new test of start-check.test.ts fails on the commit before (false in place of true).

--- a/packages/relay/src/targets/start-check.test.ts
+++ b/packages/relay/src/targets/start-check.test.ts
@@ -1,6 +1,10 @@
 import { MemoryKv } from "@ospreyreel/kv/fixtures";
 import test from "ava";
+import { once } from "node:events";
+import { type AddressInfo, connect, createServer } from "node:net";
+import { setImmediate as nextTurn } from "node:timers/promises";
 import { MemoryLog } from "../fixtures/memory-log.js";
+import { pauseProcess } from "../fixtures/pause-process.js";
 import { AnnouncedStartCheck } from "./start-check.js";
 import { TargetCodec } from "./target-codec.js";
 import { TargetDirectory } from "./target-directory.js";
@@ -75,3 +79,34 @@
     kv.disconnect();
     t.false(await check.verify({ target: createTarget(1), connectedAtMs: performance.now() }));
 });
+
+// Guards against streams that end since the response of the KV service is read only after a pause of this instance.
+test.serial("a start is known where the KV service responds in a pause of the process", async t => {
+    const server = createServer().listen(0, "127.0.0.1");
+    await once(server, "listening");
+    t.teardown(() => server.close());
+    const { port } = server.address() as AddressInfo;
+    const { kv, directory } = createCheck(5_000);
+    const check = new AnnouncedStartCheck({
+        kv: {
+            get: async key => {
+                // Opened by the kernel, also while the process is paused.
+                const socket = connect(port, "127.0.0.1");
+                await once(socket, "connect");
+                socket.destroy();
+                return await kv.get(key);
+            },
+        },
+        codec: new StartCodec(),
+        directory,
+        freshness: { ageMs: 5_000 },
+        log: new MemoryLog(),
+        count: () => undefined,
+    });
+    // Expired timers run first after this turn.
+    await nextTurn();
+    const verified = check.verify({ target: createTarget(1), connectedAtMs: performance.now() });
+    await new Promise<void>(resolve => process.nextTick(resolve));
+    pauseProcess(600);
+    t.true(await verified);
+});
--- a/packages/relay/src/targets/start-check.ts
+++ b/packages/relay/src/targets/start-check.ts
@@ -1,4 +1,5 @@
 import type { KvClient } from "@ospreyreel/kv";
+import { IoTimeout } from "@ospreyreel/peer";
 import type { RelayLog } from "../relay-log.js";
 import type { ViewFreshness } from "../watch/view-freshness.js";
 import type { TargetCodec } from "./target-codec.js";
@@ -57,11 +58,7 @@
             return true;
         }
         const { target } = responding;
-        const timedOut = AbortSignal.timeout(VERIFY_TIMEOUT_MS);
-        const expired = new Promise<"timeout">(resolve =>
-            timedOut.addEventListener("abort", () => resolve("timeout"), { once: true })
-        );
-        const found = await Promise.race([this.read(target), expired]);
+        const found = await this.readInTime(target);
         const isVerified = found === getStartKey(target);
         this.opts.count(isVerified ? "target_starts_verified" : "target_starts_unknown");
         if (!isVerified) {
@@ -70,6 +67,16 @@
         return isVerified;
     }
 
+    private async readInTime(target: Target): Promise<string> {
+        return await new Promise(resolve => {
+            const timeout = new IoTimeout(() => resolve("timeout"), VERIFY_TIMEOUT_MS);
+            void this.read(target).then(found => {
+                timeout.cancel();
+                resolve(found);
+            });
+        });
+    }
+
     /** Name of the start that the entry names, or why there is none. */
     private async read({ id }: Target): Promise<string> {
         const { kv, codec } = this.opts;
