Read a handed-off connection's ticket before its time-out

What callers saw: a new connection that was handed off to an instance which then paused for the second in which the ticket is due was closed without a response. Its request had not been read.

Cause: the time-out of the ticket was a plain timer, which runs before pending reads after a pause.

Change: the time-out waits for one more round of reads.

Evidence: the new test of handoff-preamble.test.ts fails on the commit before (undefined in place of the ticket).

--- a/packages/relay/src/handoff/handoff-preamble.ts
+++ b/packages/relay/src/handoff/handoff-preamble.ts
@@ -1,3 +1,4 @@
+import { IoTimeout } from "@ospreyreel/peer";
 import { randomBytes } from "node:crypto";
 import type { Socket } from "node:net";
 
@@ -16,12 +17,12 @@
         const chunks: Buffer[] = [];
         let bytes = 0;
         const settle = (ticket: Buffer | undefined): void => {
-            clearTimeout(timer);
+            timeout.cancel();
             socket.off("data", onData).off("end", onEnd).off("close", onEnd);
             resolve(ticket);
         };
         const onEnd = (): void => settle(undefined);
-        const timer = setTimeout(onEnd, timeoutMs);
+        const timeout = new IoTimeout(onEnd, timeoutMs);
         const onData = (chunk: Buffer): void => {
             chunks.push(chunk);
             bytes += chunk.length;
