--- a/packages/relay/src/handoff/message-reader.test.ts
+++ b/packages/relay/src/handoff/message-reader.test.ts
@@ -74,3 +74,10 @@
     t.true(reader.isInvalid);
     t.false(reader.isComplete);
 });
+
+test("a request whose length is no number is told", t => {
+    const reader = new MessageReader({ kind: "request" });
+    const bytes = Buffer.from("POST /a HTTP/1.1\r\nContent-Length: 5\r\n 6\r\n\r\n12345");
+    t.is(reader.read(bytes), bytes.length);
+    t.true(reader.isInvalid);
+});
--- a/packages/relay/src/handoff/message-reader.ts
+++ b/packages/relay/src/handoff/message-reader.ts
@@ -101,6 +101,11 @@
     /** Reads on; returns how many bytes of the chunk belong to the message. */
     read(chunk: Buffer): number {
         const result = this.parser.execute(chunk);
+        // A length that is no number leaves the parser without a position.
+        if (Number.isNaN(this.endOffset) || Number.isNaN(result)) {
+            this.endOffset = undefined;
+            this.hasFailed = true;
+        }
         if (this.endOffset === undefined && result instanceof Error) {
             this.hasFailed = true;
         }
