Show that slow but sound responses are relayed whole and that stalled ones end

What callers saw: nothing here. Operators of similar systems saw slow but sound streams cut, and stalled ones that sent a byte now and then never end.

Change: tests only.

Each request's time is the only limit in use; a silence of the target ends none.

--- a/packages/relay/src/paths/forwarding-target-port.test.ts
+++ b/packages/relay/src/paths/forwarding-target-port.test.ts
@@ -7,6 +7,23 @@
 /** Time in which a cut instance tries its own connection again, in milliseconds. */
 const RESTORE_MS = 2_000;
 
+/** Callers leave after a gap of two seconds. */
+const PAUSE_MS = 1_900;
+
+const createSlowBody = async function*(chunks: readonly string[], pauseMs: number): AsyncGenerator<Buffer> {
+    for (const chunk of chunks) {
+        await sleep(pauseMs);
+        yield Buffer.from(chunk);
+    }
+};
+
+/** An answer with a pause before each chunk. */
+const createSlowAnswer = (chunks: readonly string[], pauseMs: number): TargetOutcome => ({
+    kind: "answer",
+    head: { status: 200, headers: [], isFramed: true },
+    body: createSlowBody(chunks, pauseMs),
+});
+
 const start = (count = 3) => {
     const fleet = new PathFleet(count);
     const [cut, second, third] = fleet.members;
@@ -195,6 +212,33 @@
     t.is(second.forwardedSends.size + third.forwardedSends.size, 0);
 });
 
+// Operators of similar systems saw slow but sound streams cut.
+test("a slow stream through a peer is passed on whole", async t => {
+    const { fleet, cut, second, third } = start();
+    [second, third].forEach(({ direct }) => {
+        direct.answer = () => createSlowAnswer(["id: 1\n\n", "id: 2\nda", "ta: x\n\n"], PAUSE_MS);
+    });
+    const { text, cause } = await fleet.send(cut, { leftMs: 20_000 });
+    t.deepEqual([text, cause], ["id: 1\n\nid: 2\ndata: x\n\n", ""]);
+});
+
+// Operators of similar systems saw stalled streams that sent a byte now and then never end.
+test("a stalled stream through a peer ends with the request's time, at both instances", async t => {
+    const { fleet, cut, second, third } = start();
+    [second, third].forEach(({ direct }) => {
+        direct.answer = () => createSlowAnswer(Array.from({ length: 200 }, () => "x"), 50);
+    });
+    const signal = AbortSignal.timeout(1_000);
+    const startedAtMs = performance.now();
+    const { text, cause } = await fleet.send(cut, { leftMs: 1_000, signal });
+    t.is(cause, "the request's time has ended");
+    t.true(text.length > 0 && text.length < 200, String(text.length));
+    while (second.forwardedSends.size + third.forwardedSends.size > 0) {
+        await sleep(10);
+    }
+    t.true(performance.now() - startedAtMs < 5_000);
+});
+
 test("a target that leaves gets nothing through a peer that knows it", async t => {
     const { fleet, cut, second, third } = start();
     await fleet.send(cut);
