Forget instances that were lost long before others that stayed in contact

What callers saw: three of 20 instances were killed and the others stopped in turn; the last one then told callers the addresses of the killed ones, 15 s after the kill. In a fleet of three the same: one killed, one stopped 6 s later, and the third named the killed one for 13 s.

Cause: an instance without contact takes itself for partitioned and names all that it lost in the last 20 s, those included that were lost while most others were in contact.

Change: a loss removes what was lost more than 3 s before it while the now lost one was in contact, unless this instance appeared to be partitioned already.

--- a/packages/relay/src/instance/fleet-roster.test.ts
+++ b/packages/relay/src/instance/fleet-roster.test.ts
@@ -82,3 +82,57 @@
     advanceTime(2_000);
     t.is(roster.listAccepting().length, 1);
 });
+
+// The last instance of a fleet told callers the addresses of instances that had been killed long before the others left.
+test("instances that were lost long before others that stayed in contact are not listed by the last one", async t => {
+    const { roster, infos, change, advanceTime } = createFleet();
+    const killed = infos.slice(0, 3);
+    const others = infos.slice(3);
+    await change("lost", killed);
+    advanceTime(6_000);
+    const leaving = others.map(info => ({ ...info, state: "leaving" as const }));
+    await change("updated", leaving);
+    await change("lost", leaving);
+    t.deepEqual(roster.listAccepting(), []);
+    t.is(roster.size, 1);
+});
+
+test("an instance that was lost long before the last other one is not listed, in a small fleet too", async t => {
+    const { roster, infos, change, advanceTime } = createFleet();
+    await change("lost", infos.slice(2).map(info => ({ ...info, state: "leaving" })));
+    const [first, second] = infos;
+    if (first === undefined || second === undefined) {
+        throw new Error("the fleet is empty");
+    }
+    await change("lost", [first]);
+    advanceTime(6_000);
+    await change("lost", [second]);
+    t.deepEqual(roster.listAccepting(), [second]);
+});
+
+test("an instance that loses the others one after the other within a short time still lists all of them", async t => {
+    const { roster, infos, change, advanceTime } = createFleet();
+    for (const info of infos) {
+        await change("lost", [info]);
+        advanceTime(100);
+    }
+    t.is(roster.listAccepting().length, FLEET_SIZE);
+});
+
+test("an instance whose partition ends for a moment still lists all others", async t => {
+    const { roster, infos, change, advanceTime } = createFleet();
+    await change("lost", infos);
+    advanceTime(6_000);
+    await change("joined", infos.slice(0, 5));
+    advanceTime(500);
+    await change("lost", infos.slice(0, 5));
+    t.is(roster.listAccepting().length, FLEET_SIZE);
+});
+
+test("an instance that is partitioned together with one other still lists the rest when it loses that one", async t => {
+    const { roster, infos, change, advanceTime } = createFleet();
+    await change("lost", infos.slice(1));
+    advanceTime(6_000);
+    await change("lost", infos.slice(0, 1));
+    t.is(roster.listAccepting().length, FLEET_SIZE);
+});
--- a/packages/relay/src/instance/fleet-roster.ts
+++ b/packages/relay/src/instance/fleet-roster.ts
@@ -21,6 +21,9 @@
  */
 const MIN_CONTACT_SHARE = 0.1;
 
+/** Time within which an instance that is partitioned loses all others, in milliseconds. */
+const LOSS_SPREAD_MS = 3_000;
+
 interface LostInstance {
     readonly info: InstanceInfo;
     readonly lostAtMs: number;
@@ -29,6 +32,8 @@
 /** Last known members of the fleet. Distinguishes stopped instances from those that only this one cannot reach. */
 export class FleetRoster {
     private readonly lost = new Map<string, LostInstance>();
+    /** When instances came into contact; without those that always were. */
+    private readonly joinedAtMs = new Map<string, number>();
     private readonly nowMs: () => number;
 
     constructor(private readonly opts: FleetRosterOptions) {
@@ -59,8 +64,11 @@
     /** Instances that were lost without leaving if this one appears to be partitioned; otherwise none. */
     private listUnreachable(inContact: number): readonly InstanceInfo[] {
         this.removeExpired();
-        const known = this.lost.size + inContact;
-        return inContact < known * MIN_CONTACT_SHARE ? [...this.lost.values()].map(({ info }) => info) : [];
+        return this.isPartitioned(inContact) ? [...this.lost.values()].map(({ info }) => info) : [];
+    }
+
+    private isPartitioned(inContact: number): boolean {
+        return inContact < (this.lost.size + inContact) * MIN_CONTACT_SHARE;
     }
 
     /** Entries are in the order in which the instances were lost. */
@@ -74,9 +82,31 @@
         }
     }
 
+    /** Removes the instances that were lost while this one was in contact with enough of the fleet, a now lost one among them. */
+    private removeStopped({ instance }: InstanceInfo): void {
+        if (this.isPartitioned(this.opts.hub.peers().length + 1)) {
+            return;
+        }
+        const joinedAtMs = this.joinedAtMs.get(instance) ?? Number.NEGATIVE_INFINITY;
+        const horizon = this.nowMs() - LOSS_SPREAD_MS;
+        for (const [other, { lostAtMs }] of this.lost) {
+            if (lostAtMs > joinedAtMs && lostAtMs < horizon) {
+                this.lost.delete(other);
+            }
+        }
+    }
+
     private handleChange({ kind, info }: MembershipChange): void {
         this.lost.delete(info.instance);
-        if (kind === "lost" && info.state === "live") {
+        if (kind === "joined") {
+            this.joinedAtMs.set(info.instance, this.nowMs());
+        }
+        if (kind !== "lost") {
+            return;
+        }
+        this.removeStopped(info);
+        this.joinedAtMs.delete(info.instance);
+        if (info.state === "live") {
             this.lost.set(info.instance, { info, lostAtMs: this.nowMs() });
         }
     }
