Reset an unframed stream whose caller has closed its direction

What callers saw: a stream without a length, of which a part was sent, ended in order when the caller closed its own direction and read on; it looked whole.

Cause: node:http ends its direction in order as soon as the caller has closed the other one. Change: such a response is reset first.

--- a/packages/relay/src/http/http-caller-exchange.ts
+++ b/packages/relay/src/http/http-caller-exchange.ts
@@ -37,10 +37,16 @@
             }
         };
         const { socket } = req;
-        // The server sends no response on a connection that the caller has half-closed, and closes it some turns later.
-        socket.once("end", onDisconnect);
+        // The server sends no response on a connection that the caller has half-closed, and closes it some turns later, in order.
+        const onEnd = (): void => {
+            if (this.endsWithConnection && !res.writableFinished) {
+                socket.resetAndDestroy();
+            }
+            onDisconnect();
+        };
+        socket.prependOnceListener("end", onEnd);
         res.once("close", () => {
-            socket.off("end", onDisconnect);
+            socket.off("end", onEnd);
             onDisconnect();
         });
         req.once("aborted", onDisconnect);
--- a/packages/relay/src/http/unframed-response.test.ts
+++ b/packages/relay/src/http/unframed-response.test.ts
@@ -1,5 +1,6 @@
 import test, { type ExecutionContext } from "ava";
-import type { Socket } from "node:net";
+import { once } from "node:events";
+import { connect, type Socket } from "node:net";
 import type { RelayRoute } from "../document/relay-document.js";
 import {
     createRawRequest,
@@ -228,3 +229,15 @@
     t.true(text.endsWith("0\r\n\r\n"));
     t.is(text.split("\r\n\r\n").at(1)?.includes("id: 1\n\n"), true);
 });
+
+// Guards against a stream that looks whole to a caller which has closed its direction and reads on.
+test("an unframed stream whose caller closes its direction does not end in order", async t => {
+    const path = await start(t, [socket => void socket.write(`${HEAD}\r\nid: 1\n\n`)], STREAM);
+    const caller = connect({ port: path.callerPort, host: "127.0.0.1", allowHalfOpen: true });
+    t.teardown(() => caller.destroy());
+    caller.write(createRawRequest());
+    await once(caller, "data");
+    caller.resume().end();
+    const err = await Promise.race([once(caller, "error"), once(caller, "end")]) as readonly unknown[];
+    t.like(err[0], { code: "ECONNRESET" });
+});
