--- a/packages/relay/src/handoff/handed-off-connection.ts
+++ b/packages/relay/src/handoff/handed-off-connection.ts
@@ -116,15 +116,15 @@
      * is served here at once, and another one when its time is over.
      */
     loseHelper(): void {
-        if (this.isOpaque) {
-            this.cut();
-            return;
-        }
         this.returnWhenIdle();
         const { request } = this;
         if (this.hasEnded || this.timer !== undefined) {
             return;
         }
+        if (this.isOpaque) {
+            this.timer = setTimeout(() => this.giveUp(), UNKNOWN_TIME_MS).unref();
+            return;
+        }
         if (request === undefined) {
             // The last response has announced the close.
             this.close("closed");
@@ -216,7 +216,7 @@
 
     private readHelper(chunk: Buffer): void {
         let rest = chunk;
-        while (rest.length > 0) {
+        while (rest.length > 0 && !this.hasEnded) {
             if (this.isOpaque || this.request === undefined) {
                 // A close that the helper explains without a request, or no HTTP any more.
                 this.stopFollowing();
@@ -371,7 +371,7 @@
         const { arrivedAtMs, request } = this;
         const isInterrupted = request?.isComplete === true;
         const unserved = Buffer.concat([...this.held, ...this.queued]);
-        if (unserved.length === 0 && this.opts.isStopping()) {
+        if (caller.readableEnded || (unserved.length === 0 && this.opts.isStopping())) {
             this.close("closed");
             return;
         }
--- a/packages/relay/src/handoff/lost-helper.test.ts
+++ b/packages/relay/src/handoff/lost-helper.test.ts
@@ -222,6 +222,62 @@
     caller.destroy();
 });
 
+test("an answer to a request that cannot be followed goes on through a helper that counts as lost for a while", async t => {
+    let finish: () => void = () => undefined;
+    const { ports, cut, requests } = await start(t, {
+        serve: async (req, caller) => {
+            await new Promise<void>(resolve => {
+                finish = resolve;
+            });
+            await caller.sendResponse({ status: 200, headers: [], isFramed: true }, Buffer.from(`large ${req.id}`));
+        },
+    });
+    // The parser of the helper accepts the second space, the one here does not.
+    const caller = await openCaller(ports.small.listenPort, createRawRequest("a").replace("GET ", "GET  "));
+    await until(t, () => requests.length === 1);
+    cut();
+    await sleep(LOST_MS);
+    finish();
+    await readUntil(caller, "large a");
+    caller.destroy();
+});
+
+// Guards against bytes of a helper that follow an answer on a connection which is served here again.
+test("what a helper sends behind a whole answer does not reach a caller whose connection has come back", async t => {
+    const pair = await startHandoffPair();
+    const { hubs } = pair;
+    let answer: () => void = () => undefined;
+    const raw = createServer(socket => {
+        socket.on("error", () => undefined).on("data", () => {
+            answer = () => socket.write("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\naHTTP/1.1 200 OK\r\n\r\nstray");
+        });
+    }).listen(0, HOST);
+    await once(raw, "listening");
+    t.teardown(async () => {
+        raw.close();
+        await pair.close();
+    });
+    hubs.large.handle("connections.take", () =>
+        Promise.resolve({
+            kind: "accepted",
+            address: { host: HOST, port: (raw.address() as AddressInfo).port },
+            ticket: createTicket(),
+            version: 1,
+            requests: 0,
+        }));
+    pair.handoff.start();
+    await until(t, () => pair.handoff.isActive);
+    const caller = await openCaller(pair.ports.small.listenPort, createRawRequest("a"));
+    await sleep(LOST_MS);
+    hubs.large.updateSelf({ state: "leaving" });
+    await sleep(0);
+    answer();
+    await readUntil(caller, "\r\n\r\na");
+    caller.write(createRawRequest("b"));
+    t.notRegex(await readUntil(caller, "\r\n\r\nb"), /stray/);
+    caller.destroy();
+});
+
 // Guards against idle connections that are closed while their caller sends the next request.
 test("a connection without a request is served here once its helper is lost", async t => {
     const { ports, handoff, cut } = await start(t);
