Overload instances in the soak, and disturb those that serve their callers

A cut between two instances excuses no lost request. The output says how many connections were handed off, those of the load itself among them, and how many lost requests on kept connections targets had run.

--- a/packages/bench/src/platform/peer-links.ts
+++ b/packages/bench/src/platform/peer-links.ts
@@ -49,9 +49,9 @@
         ]);
     }
 
-    /** Ends all cuts; what the links held back goes on. */
-    async restore(): Promise<void> {
-        await Promise.all([...this.links.values()].map(links => links.restore()));
+    /** Ends the cuts of some instances, or all; what the links held back goes on. */
+    async restore(names: readonly string[] = [...this.links.keys()]): Promise<void> {
+        await Promise.all(names.map(async name => await this.links.get(name)?.restore()));
     }
 
     /** Ends everything that was started. */
--- a/packages/bench/src/platform/platform-fleet.ts
+++ b/packages/bench/src/platform/platform-fleet.ts
@@ -286,9 +286,18 @@
         this.announce(this.plains.length + model, "draining");
     }
 
-    /** Crashes a model target and starts it again under its id at another address. */
-    async rebirth(model: number): Promise<void> {
-        await this.models[model]?.close();
+    /** Removes the entry of a model target, which goes on. */
+    removeEntry(model: number): void {
+        this.store.remove(this.models[model]?.getEntry()[0] ?? "");
+    }
+
+    /** Crashes a model target and starts it again under its id at another address; its version stays by default. */
+    async rebirth(model: number, version?: string): Promise<void> {
+        const target = this.models[model];
+        await target?.close();
+        if (target !== undefined && version !== undefined) {
+            target.version = version;
+        }
         await this.startTarget(this.plains.length + model);
     }
 
--- a/packages/bench/src/platform/soak/judge-platform.test.ts
+++ b/packages/bench/src/platform/soak/judge-platform.test.ts
@@ -3,6 +3,7 @@
 import { MODEL_EVENTS } from "../platform-fleet.js";
 import { FaultTimeline, STORE_PART } from "./fault-timeline.js";
 import { ForwardLog } from "./forward-log.js";
+import { HandoffLog } from "./handoff-log.js";
 import { judgePlatform, type PlatformEvidence, type PlatformVerdict } from "./judge-platform.js";
 import type { PlatformCall } from "./platform-call.js";
 
@@ -61,6 +62,8 @@
         calls,
         directoryAnswers: [],
         forwards: new ForwardLog(),
+        handoffs: new HandoffLog(),
+        handedOff: 0,
         rigStalls: 0,
         readiness: [],
         prepaid: 1_000_000,
@@ -100,6 +103,40 @@
     t.is(count(disturbed("instance-2"), createForwards("attempt-1", PEER)), 1);
 });
 
+const createHandoffs = (helper: string): HandoffLog => {
+    const handoffs = new HandoffLog();
+    handoffs.read(CUT, JSON.stringify({ message: "connections handed off", context: { helper } }), LONG_MS);
+    return handoffs;
+};
+
+test("a stream that broke off with the killed helper of its instance is not lost, and a request without an answer is", t => {
+    const begun = createCall({ kind: "fixed", end: "cut", body: "" });
+    const createKill = (part: string): FaultTimeline => {
+        const timeline = new FaultTimeline();
+        timeline.kill(part, LONG_MS + 50);
+        timeline.addDisturbance([part], LONG_MS + 50, LONG_MS + 60);
+        return timeline;
+    };
+    const count = (call: PlatformCall, timeline: FaultTimeline, handoffs = createHandoffs(PEER)): number | undefined =>
+        judge({ calls: [call], timeline, handoffs }).violations["lost"];
+    t.is(count(begun, createKill(PEER)), 0);
+    t.is(count({ ...begun, headAtMs: undefined }, createKill(PEER)), 1);
+    t.is(count({ ...begun, kind: "plain" }, createKill(PEER)), 1);
+    t.is(count(begun, createKill(PEER), new HandoffLog()), 1);
+    t.is(count(begun, createKill("instance-2")), 1);
+    t.is(count(begun, new FaultTimeline()), 1);
+});
+
+test("a cut answer is lost though its instance did not reach another one", t => {
+    const timeline = new FaultTimeline();
+    timeline.part([CUT, PEER]);
+    const calls = [createCall({ end: "cut", body: "" })];
+    t.is(judge({ calls, timeline, handoffs: createHandoffs(PEER) }).violations["lost"], 1);
+    const disturbed = new FaultTimeline();
+    disturbed.disturb([CUT]);
+    t.is(judge({ calls, timeline: disturbed }).violations["lost"], 0);
+});
+
 test("an answer is overdue half a second after the deadline, and the time that the way to the instance takes", t => {
     const count = (change: Partial<PlatformCall>, callerPathMs = 0): number | undefined => {
         const call = createCall({ kind: "plain", endedAtMs: LONG_MS + 4_600, ...change });
--- a/packages/bench/src/platform/soak/judge-platform.ts
+++ b/packages/bench/src/platform/soak/judge-platform.ts
@@ -3,6 +3,7 @@
 import type { CutOffSpan, FaultTimeline, LimitSpan, StopRecord } from "./fault-timeline.js";
 import { STORE_PART } from "./fault-timeline.js";
 import type { ForwardLog } from "./forward-log.js";
+import type { HandoffLog } from "./handoff-log.js";
 import type { CallEnd, DirectoryAnswer, PlatformCall } from "./platform-call.js";
 import type { ReadinessAnswer } from "./readiness-probe.js";
 import { DEADLINE_MS, getEvents } from "./send-call.js";
@@ -15,6 +16,10 @@
     readonly directoryAnswers: readonly DirectoryAnswer[];
     /** Which instances sent requests for others. */
     readonly forwards: ForwardLog;
+    /** Which instances served the callers of others. */
+    readonly handoffs: HandoffLog;
+    /** Connections that instances handed off. */
+    readonly handedOff: number;
     /** How often the soak's own process was stalled. */
     readonly rigStalls: number;
     readonly readiness: readonly ReadinessAnswer[];
@@ -169,6 +174,14 @@
         };
     }
 
+    /** Requests on kept connections that targets ran and whose connections were closed without an answer. */
+    countLostWithoutAnswer(): number {
+        return this.evidence.calls.filter(call =>
+            call.usedKeptConnection && call.headAtMs === undefined && call.end === "cut"
+            && this.getRuns(call.id).length > 0 && this.isLost(call)
+        ).length;
+    }
+
     private getRuns(id: string): readonly RunRequest[] {
         return this.runs.get(id) ?? [];
     }
@@ -190,11 +203,29 @@
             && this.getRuns(id).every(({ target }) => timeline.isCalm(target, sentAtMs, endedAtMs));
     }
 
+    /** Whether instances and targets of a call had no fault of their own; that two instances did not reach each other excuses no lost request. */
+    private isSound(call: PlatformCall): boolean {
+        const { id, sentAtMs, endedAtMs } = call;
+        const { timeline } = this.evidence;
+        return this.getInstances(call).every(instance => timeline.isSound(instance, sentAtMs, endedAtMs))
+            && this.getRuns(id).every(({ target }) => timeline.isCalm(target, sentAtMs, endedAtMs));
+    }
+
+    /** Whether a stream that had begun may have been served by a peer that was killed meanwhile, and broke off with it. */
+    private mayHaveBrokenWithHelper({ kind, instance, headAtMs, sentAtMs, endedAtMs }: PlatformCall): boolean {
+        const { timeline, handoffs } = this.evidence;
+        return MODEL_KINDS.includes(kind) && headAtMs !== undefined
+            && handoffs.listHelpers(instance, endedAtMs).some(helper =>
+                timeline.wasKilled(helper, sentAtMs, endedAtMs)
+            );
+    }
+
     private isLost(call: PlatformCall): boolean {
         const { id, sentAtMs, bodySentAtMs = Infinity, endedAtMs } = call;
         const wasRead = this.getRuns(id).length > 0 || endedAtMs - bodySentAtMs > LOSS_SLACK_MS;
         const lastedMs = endedAtMs - sentAtMs + TIMER_SLACK_MS;
-        return wasRead && this.isCalm(call) && lastedMs < this.getTimeoutMs(call) && !this.mayBeCutByStop(call);
+        return wasRead && this.isSound(call) && lastedMs < this.getTimeoutMs(call) && !this.mayBeCutByStop(call)
+            && !this.mayHaveBrokenWithHelper(call);
     }
 
     private getTimeoutMs({ kind, sentAtMs, endedAtMs }: PlatformCall): number {
@@ -357,13 +388,17 @@
 /** Judges what was seen while a schedule was played. */
 export const judgePlatform = (evidence: PlatformEvidence): PlatformVerdict => {
     const { calls, timeline, directoryAnswers, prepaid } = evidence;
-    const traces = new PlatformJudge(evidence).listViolations();
+    const judge = new PlatformJudge(evidence);
+    const traces = judge.listViolations();
     const violations = Object.fromEntries(Object.entries(traces).map(([name, seen]) => [name, seen.length]));
     const figures = {
         calls: calls.length,
         onKeptConnections: calls.filter(call => call.usedKeptConnection).length,
         ...countBy("", calls.map(call => call.end)),
         ...countBy("status", calls.flatMap(call => call.end === "answered" ? [String(call.status)] : [])),
+        lostWithoutAnswer: judge.countLostWithoutAnswer(),
+        handoffs: evidence.handoffs.count,
+        connectionsHandedOff: evidence.handedOff,
         stops: timeline.stops.length,
         longestStopMs: Math.round(Math.max(0, ...timeline.stops.map(stop => stop.endedAtMs - stop.termAtMs))),
         budgetUnavailable: calls.filter(({ body }) => body.includes(ASKED_OTHERS)).length,
--- a/packages/bench/src/platform/soak/platform-schedule-run.ts
+++ b/packages/bench/src/platform/soak/platform-schedule-run.ts
@@ -1,9 +1,11 @@
 import type { FaultProxy, PlatformTargetStandIn, ProxyFaults } from "@ospreyreel/stand-ins";
 import { setTimeout as sleep } from "node:timers/promises";
+import { loadInstance } from "../handoff-load.js";
 import type { LinkCut } from "../instance-links.js";
 import type { PlatformFleet, PlatformInstance } from "../platform-fleet.js";
 import { type FaultTimeline, STORE_PART } from "./fault-timeline.js";
-import type { PlatformFault, PlatformScheduleEntry, StopKind } from "./platform-schedule.js";
+import type { HandoffLog } from "./handoff-log.js";
+import type { HelperFault, PlatformFault, PlatformScheduleEntry, StopKind } from "./platform-schedule.js";
 
 /** Signal that follows a SIGTERM. */
 const NEXT_SIGNAL: Readonly<Record<StopKind, NodeJS.Signals | undefined>> = {
@@ -28,15 +30,31 @@
 /** Shortest time for which a target names a limit, in milliseconds; the limit must hold after three seconds, for four. */
 const MIN_LIMIT_MS = 8_000;
 
+/** Time after an overload in which its last requests end, in milliseconds. */
+const OVERLOAD_ENDS_WITHIN_MS = 5_000;
+
 /** Shortest time for which instances are cut off, in milliseconds; their callers must be served as well as others after three seconds. */
 const MIN_CUT_OFF_MS = 6_000;
 
 /** Faults that signals to processes bring about. */
 type ProcessFault = Extract<
     PlatformFault,
-    { readonly kind: "kill" | "killAll" | "freeze" | StopKind | "rollingStop" | "stopInStart" | "reload"; }
+    {
+        readonly kind:
+            | "kill"
+            | "killAll"
+            | "freeze"
+            | StopKind
+            | "rollingStop"
+            | "stopInStart"
+            | "reload"
+            | "helperFault";
+    }
 >;
 
+/** Faults of targets that change without an announcement. */
+type TargetChange = Extract<PlatformFault, { readonly kind: "targetReplaced" | "targetRemoved"; }>;
+
 /** Faults of entries and answers that belong to nothing. */
 type StrayFault = Extract<PlatformFault, { readonly kind: "oddEntry" | "strayRefusals" | "resumeErrors"; }>;
 
@@ -47,6 +65,7 @@
 export interface ScheduleRunOptions {
     readonly fleet: PlatformFleet;
     readonly timeline: FaultTimeline;
+    readonly handoffs: HandoffLog;
     readonly prepaid: number;
 }
 
@@ -64,15 +83,17 @@
 export class PlatformScheduleRun {
     private readonly fleet: PlatformFleet;
     private readonly timeline: FaultTimeline;
+    private readonly handoffs: HandoffLog;
     /** Instances that a fault has ended or told to stop. */
     private readonly away = new Set<PlatformInstance>();
     private version = 1;
     private oddEntries = 0;
     private prepaidTokens: number;
 
-    constructor({ fleet, timeline, prepaid }: ScheduleRunOptions) {
+    constructor({ fleet, timeline, handoffs, prepaid }: ScheduleRunOptions) {
         this.fleet = fleet;
         this.timeline = timeline;
+        this.handoffs = handoffs;
         this.prepaidTokens = prepaid;
     }
 
@@ -103,6 +124,7 @@
         const proxies = [...fleet.storeProxies, ...fleet.callerProxies, ...fleet.targetProxies];
         await Promise.all(proxies.map(proxy => proxy.setFaults({ mode: "pass", delayMs: 0 })));
         fleet.instances.forEach(instance => instance.process.kill("SIGCONT"));
+        await fleet.peerLinks?.restore();
     }
 
     private async limit(target: number, perS: number, ms: number): Promise<void> {
@@ -170,6 +192,8 @@
                     }),
                 );
                 return;
+            case "helperFault":
+                return await this.disturbHelper(fault.instance, fault.how, fault.gapMs, ms);
             default:
                 return await this.holdAround(fault, ms);
         }
@@ -232,6 +256,11 @@
             }
             case "targetReborn":
                 return await this.rebirth(fault.target);
+            case "overload":
+                return await this.overload(this.getInstances([fault.instance]), ms);
+            case "targetReplaced":
+            case "targetRemoved":
+                return await this.changeTarget(fault, ms);
             case "cutOff":
                 return await this.cutOff(fault.instances, fault.how, ms);
             case "targetLimit":
@@ -251,6 +280,56 @@
         }
     }
 
+    private async overload(instances: readonly PlatformInstance[], ms: number): Promise<void> {
+        const ends = instances.map(instance => loadInstance(instance));
+        await sleep(ms);
+        // What an instance that is paused has accepted ends later.
+        await Promise.race([Promise.all(ends.map(end => end())), sleep(OVERLOAD_ENDS_WITHIN_MS)]);
+    }
+
+    /** Disturbs the peer that serves callers of an instance, or the next instance where none does. */
+    private async disturbHelper(index: number, how: HelperFault, gapMs: number, ms: number): Promise<void> {
+        const { fleet, timeline } = this;
+        const [served] = this.getInstances([index]);
+        const name = this.handoffs.getHelper(served?.name ?? "");
+        const found = fleet.instances.findIndex(instance => instance.name === name);
+        const helper = found < 0 ? (index + 1) % fleet.instances.length : found;
+        const instances = this.getInstances([helper]);
+        switch (how) {
+            case "kill":
+                return await this.restartAfter([helper], ms, instance => this.kill(instance));
+            case "freeze":
+                return await this.freeze(instances, ms);
+            case "stop":
+                return await this.restartAfter([helper], ms, instance => this.stop(instance));
+            case "killInStop":
+                return await this.restartAfter(
+                    [helper],
+                    ms,
+                    instance => this.stop(instance, { next: "SIGKILL", gapMs, ms }),
+                );
+            case "cutLink": {
+                const names = [served, ...instances].flatMap(instance => instance === undefined ? [] : [instance.name]);
+                const end = timeline.part(names);
+                await fleet.peerLinks?.cut(names[0] ?? "", names[1] ?? "");
+                await sleep(ms);
+                await fleet.peerLinks?.restore(names);
+                return end();
+            }
+        }
+    }
+
+    private async changeTarget({ kind, target, version }: TargetChange, ms: number): Promise<void> {
+        const { fleet, timeline } = this;
+        const end = timeline.disturb(pick(fleet.models, [target]).map(({ id }) => id));
+        if (kind === "targetRemoved") {
+            fleet.removeEntry(target);
+            await sleep(ms);
+        }
+        await fleet.rebirth(target, version);
+        end();
+    }
+
     /** Entries and answers that belong to nothing. */
     private async holdStray(fault: StrayFault, ms: number): Promise<void> {
         const { fleet } = this;
@@ -295,6 +374,7 @@
 
     private async kill(instance: PlatformInstance): Promise<void> {
         const end = this.timeline.disturb([instance.name]);
+        this.timeline.kill(instance.name);
         instance.process.kill("SIGKILL");
         await instance.process.exited;
         end();
--- a/packages/bench/src/platform/soak/platform-schedule.ts
+++ b/packages/bench/src/platform/soak/platform-schedule.ts
@@ -6,6 +6,9 @@
 /** Signals that follow a SIGTERM of the same process. */
 export type StopKind = "stop" | "stopTwice" | "stopThenReload" | "freezeInStop" | "killInStop";
 
+/** What happens to an instance that serves connections of another one. */
+export type HelperFault = "kill" | "freeze" | "stop" | "killInStop" | "cutLink";
+
 /** One fault of a fleet on the platform. */
 export type PlatformFault =
     /** A process is killed or paused, and started or continued at the fault's end. */
@@ -48,6 +51,12 @@
     | { readonly kind: "topUp"; readonly tokens: number; }
     /** New desired states in quick succession, with a route added and removed and with other time-outs. */
     | { readonly kind: "documents"; readonly count: number; readonly gapMs: number; }
+    /** An instance gets more to read than it has time for. */
+    | { readonly kind: "overload"; readonly instance: number; }
+    /** The peer that serves most connections of an instance is disturbed, or the next one where none does. */
+    | { readonly kind: "helperFault"; readonly instance: number; readonly how: HelperFault; readonly gapMs: number; }
+    /** A model target crashes and starts again as another version, or its entry is removed first, without an announcement. */
+    | { readonly kind: "targetReplaced" | "targetRemoved"; readonly target: number; readonly version: string; }
     /** The settings file is written with other peers and the process told of it. */
     | { readonly kind: "reload"; readonly instance: number; };
 
@@ -112,6 +121,16 @@
 const BESIDE_RESTORE_MS = [-600, 400] as const;
 const BESIDE_KINDS = ["kill", "killAll", "freeze", "stop", "rollingStop", "cutStore"] as const;
 
+/** Of overloads, each with faults of the instance that helps, and of targets that change. */
+const OVERLOAD_BOUNDS: ScheduleBounds = { faults: [1, 2], longestStartMs: 2_500, durationMs: [2_500, 5_000] };
+const TARGET_CHANGE_BOUNDS: ScheduleBounds = { faults: [0, 2], longestStartMs: 6_000, durationMs: [200, 2_500] };
+const TARGET_CHANGES = ["targetReplaced", "targetRemoved"] as const;
+const NEXT_VERSIONS = ["v2", "v3"] as const;
+const HELPER_FAULTS: readonly HelperFault[] = ["kill", "freeze", "freeze", "stop", "killInStop", "cutLink", "cutLink"];
+
+/** Time from the start of an overload to a fault of the helper, in milliseconds; connections are handed off within two seconds. */
+const HELPER_FAULT_AFTER_MS = [2_000, 5_500] as const;
+
 const ODD_ENTRIES: readonly string[] = [
     JSON.stringify({ service: "model", address: "127.0.0.1:70000", slots: 4, state: "ready" }),
     JSON.stringify({ service: "plain", address: "999.1.1.1:80", slots: 1e300, state: "ready" }),
@@ -211,3 +230,28 @@
                 return { kind, target, status: random.pick(RESUME_STATUSES) };
         }
     });
+
+/** Overloads of instances, each with faults of the one that serves its callers. */
+export const createOverloads = (random: RandomSource, instances: number): readonly PlatformScheduleEntry[] =>
+    drawEntries(random, OVERLOAD_BOUNDS, () => ({ kind: "overload" as const, instance: random.int(0, instances - 1) }))
+        .flatMap(overload => [
+            overload,
+            ...Array.from({ length: random.int(1, 2) }, (): PlatformScheduleEntry => ({
+                startMs: overload.startMs + random.int(...HELPER_FAULT_AFTER_MS),
+                durationMs: random.int(300, 4_000),
+                fault: {
+                    kind: "helperFault",
+                    instance: overload.fault.instance,
+                    how: random.pick(HELPER_FAULTS),
+                    gapMs: random.int(0, 7_000),
+                },
+            })),
+        ]);
+
+/** Model targets that start again as another version, or leave without saying so. */
+export const createTargetChanges = (random: RandomSource): readonly PlatformScheduleEntry[] =>
+    drawEntries(random, TARGET_CHANGE_BOUNDS, () => ({
+        kind: random.pick(TARGET_CHANGES),
+        target: random.int(0, MODELS - 1),
+        version: random.pick(NEXT_VERSIONS),
+    }));
--- a/packages/stand-ins/src/platform/platform-target-stand-in.ts
+++ b/packages/stand-ins/src/platform/platform-target-stand-in.ts
@@ -99,6 +99,8 @@
     resumeStatus: number | undefined;
     /** Monotonic times of the requests that it rejected, in milliseconds. */
     readonly rejectedAtMs: number[] = [];
+    /** Version of its software in this start; undefined where its events name none. */
+    version: string | undefined;
     /** Called after each start that follows a crash. */
     onRestart: () => void = () => undefined;
     private server: JsonServer | undefined;
@@ -106,7 +108,9 @@
     /** Unix time of this start in milliseconds; tells it from earlier ones under the same id. */
     private born = 0;
 
-    constructor(private readonly opts: PlatformTargetOptions) {}
+    constructor(private readonly opts: PlatformTargetOptions) {
+        this.version = opts.version;
+    }
 
     /** Requests that it ran, in all its starts. */
     get ran(): readonly RunRequest[] {
@@ -156,7 +160,8 @@
 
     /** Key and value of its entry in the store; it names another address where a proxy stands before the target. */
     getEntry(state: "ready" | "draining" = "ready", address = this.address): readonly [string, unknown] {
-        const { id, service, zone = "zone-a", version = DEFAULT_VERSION } = this.opts;
+        const { id, service, zone = "zone-a" } = this.opts;
+        const { version = DEFAULT_VERSION } = this;
         return [`servers/${id}`, {
             service,
             address: `${address.host}:${address.port}`,
@@ -198,7 +203,8 @@
         }
         const parts = String(req.headers["prompt-prefix"] ?? "").split(",").map(part => part.split(":")[0] ?? "");
         this.recordRun(req, res, { body, parts });
-        const { events = 0, version = "", deadlyPart, deadlyBody } = this.opts;
+        const { events = 0, deadlyPart, deadlyBody } = this.opts;
+        const { version = "" } = this;
         const isDeadly = deadlyBody !== undefined && body === deadlyBody
             || deadlyPart !== undefined && parts.slice(0, -1).includes(deadlyPart);
         const stepMs = Number(req.headers[STAND_IN_HEADERS.stepMs] ?? this.opts.stepMs ?? DEFAULT_STEP_MS);
