Show that two restores of the KV service in a row overspend nothing and bring no removed target back

Change: tests only. The service comes back twice from the same copy 2 s apart, with nobody lost, and with the owner of the budget killed at each restore after 25 s of use; and once from a copy and once from one that was made between the two, while a target whose entry they hold has left. The fleet of the tests can remove a target for good, and what spends a budget is shared between tests.

--- a/packages/bench/src/platform/platform-fleet.ts
+++ b/packages/bench/src/platform/platform-fleet.ts
@@ -173,6 +173,8 @@
     /** Links between the instances, if asked for. */
     peerLinks: PeerLinks | undefined;
     private readonly agent = new Agent({ pipelining: 1 });
+    /** Targets that left for good; they announce nothing more. */
+    private readonly removed = new Set<string>();
     private requests = 0;
     private starts = 0;
     private withProxies = false;
@@ -286,6 +288,13 @@
         this.announce(this.plains.length + model, "draining");
     }
 
+    /** Removes the entry of a model target for good; the target goes on serving. */
+    removeTarget(model: number): void {
+        const id = this.models[model]?.id ?? "";
+        this.removed.add(id);
+        this.store.remove(`servers/${id}`);
+    }
+
     /** Crashes a model target and starts it again under its id at another address. */
     async rebirth(model: number): Promise<void> {
         await this.models[model]?.close();
@@ -294,7 +303,7 @@
 
     private announce(at: number, state: "ready" | "draining" = "ready"): void {
         const target = this.targets[at];
-        if (target !== undefined) {
+        if (target !== undefined && !this.removed.has(target.id)) {
             this.store.put(...target.getEntry(state, this.targetProxies[at]?.address));
         }
     }
