--- a/packages/relay/src/handoff/connection-handoff.test.ts
+++ b/packages/relay/src/handoff/connection-handoff.test.ts
@@ -1,12 +1,11 @@
 import test, { type ExecutionContext } from "ava";
 import { once } from "node:events";
-import { type AddressInfo, createServer, type Socket } from "node:net";
+import type { Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { type HandoffPairOptions, startHandoffPair } from "../fixtures/handoff-pair.js";
+import { startRawHelper } from "../fixtures/raw-helper.js";
 import { createRawRequest, openCaller, readUntilEnd } from "../fixtures/relay-path.js";
-import { createTicket } from "./handoff-preamble.js";
 
-const HOST = "127.0.0.1";
 const HEAD = { status: 200, headers: [], isFramed: true };
 
 /** Waits for a condition, as long as a busy machine may need. */
@@ -85,29 +84,15 @@
 /** Takes connections like an instance does, and answers with a response that ends with its connection. */
 const startUnframedHelper = async (t: ExecutionContext, beforeEnd: (stop: () => void) => void) => {
     const pair = await startHandoffPair();
-    const { hubs, network } = pair;
-    const raw = createServer({ allowHalfOpen: true }, socket => {
-        socket.on("error", () => undefined).once("data", () => {
+    const helper = await startRawHelper(pair, socket => {
+        socket.once("data", () => {
             socket.write("HTTP/1.1 200 OK\r\n\r\nhalf", () => {
-                beforeEnd(() => network.disconnect(hubs.large));
+                beforeEnd(() => pair.network.disconnect(pair.hubs.large));
                 socket.end();
             });
         });
-    }).listen(0, HOST);
-    await once(raw, "listening");
-    t.teardown(async () => {
-        raw.close();
-        await pair.close();
     });
-    hubs.large.handle("connections.take", () =>
-        Promise.resolve({
-            kind: "accepted",
-            address: { host: HOST, port: (raw.address() as AddressInfo).port },
-            ticket: createTicket(),
-            version: 1,
-            requests: 0,
-        }));
-    pair.handoff.start();
+    t.teardown(() => helper.close());
     await until(t, () => pair.handoff.isActive);
     return pair;
 };
--- a/packages/relay/src/handoff/handed-off-connection.test.ts
+++ b/packages/relay/src/handoff/handed-off-connection.test.ts
@@ -5,10 +5,11 @@
 import { CallerExchange, type ResponseHead } from "../caller-exchange.js";
 import { type HandoffPairOptions, startHandoffPair } from "../fixtures/handoff-pair.js";
 import { createRequest } from "../fixtures/plain-protocol.js";
+import { startRawHelper } from "../fixtures/raw-helper.js";
 import { createRawRequest, openCaller, readUntilEnd, startRelayPath } from "../fixtures/relay-path.js";
 import { REFUSAL_STATUS, type RelayRefusal } from "../relay-refusal.js";
 import type { RequestTerms } from "./handed-off-connection.js";
-import { createTicket, TICKET_BYTES } from "./handoff-preamble.js";
+import { TICKET_BYTES } from "./handoff-preamble.js";
 
 const HOST = "127.0.0.1";
 const LONG_MS = 60_000;
@@ -44,15 +45,7 @@
     t.teardown(() => pair.close());
     await pair.start();
     t.true(await isMetWithin(10_000, () => pair.handoff.isActive));
-    const { hubs, network } = pair;
-    return {
-        ...pair,
-        cut: (): void => {
-            network.disconnect(hubs.large);
-            hubs.small.sendChange({ kind: "lost", info: hubs.large.self() });
-            hubs.large.sendChange({ kind: "lost", info: hubs.small.self() });
-        },
-    };
+    return pair;
 };
 
 /** Starts a pair whose helper is a bare socket; `serve` gets each connection after its ticket was read. */
@@ -62,42 +55,18 @@
     terms?: RequestTerms,
 ) => {
     const pair = await startHandoffPair(terms === undefined ? {} : { terms });
-    const { hubs, network } = pair;
-    const sockets: Socket[] = [];
-    const raw = createServer({ allowHalfOpen: true }, socket => {
-        sockets.push(socket);
+    const helper = await startRawHelper(pair, socket => {
         let read = Buffer.alloc(0);
-        socket.on("error", () => undefined).on("data", chunk => {
+        socket.on("data", chunk => {
             read = Buffer.concat([read, chunk]);
             if (read.length > TICKET_BYTES) {
                 onData(socket, read.toString("latin1", TICKET_BYTES));
             }
         });
-    }).listen(0, HOST);
-    await once(raw, "listening");
-    t.teardown(async () => {
-        sockets.forEach(socket => socket.destroy());
-        raw.close();
-        await pair.close();
     });
-    hubs.large.handle("connections.take", () =>
-        Promise.resolve({
-            kind: "accepted",
-            address: { host: HOST, port: (raw.address() as AddressInfo).port },
-            ticket: createTicket(),
-            version: 1,
-            requests: 0,
-        }));
-    pair.handoff.start();
+    t.teardown(() => helper.close());
     t.true(await isMetWithin(10_000, () => pair.handoff.isActive));
-    return {
-        ...pair,
-        sockets,
-        lose: (): void => {
-            network.disconnect(hubs.large);
-            hubs.small.sendChange({ kind: "lost", info: hubs.large.self() });
-        },
-    };
+    return { ...pair, sockets: helper.sockets, lose: pair.loseLarge };
 };
 
 // Guards against kept connections that are closed early since they count as new ones after their return.
--- a/packages/relay/src/handoff/lost-helper.test.ts
+++ b/packages/relay/src/handoff/lost-helper.test.ts
@@ -1,13 +1,11 @@
 import test, { type ExecutionContext } from "ava";
 import { once } from "node:events";
-import { type AddressInfo, createServer, type Socket } from "node:net";
+import type { Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { type HandoffPairOptions, startHandoffPair } from "../fixtures/handoff-pair.js";
+import { startRawHelper } from "../fixtures/raw-helper.js";
 import { createRawRequest, openCaller, readUntilEnd } from "../fixtures/relay-path.js";
 import type { RequestTerms } from "./handed-off-connection.js";
-import { createTicket } from "./handoff-preamble.js";
-
-const HOST = "127.0.0.1";
 
 /** Time for which a helper counts as lost, in milliseconds. */
 const LOST_MS = 200;
@@ -30,16 +28,7 @@
     t.teardown(() => pair.close());
     await pair.start();
     await until(t, () => pair.handoff.isActive);
-    const { hubs, network } = pair;
-    return {
-        ...pair,
-        /** Has both instances take each other for lost, as in a cut between them. */
-        cut: (): void => {
-            network.disconnect(hubs.large);
-            hubs.small.sendChange({ kind: "lost", info: hubs.large.self() });
-            hubs.large.sendChange({ kind: "lost", info: hubs.small.self() });
-        },
-    };
+    return pair;
 };
 
 /** Reads a connection until a text has arrived; fails once it ends before. */
@@ -247,25 +236,12 @@
     const pair = await startHandoffPair();
     const { hubs } = pair;
     let answer: () => void = () => undefined;
-    const raw = createServer(socket => {
-        socket.on("error", () => undefined).on("data", () => {
+    const helper = await startRawHelper(pair, socket => {
+        socket.on("data", () => {
             answer = () => socket.write("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\naHTTP/1.1 200 OK\r\n\r\nstray");
         });
-    }).listen(0, HOST);
-    await once(raw, "listening");
-    t.teardown(async () => {
-        raw.close();
-        await pair.close();
     });
-    hubs.large.handle("connections.take", () =>
-        Promise.resolve({
-            kind: "accepted",
-            address: { host: HOST, port: (raw.address() as AddressInfo).port },
-            ticket: createTicket(),
-            version: 1,
-            requests: 0,
-        }));
-    pair.handoff.start();
+    t.teardown(() => helper.close());
     await until(t, () => pair.handoff.isActive);
     const caller = await openCaller(pair.ports.small.listenPort, createRawRequest("a"));
     await sleep(LOST_MS);
@@ -293,27 +269,13 @@
 // Guards against requests whose callers learn nothing when the process that served them was killed.
 test("a request is answered though its helper's process ends before the answer begins", async t => {
     const pair = await startHandoffPair();
-    const { hubs, network } = pair;
-    const raw = createServer(socket => {
-        socket.on("error", () => undefined).once("data", () => {
-            network.disconnect(hubs.large);
+    const helper = await startRawHelper(pair, socket => {
+        socket.once("data", () => {
+            pair.network.disconnect(pair.hubs.large);
             socket.destroy();
         });
-    }).listen(0, HOST);
-    await once(raw, "listening");
-    t.teardown(async () => {
-        raw.close();
-        await pair.close();
     });
-    hubs.large.handle("connections.take", () =>
-        Promise.resolve({
-            kind: "accepted",
-            address: { host: HOST, port: (raw.address() as AddressInfo).port },
-            ticket: createTicket(),
-            version: 1,
-            requests: 0,
-        }));
-    pair.handoff.start();
+    t.teardown(() => helper.close());
     await until(t, () => pair.handoff.isActive);
     const caller = await openCaller(pair.ports.small.listenPort, createRawRequest("a", "Connection: close\r\n"));
     t.regex((await readUntilEnd(caller)).text, /^HTTP\/1\.1 /);
--- a/packages/relay/src/http/http-caller-port.ts
+++ b/packages/relay/src/http/http-caller-port.ts
@@ -1,4 +1,4 @@
-import { closeWithLinger, lingerOnClose, stopListening } from "@ospreyreel/peer";
+import { lingerOnClose, stopListening } from "@ospreyreel/peer";
 import { once } from "node:events";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
@@ -12,6 +12,7 @@
 import type { CallerProtocol } from "./caller-protocol.js";
 import { ExchangeCounts } from "./exchange-counts.js";
 import { HttpCallerExchange } from "./http-caller-exchange.js";
+import { IdleConnections } from "./idle-connections.js";
 import { NewConnections } from "./new-connections.js";
 import { PipelineOrder } from "./pipeline-order.js";
 import { ReadRequests } from "./read-requests.js";
@@ -82,8 +83,7 @@
     private readonly origins = new WeakMap<Socket, ConnectionOrigin>();
     /** First requests of connections that came back from peers. */
     private readonly returned = new WeakMap<Socket, ReturnedRequest>();
-    /** Connections that came back without a request and have brought none since. */
-    private readonly idle = new Set<Socket>();
+    private readonly idle: IdleConnections;
     private readonly exchanges = new ExchangeCounts();
     private readonly serveConnection: (socket: Socket) => void;
 
@@ -103,6 +103,13 @@
                 listener.call(this.server, socket);
             });
         };
+        this.idle = new IdleConnections({
+            serve: socket => {
+                this.serveConnection(socket);
+                socket.resume();
+            },
+            getIdleTimeoutMs: () => this.bounds.idleTimeoutMs,
+        });
         this.server.on("connection", (socket: Socket) => {
             if (opts.handOff?.(socket, returned => this.serveReturned(socket, returned)) !== true) {
                 this.serveConnection(socket);
@@ -207,7 +214,7 @@
         const unsent = this.open;
         this.server.close();
         this.server.closeAllConnections();
-        this.idle.forEach(socket => socket.destroy());
+        this.idle.closeAll();
         return unsent;
     }
 
@@ -217,37 +224,13 @@
             this.returned.set(socket, returned);
         }
         if (returned === undefined && socket.bytesRead > 0 && socket.readableLength === 0) {
-            this.serveWhenReadable(socket);
+            this.idle.add(socket);
             return;
         }
         this.serveConnection(socket);
         socket.resume();
     }
 
-    /** Serves a kept connection once it brings a request: a new one without a request would be closed earlier. */
-    private serveWhenReadable(socket: Socket): void {
-        this.idle.add(socket);
-        const end = (): void => {
-            clearTimeout(timer);
-            this.idle.delete(socket);
-            socket.off("readable", onReadable).off("close", end).off("error", ignoreError);
-        };
-        const timer = setTimeout(() => {
-            end();
-            closeWithLinger(socket.on("error", ignoreError));
-        }, this.bounds.idleTimeoutMs).unref();
-        const onReadable = (): void => {
-            end();
-            if (socket.readableLength === 0) {
-                closeWithLinger(socket.on("error", ignoreError));
-                return;
-            }
-            this.serveConnection(socket);
-            socket.resume();
-        };
-        socket.on("error", ignoreError).once("close", end).once("readable", onReadable);
-    }
-
     private get bounds(): CallerBounds {
         return this.opts.getBounds() ?? DEFAULT_BOUNDS;
     }
@@ -410,8 +393,6 @@
     }
 }
 
-const ignoreError = (): void => undefined;
-
 /** Colon, space and line end of a header, divided between its name and its value. */
 const HEADER_SEPARATOR_BYTES = 2;
 
