--- a/packages/bench/src/platform/platform-fleet.ts
+++ b/packages/bench/src/platform/platform-fleet.ts
@@ -173,6 +173,8 @@
     /** Links between the instances, if asked for. */
     peerLinks: PeerLinks | undefined;
     private readonly agent = new Agent({ pipelining: 1 });
+    /** Targets that left for good; they announce nothing more. */
+    private readonly removed = new Set<string>();
     private requests = 0;
     private starts = 0;
     private withProxies = false;
@@ -291,6 +293,12 @@
         this.store.remove(this.models[model]?.getEntry()[0] ?? "");
     }
 
+    /** Removes the entry of a model target for good; the target goes on serving. */
+    removeTarget(model: number): void {
+        this.removed.add(this.models[model]?.id ?? "");
+        this.removeEntry(model);
+    }
+
     /** Crashes a model target and starts it again under its id at another address; its version stays by default. */
     async rebirth(model: number, version?: string): Promise<void> {
         const target = this.models[model];
@@ -303,7 +311,7 @@
 
     private announce(at: number, state: "ready" | "draining" = "ready"): void {
         const target = this.targets[at];
-        if (target !== undefined) {
+        if (target !== undefined && !this.removed.has(target.id)) {
             this.store.put(...target.getEntry(state, this.targetProxies[at]?.address));
         }
     }
