Refuse requests after a pause until the view of the KV service is confirmed

What callers saw: an instance that was paused for 12 s served the first requests after it by the desired state of before: 11 to 13 for a route that had been removed 6 s earlier.

Cause: an old view counts as outdated only while responses arrive late. After a long pause peers have closed their links, nothing late arrives, and what waits at the callers' port is read before any new answer.

Change: the view is outdated as well once the process stood still for more than two seconds, until it is confirmed or nothing has responded for a second.

--- a/packages/relay/src/instance/relay-instance.ts
+++ b/packages/relay/src/instance/relay-instance.ts
@@ -432,6 +432,7 @@
             getReadRequests: () => this.callerPort.readRequests,
             log,
         });
+        this.freshness.start();
         this.follower.start();
         this.budgets.serve();
         this.permits.serve();
--- a/packages/relay/src/watch/view-freshness.test.ts
+++ b/packages/relay/src/watch/view-freshness.test.ts
@@ -71,3 +71,39 @@
     clock.wallOffsetMs = -5_000;
     t.is(freshness.ageMs, 3_000);
 });
+
+// An instance that was paused served the first requests by the desired state of before.
+test("a view from before the process was paused is outdated until it is confirmed", t => {
+    const { clock, log, freshness, respond } = create();
+    respond("a/", 0);
+    freshness.tick();
+    clock.ms = 100;
+    freshness.tick();
+    t.false(freshness.isOutdated);
+    clock.ms = 12_000;
+    t.true(freshness.isOutdated);
+    freshness.tick();
+    t.true(freshness.isOutdated);
+    respond("a/", 12_000);
+    t.false(freshness.isOutdated);
+    t.deepEqual(log.lines.map(({ event }) => event), ["process stood still"]);
+});
+
+test("a view from before the process was paused is used again where nothing responds for a second", t => {
+    const { clock, freshness, respond } = create();
+    respond("a/", 0);
+    freshness.tick();
+    clock.ms = 12_000;
+    t.true(freshness.isOutdated);
+    clock.ms = 13_001;
+    t.false(freshness.isOutdated);
+});
+
+test("a process that others take the processor from for a second has not stood still", t => {
+    const { clock, freshness, respond } = create();
+    respond("a/", 0);
+    for (clock.ms = 0; clock.ms < 10_000; clock.ms += 1_000) {
+        freshness.tick();
+        t.false(freshness.isOutdated);
+    }
+});
--- a/packages/relay/src/watch/view-freshness.ts
+++ b/packages/relay/src/watch/view-freshness.ts
@@ -36,6 +36,11 @@
  */
 const MAX_AGE_MS = 2_000;
 
+const TICK_MS = 100;
+
+/** Time in which the view is confirmed after the process stood still; without responses by then, nothing can be known. In milliseconds. */
+const CATCH_UP_MS = 1_000;
+
 const MS_PER_S = 1_000;
 
 /** Tracks how old this instance's view of the KV service is, and whether responses reach it late. */
@@ -46,12 +51,32 @@
     private lastDelayMs = 0;
     private delayedUntilMs = Number.NEGATIVE_INFINITY;
     private wasDelayed = false;
+    /** Monotonic time of the last sign that the process runs, in milliseconds; undefined where none is awaited. */
+    private lastTickMs: number | undefined;
+    private catchingUpUntilMs = Number.NEGATIVE_INFINITY;
 
     constructor(private readonly opts: ViewFreshnessOptions) {
         this.nowMs = opts.nowMs ?? (() => performance.now());
         this.wallMs = opts.wallMs ?? (() => Date.now());
     }
 
+    /** Starts noticing when the process stood still, until it ends. */
+    start(): void {
+        this.tick();
+        setInterval(() => this.tick(), TICK_MS).unref();
+    }
+
+    /** Records that the process runs. */
+    tick(): void {
+        const nowMs = this.nowMs();
+        const stoodMs = nowMs - (this.lastTickMs ?? nowMs);
+        this.lastTickMs = nowMs;
+        if (stoodMs > MAX_AGE_MS) {
+            this.catchingUpUntilMs = nowMs + CATCH_UP_MS;
+            this.opts.log.write("process stood still", { ms: Math.round(stoodMs), viewAgeMs: Math.round(this.ageMs) });
+        }
+    }
+
     /**
      * Records a response of a source or of the KV service. A source that cannot read the service either counts as well:
      * no newer state can be known then.
@@ -89,11 +114,15 @@
     }
 
     /**
-     * Whether this instance may decide by changes that are too old. Without late responses an old view means that the KV
-     * service or the peers are unavailable, and requests are served by the last known state.
+     * Whether this instance may decide by changes that are too old. Unless responses are late or the process has just stood
+     * still, an old view means that the KV service or the peers are unavailable, and requests are served by the last known state.
      */
     get isOutdated(): boolean {
-        return this.isInputDelayed && this.ageMs > MAX_AGE_MS;
+        if (this.lastTickMs !== undefined) {
+            // After a pause, requests may be read before the first timer runs.
+            this.tick();
+        }
+        return (this.isInputDelayed || this.nowMs() < this.catchingUpUntilMs) && this.ageMs > MAX_AGE_MS;
     }
 
     /** The two measures in seconds, by the names of their gauges. */
