--- a/packages/bench/src/platform/platform-fleet.ts
+++ b/packages/bench/src/platform/platform-fleet.ts
@@ -300,6 +300,12 @@
         this.store.remove(this.models[model]?.getEntry()[0] ?? "");
     }
 
+    /** Removes the entry of a model target for good; the target goes on serving. */
+    removeTarget(model: number): void {
+        this.removed.add(this.models[model]?.id ?? "");
+        this.removeEntry(model);
+    }
+
     /** Crashes a model target and starts it again under its id at another address; its version stays by default. */
     async rebirth(model: number, version?: string): Promise<void> {
         const target = this.models[model];
