--- a/packages/bench/src/platform/platform-fleet.ts
+++ b/packages/bench/src/platform/platform-fleet.ts
@@ -288,13 +288,6 @@
         this.announce(this.plains.length + model, "draining");
     }
 
-    /** Removes the entry of a model target for good; the target goes on serving. */
-    removeTarget(model: number): void {
-        const id = this.models[model]?.id ?? "";
-        this.removed.add(id);
-        this.store.remove(`servers/${id}`);
-    }
-
     /** Removes the entry of a model target, which goes on. */
     removeEntry(model: number): void {
         this.store.remove(this.models[model]?.getEntry()[0] ?? "");
