Cut each link between two instances by itself

Cause, found by reading: two cuts that overlapped at one instance shared its links, so that the end of one ended the other, and a process that held the ports of the first was left behind.

Change: PeerLinks has links for each two instances; a cut of two that are cut off from each other already does nothing.

--- a/packages/bench/src/platform/handoff-faults.test.ts
+++ b/packages/bench/src/platform/handoff-faults.test.ts
@@ -82,7 +82,7 @@
         run: async ({ peerLinks }, busy, helper) => {
             await peerLinks?.cut(busy.name, helper.name);
             await sleep(FAULT_MS);
-            await peerLinks?.restore();
+            await peerLinks?.restore(busy.name, helper.name);
         },
     },
 ];
--- a/packages/bench/src/platform/soak/platform-schedule-run.ts
+++ b/packages/bench/src/platform/soak/platform-schedule-run.ts
@@ -124,7 +124,6 @@
         const proxies = [...fleet.storeProxies, ...fleet.callerProxies, ...fleet.targetProxies];
         await Promise.all(proxies.map(proxy => proxy.setFaults({ mode: "pass", delayMs: 0 })));
         fleet.instances.forEach(instance => instance.process.kill("SIGCONT"));
-        await fleet.peerLinks?.restore();
     }
 
     private async limit(target: number, perS: number, ms: number): Promise<void> {
@@ -289,7 +288,7 @@
 
     /** Disturbs the peer that serves callers of an instance, or the next instance where none does. */
     private async disturbHelper(index: number, how: HelperFault, gapMs: number, ms: number): Promise<void> {
-        const { fleet, timeline } = this;
+        const { fleet } = this;
         const [served] = this.getInstances([index]);
         const name = this.handoffs.getHelper(served?.name ?? "");
         const found = fleet.instances.findIndex(instance => instance.name === name);
@@ -308,17 +307,21 @@
                     ms,
                     instance => this.stop(instance, { next: "SIGKILL", gapMs, ms }),
                 );
-            case "cutLink": {
-                const names = [served, ...instances].flatMap(instance => instance === undefined ? [] : [instance.name]);
-                const end = timeline.part(names);
-                await fleet.peerLinks?.cut(names[0] ?? "", names[1] ?? "");
-                await sleep(ms);
-                await fleet.peerLinks?.restore(names);
-                return end();
-            }
+            case "cutLink":
+                await Promise.all(instances.map(({ name: other }) => this.cutLink(served?.name ?? "", other, ms)));
         }
     }
 
+    private async cutLink(first: string, second: string, ms: number): Promise<void> {
+        const { peerLinks } = this.fleet;
+        const end = this.timeline.part([first, second]);
+        if (await peerLinks?.cut(first, second) === true) {
+            await sleep(ms);
+            await peerLinks?.restore(first, second);
+        }
+        end();
+    }
+
     private async changeTarget({ kind, target, version }: TargetChange, ms: number): Promise<void> {
         const { fleet, timeline } = this;
         const end = timeline.disturb(pick(fleet.models, [target]).map(({ id }) => id));
