End the instances of a rig's fleet whose start fails

A soak whose instance was not ready within 30 s went on for ten minutes, since the instances that had started kept its process alive. A fleet that fails to start is closed now. One test of connection-handoff passed; the failing start itself was not played again.

--- a/packages/bench/src/platform/platform-fleet.ts
+++ b/packages/bench/src/platform/platform-fleet.ts
@@ -202,7 +202,7 @@
         });
     }
 
-    /** Starts everything and resolves once all instances take requests. */
+    /** Starts everything and resolves once all instances take requests; throws, with nothing left running, where one is not ready in time. */
     static async start(opts: PlatformFleetOptions = {}): Promise<PlatformFleet> {
         const { count = 3, prepaid = PREPAID, withProxies = false } = opts;
         const { stopWithinS = STOP_WITHIN_S, addressTtlS = 0.5 } = opts;
@@ -241,7 +241,13 @@
             const varying = { seeds: seeds.slice(0, MAX_SEEDS), kv, addressTtlS, stopWithinS };
             fleet.instances.push(await fleet.createInstance(folder, at, own, varying));
         }
-        await Promise.all(fleet.instances.map(instance => instance.process.awaitReady(READY_TIMEOUT_MS)));
+        try {
+            await Promise.all(fleet.instances.map(instance => instance.process.awaitReady(READY_TIMEOUT_MS)));
+        }
+        catch (err) {
+            await fleet.close();
+            throw err;
+        }
         return fleet;
     }
 
