--- a/packages/bench/src/platform/platform-fleet.ts
+++ b/packages/bench/src/platform/platform-fleet.ts
@@ -80,6 +80,8 @@
     readonly addressTtlS?: number;
     /** Age of the oldest copy that the store comes back from, in seconds; that of the settings by default. */
     readonly maxCopyAgeS?: number;
+    /** Modules that are loaded into each instance before its main one; none by default. */
+    readonly modules?: readonly string[];
     /** Takes the lines that the instances write. */
     readonly onLine?: (instance: string, line: string) => void;
 }
@@ -179,6 +181,7 @@
     private starts = 0;
     private withProxies = false;
     private document: unknown;
+    private modules: readonly string[] = [];
     private onLine: PlatformFleetOptions["onLine"];
 
     private constructor(opts: PlatformFleetOptions) {
@@ -208,6 +211,7 @@
         const { stopWithinS = STOP_WITHIN_S, addressTtlS = 0.5 } = opts;
         const fleet = new PlatformFleet(opts);
         fleet.withProxies = withProxies;
+        fleet.modules = opts.modules ?? [];
         fleet.onLine = opts.onLine;
         const store = await fleet.store.start();
         for (const at of fleet.targets.keys()) {
@@ -441,7 +445,7 @@
         const redirects = this.peerLinks?.getRedirects(name);
         return new RigProcess({
             script: this.starts % 2 === 0 ? OTHER_BUILD : MAIN,
-            nodeArgs: redirects === undefined ? [] : ["--import", REDIRECT],
+            nodeArgs: [...(redirects === undefined ? [] : [REDIRECT]), ...this.modules].flatMap(it => ["--import", it]),
             env: {
                 OSPREYREEL_SETTINGS: settingsFile,
                 ...(this.onLine === undefined ? {} : { ROARR_LOG: "true" }),
