Answer open requests after an error that nothing has handled

Callers saw kept connections close without an answer, though targets ran their requests: 24 of 24 in flight, after an error in a timer and after a rejected promise that nothing awaits. Cause: node ends the process at once on such an error, and nothing stood between. One fault ended the work of all others.

The first such error now stops the instance as a signal would: open requests are answered, further ones are refused as not run, and the process ends with exit code 1 within its grace.

--- a/packages/relay/src/instance/relay-instance.ts
+++ b/packages/relay/src/instance/relay-instance.ts
@@ -236,10 +236,28 @@
 
     /** Stops gracefully: announces the leaving immediately, lets running requests end, then resolves. */
     async stop(): Promise<void> {
-        this.stopping ??= this.stopOnce();
+        this.stopping ??= this.stopOnce({ hasFailed: false });
         await this.stopping;
     }
 
+    /**
+     * Stops after an error that nothing has handled: open requests are answered and others refused. Budgets are left to be taken over as
+     * after a kill, since what is known of them here may be wrong.
+     */
+    async stopAfterError(): Promise<void> {
+        this.stopping ??= this.stopOnce({ hasFailed: true });
+        await this.stopping;
+    }
+
+    /** Takes note of an error that nothing has handled. */
+    recordUnexpectedError(err: Error): void {
+        this.metrics.add("unexpected_errors");
+        this.log.write("unexpected error", {
+            cause: err.stack ?? String(err),
+            openRequests: this.relay.openRequests,
+        });
+    }
+
     private get isReady(): boolean {
         return this.stopping === undefined && this.documents.current() !== undefined && this.follower.isSynced;
     }
@@ -468,22 +486,27 @@
         }
     }
 
-    private async stopOnce(): Promise<void> {
+    private async stopOnce({ hasFailed }: { readonly hasFailed: boolean; }): Promise<void> {
         const { cfg, log } = this;
         const startedAtMs = performance.now();
         const stopMs = cfg.stopWithinS * MS_PER_S;
         const window = StopWindow.open({
             startedAtMs,
             lengthMs: stopMs * STOP_TIME_SHARE,
-            addressLifetimeMs: ADDRESS_TTL_FACTOR * cfg.addressTtlS * MS_PER_S,
+            addressLifetimeMs: hasFailed ? 0 : ADDRESS_TTL_FACTOR * cfg.addressTtlS * MS_PER_S,
         });
-        log.write("instance leaving", { openRequests: this.relay.openRequests });
+        if (hasFailed) {
+            window.close();
+        }
+        log.write("instance leaving", { openRequests: this.relay.openRequests, hasFailed });
         this.relay.limitTo(window);
         this.hub.updateSelf({ state: "leaving" });
         this.callerPort.drain();
         this.handoff.stop(window);
         this.handoffPort?.leave();
-        void this.releaseBudgets();
+        if (!hasFailed) {
+            void this.releaseBudgets();
+        }
         await waitUntilDrained({
             window,
             getOpenExchanges: () =>
--- a/packages/relay/src/instance/run-relay.ts
+++ b/packages/relay/src/instance/run-relay.ts
@@ -10,6 +10,8 @@
 /** Time between checks of the settings file, which may change without a signal; in milliseconds. */
 const SETTINGS_CHECK_MS = 2_000;
 
+const MS_PER_S = 1_000;
+
 const fail = (thrown: unknown): never => {
     const err = toOspreyError(thrown);
     process.stderr.write(`${err.result.code} ${err.result.name}: ${err.message}\n`);
@@ -39,11 +41,28 @@
     }, SETTINGS_CHECK_MS);
 };
 
-/** Runs one relay instance in this process until a signal stops it. */
+/** Ends the process after an error that nothing has handled, once the open requests are answered. */
+const stopOnUnexpectedError = (starting: Promise<RelayInstance>, stopWithinMs: number): void => {
+    const exit = (): never => process.exit(EXIT_FAULT);
+    let isStopping = false;
+    // Comes for a rejected promise that nothing awaits, too.
+    process.on("uncaughtException", err => {
+        void starting.then(instance => instance.recordUnexpectedError(err)).catch(() => undefined);
+        if (!isStopping) {
+            isStopping = true;
+            process.stderr.write(`unexpected error: ${err.stack ?? String(err)}\n`);
+            setTimeout(exit, stopWithinMs);
+            starting.then(instance => instance.stopAfterError()).then(exit, exit);
+        }
+    });
+};
+
+/** Runs one relay instance in this process until a signal or an unexpected error stops it. */
 export const runRelay = async (file: string, adapter: RelayAdapter): Promise<void> => {
     try {
         const cfg = await readRelaySettings(file);
         const starting = RelayInstance.start(cfg, adapter);
+        stopOnUnexpectedError(starting, cfg.stopWithinS * MS_PER_S);
         // Callers that know the address may send requests as soon as the port listens.
         process.on("SIGTERM", () => void starting.then(it => it.stop()).then(() => process.exit(0), fail));
         process.on("SIGHUP", () => void starting.then(it => reload(it, file), fail));
