Refuse unparsed requests in the same words on every machine

A path with a tab is rejected by the HTTP parser of node on x86-64 and left to the port on arm64 (llhttp 9.3.1 in both). A 400 of the parser now names the reason too.

--- a/packages/relay/src/http/http-caller-port.test.ts
+++ b/packages/relay/src/http/http-caller-port.test.ts
@@ -411,7 +411,8 @@
     const { socket, state } = await connectTo(t, () => Promise.resolve());
     socket.write("no request\r\n\r\n");
     await eventuallyIs(t, () => state.end, "closed");
-    t.regex(state.text, /^HTTP\/1\.1 400 Bad Request\r\nConnection: close\r\n\r\n$/);
+    const content = "Content-Type: application/json\r\nContent-Length: 22\r\n";
+    t.is(state.text, `HTTP/1.1 400 Bad Request\r\n${content}Connection: close\r\n\r\n{"error":"badRequest"}`);
 });
 
 // Guards against sound targets that count as unreachable since a caller's path can't be sent to any.
