Collect messages in small parts without a buffer for each part

Callers of an instance lost their open requests when the platform ended its process for its memory: ten bodies of 400,000 bytes in chunks of one byte took 1,660 MiB where the smallest instances have 250 MB, and 60 responses without end in small packets 256,164 KiB once. Limits counted bytes, while each part was held in a buffer of its own, which takes about a hundred bytes.

--- a/packages/relay/src/handoff/handed-off-connection.ts
+++ b/packages/relay/src/handoff/handed-off-connection.ts
@@ -1,5 +1,6 @@
 import { closeWithLinger } from "@ospreyreel/peer";
 import type { Socket } from "node:net";
+import { ByteCollector } from "../http/byte-collector.js";
 import type { RequestHead } from "../http/caller-protocol.js";
 import { MessageReader } from "./message-reader.js";
 
@@ -74,10 +75,9 @@
     private isAnswered = false;
     private arrivedAtMs = 0;
     /** What was copied of the open request, while it may have to be served here. */
-    private held: Buffer[] = [];
+    private readonly held = new ByteCollector();
     /** What arrived behind the open request. */
-    private queued: Buffer[] = [];
-    private queuedBytes = 0;
+    private readonly queued = new ByteCollector();
     /** Whether the bytes are no requests and responses that can be followed. */
     private isOpaque = false;
     /** Whether a response has told the caller that the connection closes. */
@@ -200,7 +200,7 @@
         }
         const own = chunk.subarray(0, this.request.read(chunk));
         if (!this.hasFinalHead && !this.isAnswered) {
-            this.held.push(own);
+            this.held.add(own);
         }
         this.sendToHelper(own);
         if (this.request.isInvalid || this.request.head?.isUnfollowable === true) {
@@ -237,7 +237,7 @@
             }
             const isFinal = this.hasFinalHead;
             if (isFinal) {
-                this.held = [];
+                this.held.clear();
                 this.announcesClose ||= response.head?.keepsConnection === false;
             }
             if (response.isComplete) {
@@ -251,10 +251,8 @@
     /** Copies the rest of the connection without following it. */
     private stopFollowing(): void {
         this.isOpaque = true;
-        this.held = [];
-        const unsent = Buffer.concat(this.queued);
-        this.queued = [];
-        this.queuedBytes = 0;
+        this.held.clear();
+        const unsent = this.queued.take();
         if (unsent.length > 0) {
             this.opts.caller.resume();
             this.sendToHelper(unsent);
@@ -267,7 +265,7 @@
         }
         this.request = undefined;
         this.isAnswered = false;
-        this.held = [];
+        this.held.clear();
         clearTimeout(this.timer);
         this.timer = undefined;
         if (this.announcesClose) {
@@ -277,9 +275,7 @@
             this.takeBack();
             return;
         }
-        const next = Buffer.concat(this.queued);
-        this.queued = [];
-        this.queuedBytes = 0;
+        const next = this.queued.take();
         if (next.length > 0) {
             this.resumeCaller();
             this.readCaller(next);
@@ -287,15 +283,14 @@
     }
 
     private queue(chunk: Buffer): void {
-        this.queued.push(chunk);
-        this.queuedBytes += chunk.length;
-        if (this.queuedBytes > MAX_QUEUED_BYTES) {
+        this.queued.add(chunk);
+        if (this.queued.size > MAX_QUEUED_BYTES) {
             this.opts.caller.pause();
         }
     }
 
     private resumeCaller(): void {
-        if (this.queuedBytes <= MAX_QUEUED_BYTES) {
+        if (this.queued.size <= MAX_QUEUED_BYTES) {
             this.opts.caller.resume();
         }
     }
@@ -370,7 +365,7 @@
         const { caller, serveHere } = this.opts;
         const { arrivedAtMs, request } = this;
         const isInterrupted = request?.isComplete === true;
-        const unserved = Buffer.concat([...this.held, ...this.queued]);
+        const unserved = Buffer.concat([this.held.take(), this.queued.take()]);
         if (caller.readableEnded || (unserved.length === 0 && this.opts.isStopping())) {
             this.close("closed");
             return;
--- a/packages/relay/src/http/http-caller-port.ts
+++ b/packages/relay/src/http/http-caller-port.ts
@@ -9,6 +9,7 @@
 import { LEAVING_REFUSAL, withoutPromise } from "../relay-refusal.js";
 import type { RelayRequest } from "../relay-request.js";
 import type { AcceptedConnection, ConnectionOrigin } from "./accepted-connection.js";
+import { ByteCollector } from "./byte-collector.js";
 import type { CallerProtocol } from "./caller-protocol.js";
 import { ExchangeCounts } from "./exchange-counts.js";
 import { HttpCallerExchange } from "./http-caller-exchange.js";
@@ -17,6 +18,7 @@
 import { PipelineOrder } from "./pipeline-order.js";
 import { ReadRequests } from "./read-requests.js";
 import { rejectUnparsed } from "./reject-unparsed.js";
+import { hasTooManySmallParts } from "./small-parts.js";
 
 /** Options of {@link HttpCallerPort}. */
 export interface HttpCallerPortOptions {
@@ -406,20 +408,20 @@
 };
 
 const readBody = async (req: IncomingMessage, maxBytes: number): Promise<Buffer | "cut" | "too_large"> => {
-    const chunks: Buffer[] = [];
-    let bytes = 0;
+    const collected = new ByteCollector();
+    let parts = 0;
     try {
         for await (const chunk of req.iterator({ destroyOnReturn: false }) as AsyncIterable<Buffer>) {
-            bytes += chunk.length;
-            if (bytes > maxBytes) {
+            parts += 1;
+            if (collected.size + chunk.length > maxBytes || hasTooManySmallParts(parts, collected.size)) {
                 return "too_large";
             }
-            chunks.push(chunk);
+            collected.add(chunk);
         }
     }
     catch {
         // The caller has disconnected, so no response is sent.
         return "cut";
     }
-    return req.complete ? Buffer.concat(chunks) : "cut";
+    return req.complete ? collected.take() : "cut";
 };
--- a/packages/relay/src/http/response-body.ts
+++ b/packages/relay/src/http/response-body.ts
@@ -1,3 +1,5 @@
+import { ByteCollector } from "./byte-collector.js";
+
 type Waiter = { readonly resolve: (result: IteratorResult<Buffer>) => void; readonly reject: (err: Error) => void; };
 
 /** Number of buffered bytes from which the source is paused. */
@@ -14,8 +16,7 @@
 
 /** Body of a response, pushed by a connection and read by one reader. */
 export class ResponseBody implements AsyncIterable<Buffer>, AsyncIterator<Buffer> {
-    private readonly chunks: Buffer[] = [];
-    private bufferedBytes = 0;
+    private readonly buffered = new ByteCollector();
     private waiter: Waiter | undefined;
     private isScheduled = false;
     private ended = false;
@@ -49,8 +50,7 @@
     /** Discards all chunks from now on. */
     discard(): void {
         this.isDiscarded = true;
-        this.chunks.length = 0;
-        this.bufferedBytes = 0;
+        this.buffered.clear();
         this.source.resume();
     }
 
@@ -59,9 +59,8 @@
         if (this.isDiscarded) {
             return;
         }
-        this.chunks.push(chunk);
-        this.bufferedBytes += chunk.length;
-        if (this.bufferedBytes >= PAUSE_FROM_BYTES) {
+        this.buffered.add(chunk);
+        if (this.buffered.size >= PAUSE_FROM_BYTES) {
             this.source.pause();
         }
         this.scheduleSettle();
@@ -91,17 +90,13 @@
     }
 
     private settle(): void {
-        const { waiter, chunks } = this;
-        if (waiter === undefined || (chunks.length === 0 && !this.ended && this.failure === undefined)) {
+        const { waiter, buffered } = this;
+        if (waiter === undefined || (buffered.size === 0 && !this.ended && this.failure === undefined)) {
             return;
         }
         this.waiter = undefined;
-        const [first] = chunks;
-        if (first !== undefined) {
-            const value = chunks.length === 1 ? first : Buffer.concat(chunks);
-            chunks.length = 0;
-            this.bufferedBytes = 0;
-            waiter.resolve({ done: false, value });
+        if (buffered.size > 0) {
+            waiter.resolve({ done: false, value: buffered.take() });
             this.source.resume();
         }
         else if (this.failure === undefined) {
--- a/packages/relay/src/http/target-call-handler.ts
+++ b/packages/relay/src/http/target-call-handler.ts
@@ -3,17 +3,12 @@
 import type { TargetCall, TargetOutcome } from "../targets/target-port.js";
 import { findHeader, toHeaderPairs } from "./header-list.js";
 import { ResponseBody } from "./response-body.js";
+import { hasTooManySmallParts } from "./small-parts.js";
 import type { TargetProtocol } from "./target-protocol.js";
 
 /** Maximum size of a complete or streamed response, in bytes; limits the use of memory. */
 const MAX_RESPONSE_BYTES = 16 * 1_024 * 1_024;
 
-/** Number of parts from which a response must be larger than so many parts of the minimum mean size. */
-const MAX_SMALL_PARTS = 65_536;
-
-/** Minimum mean size of the parts of a response with many of them, in bytes; smaller ones take a processor's time without end. */
-const MIN_MEAN_PART_BYTES = 16;
-
 /** Maximum size of a body that is read only to reuse its connection, in bytes. */
 const MAX_DISCARDED_BYTES = 65_536;
 
@@ -105,7 +100,7 @@
             this.abort(new Error("the response is too large"));
             return;
         }
-        if (this.parts > MAX_SMALL_PARTS && this.bytes < this.parts * MIN_MEAN_PART_BYTES) {
+        if (hasTooManySmallParts(this.parts, this.bytes)) {
             this.abort(new Error("the response has too many small parts"));
             return;
         }
--- a/packages/relay/src/relay-attempts.ts
+++ b/packages/relay/src/relay-attempts.ts
@@ -1,4 +1,5 @@
 import type { ResponseHead } from "./caller-exchange.js";
+import { ByteCollector } from "./http/byte-collector.js";
 import { getQuarantineReason } from "./quarantine/watched-request.js";
 import type { LogFields } from "./relay-log.js";
 import type { RefusalReason, RelayRefusal } from "./relay-refusal.js";
@@ -347,13 +348,11 @@
         firstByteMs: number,
     ): Promise<Step> {
         const { caller, held } = this.request;
-        const chunks: Buffer[] = [];
-        let bytes = 0;
+        const collected = new ByteCollector();
         try {
             for await (const chunk of body) {
-                bytes += chunk.length;
-                held.resize(bytes);
-                chunks.push(chunk);
+                held.resize(collected.size + chunk.length);
+                collected.add(chunk);
             }
         }
         catch (err) {
@@ -375,7 +374,7 @@
             return { kind: "end", end: "broken" };
         }
         this.isSending = true;
-        void caller.sendResponse(head, Buffer.concat(chunks)).then(() => held.release());
+        void caller.sendResponse(head, collected.take()).then(() => held.release());
         return { kind: "end", end: "answered" };
     }
 
--- a/packages/relay/src/stream/event-splitter.ts
+++ b/packages/relay/src/stream/event-splitter.ts
@@ -1,3 +1,5 @@
+import { ByteCollector } from "../http/byte-collector.js";
+
 const LF = 0x0a;
 const CR = 0x0d;
 
@@ -42,29 +44,29 @@
 
 /** Splits a byte stream at the ends of events, so that an incomplete event is never relayed. */
 export class EventSplitter {
-    /** Bytes of an incomplete event, in the order of their arrival. */
-    private remainder: Buffer[] = [];
-    private remainderBytes = 0;
+    /** Bytes of an incomplete event. */
+    private readonly remainder = new ByteCollector();
 
     /** Number of buffered bytes of an incomplete event. */
     get pendingBytes(): number {
-        return this.remainderBytes;
+        return this.remainder.size;
     }
 
     /** Adds bytes and returns the events that are now complete; throws if an event is too large. */
     push(chunk: Buffer): SplitEvents {
-        const tail = Buffer.concat(this.remainder.slice(-OVERLAP_BYTES)).subarray(-OVERLAP_BYTES);
+        const tail = this.remainder.getLast(OVERLAP_BYTES);
         if (findEventEnd(Buffer.concat([tail, chunk]), 0) === -1) {
             this.keep(chunk);
             return NO_EVENTS;
         }
-        const bytes = Buffer.concat([...this.remainder, chunk]);
+        // Earlier bytes contain no end of an event.
+        const from = this.remainder.size - tail.length;
+        this.remainder.add(chunk);
+        const bytes = this.remainder.take();
         const ids: number[] = [];
         let start = 0;
         let count = 0;
         let startsWithId = false;
-        // Earlier bytes contain no end of an event.
-        const from = this.remainderBytes - tail.length;
         for (let end = findEventEnd(bytes, from); end !== -1; end = findEventEnd(bytes, end)) {
             const id = readId(bytes.subarray(start, end));
             if (id !== undefined) {
@@ -74,24 +76,19 @@
             count += hasField(bytes.subarray(start, end)) ? 1 : 0;
             start = end;
         }
-        this.remainder = [];
-        this.remainderBytes = 0;
         this.keep(bytes.subarray(start));
         return { bytes: bytes.subarray(0, start), count, ids, startsWithId };
     }
 
     /** Ends the stream and returns its last bytes; undefined if it ends within an event. */
     finish(): Buffer | undefined {
-        const rest = Buffer.concat(this.remainder);
+        const rest = this.remainder.take();
         return rest.every(byte => byte === LF || byte === CR) ? rest : undefined;
     }
 
     private keep(bytes: Buffer): void {
-        if (bytes.length > 0) {
-            this.remainder.push(bytes);
-            this.remainderBytes += bytes.length;
-        }
-        if (this.remainderBytes > MAX_EVENT_BYTES) {
+        this.remainder.add(bytes);
+        if (this.remainder.size > MAX_EVENT_BYTES) {
             throw new Error(`an event exceeds ${MAX_EVENT_BYTES} bytes`);
         }
     }
