Limit the bodies of all open requests together

Callers of an instance lost their open requests when the platform ended its process for its memory: 300 callers with bodies of 900,000 bytes, below the limit of the desired state, took 481 to 525 MiB where the smallest instances have 250 MB. Each body had a limit, all of them together had none.

They take 32 MiB at most now, as responses do, each at most half of what is free, so that small requests go on. A request that finds no room is refused as not run before it is sent anywhere, with the time to come back. The counting of responses serves both.

--- a/packages/relay/src/http/http-caller-port.test.ts
+++ b/packages/relay/src/http/http-caller-port.test.ts
@@ -20,6 +20,9 @@
 };
 const BODY = "x".repeat(20_000);
 
+/** More than half of what the bodies of all requests may take together. */
+const LARGE_BODY_BYTES = 15_000_000;
+
 const createMessage = (id: string): string =>
     `POST /x HTTP/1.1\r\nHost: users.example\r\nid: ${id}\r\nContent-Length: ${BODY.length}\r\n\r\n${BODY}`;
 
@@ -114,6 +117,48 @@
     socket.destroy();
 });
 
+// Guards against an instance whose memory the bodies of many requests take, and that ends with all of them.
+test.serial("a request whose body finds no room beside those of others is refused as not run, until they have ended", async t => {
+    let finish = (): void => undefined;
+    const served: string[] = [];
+    const port = new HttpCallerPort({
+        host: HOST,
+        port: 0,
+        protocol: new PlainCallerProtocol(),
+        getBounds: () => ({ ...SMALL_BOUNDS, maxBodyBytes: 2 * LARGE_BODY_BYTES }),
+        serve: async ({ id, body }, caller) => {
+            served.push(`${id} ${body.length}`);
+            if (id === "a") {
+                await new Promise<void>(resolve => finish = resolve);
+            }
+            await caller.sendResponse({ status: 200, headers: [], isFramed: true }, Buffer.from(`whole ${id}`));
+        },
+    });
+    await port.start();
+    t.teardown(() => port.close(0));
+    const sendBody = (id: string, bytes: number) => {
+        const state = { text: "" };
+        const socket = connect(port.listenPort, HOST).on("error", () => undefined);
+        t.teardown(() => socket.destroy());
+        socket.on("data", chunk => state.text += chunk.toString("latin1"));
+        socket.write(`POST /x HTTP/1.1\r\nHost: users.example\r\nid: ${id}\r\nContent-Length: ${bytes}\r\n\r\n`);
+        socket.write(Buffer.alloc(bytes, "x"));
+        return state;
+    };
+    sendBody("a", LARGE_BODY_BYTES);
+    await eventuallyIs(t, () => port.heldRequestBytes, LARGE_BODY_BYTES);
+    const refused = sendBody("b", LARGE_BODY_BYTES);
+    await eventuallyIs(t, () => refused.text.startsWith("HTTP/1.1 503 "), true);
+    t.regex(refused.text, /overloaded/);
+    const small = sendBody("c", BODY.length);
+    await eventuallyIs(t, () => small.text.endsWith("whole c"), true);
+    finish();
+    await eventuallyIs(t, () => port.heldRequestBytes, 0);
+    const again = sendBody("d", LARGE_BODY_BYTES);
+    await eventuallyIs(t, () => again.text.endsWith("whole d"), true);
+    t.deepEqual(served, [`a ${LARGE_BODY_BYTES}`, `c ${BODY.length}`, `d ${LARGE_BODY_BYTES}`]);
+});
+
 test("a request that waits behind another one does not stay open after its connection", async t => {
     const port = new HttpCallerPort({
         host: HOST,
--- a/packages/relay/src/http/http-caller-port.ts
+++ b/packages/relay/src/http/http-caller-port.ts
@@ -6,7 +6,8 @@
 import type { CallerExchange } from "../caller-exchange.js";
 import type { CallerBounds } from "../document/relay-document.js";
 import type { ReturnedRequest, ServeHere } from "../handoff/handed-off-connection.js";
-import { LEAVING_REFUSAL, withoutPromise } from "../relay-refusal.js";
+import { type HeldMessage, MessageMemory } from "../message-memory.js";
+import { LEAVING_REFUSAL, type RelayRefusal, withoutPromise } from "../relay-refusal.js";
 import type { RelayRequest } from "../relay-request.js";
 import type { AcceptedConnection, ConnectionOrigin } from "./accepted-connection.js";
 import { ByteCollector } from "./byte-collector.js";
@@ -37,8 +38,13 @@
     readonly getMinVersion?: () => number;
     /** Takes an error of the code that ended a request; its connection is closed unless the response was sent whole. */
     readonly onFailure?: (err: unknown) => void;
+    /** Called for each request that is refused since the bodies of others take too much memory. */
+    readonly onBodyRefused?: () => void;
 }
 
+/** What became of the reading of a body: `no_room` where other requests hold too much memory. */
+type BodyResult = Buffer | "cut" | "too_large" | "no_room" | "leaving";
+
 /** Limits before the first desired state. */
 const DEFAULT_BOUNDS: CallerBounds = {
     maxHeaderBytes: 16_384,
@@ -58,6 +64,9 @@
 
 const HTTP_HEADERS_TOO_LARGE = 431;
 
+/** Refusal where the bodies of other requests take too much memory; most requests end within a second. */
+const NO_ROOM_REFUSAL = { reason: "overloaded", retryAfterS: 1 } as const satisfies RelayRefusal;
+
 /** Characters that the parser accepts in a path and the client of targets does not. */
 const UNSENDABLE_PATH = /[^\x21-\xff]/;
 
@@ -87,6 +96,7 @@
     private readonly returned = new WeakMap<Socket, ReturnedRequest>();
     private readonly idle: IdleConnections;
     private readonly exchanges = new ExchangeCounts();
+    private readonly memory = new MessageMemory();
     private readonly serveConnection: (socket: Socket) => void;
 
     constructor(private readonly opts: HttpCallerPortOptions) {
@@ -118,10 +128,11 @@
             }
         });
         this.server.on("request", (req, res) => {
-            this.serve(req, res).catch((err: unknown) => {
+            const held = this.memory.open();
+            this.serve(req, res, held).catch((err: unknown) => {
                 this.failRequest(req, res);
                 this.opts.onFailure?.(err);
-            });
+            }).finally(() => held.release());
         });
         this.server.on("clientError", (err: NodeJS.ErrnoException, socket: Socket) => {
             if (err.code === "ERR_HTTP_REQUEST_TIMEOUT") {
@@ -188,6 +199,11 @@
         return this.open + (this.hasStopped ? this.unused.count() : 0);
     }
 
+    /** Bytes of the bodies of all open requests. */
+    get heldRequestBytes(): number {
+        return this.memory.heldBytes;
+    }
+
     /** Number of connections that were opened a moment ago and have brought no request yet. */
     get newConnections(): number {
         return this.unused.count();
@@ -254,7 +270,7 @@
         socket.once("close", end);
     }
 
-    private async serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    private async serve(req: IncomingMessage, res: ServerResponse, held: HeldMessage): Promise<void> {
         const { socket } = req;
         const { arrivedAtMs = performance.now(), isInterrupted = false, hasRepeat = false } = this.returned.get(socket)
             ?? {};
@@ -299,7 +315,7 @@
             this.readOwn += 1;
         }
         origin?.recordRequest();
-        const body = await this.readBody(req);
+        const body = await this.readBody(req, held);
         if (body === "cut") {
             res.destroy();
             return;
@@ -316,6 +332,13 @@
             req.resume();
             return;
         }
+        if (body === "no_room") {
+            this.closing.add(socket);
+            this.opts.onBodyRefused?.();
+            caller.refuse(isInterrupted ? withoutPromise(NO_ROOM_REFUSAL) : NO_ROOM_REFUSAL);
+            req.resume();
+            return;
+        }
         this.readWhole.add(socket, res);
         if (!await turn) {
             return;
@@ -374,7 +397,7 @@
     }
 
     /** Reads a body; `leaving` if it has not arrived when the port stops accepting. */
-    private async readBody(req: IncomingMessage): Promise<Buffer | "cut" | "too_large" | "leaving"> {
+    private async readBody(req: IncomingMessage, held: HeldMessage): Promise<BodyResult> {
         if (this.hasStopped) {
             return "leaving";
         }
@@ -382,7 +405,7 @@
         const stopped = new Promise<"leaving">(resolve => end = () => resolve("leaving"));
         this.bodyReads.add(end);
         try {
-            return await Promise.race([readBody(req, this.bounds.maxBodyBytes), stopped]);
+            return await Promise.race([readBody(req, held, this.bounds.maxBodyBytes), stopped]);
         }
         finally {
             this.bodyReads.delete(end);
@@ -407,7 +430,7 @@
     await nextTurn();
 };
 
-const readBody = async (req: IncomingMessage, maxBytes: number): Promise<Buffer | "cut" | "too_large"> => {
+const readBody = async (req: IncomingMessage, held: HeldMessage, maxBytes: number): Promise<BodyResult> => {
     const collected = new ByteCollector();
     let parts = 0;
     try {
@@ -416,6 +439,9 @@
             if (collected.size + chunk.length > maxBytes || hasTooManySmallParts(parts, collected.size)) {
                 return "too_large";
             }
+            if (!held.tryResize(collected.size + chunk.length)) {
+                return "no_room";
+            }
             collected.add(chunk);
         }
     }
--- a/packages/relay/src/instance/relay-instance.ts
+++ b/packages/relay/src/instance/relay-instance.ts
@@ -181,6 +181,7 @@
             isHandingOff: () => this.handoff.isActive,
             getMinVersion: () => this.handoff.servedVersion,
             onFailure: err => this.log.write("request failed unexpectedly", { cause: String(err) }),
+            onBodyRefused: () => this.metrics.add("request_bodies_refused"),
         });
         this.follower = this.createFollower(fleetKv);
         this.statusPorts = this.createStatusPorts();
@@ -414,6 +415,7 @@
             case METRICS_PATH:
                 Object.entries(this.freshness.gauges).forEach(([name, value]) => this.metrics.set(name, value));
                 this.metrics.set("held_response_bytes", this.relay.heldResponseBytes);
+                this.metrics.set("held_request_bytes", this.callerPort.heldRequestBytes);
                 return { status: 200, body: await this.metrics.getText() };
             case STATE_PATH:
                 return { status: 200, contentType: "application/json", body: JSON.stringify(this.state) };
--- a/packages/relay/src/response-memory.test.ts
+++ b/packages/relay/src/message-memory.test.ts
@@ -1,8 +1,8 @@
 import test from "ava";
-import { ResponseMemory } from "./response-memory.js";
+import { MessageMemory } from "./message-memory.js";
 
 test("large responses leave room for small ones, however many there are", t => {
-    const memory = new ResponseMemory(1_000_000);
+    const memory = new MessageMemory(1_000_000);
     const large = Array.from({ length: 99 }, () => memory.open());
     for (const response of large) {
         let bytes = 0;
@@ -19,7 +19,7 @@
 });
 
 test("a response may be as large as what is free, and releases what it held", t => {
-    const memory = new ResponseMemory(1_000);
+    const memory = new MessageMemory(1_000);
     const response = memory.open();
     response.resize(500);
     t.throws(() => response.resize(501));
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -6,6 +6,7 @@
 import type { DocumentHolder } from "./document/document-holder.js";
 import type { RequestTerms } from "./handoff/handed-off-connection.js";
 import type { SendPermits } from "./limits/send-permits.js";
+import { type HeldMessage, MessageMemory } from "./message-memory.js";
 import type { OverloadGuard } from "./policy/overload-guard.js";
 import type { RetryAllowance } from "./policy/retry-allowance.js";
 import type { StopWindow } from "./policy/stop-window.js";
@@ -22,7 +23,6 @@
 } from "./relay-refusal.js";
 import type { RelayRequest } from "./relay-request.js";
 import { RequestClock } from "./request-clock.js";
-import { type HeldResponse, ResponseMemory } from "./response-memory.js";
 import type { StartCheck } from "./targets/start-check.js";
 import type { TargetPort } from "./targets/target-port.js";
 import type { TargetSelector } from "./targets/target-selector.js";
@@ -97,7 +97,7 @@
     /** What of the request may crash targets. */
     readonly watched: WatchedRequest;
     /** What is held in memory of the response. */
-    readonly held: HeldResponse;
+    readonly held: HeldMessage;
 }
 
 /** Sends each request to a target of its route and relays the response, or refuses the request. */
@@ -106,7 +106,7 @@
     private acceptedAtMs = Number.NEGATIVE_INFINITY;
     private stopWindow: StopWindow | undefined;
     private readonly clocks = new Set<RequestClock>();
-    private readonly memory = new ResponseMemory();
+    private readonly memory = new MessageMemory();
 
     constructor(private readonly opts: RelayOptions) {}
 
--- a/packages/relay/src/stream/stream-relay.ts
+++ b/packages/relay/src/stream/stream-relay.ts
@@ -1,6 +1,6 @@
 import type { CallerExchange, ResponseHead } from "../caller-exchange.js";
 import { findHeader } from "../http/header-list.js";
-import type { HeldResponse } from "../response-memory.js";
+import type { HeldMessage } from "../message-memory.js";
 import { EventSplitter } from "./event-splitter.js";
 
 /** Outcome of relaying one target's stream. */
@@ -17,7 +17,7 @@
     /** Id of the last event that the caller has already; undefined where it has none. */
     readonly afterEvent: number | undefined;
     /** Bytes of the response that are held in memory. */
-    readonly held: HeldResponse;
+    readonly held: HeldMessage;
 }
 
 /** Options of one target's part of a stream. */
