Refuse a request whose body has not arrived in its caller's time

A caller that stalls within a body kept its request open, and the memory of what had arrived, until its connection ended: nothing limits the time of a body, only that of a head. Since the bodies of all requests have a limit in sum, a few such callers could have all others refused.

The port waits for a body until the caller's time is over and refuses the request as not run then; what arrives afterwards is discarded and not counted. Why bodies are not read to their end is counted.

--- a/packages/relay/src/http/http-caller-port.test.ts
+++ b/packages/relay/src/http/http-caller-port.test.ts
@@ -159,6 +159,21 @@
     t.deepEqual(served, [`a ${LARGE_BODY_BYTES}`, `c ${BODY.length}`, `d ${LARGE_BODY_BYTES}`]);
 });
 
+// Guards against callers that stall within a body, and whose requests hold memory without end.
+test("a request whose body has not arrived when its caller's time is over is refused as not run", async t => {
+    const { callerStates, port, callers } = await open(t);
+    const socket = connect(port, HOST).on("error", () => undefined);
+    t.teardown(() => socket.destroy());
+    let text = "";
+    socket.on("data", chunk => text += chunk.toString("latin1"));
+    socket.write(createMessage("a").replace("id: a", "id: a\r\nwaits-ms: 300").slice(0, -1));
+    await eventuallyIs(t, () => callers.openExchanges, 1);
+    t.is(text, "");
+    await eventuallyIs(t, () => /^HTTP\/1\.1 503 [^]*Connection: close[^]*timedOutUnsent/.test(text), true);
+    await eventuallyIs(t, () => callers.heldRequestBytes, 0);
+    t.deepEqual(callerStates, {});
+});
+
 test("a request that waits behind another one does not stay open after its connection", async t => {
     const port = new HttpCallerPort({
         host: HOST,
--- a/packages/relay/src/http/http-caller-port.ts
+++ b/packages/relay/src/http/http-caller-port.ts
@@ -38,12 +38,15 @@
     readonly getMinVersion?: () => number;
     /** Takes an error of the code that ended a request; its connection is closed unless the response was sent whole. */
     readonly onFailure?: (err: unknown) => void;
-    /** Called for each request that is refused since the bodies of others take too much memory. */
-    readonly onBodyRefused?: () => void;
+    /** Called for each request that is refused since its body was not read to its end. */
+    readonly onBodyUnread?: (why: Exclude<UnreadBody, "cut">) => void;
 }
 
-/** What became of the reading of a body: `no_room` where other requests hold too much memory. */
-type BodyResult = Buffer | "cut" | "too_large" | "no_room" | "leaving";
+/**
+ * Why a body was not read to its end: its caller has left, it is too large, other requests hold too much memory, its caller's time is over,
+ * or the port accepts no more.
+ */
+type UnreadBody = "cut" | "too_large" | "no_room" | "timed_out" | "leaving";
 
 /** Limits before the first desired state. */
 const DEFAULT_BOUNDS: CallerBounds = {
@@ -64,8 +67,13 @@
 
 const HTTP_HEADERS_TOO_LARGE = 431;
 
-/** Refusal where the bodies of other requests take too much memory; most requests end within a second. */
-const NO_ROOM_REFUSAL = { reason: "overloaded", retryAfterS: 1 } as const satisfies RelayRefusal;
+/** Refusals of requests whose bodies are not read to their end. Where other bodies take too much memory, most requests end within a second. */
+const UNREAD_BODY_REFUSALS: Readonly<Record<Exclude<UnreadBody, "cut">, RelayRefusal>> = {
+    too_large: { reason: "bodyTooLarge" },
+    no_room: { reason: "overloaded", retryAfterS: 1 },
+    timed_out: { reason: "timedOutUnsent", retryAfterS: 0.5 },
+    leaving: LEAVING_REFUSAL,
+};
 
 /** Characters that the parser accepts in a path and the client of targets does not. */
 const UNSENDABLE_PATH = /[^\x21-\xff]/;
@@ -315,27 +323,17 @@
             this.readOwn += 1;
         }
         origin?.recordRequest();
-        const body = await this.readBody(req, held);
+        const endsAtMs = head.waitsMs === undefined ? undefined : arrivedAtMs + head.waitsMs;
+        const body = await this.readBody(req, held, endsAtMs);
         if (body === "cut") {
             res.destroy();
             return;
         }
-        if (body === "leaving") {
-            this.closing.add(socket);
-            caller.refuse(isInterrupted ? withoutPromise(LEAVING_REFUSAL) : LEAVING_REFUSAL);
-            req.resume();
-            return;
-        }
-        if (body === "too_large") {
+        if (typeof body === "string") {
             this.closing.add(socket);
-            caller.refuse({ reason: "bodyTooLarge" });
-            req.resume();
-            return;
-        }
-        if (body === "no_room") {
-            this.closing.add(socket);
-            this.opts.onBodyRefused?.();
-            caller.refuse(isInterrupted ? withoutPromise(NO_ROOM_REFUSAL) : NO_ROOM_REFUSAL);
+            this.opts.onBodyUnread?.(body);
+            const refusal = UNREAD_BODY_REFUSALS[body];
+            caller.refuse(isInterrupted ? withoutPromise(refusal) : refusal);
             req.resume();
             return;
         }
@@ -396,19 +394,31 @@
         }
     }
 
-    /** Reads a body; `leaving` if it has not arrived when the port stops accepting. */
-    private async readBody(req: IncomingMessage, held: HeldMessage): Promise<BodyResult> {
+    /** Reads a body, as long as the port accepts requests and until a monotonic time in milliseconds. */
+    private async readBody(
+        req: IncomingMessage,
+        held: HeldMessage,
+        endsAtMs: number | undefined,
+    ): Promise<Buffer | UnreadBody> {
         if (this.hasStopped) {
             return "leaving";
         }
-        let end = (): void => undefined;
-        const stopped = new Promise<"leaving">(resolve => end = () => resolve("leaving"));
-        this.bodyReads.add(end);
+        let stop = (): void => undefined;
+        const stopped = new Promise<"leaving">(resolve => stop = () => resolve("leaving"));
+        this.bodyReads.add(stop);
+        let timer: NodeJS.Timeout | undefined;
+        const timedOut = new Promise<"timed_out">(resolve => {
+            if (endsAtMs !== undefined) {
+                const end = (): void => void readPendingInput().then(() => resolve("timed_out"));
+                timer = setTimeout(end, endsAtMs - performance.now());
+            }
+        });
         try {
-            return await Promise.race([readBody(req, held, this.bounds.maxBodyBytes), stopped]);
+            return await Promise.race([readBody(req, held, this.bounds.maxBodyBytes), stopped, timedOut]);
         }
         finally {
-            this.bodyReads.delete(end);
+            clearTimeout(timer);
+            this.bodyReads.delete(stop);
         }
     }
 
@@ -430,7 +440,11 @@
     await nextTurn();
 };
 
-const readBody = async (req: IncomingMessage, held: HeldMessage, maxBytes: number): Promise<BodyResult> => {
+const readBody = async (
+    req: IncomingMessage,
+    held: HeldMessage,
+    maxBytes: number,
+): Promise<Buffer | UnreadBody> => {
     const collected = new ByteCollector();
     let parts = 0;
     try {
--- a/packages/relay/src/instance/relay-instance.ts
+++ b/packages/relay/src/instance/relay-instance.ts
@@ -181,7 +181,7 @@
             isHandingOff: () => this.handoff.isActive,
             getMinVersion: () => this.handoff.servedVersion,
             onFailure: err => this.log.write("request failed unexpectedly", { cause: String(err) }),
-            onBodyRefused: () => this.metrics.add("request_bodies_refused"),
+            onBodyUnread: why => this.metrics.add(`request_bodies_unread_${why}`),
         });
         this.follower = this.createFollower(fleetKv);
         this.statusPorts = this.createStatusPorts();
--- a/packages/relay/src/message-memory.test.ts
+++ b/packages/relay/src/message-memory.test.ts
@@ -29,4 +29,6 @@
     response.release();
     response.release();
     t.is(memory.heldBytes, 0);
+    t.false(response.tryResize(1));
+    t.is(memory.heldBytes, 0);
 });
--- a/packages/relay/src/message-memory.ts
+++ b/packages/relay/src/message-memory.ts
@@ -34,6 +34,7 @@
 /** Bytes that are held of one message. */
 export class HeldMessage {
     private bytes = 0;
+    private isReleased = false;
 
     constructor(private readonly tryChange: (before: number, after: number) => boolean) {}
 
@@ -46,15 +47,16 @@
 
     /** Changes the number of held bytes; returns whether it does not exceed what is free. */
     tryResize(bytes: number): boolean {
-        const isChanged = this.tryChange(this.bytes, bytes);
+        const isChanged = !this.isReleased && this.tryChange(this.bytes, bytes);
         if (isChanged) {
             this.bytes = bytes;
         }
         return isChanged;
     }
 
-    /** Releases all bytes. */
+    /** Releases all bytes; no more can be held. */
     release(): void {
-        this.resize(0);
+        this.tryResize(0);
+        this.isReleased = true;
     }
 }
