--- a/packages/relay/src/http/http-caller-port.ts
+++ b/packages/relay/src/http/http-caller-port.ts
@@ -6,7 +6,7 @@
 import type { CallerExchange } from "../caller-exchange.js";
 import type { CallerBounds } from "../document/relay-document.js";
 import type { ReturnedRequest, ServeHere } from "../handoff/handed-off-connection.js";
-import { type HeldMessage, MessageMemory } from "../message-memory.js";
+import { type HeldMessage, MAX_REQUEST_BYTES, MessageMemory } from "../message-memory.js";
 import { LEAVING_REFUSAL, type RelayRefusal, withoutPromise } from "../relay-refusal.js";
 import type { RelayRequest } from "../relay-request.js";
 import type { AcceptedConnection, ConnectionOrigin } from "./accepted-connection.js";
@@ -104,7 +104,7 @@
     private readonly returned = new WeakMap<Socket, ReturnedRequest>();
     private readonly idle: IdleConnections;
     private readonly exchanges = new ExchangeCounts();
-    private readonly memory = new MessageMemory();
+    private readonly memory = new MessageMemory(MAX_REQUEST_BYTES);
     private readonly serveConnection: (socket: Socket) => void;
 
     constructor(private readonly opts: HttpCallerPortOptions) {
--- a/packages/relay/src/message-memory.ts
+++ b/packages/relay/src/message-memory.ts
@@ -1,8 +1,9 @@
 /**
- * Maximum size of all requests or of all responses that are held in memory, in bytes. Until they are collected, copies take about as much
+ * Maximum sizes of all requests and of all responses that are held in memory, in bytes. Until they are collected, copies take about as much
  * again; all of it fits into the 250 MB of the smallest instances.
  */
-const MAX_HELD_BYTES = 32 * 1_024 * 1_024;
+export const MAX_REQUEST_BYTES = 16 * 1_024 * 1_024;
+export const MAX_RESPONSE_BYTES = 32 * 1_024 * 1_024;
 
 /**
  * Limits the bytes of all messages that are held at the same time. A message may hold at most as much as is still
@@ -11,7 +12,7 @@
 export class MessageMemory {
     private held = 0;
 
-    constructor(private readonly maxBytes = MAX_HELD_BYTES) {}
+    constructor(private readonly maxBytes: number) {}
 
     /** Bytes held by all messages. */
     get heldBytes(): number {
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -6,7 +6,7 @@
 import type { DocumentHolder } from "./document/document-holder.js";
 import type { RequestTerms } from "./handoff/handed-off-connection.js";
 import type { SendPermits } from "./limits/send-permits.js";
-import { type HeldMessage, MessageMemory } from "./message-memory.js";
+import { type HeldMessage, MAX_RESPONSE_BYTES, MessageMemory } from "./message-memory.js";
 import type { OverloadGuard } from "./policy/overload-guard.js";
 import type { RetryAllowance } from "./policy/retry-allowance.js";
 import type { StopWindow } from "./policy/stop-window.js";
@@ -106,7 +106,7 @@
     private acceptedAtMs = Number.NEGATIVE_INFINITY;
     private stopWindow: StopWindow | undefined;
     private readonly clocks = new Set<RequestClock>();
-    private readonly memory = new MessageMemory();
+    private readonly memory = new MessageMemory(MAX_RESPONSE_BYTES);
 
     constructor(private readonly opts: RelayOptions) {}
 
