Reject a head that is too large while it arrives

Callers of an instance lose their open requests when the platform ends its process for its memory: 3,000 connections, below its limit of descriptors, whose heads of 60,000 bytes did not end took 262 MiB of 250 MB. The limit of the desired state, 16 KiB there, was applied to whole heads; until then the parser kept 64 KiB of each.

--- a/packages/bench/src/platform/caller-memory.test.ts
+++ b/packages/bench/src/platform/caller-memory.test.ts
@@ -118,3 +118,39 @@
         t.deepEqual(ids.filter((id, at) => ran.has(id) && statuses[at] === refusal), []);
     });
 }
+
+/** Below the descriptors that an instance of the users' sites has. */
+const UNFINISHED_HEADS = 3_000;
+
+/** More than the limit of the desired state. */
+const UNFINISHED_HEAD_BYTES = 60_000;
+
+test.serial("heads that do not end take no more memory than an instance has, and no other caller's answer", async t => {
+    const fleet = await PlatformFleet.start({ count: 1 });
+    t.teardown(() => fleet.close());
+    const [instance] = fleet.instances;
+    if (instance === undefined) {
+        return t.fail();
+    }
+    t.is((await fleet.ask(instance, 10)).status, 200);
+    const head = `POST /once/x HTTP/1.1\r\nHost: users.example\r\nx: ${"y".repeat(UNFINISHED_HEAD_BYTES)}`;
+    const refusals = new Set<string>();
+    const sockets = Array.from(
+        { length: UNFINISHED_HEADS },
+        () =>
+            connect(toAddress(instance.callers)).on("error", () => undefined)
+                .on("data", chunk => refusals.add(chunk.toString("latin1").split("\r\n", 1)[0] ?? "")),
+    );
+    t.teardown(() => sockets.forEach(socket => socket.destroy()));
+    sockets.forEach(socket => socket.write(head));
+    const sound = [];
+    for (let at = 0; at < SOUND_REQUESTS; at++) {
+        const { status, body } = await fleet.ask(instance, 10);
+        sound.push(status === 200 ? 200 : `${status} ${body}`);
+        await sleep(50);
+    }
+    const peakKib = await readPeakMemoryKib(instance);
+    t.log(`peak ${Math.round(peakKib / 1_024)} MiB; ${[...refusals].join(", ")}`);
+    t.true(peakKib < MAX_MEMORY_KIB, `${peakKib} KiB`);
+    t.deepEqual(sound, sound.map(() => 200));
+});
--- a/packages/relay/src/http/http-caller-port.ts
+++ b/packages/relay/src/http/http-caller-port.ts
@@ -172,7 +172,9 @@
 
     /** Applies the limits of the active desired state. */
     updateBounds(): void {
-        const { headerTimeoutMs, idleTimeoutMs } = this.bounds;
+        const { maxHeaderBytes, headerTimeoutMs, idleTimeoutMs } = this.bounds;
+        // Node reads it for each new connection. The parser counts less of a head than the port, so that it rejects none that the port accepts.
+        Object.assign(this.server, { maxHeaderSize: Math.min(MAX_PARSED_HEADER_BYTES, maxHeaderBytes + 1) });
         this.server.headersTimeout = headerTimeoutMs;
         this.server.keepAliveTimeout = idleTimeoutMs;
     }
