Return a single chunk without a copy, whatever empty ones come with it

Behind each complete event an empty rest was kept as a chunk of its own, so that each further chunk of a stream was copied and the one before stayed in memory.

--- a/packages/relay/src/http/byte-collector.test.ts
+++ b/packages/relay/src/http/byte-collector.test.ts
@@ -38,6 +38,13 @@
     t.is(collector.take().length, 0);
 });
 
+test("a single chunk is returned without a copy, whatever empty ones come with it", t => {
+    const collector = new ByteCollector();
+    const chunk = Buffer.from("only");
+    [Buffer.alloc(0), chunk, Buffer.alloc(0)].forEach(it => collector.add(it));
+    t.is(collector.take(), chunk);
+});
+
 test("chunks that were taken are not changed by later ones", t => {
     const collector = new ByteCollector();
     const first = Buffer.from("first");
--- a/packages/relay/src/http/byte-collector.ts
+++ b/packages/relay/src/http/byte-collector.ts
@@ -25,6 +25,9 @@
 
     /** Adds a chunk, which must not be changed afterwards. */
     add(chunk: Buffer): void {
+        if (chunk.length === 0) {
+            return;
+        }
         if (chunk.length >= LARGE_CHUNK_BYTES || this.bytes === 0) {
             this.endBlock();
             this.pieces.push(chunk);
