Do not take an error for the rest of a stream that a caller resumes

Within one answer, a part without the id of a further event is no continuation; for a stream that the caller resumes, that was not asked, as the instance itself had relayed no event before.

A request with Last-Event-Id is a continuation from its first part on. The new test of relay.test got the error as the whole stream before, and the continuation of another target with the change.

--- a/packages/relay/src/relay.test.ts
+++ b/packages/relay/src/relay.test.ts
@@ -532,6 +532,18 @@
     t.is(caller.ended, "broken");
 });
 
+// Guards against an error that a caller who resumes its stream takes for the rest of it.
+test("a stream that a caller resumes is not completed by a response that does not continue it", async t => {
+    const { caller, port } = await serve(
+        [respond(["error: unknown\n\n"]), respond(["id: 2\n\nid: 3\n\n"])],
+        { kind: "streaming", isResumable: true },
+        { lastEventId: 1, resumes: "earlier" },
+    );
+    t.is(caller.events, "id: 2\n\nid: 3\n\n");
+    t.is(caller.ended, "complete");
+    t.is(port.calls.length, 2);
+});
+
 test("a caller that disconnected before its request was accepted is not served", async t => {
     const { caller, port, lines } = await serve([respond(["whole"])], {}, {}, { disconnectsAfterMs: "before" });
     t.deepEqual([port.calls.length, caller.response], [0, undefined]);
--- a/packages/relay/src/stream/stream-relay.ts
+++ b/packages/relay/src/stream/stream-relay.ts
@@ -39,11 +39,12 @@
     private isFramed = false;
     private lastId: number | undefined;
     /** Whether events of this stream have ids, so that each part of it begins with one. */
-    private hasIds = false;
+    private hasIds: boolean;
     private events = 0;
 
     constructor(private readonly opts: StreamRelayOptions) {
         this.lastId = opts.afterEvent;
+        this.hasIds = opts.afterEvent !== undefined;
     }
 
     /** Whether the head was sent to the caller. */
@@ -69,6 +70,7 @@
     ): Promise<StreamRelayResult> {
         const splitter = new EventSplitter();
         const eventsBefore = this.events;
+        const continues = eventsBefore > 0 || this.opts.afterEvent !== undefined;
         try {
             for await (const chunk of body) {
                 const { bytes, count, ids, startsWithId } = splitter.push(chunk);
@@ -77,7 +79,7 @@
                     continue;
                 }
                 const isFirstOfPart = count > 0 && this.events === eventsBefore;
-                if (this.hasIds && isFirstOfPart && eventsBefore > 0 && !startsWithId) {
+                if (this.hasIds && isFirstOfPart && continues && !startsWithId) {
                     return { kind: "cut", cause: "the response does not continue the stream" };
                 }
                 if (!this.acceptIds(ids)) {
@@ -104,7 +106,7 @@
         if (!head.isFramed && this.events === eventsBefore) {
             return { kind: "cut", cause: "the connection ended before the first event" };
         }
-        if (eventsBefore > 0 && this.events === eventsBefore && !isEventStream(head)) {
+        if (continues && this.events === eventsBefore && !isEventStream(head)) {
             return { kind: "cut", cause: "the response is no stream" };
         }
         if (this.started && this.isFramed && !head.isFramed) {
