Do not pass on responses whose status is none

A target in trouble may send a status such as 000 or 600. A status that is not between 100 and 599 now fails the exchange, on the relay and on the daemon's client: 502, or another target where the request may be repeated.

--- a/packages/relay/src/http/target-call-handler.ts
+++ b/packages/relay/src/http/target-call-handler.ts
@@ -1,4 +1,4 @@
-import { ExchangeWatch, isFramed } from "@ospreyreel/targets";
+import { ExchangeWatch, isFramed, isResponseStatus } from "@ospreyreel/targets";
 import type { Dispatcher } from "undici";
 import type { TargetCall, TargetOutcome } from "../targets/target-port.js";
 import { findHeader, toHeaderPairs } from "./header-list.js";
@@ -16,6 +16,7 @@
 const MAX_DISCARD_MS = 1_000;
 
 const HTTP_FINAL_FROM = 200;
+
 /** Handles one exchange with a target. */
 export class TargetCallHandler implements Dispatcher.DispatchHandler {
     private readonly body = new ResponseBody({
@@ -62,6 +63,10 @@
     }
 
     onResponseStart(controller: Dispatcher.DispatchController, status: number): void {
+        if (!isResponseStatus(status)) {
+            this.abort(new Error(`the response has the status ${status}`));
+            return;
+        }
         if (status < HTTP_FINAL_FROM) {
             return;
         }
--- a/packages/targets/src/client/response-guard.ts
+++ b/packages/targets/src/client/response-guard.ts
@@ -2,8 +2,9 @@
 import { ExchangeWatch } from "../connection/exchange-watch.js";
 import type { TargetDispatchOptions } from "../connection/http-target-client.js";
 import { isFramed } from "../connection/is-framed.js";
+import { isResponseStatus } from "../connection/is-response-status.js";
 
-/** Fails responses without end in their framing, and truncated ones that look complete. */
+/** Fails responses without end in their framing, truncated ones that look complete, and those whose status is none. */
 export const guardResponse: Dispatcher.DispatcherComposeInterceptor = dispatch => (opts, handler) => {
     let current: Dispatcher.DispatchController | undefined;
     let isDelimited = true;
@@ -17,6 +18,10 @@
         },
         onRequestUpgrade: (...args) => handler.onRequestUpgrade?.(...args),
         onResponseStart: (controller, status, headers, message) => {
+            if (!isResponseStatus(status)) {
+                controller.abort(new Error(`the response has the status ${status}`));
+                return;
+            }
             isDelimited = opts.method === "HEAD"
                 || isFramed(status, headers["content-length"], headers["transfer-encoding"]);
             handler.onResponseStart?.(controller, status, headers, message);
--- a/packages/targets/src/client/target-client.test.ts
+++ b/packages/targets/src/client/target-client.test.ts
@@ -219,6 +219,17 @@
     });
 }
 
+// Guards against bytes of a target in trouble that a caller gets as a response.
+for (const status of ["000", "099", "600", "999"]) {
+    test(`a response with the status ${status} is no response`, async t => {
+        const target = await startRawTarget(t, socket => {
+            socket.write(`HTTP/1.1 ${status} X\r\nx-request-id: s1\r\ncontent-length: 4\r\n\r\npart`);
+        });
+        const client = createClient(t);
+        await expectResult(t, "targetFailed", () => client.call({ target, path: "/", streamId: "s1" }));
+    });
+}
+
 test("a response whose connection closes within its head is no response", async t => {
     const heads = [
         `${RAW_HEAD}content-length: 5\r\n\r\n`,
--- a/packages/targets/src/index.ts
+++ b/packages/targets/src/index.ts
@@ -17,6 +17,7 @@
 export * from "./connection/exchange-watch.js";
 export * from "./connection/http-target-client.js";
 export * from "./connection/is-framed.js";
+export * from "./connection/is-response-status.js";
 export * from "./connection/replace-reset-code.js";
 export * from "./connection/target-connection.js";
 export * from "./orders/desired-state.js";
