Tell targets how urgent a request is

The most urgent kind of request was the latest on both deployments with competing callers: sends never said how urgent a request is, so that targets served in order of arrival. With urgency.isEnabled, sends carry a level by the priority of team or route, where the requests of a service may differ in priority.

--- a/packages/relay/src/document/route-table.test.ts
+++ b/packages/relay/src/document/route-table.test.ts
@@ -51,3 +51,22 @@
     t.is(holder.version, 7);
     t.true(holder.replaceIfNewer(createDocument({ version: 20 }), Buffer.from("20")));
 });
+
+const team = (name: string, priority?: number) => ({ name, keys: [name], priority, prepaidTokens: undefined });
+
+// Guards against an order among requests that all have the same priority, and against none where they differ.
+test("a service has mixed priorities where its routes or teams differ in theirs", t => {
+    const routes = [
+        createRoute({ name: "urgent", pathPrefix: "/u/", priority: 0 }),
+        createRoute({ name: "later", pathPrefix: "/l/", priority: 2 }),
+        createRoute({ name: "alone", pathPrefix: "/o/", priority: 1, shares: [{ service: "other", weight: 1 }] }),
+    ];
+    const byRoutes = new RouteTable(createDocument({ routes }));
+    t.true(byRoutes.hasMixedPriorities("service-1"));
+    t.false(byRoutes.hasMixedPriorities("other"));
+    t.false(byRoutes.hasMixedPriorities("unknown"));
+    const equal = new RouteTable(createDocument({ routes, teams: [team("a", 1), team("b", 1)] }));
+    t.false(equal.hasMixedPriorities("service-1"));
+    const byTeams = new RouteTable(createDocument({ routes, teams: [team("a", 1), team("b", 2)] }));
+    t.true(byTeams.hasMixedPriorities("other"));
+});
--- a/packages/relay/src/document/route-table.ts
+++ b/packages/relay/src/document/route-table.ts
@@ -6,6 +6,7 @@
     private readonly teamsByKey: ReadonlyMap<string, RelayTeam>;
     private readonly servicesByName: ReadonlyMap<string, RelayService>;
     private readonly teamsByName: ReadonlyMap<string, RelayTeam>;
+    private mixedServices: ReadonlySet<string> | undefined;
 
     constructor(readonly document: RelayDocument) {
         const byHost = new Map<string, RelayRoute[]>();
@@ -41,4 +42,27 @@
     findService(name: string): RelayService | undefined {
         return this.servicesByName.get(name);
     }
+
+    /** Whether requests to a service may differ in priority, by their routes or by their teams. */
+    hasMixedPriorities(service: string): boolean {
+        this.mixedServices ??= findMixedServices(this.document);
+        return this.mixedServices.has(service);
+    }
 }
+
+const findMixedServices = ({ routes, teams = [] }: RelayDocument): ReadonlySet<string> => {
+    const priorities = new Map<string, Set<number>>();
+    for (const route of routes) {
+        // A team's priority goes before that of the route.
+        const possible = [
+            ...teams.map(team => team.priority ?? route.priority),
+            ...(teams.length === 0 || route.isPublic ? [route.priority] : []),
+        ];
+        for (const { service } of route.shares.filter(({ weight }) => weight > 0)) {
+            const known = priorities.get(service) ?? new Set<number>();
+            priorities.set(service, known);
+            possible.forEach(priority => known.add(priority));
+        }
+    }
+    return new Set([...priorities].filter(([, known]) => known.size > 1).map(([service]) => service));
+};
--- a/packages/relay/src/instance/relay-instance.ts
+++ b/packages/relay/src/instance/relay-instance.ts
@@ -14,6 +14,7 @@
 import { FleetSendPermits } from "../limits/fleet-send-permits.js";
 import { AffinityPlacement } from "../policy/affinity-placement.js";
 import { OverloadGuard } from "../policy/overload-guard.js";
+import { EqualUrgency, PriorityUrgency } from "../policy/request-urgency.js";
 import { sampleInstances } from "../policy/sample-instances.js";
 import { StopWindow } from "../policy/stop-window.js";
 import { ConnectCrashCheck } from "../quarantine/connect-crash-check.js";
@@ -337,6 +338,7 @@
                 isSettled: (service, version) => this.versions.isSettled(service, version),
             }),
             port: this.sending.port,
+            urgency: this.cfg.urgency.isEnabled ? new PriorityUrgency() : new EqualUrgency(),
             budgets: new FleetBudgetGate(this.budgets),
             getRetries: service => this.shares.getRetries(service),
             overload: this.overload,
--- a/packages/relay/src/instance/relay-settings.ts
+++ b/packages/relay/src/instance/relay-settings.ts
@@ -47,6 +47,13 @@
         cores: Type.Number({ description: "Cores of the instance.", exclusiveMinimum: 0, default: 1 }),
         share: Type.Number({ description: "Usable share of the cores.", exclusiveMinimum: 0, default: 1 }),
     }, { additionalProperties: false, default: {} }),
+    urgency: Type.Object({
+        isEnabled: Type.Boolean({
+            description:
+                "Whether targets are told how urgent a request is, where the routes or teams of a service differ in priority.",
+            default: false,
+        }),
+    }, { additionalProperties: false, default: {} }),
     stopWithinS: Type.Number({ description: "Maximum time from a stop signal to the exit, in seconds.", minimum: 1 }),
     addressTtlS: Type.Number({ description: "Time for which callers may cache addresses, in seconds.", minimum: 0.1 }),
 }, { additionalProperties: false });
--- a/packages/relay/src/relay-attempts.ts
+++ b/packages/relay/src/relay-attempts.ts
@@ -165,7 +165,7 @@
                 target: state.target,
                 team: admission.team,
                 leftMs: clock.leftMs,
-                urgency: undefined,
+                urgency: this.getUrgency(),
                 afterEvent: this.stream.lastEventId,
                 isRepeatable: this.request.isRepeatable,
                 signal: clock.signal,
@@ -181,6 +181,17 @@
         }
     }
 
+    private getUrgency(): number | undefined {
+        const { req, admission: { route, service, priority } } = this.request;
+        return this.opts.urgency.getUrgency({
+            priority,
+            isMixed: this.opts.documents.current()?.hasMixedPriorities(service) === true,
+            waitedMs: performance.now() - req.arrivedAtMs,
+            latencyTargetMs: route.latencyTargetMs,
+            isContinued: this.begun !== undefined,
+        });
+    }
+
     /** Acquires the next send; the first one of a request needs no repeat. */
     private acquireSend(service: string): boolean {
         const isAcquired = this.sends === 0 || this.hasRepeat || this.opts.getRetries(service).tryAcquire();
--- a/packages/relay/src/relay.test.ts
+++ b/packages/relay/src/relay.test.ts
@@ -12,6 +12,7 @@
 import { SingleVersionOrigins } from "./fixtures/single-version-origins.js";
 import { UnlimitedSends } from "./limits/send-permits.js";
 import { AffinityPlacement } from "./policy/affinity-placement.js";
+import { PriorityUrgency } from "./policy/request-urgency.js";
 import { RetryAllowance } from "./policy/retry-allowance.js";
 import { StopWindow } from "./policy/stop-window.js";
 import { type BlockedPart, OpenPartGate, PartGate, type RequestLoss } from "./quarantine/part-gate.js";
@@ -178,6 +179,7 @@
             getConnectionLimit: () => 10,
         }),
         port,
+        urgency: new PriorityUrgency(),
         budgets,
         getRetries: () => allowance,
         overload: { getRefusal: () => overloadedForS },
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -8,6 +8,7 @@
 import type { SendPermits } from "./limits/send-permits.js";
 import { type HeldMessage, MAX_RESPONSE_BYTES, MessageMemory } from "./message-memory.js";
 import type { OverloadGuard } from "./policy/overload-guard.js";
+import type { RequestUrgency } from "./policy/request-urgency.js";
 import type { RetryAllowance } from "./policy/retry-allowance.js";
 import type { StopWindow } from "./policy/stop-window.js";
 import type { PartGate } from "./quarantine/part-gate.js";
@@ -45,6 +46,8 @@
     readonly documents: DocumentHolder;
     readonly selector: TargetSelector;
     readonly port: TargetPort;
+    /** Decides how urgent requests are to their targets. */
+    readonly urgency: RequestUrgency;
     readonly budgets: BudgetGate;
     readonly getRetries: (service: string) => RetryAllowance;
     /** Decides which requests are refused while this instance is overloaded. */
