Split the sends of a request into smaller parts

RelayAttempts mixed the loop over targets with the permit and abort of one send, the version that began a stream and the charge; a second send beside the first could not be added to it. TargetSend, StreamBeginning and TokenCharge take these over, and each send has its own start time and abort signal.

--- a/packages/relay/src/relay-attempts.ts
+++ b/packages/relay/src/relay-attempts.ts
@@ -1,14 +1,15 @@
 import type { ResponseHead } from "./caller-exchange.js";
+import { TargetSend } from "./hedging/target-send.js";
 import { ByteCollector } from "./http/byte-collector.js";
 import { getQuarantineReason } from "./quarantine/watched-request.js";
 import type { LogFields } from "./relay-log.js";
 import type { RefusalReason, RelayRefusal } from "./relay-refusal.js";
 import type { AdmittedRequest, RelayOptions } from "./relay.js";
 import { StreamRelay } from "./stream/stream-relay.js";
-import type { RespondingTarget } from "./targets/start-check.js";
 import type { TargetOutcome } from "./targets/target-port.js";
-import type { BegunStream } from "./targets/target-selector.js";
 import type { TargetState } from "./targets/target-state.js";
+import { TokenCharge } from "./token-charge.js";
+import { StreamBeginning } from "./versions/stream-beginning.js";
 import { getStreamName } from "./versions/stream-name.js";
 
 /** Result of a request that got a response, or whose caller no longer waits. */
@@ -50,18 +51,12 @@
     /** Targets whose limit left no send for this request. */
     private readonly limited = new Set<string>();
     private readonly stream: StreamRelay;
-    /** Version of the stream that the sends have to continue. */
-    private begun: BegunStream | undefined;
-    /** The target that sent the first event, where it was not certain then which start of it did; undefined where that does not matter. */
-    private uncertain: RespondingTarget | undefined;
-    /** Resolves whether it has become known. */
-    private verifying: Promise<boolean> | undefined;
+    private readonly beginning: StreamBeginning;
+    private readonly charge: TokenCharge;
     /** Sends to targets, with the one of an instance that ended before its response. */
     private sends = 0;
     private lastTarget = "";
     private failedConnects = 0;
-    /** Monotonic time of the last send, in milliseconds. */
-    private sentAtMs = 0;
     private mayHaveRun = false;
     /** Whether a repeat is acquired and not used. */
     private hasRepeat = false;
@@ -69,10 +64,6 @@
     private hasTrial = false;
     private blockedPart: string | undefined;
     private chargedTokens = 0;
-    private readonly firstTokensPerEvent: number | undefined;
-    /** Whether the caller got a successful response that is no stream, whose output cannot be counted. */
-    private hasWholeAnswer = false;
-    private hasWholeStream = false;
     /** Whether the caller's connection still holds the response. */
     private isSending = false;
 
@@ -82,23 +73,35 @@
             afterEvent: request.req.lastEventId,
             held: request.held,
         });
-        this.begun = request.origin;
-        if (request.req.isInterrupted === true) {
+        const { req, admission, origin, isRepeatable } = request;
+        const { origins, starts, documents } = opts;
+        this.beginning = new StreamBeginning({
+            origins,
+            starts,
+            stream: getStreamName(admission.team, req.id),
+            origin,
+            isRepeatable,
+        });
+        this.charge = new TokenCharge(
+            req.generation,
+            () => documents.current()?.findService(admission.service)?.tokensPerEvent,
+        );
+        if (req.isInterrupted === true) {
             this.sends = 1;
             this.mayHaveRun = true;
-            this.hasRepeat = request.req.hasRepeat === true;
+            this.hasRepeat = req.hasRepeat === true;
         }
-        this.firstTokensPerEvent = this.tokensPerEvent;
     }
 
     /** Summary of the sends for the request's log line. */
     get trace(): LogFields {
+        const { version: begun } = this.beginning;
         return {
             target: this.lastTarget,
             sends: this.sends,
             events: this.stream.eventCount,
             ...(this.request.hold === undefined ? {} : { chargedTokens: this.chargedTokens }),
-            ...(this.begun === undefined ? {} : { version: this.begun.version ?? "" }),
+            ...(begun === undefined ? {} : { version: begun.version ?? "" }),
             ...(this.blockedPart === undefined ? {} : { part: this.blockedPart }),
         };
     }
@@ -114,7 +117,7 @@
             }
         }
         finally {
-            this.chargedTokens = this.getUsedTokens();
+            this.chargedTokens = this.charge.getTokens(this.stream.eventCount);
             this.request.hold?.settle(this.chargedTokens);
             if (!this.isSending) {
                 this.request.held.release();
@@ -137,7 +140,7 @@
             return { kind: "end", end: this.failRequest(getQuarantineReason(blocked.part), blocked.retryAfterS) };
         }
         const tried = new Set([...this.tried, ...this.limited]);
-        const limits = { tried, begun: this.begun, mayTry: !this.hasTrial };
+        const limits = { tried, begun: this.beginning.version, mayTry: !this.hasTrial };
         const state = this.opts.selector.select(req, route, service, limits);
         if (state === undefined) {
             return { kind: "end", end: this.failWithoutTarget() };
@@ -156,29 +159,33 @@
         }
         this.tried.add(state.target.id);
         this.lastTarget = state.target.id;
-        state.inFlight += 1;
+        const send = this.openSend(state);
         try {
-            const startedAtMs = performance.now();
-            this.sentAtMs = startedAtMs;
-            const outcome = await this.opts.port.send({
+            return await this.handleOutcome(send, await send.outcome);
+        }
+        finally {
+            send.release();
+        }
+    }
+
+    private openSend(state: TargetState): TargetSend {
+        const { port, permits, meter } = this.opts;
+        const { req, admission: { team, service }, clock, isRepeatable } = this.request;
+        return new TargetSend({
+            state,
+            call: {
                 req,
-                target: state.target,
-                team: admission.team,
+                team,
                 leftMs: clock.leftMs,
                 urgency: this.getUrgency(),
                 afterEvent: this.stream.lastEventId,
-                isRepeatable: this.request.isRepeatable,
-                signal: clock.signal,
-                mayStart: () => state.isAccepting(performance.now()),
-            });
-            this.opts.meter.recordSend(outcome.kind, service);
-            this.opts.permits.recordOutcome(state, outcome, startedAtMs);
-            return await this.handleOutcome(state, outcome, performance.now() - startedAtMs);
-        }
-        finally {
-            state.inFlight -= 1;
-            this.opts.permits.release(state);
-        }
+                isRepeatable,
+            },
+            signal: clock.signal,
+            port,
+            permits,
+            count: outcome => meter.recordSend(outcome, service),
+        });
     }
 
     private getUrgency(): number | undefined {
@@ -188,7 +195,7 @@
             isMixed: this.opts.documents.current()?.hasMixedPriorities(service) === true,
             waitedMs: performance.now() - req.arrivedAtMs,
             latencyTargetMs: route.latencyTargetMs,
-            isContinued: this.begun !== undefined,
+            isContinued: this.beginning.version !== undefined,
         });
     }
 
@@ -199,11 +206,12 @@
         return isAcquired;
     }
 
-    private async handleOutcome(state: TargetState, outcome: TargetOutcome, firstByteMs: number): Promise<Step> {
+    private async handleOutcome(send: TargetSend, outcome: TargetOutcome): Promise<Step> {
+        const { state } = send;
         switch (outcome.kind) {
             case "not_sent":
                 if (this.request.clock.endReason === undefined && state.isAccepting(performance.now())) {
-                    state.health.recordUnreachable(performance.now(), this.sentAtMs);
+                    state.health.recordUnreachable(performance.now(), send.startedAtMs);
                 }
                 this.logSend(state, outcome.kind, outcome.cause);
                 this.failedConnects += 1;
@@ -221,21 +229,22 @@
             case "failed":
                 this.sends += 1;
                 this.mayHaveRun = true;
-                return await this.handleFailure(state, outcome.cause);
+                return await this.handleFailure(send, outcome.cause);
             case "answer":
                 this.sends += 1;
                 this.mayHaveRun = true;
-                return await this.relayResponse(state, outcome, firstByteMs);
+                return await this.relayResponse(send, outcome);
         }
     }
 
-    private async handleFailure(state: TargetState, cause: string): Promise<Step> {
+    private async handleFailure(send: TargetSend, cause: string): Promise<Step> {
         if (this.request.clock.endReason !== undefined) {
             return { kind: "end", end: this.expireRequest() };
         }
-        state.health.recordFailure(performance.now(), this.sentAtMs);
+        const { state, startedAtMs } = send;
+        state.health.recordFailure(performance.now(), startedAtMs);
         this.logSend(state, "failed", cause);
-        const isSafe = this.recordLoss(state);
+        const isSafe = this.recordLoss(send);
         if (this.canRepeat() && await isSafe) {
             return RETRY_STEP;
         }
@@ -243,31 +252,28 @@
     }
 
     /** Records a lost send; returns whether another one is unlikely to crash its target. */
-    private async recordLoss(state: TargetState): Promise<boolean> {
+    private async recordLoss({ state, startedAtMs }: TargetSend): Promise<boolean> {
         const hasBegun = this.stream.eventCount > 0;
         if (!hasBegun) {
             this.opts.meter.recordEndBeforeAnswer(this.request.admission.service);
         }
-        const loss = { ranMs: performance.now() - this.sentAtMs, hasBegun };
+        const loss = { ranMs: performance.now() - startedAtMs, hasBegun };
         return await this.opts.parts.recordLoss(this.request.watched, state.target, loss);
     }
 
-    private async relayResponse(state: TargetState, answer: TargetAnswer, firstByteMs: number): Promise<Step> {
+    private async relayResponse(send: TargetSend, answer: TargetAnswer): Promise<Step> {
         const { head, body } = answer;
         const isOk = head.status >= HTTP_OK_FROM && head.status < HTTP_OK_BELOW;
         return isOk && this.request.admission.route.kind === "streaming"
-            ? await this.relayStream(state, answer, firstByteMs)
-            : await this.relayBuffered(state, head, body, firstByteMs);
+            ? await this.relayStream(send, answer)
+            : await this.relayBuffered(send, head, body);
     }
 
-    private async relayStream(
-        state: TargetState,
-        { head, body, connectedAtMs }: TargetAnswer,
-        firstByteMs: number,
-    ): Promise<Step> {
-        const { caller, clock } = this.request;
+    private async relayStream(send: TargetSend, { head, body, connectedAtMs }: TargetAnswer): Promise<Step> {
+        const { caller, clock, watched } = this.request;
+        const { state } = send;
         const responding = { target: state.target, connectedAtMs };
-        if (this.begun !== undefined && !await this.opts.starts.verify(responding)) {
+        if (this.beginning.version !== undefined && !await this.opts.starts.verify(responding)) {
             // What another version writes does not continue the stream.
             abandon(body);
             this.logSend(state, "unknown start", "the target may have started again as another version");
@@ -275,23 +281,26 @@
         }
         const result = await this.stream.relay(head, body, {
             signal: clock.signal,
-            onFirstEvent: () => this.recordBegun(responding),
-            onEvents: () => this.recordOriginIfCertain(),
+            onFirstEvent: () => {
+                this.opts.parts.recordBegun(watched);
+                this.beginning.recordBegun(responding);
+            },
+            onEvents: () => this.beginning.recordIfCertain(),
         });
         if (result.kind === "complete") {
-            state.health.recordResponse(false, firstByteMs);
+            state.health.recordResponse(false, send.firstByteMs);
             caller.endStream();
-            this.opts.parts.recordWhole(this.request.watched);
-            this.hasWholeStream = true;
+            this.opts.parts.recordWhole(watched);
+            this.charge.recordWholeStream();
             return { kind: "end", end: "streamed" };
         }
-        const isOriginKnown = this.verifyOrigin();
+        const isOriginKnown = this.beginning.verify();
         if (clock.endReason === "caller_left") {
             return { kind: "end", end: "caller_left" };
         }
         const cause = result.kind === "cut" ? result.cause : "events out of order";
         if (clock.endReason === undefined && result.kind === "cut") {
-            const step = await this.handleFailure(state, cause);
+            const step = await this.handleFailure(send, cause);
             if (!this.stream.isStarted || (step.kind === "again" && await isOriginKnown)) {
                 return step;
             }
@@ -304,61 +313,13 @@
         return { kind: "end", end: "broken" };
     }
 
-    private recordBegun(responding: RespondingTarget): void {
-        const { service, version } = responding.target;
-        const isContinued = this.begun !== undefined;
-        this.begun ??= { version };
-        this.opts.parts.recordBegun(this.request.watched);
-        if (isContinued || this.opts.starts.isCertain(responding)) {
-            this.recordOrigin(responding);
-        }
-        else if (version !== undefined && this.request.isRepeatable) {
-            this.uncertain = responding;
-            if (this.opts.origins.isMixed(service)) {
-                // Other instances have to know the origin before this one may be killed.
-                void this.verifyOrigin();
-            }
-        }
-    }
-
-    private recordOrigin({ target: { service, version } }: RespondingTarget): void {
-        const { req, admission } = this.request;
-        if (version !== undefined) {
-            this.opts.origins.recordBegun(getStreamName(admission.team, req.id), { service, version });
-        }
-    }
-
-    /** Records the origin once a newer view tells it: the target's entry may be gone when the stream breaks off. */
-    private recordOriginIfCertain(): void {
-        const { uncertain } = this;
-        if (uncertain !== undefined && this.opts.starts.isCertain(uncertain)) {
-            this.uncertain = undefined;
-            this.recordOrigin(uncertain);
-        }
-    }
-
-    /** Finds out which version began the stream; returns whether that is known. Does not throw. */
-    private async verifyOrigin(): Promise<boolean> {
-        const { uncertain } = this;
-        if (uncertain === undefined) {
-            return true;
-        }
-        this.verifying ??= this.opts.starts.verify(uncertain).then(isKnown => {
-            if (isKnown) {
-                this.recordOrigin(uncertain);
-            }
-            return isKnown;
-        });
-        return await this.verifying;
-    }
-
     private async relayBuffered(
-        state: TargetState,
+        send: TargetSend,
         head: ResponseHead,
         body: AsyncIterable<Buffer>,
-        firstByteMs: number,
     ): Promise<Step> {
         const { caller, held } = this.request;
+        const { state } = send;
         const collected = new ByteCollector();
         try {
             for await (const chunk of body) {
@@ -367,14 +328,14 @@
             }
         }
         catch (err) {
-            return await this.handleFailure(state, err instanceof Error ? err.message : String(err));
+            return await this.handleFailure(send, err instanceof Error ? err.message : String(err));
         }
         const isError = head.status >= HTTP_ERROR_FROM;
-        state.health.recordResponse(isError, firstByteMs);
+        state.health.recordResponse(isError, send.firstByteMs);
         if (head.status >= HTTP_OK_FROM && head.status < HTTP_OK_BELOW) {
             this.opts.parts.recordBegun(this.request.watched);
             this.opts.parts.recordWhole(this.request.watched);
-            this.hasWholeAnswer = true;
+            this.charge.recordWholeResponse();
         }
         if (isError && !this.stream.isStarted && this.canRepeat()) {
             this.logSend(state, "error answer", String(head.status));
@@ -400,7 +361,7 @@
 
     private failWithoutTarget(): AttemptsResult | RelayRefusal {
         const { selector } = this.opts;
-        const { begun, tried } = this;
+        const { tried, beginning: { version: begun } } = this;
         const waitMs = selector.getWaitMs(this.request.admission.service, { tried, begun });
         return waitMs === undefined
             ? this.failRequest(begun === undefined ? "noTarget" : "versionUnavailable")
@@ -435,25 +396,6 @@
             : { reason: "timedOutUnsent", retryAfterS: DEFAULT_RETRY_AFTER_S };
     }
 
-    /** Tokens in an event of the request's service, by the active desired state. */
-    private get tokensPerEvent(): number | undefined {
-        return this.opts.documents.current()?.findService(this.request.admission.service)?.tokensPerEvent;
-    }
-
-    /** Tokens to charge: the prompt and the output, once any part of the answer was relayed. */
-    private getUsedTokens(): number {
-        const { generation } = this.request.req;
-        const isServed = this.stream.eventCount > 0 || this.hasWholeAnswer || this.hasWholeStream;
-        if (generation === undefined || !isServed) {
-            return 0;
-        }
-        const sizes = [this.firstTokensPerEvent, this.tokensPerEvent].filter(size => size !== undefined);
-        const perEvent = sizes.length > 0 ? Math.max(...sizes) : undefined;
-        const isCounted = perEvent !== undefined && !this.hasWholeAnswer;
-        const output = isCounted ? perEvent * this.stream.eventCount : generation.maxOutputTokens;
-        return generation.promptTokens + Math.min(generation.maxOutputTokens, output);
-    }
-
     private logSend(state: TargetState, outcome: string, cause: string): void {
         const { req, watched, clock } = this.request;
         this.opts.log.write("send without answer", {
