Send slow requests a second time

A request whose target is late waits for that target alone, though others have room. With secondSends.share above 0, a request that may be repeated, has a send left and has got no first byte by a high percentile of its service's times, scaled to the prompt, goes to a second target of the same version. The first usable response is used and the other send is cancelled. Second sends stay within a share of all sends and half of the retry allowance, need a target with room in a service that is not short of capacity, and turn themselves off where too few win. Off by default.

--- a/packages/relay/src/instance/relay-instance.ts
+++ b/packages/relay/src/instance/relay-instance.ts
@@ -7,11 +7,13 @@
 import { DocumentHolder } from "../document/document-holder.js";
 import { ConnectionHandoff } from "../handoff/connection-handoff.js";
 import { HandoffPort } from "../handoff/handoff-port.js";
+import { SecondSends } from "../hedging/second-sends.js";
 import { HttpCallerPort } from "../http/http-caller-port.js";
 import { StatusPort, type StatusPortResponse } from "../http/status-port.js";
 import { CombinedSendPermits } from "../limits/combined-send-permits.js";
 import { FleetRoom } from "../limits/fleet-room.js";
 import { FleetSendPermits } from "../limits/fleet-send-permits.js";
+import { UnknownTargetLoads } from "../load/target-loads.js";
 import { AffinityPlacement } from "../policy/affinity-placement.js";
 import { OverloadGuard } from "../policy/overload-guard.js";
 import { EqualUrgency, PriorityUrgency } from "../policy/request-urgency.js";
@@ -105,6 +107,8 @@
     private readonly starts: AnnouncedStartCheck;
     private readonly parts: PartQuarantine;
     private readonly decisions: DecisionStore;
+    /** Undefined where they are off. */
+    private readonly secondSends: SecondSends | undefined;
     /** Resolves once requests are accepted. */
     readonly ready: Promise<void>;
     private resolveReady: () => void = () => undefined;
@@ -160,6 +164,7 @@
             count: name => this.metrics.add(name),
             onDecision: decision => void this.decisions.save(decision),
         });
+        this.secondSends = this.createSecondSends();
         this.relay = this.createRelay();
         this.handoff = new ConnectionHandoff({
             hub,
@@ -226,6 +231,7 @@
             quarantine: this.parts.view,
             versions: this.versions.services.map(service => ({ service, versions: this.versions.list(service) })),
             brittleServices: this.room.brittleServices,
+            secondSends: this.secondSends?.view ?? [],
             knownStreams: this.origins.size,
         };
     }
@@ -347,12 +353,26 @@
             origins: this.origins,
             starts: this.starts,
             parts: this.parts,
+            secondSends: this.secondSends,
             log: this.log,
             meter: this.metrics,
             random: Math.random,
         });
     }
 
+    private createSecondSends(): SecondSends | undefined {
+        const { share, percentile } = this.cfg.secondSends;
+        return share === 0 ? undefined : new SecondSends({
+            share,
+            percentile,
+            directory: this.directory,
+            loads: new UnknownTargetLoads(),
+            isInstanceReady: () => this.stopping === undefined && !this.overload.isRefusing,
+            log: this.log,
+            count: (name, amount) => this.metrics.add(name, amount),
+        });
+    }
+
     private createPermits(): FleetSendPermits {
         return new FleetSendPermits({
             hub: this.hub,
--- a/packages/relay/src/instance/relay-settings.ts
+++ b/packages/relay/src/instance/relay-settings.ts
@@ -1,5 +1,6 @@
 import { createShapeCheck, parseCheckedJson, readSettingsText } from "@ospreyreel/config";
 import { type Static, Type } from "@sinclair/typebox";
+import { MAX_SECOND_SEND_SHARE } from "../policy/second-send-policy.js";
 
 const HOUR_MS = 3_600_000;
 const MS_PER_S = 1_000;
@@ -54,6 +55,20 @@
             default: false,
         }),
     }, { additionalProperties: false, default: {} }),
+    secondSends: Type.Object({
+        share: Type.Number({
+            description: "Largest share of the sends to a service that are second sends of slow requests; 0 for none.",
+            minimum: 0,
+            maximum: MAX_SECOND_SEND_SHARE,
+            default: 0,
+        }),
+        percentile: Type.Number({
+            description: "Percentile of a service's times to the first byte after which a request is slow.",
+            minimum: 50,
+            maximum: 99,
+            default: 95,
+        }),
+    }, { additionalProperties: false, default: {} }),
     stopWithinS: Type.Number({ description: "Maximum time from a stop signal to the exit, in seconds.", minimum: 1 }),
     addressTtlS: Type.Number({ description: "Time for which callers may cache addresses, in seconds.", minimum: 0.1 }),
 }, { additionalProperties: false });
--- a/packages/relay/src/instance/relay-state.ts
+++ b/packages/relay/src/instance/relay-state.ts
@@ -2,6 +2,7 @@
 import type { InstanceInfo } from "@ospreyreel/types";
 import type { HandoffView } from "../handoff/connection-handoff.js";
 import type { TakenConnections } from "../handoff/handoff-port.js";
+import type { SecondSends } from "../hedging/second-sends.js";
 import type { QuarantineView } from "../quarantine/part-quarantine.js";
 import type { TargetState } from "../targets/target-state.js";
 
@@ -52,6 +53,8 @@
     readonly versions: readonly { readonly service: string; readonly versions: readonly string[]; }[];
     /** Services whose targets break down when they reject requests. */
     readonly brittleServices: readonly string[];
+    /** Second sends of slow requests, by service; empty where they are off. */
+    readonly secondSends: SecondSends["view"];
     /** Number of streams whose origins are kept here. */
     readonly knownStreams: number;
 }
--- a/packages/relay/src/policy/retry-allowance.ts
+++ b/packages/relay/src/policy/retry-allowance.ts
@@ -1,3 +1,5 @@
+import { WindowCount } from "./window-count.js";
+
 /** Limits of retries to one service, for the whole fleet. */
 export interface RetryAllowanceOptions {
     /** Retries allowed for each request. */
@@ -12,54 +14,46 @@
     readonly now?: () => number;
 }
 
-/** Number of buckets that a window is divided into. */
-const BUCKET_COUNT = 20;
-
 /** Used share of the fleet's limit, since instances see the traffic and each other with a delay. */
 const SAFETY_FACTOR = 0.8;
 
+/** Share of the limit up to which second sends are acquired; the rest is kept for retries of failed requests. */
+const SECOND_SEND_SHARE = 0.5;
+
 /** Counts requests and retries of one service in a sliding window. */
 export class RetryAllowance {
-    private readonly requests = new Array<number>(BUCKET_COUNT).fill(0);
-    private readonly retries = new Array<number>(BUCKET_COUNT).fill(0);
-    private readonly now: () => number;
-    private bucket = 0;
+    private readonly requests: WindowCount;
+    /** Retries of failed requests, and second sends of slow ones. */
+    private readonly retries: WindowCount;
 
     constructor(private readonly opts: RetryAllowanceOptions) {
-        this.now = opts.now ?? (() => performance.now());
-        this.bucket = this.currentBucket();
+        const { windowMs, now = () => performance.now() } = opts;
+        this.requests = new WindowCount(windowMs, now);
+        this.retries = new WindowCount(windowMs, now);
     }
 
     /** Counts a caller's request. */
     recordRequest(): void {
-        this.advance();
-        this.requests[this.bucket % BUCKET_COUNT] = (this.requests[this.bucket % BUCKET_COUNT] ?? 0) + 1;
+        this.requests.add();
     }
 
     /** Acquires one retry; returns false where the window's retries are used up. */
     tryAcquire(): boolean {
-        this.advance();
-        const sum = (counts: readonly number[]): number => counts.reduce((a, b) => a + b, 0);
-        const { ratio, slack, getInstances } = this.opts;
-        const allowed = SAFETY_FACTOR * (ratio * sum(this.requests) + slack / Math.max(1, getInstances()));
-        if (sum(this.retries) + 1 > allowed) {
-            return false;
-        }
-        this.retries[this.bucket % BUCKET_COUNT] = (this.retries[this.bucket % BUCKET_COUNT] ?? 0) + 1;
-        return true;
+        return this.tryAcquireWithin(1);
     }
 
-    private currentBucket(): number {
-        return Math.floor(this.now() / (this.opts.windowMs / BUCKET_COUNT));
+    /** Acquires a second send of a request whose first one is slow; returns false where half of the window's retries are used. */
+    tryAcquireSecond(): boolean {
+        return this.tryAcquireWithin(SECOND_SEND_SHARE);
     }
 
-    private advance(): void {
-        const current = this.currentBucket();
-        for (let steps = Math.min(BUCKET_COUNT, current - this.bucket); steps > 0; steps--) {
-            const cleared = (current - steps + 1) % BUCKET_COUNT;
-            this.requests[cleared] = 0;
-            this.retries[cleared] = 0;
+    private tryAcquireWithin(share: number): boolean {
+        const { ratio, slack, getInstances } = this.opts;
+        const allowed = SAFETY_FACTOR * (ratio * this.requests.total + slack / Math.max(1, getInstances()));
+        if (this.retries.total + 1 > share * allowed) {
+            return false;
         }
-        this.bucket = current;
+        this.retries.add();
+        return true;
     }
 }
--- a/packages/relay/src/relay-attempts.ts
+++ b/packages/relay/src/relay-attempts.ts
@@ -1,13 +1,16 @@
 import type { ResponseHead } from "./caller-exchange.js";
-import { TargetSend } from "./hedging/target-send.js";
+import { HedgedSend } from "./hedging/hedged-send.js";
+import type { TargetSend } from "./hedging/target-send.js";
+import { abandonBody } from "./http/abandon-body.js";
 import { ByteCollector } from "./http/byte-collector.js";
+import { isServerError, isSuccess } from "./http/response-status.js";
 import { getQuarantineReason } from "./quarantine/watched-request.js";
 import type { LogFields } from "./relay-log.js";
 import type { RefusalReason, RelayRefusal } from "./relay-refusal.js";
 import type { AdmittedRequest, RelayOptions } from "./relay.js";
+import { RequestSends } from "./request-sends.js";
 import { StreamRelay } from "./stream/stream-relay.js";
 import type { TargetOutcome } from "./targets/target-port.js";
-import type { TargetState } from "./targets/target-state.js";
 import { TokenCharge } from "./token-charge.js";
 import { StreamBeginning } from "./versions/stream-beginning.js";
 import { getStreamName } from "./versions/stream-name.js";
@@ -24,12 +27,6 @@
 
 const RETRY_STEP: Step = { kind: "again" };
 
-/** Maximum number of failed connection attempts for one request; none of them counts as a send. */
-const MAX_FAILED_CONNECTS = 3;
-
-/** Time after which a target that reported to be full is used again, in milliseconds. */
-const FULL_BACKOFF_MS = 100;
-
 /** Retry-after time of a refusal where no better estimate exists, in seconds. */
 const DEFAULT_RETRY_AFTER_S = 0.5;
 
@@ -38,28 +35,16 @@
 
 const MS_PER_S = 1_000;
 
-/** Maximum number of prompt parts in a log line. */
-const MAX_LOGGED_PARTS = 8;
-
-const HTTP_OK_FROM = 200;
-const HTTP_OK_BELOW = 300;
-const HTTP_ERROR_FROM = 500;
-
-/** Sends one request to targets, one after the other. */
+/** Sends one request to targets, again where a send fails, and relays the response. */
 export class RelayAttempts {
-    private readonly tried = new Set<string>();
     /** Targets whose limit left no send for this request. */
     private readonly limited = new Set<string>();
     private readonly stream: StreamRelay;
     private readonly beginning: StreamBeginning;
     private readonly charge: TokenCharge;
-    /** Sends to targets, with the one of an instance that ended before its response. */
-    private sends = 0;
+    private readonly sends: RequestSends;
+    private readonly hedged: HedgedSend;
     private lastTarget = "";
-    private failedConnects = 0;
-    private mayHaveRun = false;
-    /** Whether a repeat is acquired and not used. */
-    private hasRepeat = false;
     /** Whether it has tried an ejected target. */
     private hasTrial = false;
     private blockedPart: string | undefined;
@@ -86,11 +71,9 @@
             req.generation,
             () => documents.current()?.findService(admission.service)?.tokensPerEvent,
         );
-        if (req.isInterrupted === true) {
-            this.sends = 1;
-            this.mayHaveRun = true;
-            this.hasRepeat = req.hasRepeat === true;
-        }
+        const { stream, beginning, limited } = this;
+        this.sends = new RequestSends({ relay: opts, request, stream, beginning });
+        this.hedged = new HedgedSend({ relay: opts, request, sends: this.sends, beginning, limited });
     }
 
     /** Summary of the sends for the request's log line. */
@@ -98,10 +81,11 @@
         const { version: begun } = this.beginning;
         return {
             target: this.lastTarget,
-            sends: this.sends,
+            sends: this.sends.count,
             events: this.stream.eventCount,
             ...(this.request.hold === undefined ? {} : { chargedTokens: this.chargedTokens }),
             ...(begun === undefined ? {} : { version: begun.version ?? "" }),
+            ...this.hedged.trace,
             ...(this.blockedPart === undefined ? {} : { part: this.blockedPart }),
         };
     }
@@ -139,7 +123,7 @@
             this.blockedPart = blocked.part;
             return { kind: "end", end: this.failRequest(getQuarantineReason(blocked.part), blocked.retryAfterS) };
         }
-        const tried = new Set([...this.tried, ...this.limited]);
+        const tried = new Set([...this.sends.tried, ...this.limited]);
         const limits = { tried, begun: this.beginning.version, mayTry: !this.hasTrial };
         const state = this.opts.selector.select(req, route, service, limits);
         if (state === undefined) {
@@ -153,86 +137,30 @@
             this.limited.add(state.target.id);
             return RETRY_STEP;
         }
-        if (!this.acquireSend(service)) {
+        if (!this.sends.acquire()) {
             this.opts.permits.release(state);
             return { kind: "end", end: this.failRequest("overloaded") };
         }
-        this.tried.add(state.target.id);
-        this.lastTarget = state.target.id;
-        const send = this.openSend(state);
+        const { send, outcome } = await this.hedged.wait(this.sends.open(state));
+        this.lastTarget = send.state.target.id;
         try {
-            return await this.handleOutcome(send, await send.outcome);
+            return await this.handleOutcome(send, outcome);
         }
         finally {
             send.release();
         }
     }
 
-    private openSend(state: TargetState): TargetSend {
-        const { port, permits, meter } = this.opts;
-        const { req, admission: { team, service }, clock, isRepeatable } = this.request;
-        return new TargetSend({
-            state,
-            call: {
-                req,
-                team,
-                leftMs: clock.leftMs,
-                urgency: this.getUrgency(),
-                afterEvent: this.stream.lastEventId,
-                isRepeatable,
-            },
-            signal: clock.signal,
-            port,
-            permits,
-            count: outcome => meter.recordSend(outcome, service),
-        });
-    }
-
-    private getUrgency(): number | undefined {
-        const { req, admission: { route, service, priority } } = this.request;
-        return this.opts.urgency.getUrgency({
-            priority,
-            isMixed: this.opts.documents.current()?.hasMixedPriorities(service) === true,
-            waitedMs: performance.now() - req.arrivedAtMs,
-            latencyTargetMs: route.latencyTargetMs,
-            isContinued: this.beginning.version !== undefined,
-        });
-    }
-
-    /** Acquires the next send; the first one of a request needs no repeat. */
-    private acquireSend(service: string): boolean {
-        const isAcquired = this.sends === 0 || this.hasRepeat || this.opts.getRetries(service).tryAcquire();
-        this.hasRepeat = false;
-        return isAcquired;
-    }
-
     private async handleOutcome(send: TargetSend, outcome: TargetOutcome): Promise<Step> {
-        const { state } = send;
+        this.sends.recordOutcome(send, outcome);
         switch (outcome.kind) {
             case "not_sent":
-                if (this.request.clock.endReason === undefined && state.isAccepting(performance.now())) {
-                    state.health.recordUnreachable(performance.now(), send.startedAtMs);
-                }
-                this.logSend(state, outcome.kind, outcome.cause);
-                this.failedConnects += 1;
-                return this.failedConnects < MAX_FAILED_CONNECTS
-                    ? RETRY_STEP
-                    : { kind: "end", end: this.failRequest("noTarget") };
+                return this.sends.canConnect ? RETRY_STEP : { kind: "end", end: this.failRequest("noTarget") };
             case "not_run":
-                this.sends += 1;
-                state.health.recordRejection();
-                if (outcome.reason === "full") {
-                    state.health.recordFull(performance.now(), FULL_BACKOFF_MS);
-                }
-                this.logSend(state, outcome.kind, outcome.reason);
-                return this.canRetry() ? RETRY_STEP : { kind: "end", end: this.failRequest("overloaded") };
+                return this.sends.canRetry ? RETRY_STEP : { kind: "end", end: this.failRequest("overloaded") };
             case "failed":
-                this.sends += 1;
-                this.mayHaveRun = true;
                 return await this.handleFailure(send, outcome.cause);
             case "answer":
-                this.sends += 1;
-                this.mayHaveRun = true;
                 return await this.relayResponse(send, outcome);
         }
     }
@@ -241,30 +169,15 @@
         if (this.request.clock.endReason !== undefined) {
             return { kind: "end", end: this.expireRequest() };
         }
-        const { state, startedAtMs } = send;
-        state.health.recordFailure(performance.now(), startedAtMs);
-        this.logSend(state, "failed", cause);
-        const isSafe = this.recordLoss(send);
-        if (this.canRepeat() && await isSafe) {
-            return RETRY_STEP;
-        }
-        return { kind: "end", end: this.failRequest("targetFailed") };
-    }
-
-    /** Records a lost send; returns whether another one is unlikely to crash its target. */
-    private async recordLoss({ state, startedAtMs }: TargetSend): Promise<boolean> {
-        const hasBegun = this.stream.eventCount > 0;
-        if (!hasBegun) {
-            this.opts.meter.recordEndBeforeAnswer(this.request.admission.service);
-        }
-        const loss = { ranMs: performance.now() - startedAtMs, hasBegun };
-        return await this.opts.parts.recordLoss(this.request.watched, state.target, loss);
+        this.sends.recordFailure(send, cause);
+        return this.sends.canRepeat && await this.sends.isRepeatSafe
+            ? RETRY_STEP
+            : { kind: "end", end: this.failRequest("targetFailed") };
     }
 
     private async relayResponse(send: TargetSend, answer: TargetAnswer): Promise<Step> {
         const { head, body } = answer;
-        const isOk = head.status >= HTTP_OK_FROM && head.status < HTTP_OK_BELOW;
-        return isOk && this.request.admission.route.kind === "streaming"
+        return isSuccess(head) && this.request.admission.route.kind === "streaming"
             ? await this.relayStream(send, answer)
             : await this.relayBuffered(send, head, body);
     }
@@ -273,17 +186,17 @@
         const { caller, clock, watched } = this.request;
         const { state } = send;
         const responding = { target: state.target, connectedAtMs };
-        if (this.beginning.version !== undefined && !await this.opts.starts.verify(responding)) {
-            // What another version writes does not continue the stream.
-            abandon(body);
-            this.logSend(state, "unknown start", "the target may have started again as another version");
-            return this.canRepeat() ? RETRY_STEP : { kind: "end", end: this.failRequest("versionUnavailable") };
+        if (!await this.beginning.canContinueAt(responding)) {
+            abandonBody(body);
+            this.sends.log(state, "unknown start", "the target may have started again as another version");
+            return this.sends.canRepeat ? RETRY_STEP : { kind: "end", end: this.failRequest("versionUnavailable") };
         }
         const result = await this.stream.relay(head, body, {
             signal: clock.signal,
             onFirstEvent: () => {
                 this.opts.parts.recordBegun(watched);
                 this.beginning.recordBegun(responding);
+                this.hedged.recordFirstByte(send);
             },
             onEvents: () => this.beginning.recordIfCertain(),
         });
@@ -308,7 +221,7 @@
         else if (!this.stream.isStarted) {
             return { kind: "end", end: this.expireRequest() };
         }
-        this.logSend(state, "broken", cause);
+        this.sends.log(state, "broken", cause);
         caller.abortStream();
         return { kind: "end", end: "broken" };
     }
@@ -321,6 +234,9 @@
         const { caller, held } = this.request;
         const { state } = send;
         const collected = new ByteCollector();
+        if (isSuccess(head)) {
+            this.hedged.recordFirstByte(send);
+        }
         try {
             for await (const chunk of body) {
                 held.resize(collected.size + chunk.length);
@@ -330,15 +246,15 @@
         catch (err) {
             return await this.handleFailure(send, err instanceof Error ? err.message : String(err));
         }
-        const isError = head.status >= HTTP_ERROR_FROM;
+        const isError = isServerError(head);
         state.health.recordResponse(isError, send.firstByteMs);
-        if (head.status >= HTTP_OK_FROM && head.status < HTTP_OK_BELOW) {
+        if (isSuccess(head)) {
             this.opts.parts.recordBegun(this.request.watched);
             this.opts.parts.recordWhole(this.request.watched);
             this.charge.recordWholeResponse();
         }
-        if (isError && !this.stream.isStarted && this.canRepeat()) {
-            this.logSend(state, "error answer", String(head.status));
+        if (isError && !this.stream.isStarted && this.sends.canRepeat) {
+            this.sends.log(state, "error answer", String(head.status));
             return RETRY_STEP;
         }
         if (this.stream.isStarted) {
@@ -350,18 +266,9 @@
         return { kind: "end", end: "answered" };
     }
 
-    private canRetry(): boolean {
-        const { admission, clock } = this.request;
-        return this.sends < admission.route.maxAttempts && clock.endReason === undefined;
-    }
-
-    private canRepeat(): boolean {
-        return this.request.isRepeatable && this.canRetry();
-    }
-
     private failWithoutTarget(): AttemptsResult | RelayRefusal {
         const { selector } = this.opts;
-        const { tried, beginning: { version: begun } } = this;
+        const { sends: { tried }, beginning: { version: begun } } = this;
         const waitMs = selector.getWaitMs(this.request.admission.service, { tried, begun });
         return waitMs === undefined
             ? this.failRequest(begun === undefined ? "noTarget" : "versionUnavailable")
@@ -377,7 +284,7 @@
             this.request.caller.abortStream();
             return "broken";
         }
-        if (this.mayHaveRun) {
+        if (this.sends.mayHaveRun) {
             return { reason: "targetFailed" };
         }
         return { reason: reason === "targetFailed" ? "noTarget" : reason, retryAfterS };
@@ -391,30 +298,8 @@
             this.request.caller.abortStream();
             return "broken";
         }
-        return this.mayHaveRun
+        return this.sends.mayHaveRun
             ? { reason: "timedOut" }
             : { reason: "timedOutUnsent", retryAfterS: DEFAULT_RETRY_AFTER_S };
     }
-
-    private logSend(state: TargetState, outcome: string, cause: string): void {
-        const { req, watched, clock } = this.request;
-        this.opts.log.write("send without answer", {
-            request: req.id,
-            target: state.target.id,
-            outcome,
-            cause,
-            sends: this.sends,
-            events: this.stream.eventCount,
-            version: state.target.version ?? "",
-            parts: watched.sharedParts.slice(0, MAX_LOGGED_PARTS).join(" "),
-            whole: watched.whole,
-            leftMs: Math.round(clock.leftMs),
-        });
-    }
 }
-
-/** Ends the reading of a body that nobody has read from; a generator gives its source up only once it has begun. */
-const abandon = (body: AsyncIterable<Buffer>): void => {
-    const chunks = body[Symbol.asyncIterator]();
-    chunks.next().then(() => chunks.return?.()).catch(() => undefined);
-};
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -5,6 +5,7 @@
 import type { CallerExchange } from "./caller-exchange.js";
 import type { DocumentHolder } from "./document/document-holder.js";
 import type { RequestTerms } from "./handoff/handed-off-connection.js";
+import type { SecondSends } from "./hedging/second-sends.js";
 import type { SendPermits } from "./limits/send-permits.js";
 import { type HeldMessage, MAX_RESPONSE_BYTES, MessageMemory } from "./message-memory.js";
 import type { OverloadGuard } from "./policy/overload-guard.js";
@@ -62,6 +63,8 @@
     readonly starts: StartCheck;
     /** Keeps requests with a prompt part that crashes targets away from them. */
     readonly parts: PartGate;
+    /** Makes second sends of slow requests; undefined where they are off. */
+    readonly secondSends?: SecondSends | undefined;
     readonly log: RelayLog;
     readonly meter: RelayMeter;
     /** Returns a random number in [0, 1). */
@@ -84,7 +87,7 @@
     arrivedAtMs + Math.min(route.timeoutMs, waitsMs ?? route.timeoutMs);
 
 /** Maximum number of tokens that a request may use; 0 where it requests no generation. */
-const getMaxTokens = ({ generation }: RelayRequest): number =>
+export const getMaxTokens = ({ generation }: RelayRequest): number =>
     generation === undefined ? 0 : generation.promptTokens + generation.maxOutputTokens;
 
 /** A request with everything that was decided before its first send. */
--- a/packages/relay/src/targets/target-health.ts
+++ b/packages/relay/src/targets/target-health.ts
@@ -61,6 +61,15 @@
         this.meanFirstByteMs = previousMs + NEWEST_WEIGHT * (firstByteMs - previousMs);
     }
 
+    /**
+     * Records a send that was cancelled before its response, after a time in milliseconds. It is no failure of the target; the time counts
+     * only where it is longer than the usual one.
+     */
+    recordUnanswered(afterMs: number): void {
+        const meanMs = this.meanFirstByteMs ?? afterMs;
+        this.meanFirstByteMs = meanMs + NEWEST_WEIGHT * Math.max(0, afterMs - meanMs);
+    }
+
     /** Records a send without a usable response; monotonic times of its failure and its start, in milliseconds. */
     recordFailure(nowMs: number, sentAtMs: number): void {
         if (sentAtMs < this.pathChangedAtMs) {
--- a/packages/relay/src/versions/stream-beginning.ts
+++ b/packages/relay/src/versions/stream-beginning.ts
@@ -19,6 +19,8 @@
     private begun: BegunStream | undefined;
     /** The target that sent the first event, where it was not certain then which start of it did; undefined where that does not matter. */
     private uncertain: RespondingTarget | undefined;
+    /** Whether the starts of targets that responded were the expected ones, by target. */
+    private readonly checks = new Map<string, Promise<boolean>>();
     /** Resolves whether it has become known. */
     private verifying: Promise<boolean> | undefined;
 
@@ -31,6 +33,17 @@
         return this.begun;
     }
 
+    /** Whether a response may continue the stream, where one has begun: what another version writes does not. Does not throw. */
+    async canContinueAt(responding: RespondingTarget): Promise<boolean> {
+        if (this.begun === undefined) {
+            return true;
+        }
+        const { id } = responding.target;
+        const check = this.checks.get(id) ?? this.opts.starts.verify(responding);
+        this.checks.set(id, check);
+        return await check;
+    }
+
     /** Records the target that sent the first event of the response. */
     recordBegun(responding: RespondingTarget): void {
         const { service, version } = responding.target;
