--- a/packages/relay/src/hedging/hedged-send.ts
+++ b/packages/relay/src/hedging/hedged-send.ts
@@ -23,15 +23,15 @@
 
 /** Waits for one request's sends, with a second send beside a slow one where that is on and allowed. */
 export class HedgedSend {
-    private second: { readonly target: string; readonly result: SecondSendResult; } | undefined;
+    private second:
+        | { readonly firstTarget: string; readonly secondTarget: string; readonly secondSend: SecondSendResult; }
+        | undefined;
 
     constructor(private readonly opts: HedgedSendOptions) {}
 
     /** What the request's log line says of its second send. */
     get trace(): LogFields {
-        return this.second === undefined
-            ? {}
-            : { secondTarget: this.second.target, secondSend: this.second.result };
+        return this.second ?? {};
     }
 
     /** Resolves with the first usable response to the request, or with the last outcome where there is none. */
@@ -73,7 +73,11 @@
                 const earlier = { first: first.state, tried, begun: beginning.version };
                 const state = await starter.acquire(earlier, isWanted);
                 if (state !== undefined) {
-                    this.second = { target: state.target.id, result: "undecided" };
+                    this.second = {
+                        firstTarget: first.state.target.id,
+                        secondTarget: state.target.id,
+                        secondSend: "undecided",
+                    };
                     begin(sends.open(state));
                 }
             },
@@ -83,8 +87,9 @@
                 sends.recordRun();
                 secondSends.recordCancelled(send, this.promptTokens);
                 if (send === first) {
-                    // Without it, the quantile would be learned from quick responses only.
+                    // Its time is at least this long; without it the quantile would be learned from quick responses only.
                     this.recordFirstByte(send);
+                    send.state.health.recordUnanswered(send.firstByteMs);
                 }
             },
         });
@@ -123,11 +128,11 @@
     }
 
     private recordResult({ send, second, isUsable }: RaceResult, secondSends: SecondSends): void {
-        if (second !== undefined) {
+        if (second !== undefined && this.second !== undefined) {
             const isUndecided = !isUsable && this.opts.request.clock.endReason !== undefined;
-            const result = isUndecided ? "undecided" : isUsable && send === second ? "won" : "lost";
-            this.second = { target: second.state.target.id, result };
-            secondSends.recordResult(this.service, result);
+            const secondSend = isUndecided ? "undecided" : isUsable && send === second ? "won" : "lost";
+            this.second = { ...this.second, secondSend };
+            secondSends.recordResult(this.service, secondSend);
         }
     }
 }
--- a/packages/relay/src/hedging/second-sends.ts
+++ b/packages/relay/src/hedging/second-sends.ts
@@ -79,9 +79,8 @@
     }
 
     /** Counts the work of a send that was cancelled, since the response of the other one is used. */
-    recordCancelled(send: TargetSend, promptTokens: number): void {
-        const ms = performance.now() - send.startedAtMs;
-        send.state.health.recordUnanswered(ms);
+    recordCancelled({ startedAtMs }: TargetSend, promptTokens: number): void {
+        const ms = performance.now() - startedAtMs;
         this.opts.count("second_sends_cancelled");
         this.opts.count("second_sends_cancelled_ms", Math.round(ms));
         this.opts.count("second_sends_cancelled_prompt_tokens", promptTokens);
