Share the load reports of targets between instances

An instance sees 1/73 to 1/87 of the requests and knows only its own at a target, so that its least loaded target is close to a random one and nothing knows how much memory targets use. With targetReports.intervalMs, the square root of a region's instances read the targets' reports and send them to the others; the estimate adds this instance's own sends and the growth between reports. TargetLoads tells the load with a weight that falls to 0 at an age of 3 s; sends are observed through the new option sends of Relay. Off by default.

--- a/packages/relay/src/http/target-protocol.ts
+++ b/packages/relay/src/http/target-protocol.ts
@@ -1,4 +1,5 @@
 import type { TargetNotes } from "@ospreyreel/types";
+import type { TargetReport } from "../load/target-report.js";
 import type { TargetCall } from "../targets/target-port.js";
 
 /** Decoded head of a target's response. */
@@ -13,6 +14,14 @@
     /** A response to another request, or one that does not follow the protocol. */
     | { readonly kind: "invalid"; readonly cause: string; };
 
+/** Format of the load reports of targets. */
+export interface ReportFormat {
+    /** Path of the request for a report. */
+    readonly path: string;
+    /** Decodes a response; undefined where it has no report. */
+    readonly decode: (status: number, body: Buffer) => TargetReport | undefined;
+}
+
 /** Format of requests to targets and of their responses. */
 export abstract class TargetProtocol {
     /** Headers of one send. */
@@ -24,4 +33,9 @@
         status: number,
         headers: readonly (readonly [string, string])[],
     ): TargetHead;
+
+    /** How targets report their load; undefined where they do not. */
+    get reports(): ReportFormat | undefined {
+        return undefined;
+    }
 }
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -19,6 +19,7 @@
 export * from "./instance/relay-settings.js";
 export type * from "./instance/relay-state.js";
 export * from "./instance/run-relay.js";
+export type * from "./load/target-report.js";
 export * from "./policy/affinity-placement.js";
 export * from "./policy/placement-policy.js";
 export * from "./policy/retry-allowance.js";
--- a/packages/relay/src/instance/relay-instance.ts
+++ b/packages/relay/src/instance/relay-instance.ts
@@ -8,10 +8,12 @@
 import { ConnectionHandoff } from "../handoff/connection-handoff.js";
 import { HandoffPort } from "../handoff/handoff-port.js";
 import { HttpCallerPort } from "../http/http-caller-port.js";
+import { HttpReportPort } from "../http/http-report-port.js";
 import { StatusPort, type StatusPortResponse } from "../http/status-port.js";
 import { CombinedSendPermits } from "../limits/combined-send-permits.js";
 import { FleetRoom } from "../limits/fleet-room.js";
 import { FleetSendPermits } from "../limits/fleet-send-permits.js";
+import { LoadSharing } from "../load/load-sharing.js";
 import { AffinityPlacement } from "../policy/affinity-placement.js";
 import { OverloadGuard } from "../policy/overload-guard.js";
 import { EqualUrgency, PriorityUrgency } from "../policy/request-urgency.js";
@@ -99,6 +101,8 @@
     private readonly budgets: FleetBudgets;
     private readonly permits: FleetSendPermits;
     private readonly room: FleetRoom;
+    /** Undefined where no reports are read. */
+    private readonly loadSharing: LoadSharing | undefined;
     private readonly versions: VersionHistory;
     private readonly versionRecord: VersionRecord;
     private readonly origins: FleetStreamOrigins;
@@ -147,6 +151,7 @@
         });
         this.permits = this.createPermits();
         this.room = this.createRoom();
+        this.loadSharing = this.createLoadSharing();
         this.versions = new VersionHistory({ directory: this.directory, nowMs: () => performance.now() });
         this.origins = this.createOrigins();
         this.versionRecord = this.createVersionRecord();
@@ -217,8 +222,12 @@
             peers: this.hub.peers(),
             removedTargets: this.directory.removedIds,
             targets: this.directory.list().map(state =>
-                getTargetView(state, this.sending.paths.isDirect(state.target))
+                getTargetView(state, {
+                    isDirect: this.sending.paths.isDirect(state.target),
+                    load: this.loadSharing?.loads.get(state.target),
+                })
             ),
+            targetReports: this.loadSharing?.view,
             forwardedSends: this.sending.forwardedSends.size,
             handoff: this.handoff.view,
             takenConnections: this.handoffPort?.view ?? {},
@@ -347,6 +356,7 @@
             origins: this.origins,
             starts: this.starts,
             parts: this.parts,
+            sends: this.loadSharing?.sends,
             log: this.log,
             meter: this.metrics,
             random: Math.random,
@@ -373,6 +383,19 @@
         });
     }
 
+    private createLoadSharing(): LoadSharing | undefined {
+        const { intervalMs } = this.cfg.targetReports;
+        return intervalMs === 0 ? undefined : new LoadSharing({
+            hub: this.hub,
+            directory: this.directory,
+            port: new HttpReportPort(this.adapter.targetProtocol),
+            intervalMs,
+            isCutOff: () => this.roster.size > 1 && this.hub.peers().length === 0,
+            log: this.log,
+            count: (name, amount) => this.metrics.add(name, amount),
+        });
+    }
+
     private createOrigins(): FleetStreamOrigins {
         return new FleetStreamOrigins({
             hub: this.hub,
@@ -459,6 +482,8 @@
         this.budgets.serve();
         this.permits.serve();
         this.room.serve();
+        this.loadSharing?.serve();
+        void this.loadSharing?.run();
         this.sending.serve();
         this.origins.serve();
         this.directory.onChange(() => this.origins.shareMixed());
--- a/packages/relay/src/instance/relay-settings.ts
+++ b/packages/relay/src/instance/relay-settings.ts
@@ -54,6 +54,15 @@
             default: false,
         }),
     }, { additionalProperties: false, default: {} }),
+    targetReports: Type.Object({
+        intervalMs: Type.Integer({
+            description:
+                "Interval at which the load reports of targets are read for all instances, in milliseconds; grows with the fleet; 0 reads none.",
+            minimum: 0,
+            maximum: HOUR_MS,
+            default: 0,
+        }),
+    }, { additionalProperties: false, default: {} }),
     stopWithinS: Type.Number({ description: "Maximum time from a stop signal to the exit, in seconds.", minimum: 1 }),
     addressTtlS: Type.Number({ description: "Time for which callers may cache addresses, in seconds.", minimum: 0.1 }),
 }, { additionalProperties: false });
--- a/packages/relay/src/instance/relay-state.ts
+++ b/packages/relay/src/instance/relay-state.ts
@@ -2,6 +2,8 @@
 import type { InstanceInfo } from "@ospreyreel/types";
 import type { HandoffView } from "../handoff/connection-handoff.js";
 import type { TakenConnections } from "../handoff/handoff-port.js";
+import type { LoadSharingView } from "../load/load-sharing.js";
+import type { TargetLoad } from "../load/target-loads.js";
 import type { QuarantineView } from "../quarantine/part-quarantine.js";
 import type { TargetState } from "../targets/target-state.js";
 
@@ -23,6 +25,8 @@
     readonly pauseMs: number;
     /** Whether this instance sends to it itself, and not through peers. */
     readonly isDirect: boolean;
+    /** Its load over all instances; undefined where no report of it counts. */
+    readonly load: TargetLoad | undefined;
 }
 
 /** State dump of an instance, for operators. */
@@ -37,6 +41,8 @@
     readonly openRequests: number;
     readonly peers: readonly InstanceInfo[];
     readonly targets: readonly TargetView[];
+    /** Reading of the targets' reports; undefined where none are read. */
+    readonly targetReports: LoadSharingView | undefined;
     /** Ids of targets that are gone, which an older copy of the KV service may still announce. */
     readonly removedTargets: readonly string[];
     /** Budgets that this instance owns. */
@@ -59,7 +65,7 @@
 /** Returns a target's entry in the state dump. */
 export const getTargetView = (
     state: TargetState,
-    isDirect: boolean,
+    { isDirect, load }: Pick<TargetView, "isDirect" | "load">,
 ): TargetView => ({
     id: state.target.id,
     service: state.target.service,
@@ -72,4 +78,5 @@
     limitPerS: state.limit.perS,
     pauseMs: Math.round(state.getPauseMs(performance.now())),
     isDirect,
+    load,
 });
--- a/packages/relay/src/relay-attempts.ts
+++ b/packages/relay/src/relay-attempts.ts
@@ -1,5 +1,6 @@
 import type { ResponseHead } from "./caller-exchange.js";
 import { ByteCollector } from "./http/byte-collector.js";
+import type { ObservedSend } from "./load/send-observer.js";
 import { getQuarantineReason } from "./quarantine/watched-request.js";
 import type { LogFields } from "./relay-log.js";
 import type { RefusalReason, RelayRefusal } from "./relay-refusal.js";
@@ -63,6 +64,8 @@
     /** Monotonic time of the last send, in milliseconds. */
     private sentAtMs = 0;
     private mayHaveRun = false;
+    /** The send in progress or the last one, for what learns from sends. */
+    private observed: ObservedSend | undefined;
     /** Whether a repeat is acquired and not used. */
     private hasRepeat = false;
     /** Whether it has tried an ejected target. */
@@ -157,6 +160,7 @@
         this.tried.add(state.target.id);
         this.lastTarget = state.target.id;
         state.inFlight += 1;
+        this.observed = this.opts.sends?.begin(state.target, req);
         try {
             const startedAtMs = performance.now();
             this.sentAtMs = startedAtMs;
@@ -173,10 +177,12 @@
             });
             this.opts.meter.recordSend(outcome.kind, service);
             this.opts.permits.recordOutcome(state, outcome, startedAtMs);
+            this.observed?.recordOutcome(outcome);
             return await this.handleOutcome(state, outcome, performance.now() - startedAtMs);
         }
         finally {
             state.inFlight -= 1;
+            this.observed?.end();
             this.opts.permits.release(state);
         }
     }
@@ -275,8 +281,14 @@
         }
         const result = await this.stream.relay(head, body, {
             signal: clock.signal,
-            onFirstEvent: () => this.recordBegun(responding),
-            onEvents: () => this.recordOriginIfCertain(),
+            onFirstEvent: count => {
+                this.observed?.recordEvents(count);
+                this.recordBegun(responding);
+            },
+            onEvents: count => {
+                this.observed?.recordEvents(count);
+                this.recordOriginIfCertain();
+            },
         });
         if (result.kind === "complete") {
             state.health.recordResponse(false, firstByteMs);
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -6,6 +6,7 @@
 import type { DocumentHolder } from "./document/document-holder.js";
 import type { RequestTerms } from "./handoff/handed-off-connection.js";
 import type { SendPermits } from "./limits/send-permits.js";
+import type { SendObserver } from "./load/send-observer.js";
 import { type HeldMessage, MAX_RESPONSE_BYTES, MessageMemory } from "./message-memory.js";
 import type { OverloadGuard } from "./policy/overload-guard.js";
 import type { RequestUrgency } from "./policy/request-urgency.js";
@@ -62,6 +63,8 @@
     readonly starts: StartCheck;
     /** Keeps requests with a prompt part that crashes targets away from them. */
     readonly parts: PartGate;
+    /** Observes the sends to targets; undefined where nothing learns from them. */
+    readonly sends?: SendObserver | undefined;
     readonly log: RelayLog;
     readonly meter: RelayMeter;
     /** Returns a random number in [0, 1). */
--- a/packages/relay/src/stream/stream-relay.ts
+++ b/packages/relay/src/stream/stream-relay.ts
@@ -24,10 +24,10 @@
 export interface StreamPartOptions {
     /** Aborts waits for the caller. */
     readonly signal: AbortSignal;
-    /** Called when the first event of the whole answer has arrived, before the caller gets it. */
-    readonly onFirstEvent: () => void;
-    /** Called when further events have arrived, before the caller gets them. */
-    readonly onEvents: () => void;
+    /** Called with the number of events when the first of the whole answer have arrived, before the caller gets it. */
+    readonly onFirstEvent: (count: number) => void;
+    /** Called with the number of further events that have arrived, before the caller gets them. */
+    readonly onEvents: (count: number) => void;
 }
 
 const isEventStream = ({ headers }: ResponseHead): boolean =>
@@ -86,10 +86,10 @@
                     return { kind: "out_of_order" };
                 }
                 if (this.events > 0) {
-                    onEvents();
+                    onEvents(count);
                 }
                 else if (count > 0) {
-                    onFirstEvent();
+                    onFirstEvent(count);
                 }
                 this.events += count;
                 this.start(head);
--- a/packages/types/src/peer-requests.ts
+++ b/packages/types/src/peer-requests.ts
@@ -401,6 +401,18 @@
     }
     | { readonly kind: "refused"; readonly cause: string; };
 
+/** Loads of targets that one instance has read; sent often, so its fields are short. */
+export interface TargetLoadsMessage {
+    /** Digest of the incarnation that has read them. */
+    readonly by: number;
+    /** Monotonic time at that instance when it sent them, in whole milliseconds. */
+    readonly at: number;
+    /** Readings in the encoding of the relay. */
+    readonly of: Uint8Array;
+    /** Number of the group of instances to which the receiver passes them on, and of all groups; undefined where it does not. */
+    readonly to?: readonly [number, number];
+}
+
 /** Requests between instances by kind, with the types of request and response. */
 export interface PeerRequests {
     readonly "copy.open": { readonly req: CopyOpenRequest; readonly res: CopyResponse; };
@@ -450,6 +462,8 @@
         readonly req: { readonly targets: readonly string[]; };
         readonly res: Record<string, never>;
     };
+    /** Sends the loads of targets; the response is empty. */
+    readonly "targets.loads": { readonly req: TargetLoadsMessage; readonly res: Record<string, never>; };
     /** Requests one send to a target from the instance that keeps its limit. */
     readonly "limits.acquire": {
         readonly req: { readonly limit: TargetLimitSighting; };
