--- a/packages/relay/src/hedging/target-send.ts
+++ b/packages/relay/src/hedging/target-send.ts
@@ -1,4 +1,5 @@
 import type { SendPermits } from "../limits/send-permits.js";
+import type { ObservedSend } from "../load/send-observer.js";
 import type { TargetCall, TargetOutcome, TargetPort } from "../targets/target-port.js";
 import type { TargetState } from "../targets/target-state.js";
 
@@ -13,6 +14,8 @@
     readonly permits: SendPermits;
     /** Counts the send by its outcome. */
     readonly count: (outcome: string) => void;
+    /** Learns from the send; undefined where nothing does. */
+    readonly observed?: ObservedSend | undefined;
 }
 
 /** One send of a request to a target, from the acquired permit to its release. */
@@ -42,6 +45,11 @@
         return this.opts.state;
     }
 
+    /** What learns from the send; undefined where nothing does. */
+    get observed(): ObservedSend | undefined {
+        return this.opts.observed;
+    }
+
     /** Time from the send to the head of the response, or until now before that; in milliseconds. */
     get firstByteMs(): number {
         return (this.respondedAtMs ?? performance.now()) - this.startedAtMs;
@@ -63,6 +71,7 @@
             this.isReleased = true;
             signal.removeEventListener("abort", this.abort);
             state.inFlight -= 1;
+            this.observed?.end();
             permits.release(state);
         }
     }
@@ -80,6 +89,7 @@
             count(outcome.kind);
         }
         permits.recordOutcome(state, outcome, this.startedAtMs);
+        this.observed?.recordOutcome(outcome);
         return outcome;
     }
 }
--- a/packages/relay/src/instance/relay-instance.ts
+++ b/packages/relay/src/instance/relay-instance.ts
@@ -9,10 +9,12 @@
 import { HandoffPort } from "../handoff/handoff-port.js";
 import { SecondSends } from "../hedging/second-sends.js";
 import { HttpCallerPort } from "../http/http-caller-port.js";
+import { HttpReportPort } from "../http/http-report-port.js";
 import { StatusPort, type StatusPortResponse } from "../http/status-port.js";
 import { CombinedSendPermits } from "../limits/combined-send-permits.js";
 import { FleetRoom } from "../limits/fleet-room.js";
 import { FleetSendPermits } from "../limits/fleet-send-permits.js";
+import { LoadSharing } from "../load/load-sharing.js";
 import { UnknownTargetLoads } from "../load/target-loads.js";
 import { AffinityPlacement } from "../policy/affinity-placement.js";
 import { OverloadGuard } from "../policy/overload-guard.js";
@@ -101,6 +103,8 @@
     private readonly budgets: FleetBudgets;
     private readonly permits: FleetSendPermits;
     private readonly room: FleetRoom;
+    /** Undefined where no reports are read. */
+    private readonly loadSharing: LoadSharing | undefined;
     private readonly versions: VersionHistory;
     private readonly versionRecord: VersionRecord;
     private readonly origins: FleetStreamOrigins;
@@ -151,6 +155,7 @@
         });
         this.permits = this.createPermits();
         this.room = this.createRoom();
+        this.loadSharing = this.createLoadSharing();
         this.versions = new VersionHistory({ directory: this.directory, nowMs: () => performance.now() });
         this.origins = this.createOrigins();
         this.versionRecord = this.createVersionRecord();
@@ -222,8 +227,12 @@
             peers: this.hub.peers(),
             removedTargets: this.directory.removedIds,
             targets: this.directory.list().map(state =>
-                getTargetView(state, this.sending.paths.isDirect(state.target))
+                getTargetView(state, {
+                    isDirect: this.sending.paths.isDirect(state.target),
+                    load: this.loadSharing?.loads.get(state.target),
+                })
             ),
+            targetReports: this.loadSharing?.view,
             forwardedSends: this.sending.forwardedSends.size,
             handoff: this.handoff.view,
             takenConnections: this.handoffPort?.view ?? {},
@@ -354,6 +363,7 @@
             starts: this.starts,
             parts: this.parts,
             secondSends: this.secondSends,
+            sends: this.loadSharing?.sends,
             log: this.log,
             meter: this.metrics,
             random: Math.random,
@@ -366,7 +376,7 @@
             share,
             percentile,
             directory: this.directory,
-            loads: new UnknownTargetLoads(),
+            loads: this.loadSharing?.loads ?? new UnknownTargetLoads(),
             isInstanceReady: () => this.stopping === undefined && !this.overload.isRefusing,
             log: this.log,
             count: (name, amount) => this.metrics.add(name, amount),
@@ -393,6 +403,19 @@
         });
     }
 
+    private createLoadSharing(): LoadSharing | undefined {
+        const { intervalMs } = this.cfg.targetReports;
+        return intervalMs === 0 ? undefined : new LoadSharing({
+            hub: this.hub,
+            directory: this.directory,
+            port: new HttpReportPort(this.adapter.targetProtocol),
+            intervalMs,
+            isCutOff: () => this.roster.size > 1 && this.hub.peers().length === 0,
+            log: this.log,
+            count: (name, amount) => this.metrics.add(name, amount),
+        });
+    }
+
     private createOrigins(): FleetStreamOrigins {
         return new FleetStreamOrigins({
             hub: this.hub,
@@ -479,6 +502,8 @@
         this.budgets.serve();
         this.permits.serve();
         this.room.serve();
+        this.loadSharing?.serve();
+        void this.loadSharing?.run();
         this.sending.serve();
         this.origins.serve();
         this.directory.onChange(() => this.origins.shareMixed());
--- a/packages/relay/src/relay-attempts.ts
+++ b/packages/relay/src/relay-attempts.ts
@@ -193,12 +193,16 @@
         }
         const result = await this.stream.relay(head, body, {
             signal: clock.signal,
-            onFirstEvent: () => {
+            onFirstEvent: count => {
+                send.observed?.recordEvents(count);
                 this.opts.parts.recordBegun(watched);
                 this.beginning.recordBegun(responding);
                 this.hedged.recordFirstByte(send);
             },
-            onEvents: () => this.beginning.recordIfCertain(),
+            onEvents: count => {
+                send.observed?.recordEvents(count);
+                this.beginning.recordIfCertain();
+            },
         });
         if (result.kind === "complete") {
             state.health.recordResponse(false, send.firstByteMs);
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -7,6 +7,7 @@
 import type { RequestTerms } from "./handoff/handed-off-connection.js";
 import type { SecondSends } from "./hedging/second-sends.js";
 import type { SendPermits } from "./limits/send-permits.js";
+import type { SendObserver } from "./load/send-observer.js";
 import { type HeldMessage, MAX_RESPONSE_BYTES, MessageMemory } from "./message-memory.js";
 import type { OverloadGuard } from "./policy/overload-guard.js";
 import type { RequestUrgency } from "./policy/request-urgency.js";
@@ -65,6 +66,8 @@
     readonly parts: PartGate;
     /** Makes second sends of slow requests; undefined where they are off. */
     readonly secondSends?: SecondSends | undefined;
+    /** Observes the sends to targets; undefined where nothing learns from them. */
+    readonly sends?: SendObserver | undefined;
     readonly log: RelayLog;
     readonly meter: RelayMeter;
     /** Returns a random number in [0, 1). */
--- a/packages/relay/src/request-sends.ts
+++ b/packages/relay/src/request-sends.ts
@@ -93,7 +93,7 @@
 
     /** Sends the request to a target for which a permit is acquired. */
     open(state: TargetState): TargetSend {
-        const { port, permits, meter, secondSends } = this.opts.relay;
+        const { port, permits, meter, secondSends, sends } = this.opts.relay;
         const { req, admission: { team, service }, clock, isRepeatable } = this.opts.request;
         this.triedIds.add(state.target.id);
         secondSends?.getPolicy(service).recordSend();
@@ -111,6 +111,7 @@
             port,
             permits,
             count: outcome => meter.recordSend(outcome, service),
+            observed: sends?.begin(state.target, req),
         });
     }
 
