Send nothing to targets of evacuated zones

Operators could not empty an availability zone: instances read only op/config under op/. They now follow op/evacuate/ZONE too, and send nothing new to targets of such a zone: the selector leaves them out, and a request that waited for a connection is checked once more, also where it is sent for a peer.

--- a/packages/bench/src/platform/platform-fleet.ts
+++ b/packages/bench/src/platform/platform-fleet.ts
@@ -74,6 +74,8 @@
     >;
     /** Software versions of the model targets, which then name them in their events; all the same by default. */
     readonly modelVersions?: readonly string[];
+    /** Availability zones of the model targets; all in the same one by default. */
+    readonly modelZones?: readonly string[];
     /** Time from SIGTERM to the end of an instance, in seconds; {@link STOP_WITHIN_S} by default. */
     readonly stopWithinS?: number;
     /** Time for which callers may keep addresses, in seconds; half a second by default. */
@@ -185,7 +187,7 @@
     private onLine: PlatformFleetOptions["onLine"];
 
     private constructor(opts: PlatformFleetOptions) {
-        const { plainCount = 1, plains = {}, models = {}, modelVersions = [] } = opts;
+        const { plainCount = 1, plains = {}, models = {}, modelVersions = [], modelZones = [] } = opts;
         const { modelCount = Math.max(DEFAULT_MODEL_COUNT, modelVersions.length) } = opts;
         this.plains = [...Array(plainCount).keys()].map(at =>
             new PlatformTargetStandIn({ id: `plain-${at + 1}`, service: "plain", ...plains })
@@ -197,6 +199,7 @@
                 events: MODEL_EVENTS,
                 stepMs: 5,
                 ...getVersion(modelVersions[at]),
+                ...getZone(modelZones[at]),
                 ...models,
             })
         );
@@ -488,6 +491,8 @@
 const getVersion = (version: string | undefined): Pick<PlatformTargetOptions, "version"> =>
     version === undefined ? {} : { version };
 
+const getZone = (zone: string | undefined): Pick<PlatformTargetOptions, "zone"> => zone === undefined ? {} : { zone };
+
 /** Parses HOST:PORT. */
 export const toAddress = (text: string): Address => {
     const [host = "", port = ""] = text.split(":");
--- a/packages/kv/src/kv-event.ts
+++ b/packages/kv/src/kv-event.ts
@@ -6,5 +6,10 @@
  */
 export type KvEvent =
     | { readonly kind: "put"; readonly entry: KvEntry; }
-    | { readonly kind: "delete"; readonly key: string; }
+    | {
+        readonly kind: "delete";
+        readonly key: string;
+        /** Revision of the service at the removal; undefined where the client does not tell it. */
+        readonly revision?: number;
+    }
     | { readonly kind: "resync"; readonly entries?: readonly KvEntry[]; };
--- a/packages/relay/src/document/document-codec.ts
+++ b/packages/relay/src/document/document-codec.ts
@@ -8,6 +8,9 @@
     /** Whether a key holds the state. */
     abstract isDocumentKey(key: string): boolean;
 
+    /** Availability zone to whose targets nothing is to be sent while a key exists; undefined where the key asks for no such thing. */
+    abstract getEvacuatedZone(key: string): string | undefined;
+
     /** Decodes a state; undefined where the bytes hold none. */
     abstract decode(bytes: Uint8Array): RelayDocument | undefined;
 }
--- a/packages/relay/src/document/document-follower.test.ts
+++ b/packages/relay/src/document/document-follower.test.ts
@@ -22,6 +22,10 @@
         return key === "op/document";
     }
 
+    override getEvacuatedZone(): string | undefined {
+        return undefined;
+    }
+
     override decode(bytes: Uint8Array): RelayDocument | undefined {
         const { version } = JSON.parse(Buffer.from(bytes).toString()) as { readonly version: number; };
         return createDocument({ version });
--- a/packages/relay/src/document/document-follower.ts
+++ b/packages/relay/src/document/document-follower.ts
@@ -2,6 +2,7 @@
 import { orderByCores, type PeerHub } from "@ospreyreel/peer";
 import type { InstanceInfo, PeerRequests } from "@ospreyreel/types";
 import { setTimeout as sleep } from "node:timers/promises";
+import type { EvacuationFollower } from "../evacuation/evacuation-follower.js";
 import type { RelayLog } from "../relay-log.js";
 import { deflateValue, inflateValue } from "../watch/deflated-value.js";
 import type { DocumentCodec } from "./document-codec.js";
@@ -14,6 +15,8 @@
     readonly hub: PeerHub;
     readonly codec: DocumentCodec;
     readonly holder: DocumentHolder;
+    /** Gets the events of the watch too, since the prefix also has the evacuations; none by default. */
+    readonly evacuations?: Pick<EvacuationFollower, "handle">;
     readonly log: RelayLog;
 }
 
@@ -45,9 +48,10 @@
 
     /** Starts following, until the process ends. */
     start(): void {
-        const { watch, hub, codec, holder } = this.opts;
+        const { watch, hub, codec, holder, evacuations } = this.opts;
         hub.handle("relay.document", req => Promise.resolve(encodeDocument(holder.encoded, req.acceptsDeflate)));
         void watch(codec.prefix).observe(event => {
+            evacuations?.handle(event);
             switch (event.kind) {
                 case "put":
                     this.applyEntry(event.entry);
--- a/packages/relay/src/instance/relay-instance.ts
+++ b/packages/relay/src/instance/relay-instance.ts
@@ -5,6 +5,8 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { DocumentFollower } from "../document/document-follower.js";
 import { DocumentHolder } from "../document/document-holder.js";
+import { EvacuatedZones } from "../evacuation/evacuated-zones.js";
+import { EvacuationFollower } from "../evacuation/evacuation-follower.js";
 import { ConnectionHandoff } from "../handoff/connection-handoff.js";
 import { HandoffPort } from "../handoff/handoff-port.js";
 import { HttpCallerPort } from "../http/http-caller-port.js";
@@ -81,6 +83,7 @@
     private readonly documents = new DocumentHolder();
     private readonly directory = new TargetDirectory();
     private readonly health = new KvHealth();
+    private readonly evacuated = new EvacuatedZones({ log: this.log, count: name => this.metrics.add(name) });
     private readonly freshness = new ViewFreshness({ log: this.log });
     private readonly overload = new OverloadGuard({ nowMs: () => performance.now(), random: Math.random });
     private readonly delays: InputDelayMeter;
@@ -227,6 +230,7 @@
             versions: this.versions.services.map(service => ({ service, versions: this.versions.list(service) })),
             brittleServices: this.room.brittleServices,
             knownStreams: this.origins.size,
+            evacuatedZones: this.evacuated.list(),
         };
     }
 
@@ -261,7 +265,8 @@
     }
 
     private get isReady(): boolean {
-        return this.stopping === undefined && this.documents.current() !== undefined && this.follower.isSynced;
+        return this.stopping === undefined && this.documents.current() !== undefined && this.follower.isSynced
+            && this.evacuated.isSynced;
     }
 
     private createStartCheck(kv: KvClient): AnnouncedStartCheck {
@@ -295,6 +300,7 @@
             directory: this.directory,
             onLeaving: target => this.follower.recordLeaving(target.id),
             isAccepting: () => this.stopping === undefined && !this.overload.isRefusing,
+            isSendAllowed: target => !this.evacuated.blocks(target) && !this.freshness.isOutdated,
             getConnectionLimit: service => this.shares.getConnectionLimit(service),
             log: this.log,
             count: name => this.metrics.add(name),
@@ -336,6 +342,7 @@
                 availabilityZone: this.cfg.availabilityZone,
                 getConnectionLimit: service => this.shares.getConnectionLimit(service),
                 isSettled: (service, version) => this.versions.isSettled(service, version),
+                isEvacuated: target => this.evacuated.blocks(target),
             }),
             port: this.sending.port,
             urgency: this.cfg.urgency.isEnabled ? new PriorityUrgency() : new EqualUrgency(),
@@ -441,7 +448,17 @@
             this.metrics.add("kv_restores");
             log.write("KV service came back from an older copy", { era });
         });
+        const evacuations = new EvacuationFollower({
+            zones: this.evacuated,
+            codec: this.adapter.documentCodec,
+            hub,
+            health: this.health,
+            history: this.kv.history,
+            log,
+        });
+        evacuations.start();
         new DocumentFollower({
+            evacuations,
             watch: this.watch,
             hub,
             codec: this.adapter.documentCodec,
--- a/packages/relay/src/instance/relay-state.ts
+++ b/packages/relay/src/instance/relay-state.ts
@@ -54,6 +54,8 @@
     readonly brittleServices: readonly string[];
     /** Number of streams whose origins are kept here. */
     readonly knownStreams: number;
+    /** Availability zones to whose targets nothing is sent. */
+    readonly evacuatedZones: readonly string[];
 }
 
 /** Returns a target's entry in the state dump. */
--- a/packages/relay/src/instance/target-sending.ts
+++ b/packages/relay/src/instance/target-sending.ts
@@ -20,6 +20,8 @@
     readonly isAccepting: () => boolean;
     /** Maximum number of this instance's connections to one target of a service. */
     readonly getConnectionLimit: (service: string) => number;
+    /** Whether anything may be sent to a target for a peer at the moment; always by default. */
+    readonly isSendAllowed?: (target: Target) => boolean;
     readonly log: RelayLog;
     /** Adds one to a counter. */
     readonly count: (name: string) => void;
--- a/packages/relay/src/paths/forwarded-sends.ts
+++ b/packages/relay/src/paths/forwarded-sends.ts
@@ -6,6 +6,7 @@
 import type { TargetNoteRecorder } from "../targets/target-note-recorder.js";
 import type { TargetOutcome, TargetPort } from "../targets/target-port.js";
 import type { TargetState } from "../targets/target-state.js";
+import type { Target } from "../targets/target.js";
 import type { TargetPaths } from "./target-paths.js";
 
 /** Options of {@link ForwardedSends}. */
@@ -20,6 +21,8 @@
     readonly isAccepting: () => boolean;
     /** Maximum number of this instance's connections to one target of a service. */
     readonly getConnectionLimit: (service: string) => number;
+    /** Whether anything may be sent to a target at the moment; always by default. */
+    readonly isSendAllowed?: (target: Target) => boolean;
     readonly log: RelayLog;
     /** Adds one to a counter. */
     readonly count: (name: string) => void;
@@ -101,7 +104,7 @@
             afterEvent: req.afterEvent,
             isRepeatable: req.isRepeatable,
             signal: controller.signal,
-            mayStart: () => state.isAccepting(performance.now()),
+            mayStart: () => this.mayStart(state),
         });
         this.opts.notes.record(state.target, outcome);
         if (outcome.kind === "answer") {
@@ -113,10 +116,14 @@
         return toHead(outcome);
     }
 
+    private mayStart(state: TargetState): boolean {
+        return state.isAccepting(performance.now()) && this.opts.isSendAllowed?.(state.target) !== false;
+    }
+
     private getRefusal(state: TargetState | undefined): string | undefined {
         const { paths, isAccepting, getConnectionLimit } = this.opts;
-        if (state?.isAccepting(performance.now()) !== true) {
-            return "the target is not known here, leaves, or wants nothing from the peer";
+        if (state === undefined || !this.mayStart(state)) {
+            return "the target is not known here, leaves, is evacuated, or wants nothing from the peer";
         }
         if (!paths.isDirect(state.target)) {
             return "the peer is disconnected from the target as well";
--- a/packages/relay/src/paths/forwarding-target-port.test.ts
+++ b/packages/relay/src/paths/forwarding-target-port.test.ts
@@ -313,3 +313,11 @@
     }
     t.true(state?.health.isUsable(performance.now()));
 });
+
+test("a peer that knows of the evacuation of a target's zone sends nothing there for an instance that does not", async t => {
+    const { fleet, cut, second, third } = start();
+    second.isEvacuated = true;
+    third.isEvacuated = true;
+    t.is((await fleet.send(cut)).outcome.kind, "not_sent");
+    t.is(countCalls(fleet.members), 0);
+});
--- a/packages/relay/src/relay-attempts.ts
+++ b/packages/relay/src/relay-attempts.ts
@@ -169,7 +169,7 @@
                 afterEvent: this.stream.lastEventId,
                 isRepeatable: this.request.isRepeatable,
                 signal: clock.signal,
-                mayStart: () => state.isAccepting(performance.now()),
+                mayStart: () => this.mayStart(state),
             });
             this.opts.meter.recordSend(outcome.kind, service);
             this.opts.permits.recordOutcome(state, outcome, startedAtMs);
@@ -181,6 +181,11 @@
         }
     }
 
+    /** Whether a request that waited for a connection may be sent; the process may have been paused in the meantime. */
+    private mayStart(state: TargetState): boolean {
+        return this.opts.selector.mayStart(state) && !this.opts.freshness.isOutdated;
+    }
+
     private getUrgency(): number | undefined {
         const { req, admission: { route, service, priority } } = this.request;
         return this.opts.urgency.getUrgency({
@@ -202,7 +207,7 @@
     private async handleOutcome(state: TargetState, outcome: TargetOutcome, firstByteMs: number): Promise<Step> {
         switch (outcome.kind) {
             case "not_sent":
-                if (this.request.clock.endReason === undefined && state.isAccepting(performance.now())) {
+                if (this.request.clock.endReason === undefined && this.mayStart(state)) {
                     state.health.recordUnreachable(performance.now(), this.sentAtMs);
                 }
                 this.logSend(state, outcome.kind, outcome.cause);
--- a/packages/relay/src/targets/target-selector.test.ts
+++ b/packages/relay/src/targets/target-selector.test.ts
@@ -11,6 +11,7 @@
 /** A service with one target of a version that is known everywhere, and one of a new version. */
 const createSelector = () => {
     const clock = { nowMs: 0 };
+    const evacuated = new Set<string>();
     const directory = new TargetDirectory();
     directory.put(createVersion("old", "v1"));
     directory.put(createVersion("new", "v2"));
@@ -20,6 +21,7 @@
         availabilityZone: "zone-a",
         getConnectionLimit: () => 100,
         isSettled: (_service, version) => version === "v1",
+        isEvacuated: ({ id }) => evacuated.has(id),
         now: () => clock.nowMs,
     });
     const select = (
@@ -31,7 +33,7 @@
         const limits = { tried: new Set(tried), begun, mayTry };
         return selector.select(createRequest({ id: "a" }), route, "service-1", limits)?.target.id;
     };
-    return { directory, select, clock };
+    return { directory, selector, select, clock, evacuated };
 };
 
 test("a stream that may be resumed does not begin at a version that other instances may not know yet", t => {
@@ -77,3 +79,30 @@
     health?.recordRejection();
     t.is(select(RESUMABLE, ["new"], undefined, false), "old");
 });
+
+test("a target in an evacuated zone gets nothing: no request, no trial, no rest of a stream and none that waits for a connection", t => {
+    const { directory, selector, select, evacuated, clock } = createSelector();
+    const old = directory.findStart("old@1");
+    if (old === undefined) {
+        t.fail("no target");
+        return;
+    }
+    t.true(selector.mayStart(old));
+    evacuated.add("old");
+    t.false(selector.mayStart(old));
+    t.is(select(), "new");
+    t.is(select(RESUMABLE, [], { version: "v1" }), undefined);
+    t.is(select(RESUMABLE, ["new"]), undefined);
+    old.health.recordUnreachable(0, 0);
+    clock.nowMs = 600;
+    t.is(select(RESUMABLE, ["new"]), undefined);
+});
+
+test("a service whose targets are all in evacuated zones has no target, and no time after which it will", t => {
+    const { directory, selector, select, evacuated, clock } = createSelector();
+    ["old", "new"].forEach(id => evacuated.add(id));
+    directory.findStart("old@1")?.limit.block(clock.nowMs + 100);
+    t.is(select(), undefined);
+    t.false(selector.hasTarget("service-1"));
+    t.is(selector.getWaitMs("service-1", { tried: new Set(), begun: undefined }), undefined);
+});
--- a/packages/relay/src/targets/target-selector.ts
+++ b/packages/relay/src/targets/target-selector.ts
@@ -3,6 +3,7 @@
 import type { RelayRequest } from "../relay-request.js";
 import type { TargetDirectory } from "./target-directory.js";
 import type { TargetState } from "./target-state.js";
+import type { Target } from "./target.js";
 
 /** Options of {@link TargetSelector}. */
 export interface TargetSelectorOptions {
@@ -13,6 +14,8 @@
     readonly getConnectionLimit: (service: string) => number;
     /** Whether streams may begin at a version of a service; at each by default. */
     readonly isSettled?: (service: string, version: string | undefined) => boolean;
+    /** Whether nothing may be sent to a target, since its availability zone is evacuated; none is by default. */
+    readonly isEvacuated?: (target: Target) => boolean;
     /** Monotonic clock, in milliseconds. */
     readonly now?: () => number;
 }
@@ -73,7 +76,8 @@
         const limit = this.opts.getConnectionLimit(service);
         const allowed = states.map((state, index) => ({ state, index }))
             .filter(({ state }) =>
-                !tried.has(state.target.id) && state.inFlight < limit && state.health.isUsable(nowMs)
+                !tried.has(state.target.id) && !this.isEvacuated(state) && state.inFlight < limit
+                && state.health.isUsable(nowMs)
                 && state.getWaitMs(nowMs) === 0 && canContinue(state, begun) && (mayTry || !state.health.isOnTrial)
             );
         const notFull = allowed.filter(({ state }) => !state.health.isFull(nowMs));
@@ -101,7 +105,16 @@
         const nowMs = this.now();
         const limit = this.opts.getConnectionLimit(service);
         return this.opts.directory.getServing(service).states
-            .some(state => state.health.isUsable(nowMs) && state.inFlight < limit);
+            .some(state => !this.isEvacuated(state) && state.health.isUsable(nowMs) && state.inFlight < limit);
+    }
+
+    /** Whether a selected target may still get its request, which waited for a connection. */
+    mayStart(state: TargetState): boolean {
+        return state.isAccepting(this.now()) && !this.isEvacuated(state);
+    }
+
+    private isEvacuated({ target }: TargetState): boolean {
+        return this.opts.isEvacuated?.(target) === true;
     }
 
     /** Lets streams that may be resumed begin at versions that are known everywhere, where there is such a target. */
@@ -124,7 +137,10 @@
     getWaitMs(service: string, { tried, begun }: Omit<SelectionLimits, "mayTry">): number | undefined {
         const nowMs = this.now();
         const waits = this.opts.directory.getServing(service).states
-            .filter(state => !tried.has(state.target.id) && state.health.isUsable(nowMs) && canContinue(state, begun))
+            .filter(state =>
+                !tried.has(state.target.id) && !this.isEvacuated(state) && state.health.isUsable(nowMs)
+                && canContinue(state, begun)
+            )
             .map(state => state.getWaitMs(nowMs))
             .filter(waitMs => waitMs > 0);
         return waits.length === 0 ? undefined : Math.min(...waits);
--- a/packages/types/src/peer-requests.ts
+++ b/packages/types/src/peer-requests.ts
@@ -450,6 +450,11 @@
         readonly req: { readonly targets: readonly string[]; };
         readonly res: Record<string, never>;
     };
+    /** Asks which availability zones are evacuated, for an instance that does not reach the KV service. */
+    readonly "zones.evacuated": {
+        readonly req: Record<string, never>;
+        readonly res: { readonly zones: readonly string[]; };
+    };
     /** Requests one send to a target from the instance that keeps its limit. */
     readonly "limits.acquire": {
         readonly req: { readonly limit: TargetLimitSighting; };
