--- a/packages/relay/src/hedging/target-send.ts
+++ b/packages/relay/src/hedging/target-send.ts
@@ -14,6 +14,8 @@
     readonly permits: SendPermits;
     /** Counts the send by its outcome. */
     readonly count: (outcome: string) => void;
+    /** Whether the request may be sent, asked again once a connection is open. */
+    readonly mayStart: () => boolean;
     /** Learns from the send; undefined where nothing does. */
     readonly observed?: ObservedSend | undefined;
 }
@@ -77,12 +79,12 @@
     }
 
     private async send(): Promise<TargetOutcome> {
-        const { state, call, port, permits, count } = this.opts;
+        const { state, call, port, permits, count, mayStart } = this.opts;
         const outcome = await port.send({
             ...call,
             target: state.target,
             signal: this.controller.signal,
-            mayStart: () => !this.isCancelled && state.isAccepting(performance.now()),
+            mayStart: () => !this.isCancelled && mayStart(),
         });
         this.respondedAtMs = performance.now();
         if (!this.isCancelled) {
--- a/packages/relay/src/instance/relay-state.ts
+++ b/packages/relay/src/instance/relay-state.ts
@@ -63,6 +63,8 @@
     readonly secondSends: SecondSends["view"];
     /** Number of streams whose origins are kept here. */
     readonly knownStreams: number;
+    /** Availability zones to whose targets nothing is sent. */
+    readonly evacuatedZones: readonly string[];
 }
 
 /** Returns a target's entry in the state dump. */
--- a/packages/relay/src/request-sends.ts
+++ b/packages/relay/src/request-sends.ts
@@ -111,6 +111,7 @@
             port,
             permits,
             count: outcome => meter.recordSend(outcome, service),
+            mayStart: () => this.mayStart(state),
             observed: sends?.begin(state.target, req),
         });
     }
@@ -120,7 +121,7 @@
         const nowMs = performance.now();
         switch (outcome.kind) {
             case "not_sent":
-                if (this.opts.request.clock.endReason === undefined && state.isAccepting(nowMs)) {
+                if (this.opts.request.clock.endReason === undefined && this.mayStart(state)) {
                     state.health.recordUnreachable(nowMs, startedAtMs);
                 }
                 this.log(state, outcome.kind, outcome.cause);
@@ -185,6 +186,12 @@
         return await parts.recordLoss(request.watched, state.target, loss);
     }
 
+    /** Whether a request that waited for a connection may be sent; the process may have been paused in the meantime. */
+    private mayStart(state: TargetState): boolean {
+        const { selector, freshness } = this.opts.relay;
+        return selector.mayStart(state) && !freshness.isOutdated;
+    }
+
     private getUrgency(): number | undefined {
         const { relay: { urgency, documents }, request, beginning } = this.opts;
         const { req, admission: { route, service, priority } } = request;
