--- a/packages/relay/src/relay.test.ts
+++ b/packages/relay/src/relay.test.ts
@@ -143,8 +143,7 @@
 ) => {
     const { budgets = new OpenBudgetGate(), parts = new OpenPartGate(), origins = new SingleVersionOrigins("v1") } =
         opts;
-    const { starts = new KnownStarts() } = opts;
-    const { versions = ["v1", "v1", "v1"] } = opts;
+    const { starts = new KnownStarts(), versions = ["v1", "v1", "v1"] } = opts;
     const { disconnectsAfterMs, overloadedForS, viewIsOutdated = false, stop, laterEventTokens } = opts;
     const documents = new DocumentHolder();
     const teams = [{ name: "team-1", keys: ["key-1"], priority: undefined, prepaidTokens: 1_000 }];
