Select targets by their loads over all instances

An instance sees one request in 73 to 87, so that the load bound of affinity never takes effect, the least loaded target is close to random, and all instances of a zone begin with the same target. With placement.usesReports, targets are selected by the shared reports: free slots before queues, memory, measured speed, the nearer zone and an idle connection, with a cost that does not grow with the number of targets beyond hashing. Off by default; without reports targets are selected as before. The directory keeps the scores of a service while its targets are the same, since targets repeat their announcements.

--- a/packages/relay/src/http/http-target-port.test.ts
+++ b/packages/relay/src/http/http-target-port.test.ts
@@ -151,3 +151,16 @@
         t.is((await port.send(createCall({ ...target, ...change }))).kind, "not_sent");
     }
 });
+
+test("an idle connection is told for the requests that may use it, and not while it is in use", async t => {
+    const { port, target } = await open(t, socket => socket.write(`${HEAD}Content-Length: 5\r\n\r\nwhole`));
+    t.false(port.hasIdleConnection(target, true));
+    const outcome = await port.send(createCall(target));
+    await readBody(outcome);
+    await sleep(20);
+    t.true(port.hasIdleConnection(target, true));
+    t.false(port.hasIdleConnection(target, false));
+    const sending = port.send(createCall(target));
+    t.false(port.hasIdleConnection(target, true));
+    await readBody(await sending);
+});
--- a/packages/relay/src/http/http-target-port.ts
+++ b/packages/relay/src/http/http-target-port.ts
@@ -70,6 +70,11 @@
         });
     }
 
+    override hasIdleConnection(target: Target, isRepeatable: boolean): boolean {
+        const pools = this.pools.get(getTargetKey(target));
+        return pools !== undefined && (isRepeatable ? pools.repeatable : pools.singleRun).stats.free > 0;
+    }
+
     override keepOnly(targets: readonly Target[]): void {
         const kept = new Set(targets.map(getTargetKey));
         for (const [key, { repeatable, singleRun }] of this.pools) {
--- a/packages/relay/src/instance/relay-instance.ts
+++ b/packages/relay/src/instance/relay-instance.ts
@@ -44,6 +44,7 @@
 import { RelayMetrics } from "./relay-metrics.js";
 import type { RelaySettings } from "./relay-settings.js";
 import { getTargetView, type RelayState } from "./relay-state.js";
+import { ReportPlacing } from "./report-placing.js";
 import { ResponsibleInstances } from "./responsible-instances.js";
 import { startOverloadWatch } from "./start-overload-watch.js";
 import { TargetSending } from "./target-sending.js";
@@ -103,6 +104,8 @@
     private readonly room: FleetRoom;
     /** Undefined where no reports are read. */
     private readonly loadSharing: LoadSharing | undefined;
+    /** Undefined where targets are not selected by reports. */
+    private readonly reportPlacing: ReportPlacing | undefined;
     private readonly versions: VersionHistory;
     private readonly versionRecord: VersionRecord;
     private readonly origins: FleetStreamOrigins;
@@ -152,6 +155,7 @@
         this.permits = this.createPermits();
         this.room = this.createRoom();
         this.loadSharing = this.createLoadSharing();
+        this.reportPlacing = this.createReportPlacing();
         this.versions = new VersionHistory({ directory: this.directory, nowMs: () => performance.now() });
         this.origins = this.createOrigins();
         this.versionRecord = this.createVersionRecord();
@@ -228,6 +232,7 @@
                 })
             ),
             targetReports: this.loadSharing?.view,
+            placementByReports: this.reportPlacing?.selector.view ?? [],
             forwardedSends: this.sending.forwardedSends.size,
             handoff: this.handoff.view,
             takenConnections: this.handoffPort?.view ?? {},
@@ -345,6 +350,7 @@
                 availabilityZone: this.cfg.availabilityZone,
                 getConnectionLimit: service => this.shares.getConnectionLimit(service),
                 isSettled: (service, version) => this.versions.isSettled(service, version),
+                reports: this.reportPlacing?.selector,
             }),
             port: this.sending.port,
             urgency: this.cfg.urgency.isEnabled ? new PriorityUrgency() : new EqualUrgency(),
@@ -356,7 +362,7 @@
             origins: this.origins,
             starts: this.starts,
             parts: this.parts,
-            sends: this.loadSharing?.sends,
+            sends: this.reportPlacing?.sends ?? this.loadSharing?.sends,
             log: this.log,
             meter: this.metrics,
             random: Math.random,
@@ -396,6 +402,18 @@
         });
     }
 
+    private createReportPlacing(): ReportPlacing | undefined {
+        const { loadSharing: sharing, cfg } = this;
+        return sharing === undefined || !cfg.placement.usesReports ? undefined : new ReportPlacing({
+            sharing,
+            hasIdleConnection: (target, mayRepeat) => this.sending.port.hasIdleConnection(target, mayRepeat),
+            getInstances: () => this.roster.size,
+            availabilityZone: cfg.availabilityZone,
+            log: this.log,
+            count: name => this.metrics.add(name),
+        });
+    }
+
     private createOrigins(): FleetStreamOrigins {
         return new FleetStreamOrigins({
             hub: this.hub,
--- a/packages/relay/src/instance/relay-settings.ts
+++ b/packages/relay/src/instance/relay-settings.ts
@@ -63,6 +63,12 @@
             default: 0,
         }),
     }, { additionalProperties: false, default: {} }),
+    placement: Type.Object({
+        usesReports: Type.Boolean({
+            description: "Whether targets are selected by their loads over all instances; needs `targetReports`.",
+            default: false,
+        }),
+    }, { additionalProperties: false, default: {} }),
     stopWithinS: Type.Number({ description: "Maximum time from a stop signal to the exit, in seconds.", minimum: 1 }),
     addressTtlS: Type.Number({ description: "Time for which callers may cache addresses, in seconds.", minimum: 0.1 }),
 }, { additionalProperties: false });
--- a/packages/relay/src/instance/relay-state.ts
+++ b/packages/relay/src/instance/relay-state.ts
@@ -5,6 +5,7 @@
 import type { LoadSharingView } from "../load/load-sharing.js";
 import type { TargetLoad } from "../load/target-loads.js";
 import type { QuarantineView } from "../quarantine/part-quarantine.js";
+import type { ServicePlacementView } from "../targets/report-selector.js";
 import type { TargetState } from "../targets/target-state.js";
 
 /** One target in the state dump. */
@@ -43,6 +44,8 @@
     readonly targets: readonly TargetView[];
     /** Reading of the targets' reports; undefined where none are read. */
     readonly targetReports: LoadSharingView | undefined;
+    /** Services whose targets are selected by reports. */
+    readonly placementByReports: readonly ServicePlacementView[];
     /** Ids of targets that are gone, which an older copy of the KV service may still announce. */
     readonly removedTargets: readonly string[];
     /** Budgets that this instance owns. */
--- a/packages/relay/src/load/fleet-target-loads.ts
+++ b/packages/relay/src/load/fleet-target-loads.ts
@@ -22,6 +22,9 @@
 /** Latest age up to which a report may have its full weight, in milliseconds, however long the interval is. */
 const MAX_FULL_WEIGHT_MS = 2_500;
 
+/** Longest time for which a load is expected to grow on as it did, in milliseconds. */
+const MAX_GROWTH_MS = 1_000;
+
 /** Time for which a target without reports counts as full after a rejection, in milliseconds. */
 const FULL_MS = 500;
 
@@ -43,8 +46,9 @@
             return this.getRejected(target);
         }
         const own = sends.getChangeSince(target, known.atMs);
-        const others = Math.max(0, known.requestsPerMs) * ageMs;
-        const otherTokens = Math.max(0, known.tokensPerMs) * ageMs;
+        const growthMs = Math.min(ageMs, MAX_GROWTH_MS);
+        const others = Math.max(0, known.requestsPerMs) * growthMs;
+        const otherTokens = Math.max(0, known.tokensPerMs) * growthMs;
         const total = Math.max(0, known.running + known.queued + own.requests + others);
         // Requests that wait although slots are free wait for memory.
         const running = Math.min(total, known.queued > 0 ? known.running : Math.max(known.running, target.slots));
@@ -72,6 +76,7 @@
             capacityTokens: 0,
             ageMs,
             weight: 1 - ageMs / FULL_MS,
+            isOwnEstimate: true,
         };
     }
 }
--- a/packages/relay/src/load/load-table.ts
+++ b/packages/relay/src/load/load-table.ts
@@ -20,7 +20,7 @@
 }
 
 /** Weight of the newest difference of two reports in the mean growth. */
-const NEWEST_WEIGHT = 0.3;
+const NEWEST_WEIGHT = 0.2;
 
 /** Shortest time between two reports from which a growth is computed, in milliseconds. */
 const MIN_STEP_MS = 50;
--- a/packages/relay/src/load/target-loads.ts
+++ b/packages/relay/src/load/target-loads.ts
@@ -14,6 +14,8 @@
     readonly ageMs: number;
     /** How far the numbers can be relied on: 1 for a fresh report, 0 for one that is too old to count. */
     readonly weight: number;
+    /** Set where no report is behind the numbers, but only a rejection of a request of this instance. */
+    readonly isOwnEstimate?: boolean;
 }
 
 /** Tells the load of targets over all instances. */
--- a/packages/relay/src/paths/forwarding-target-port.ts
+++ b/packages/relay/src/paths/forwarding-target-port.ts
@@ -57,6 +57,10 @@
         this.opts.direct.keepOnly(targets);
     }
 
+    override hasIdleConnection(target: Target, isRepeatable: boolean): boolean {
+        return this.opts.direct.hasIdleConnection(target, isRepeatable);
+    }
+
     override async close(): Promise<void> {
         await this.opts.direct.close();
     }
--- a/packages/relay/src/targets/target-directory.ts
+++ b/packages/relay/src/targets/target-directory.ts
@@ -120,12 +120,17 @@
                 group.push(state);
             }
         }
-        this.byService = new Map(
-            [...groups].map(([service, states]) => [service, {
-                states,
-                scores: new NameScores(states.map(state => state.target.id)),
-            }]),
-        );
+        const before = this.byService;
+        this.byService = new Map([...groups].map(([service, states]) => {
+            const known = before.get(service);
+            // Targets repeat their announcements, and hashing all names each time would cost more than the placements.
+            const isSame = known?.states.length === states.length
+                && states.every((state, index) => state === known.states[index]);
+            return [
+                service,
+                isSame ? known : { states, scores: new NameScores(states.map(state => state.target.id)) },
+            ];
+        }));
         this.listeners.forEach(listener => listener());
     }
 }
--- a/packages/relay/src/targets/target-port.ts
+++ b/packages/relay/src/targets/target-port.ts
@@ -47,6 +47,9 @@
     /** Sends one request and resolves at the head of the response; does not throw. */
     abstract send(call: TargetCall): Promise<TargetOutcome>;
 
+    /** Whether a connection to a target is open and idle. */
+    abstract hasIdleConnection(target: Target, isRepeatable: boolean): boolean;
+
     /** Closes the connections to targets that are not listed, once they are idle. */
     abstract keepOnly(targets: readonly Target[]): void;
 
--- a/packages/relay/src/targets/target-selector.ts
+++ b/packages/relay/src/targets/target-selector.ts
@@ -1,6 +1,8 @@
+import { isRepeatable } from "../admission.js";
 import type { RelayRoute } from "../document/relay-document.js";
 import type { PlacementPolicy } from "../policy/placement-policy.js";
 import type { RelayRequest } from "../relay-request.js";
+import type { ReportSelector } from "./report-selector.js";
 import type { TargetDirectory } from "./target-directory.js";
 import type { TargetState } from "./target-state.js";
 
@@ -13,6 +15,8 @@
     readonly getConnectionLimit: (service: string) => number;
     /** Whether streams may begin at a version of a service; at each by default. */
     readonly isSettled?: (service: string, version: string | undefined) => boolean;
+    /** Selects targets by their loads over all instances; undefined where that is not enabled. */
+    readonly reports?: Pick<ReportSelector, "select"> | undefined;
     /** Monotonic clock, in milliseconds. */
     readonly now?: () => number;
 }
@@ -68,21 +72,32 @@
         service: string,
         { tried, begun, mayTry }: SelectionLimits,
     ): TargetState | undefined {
-        const { states, scores } = this.opts.directory.getServing(service);
+        const targets = this.opts.directory.getServing(service);
         const nowMs = this.now();
         const limit = this.opts.getConnectionLimit(service);
-        const allowed = states.map((state, index) => ({ state, index }))
-            .filter(({ state }) =>
-                !tried.has(state.target.id) && state.inFlight < limit && state.health.isUsable(nowMs)
-                && state.getWaitMs(nowMs) === 0 && canContinue(state, begun) && (mayTry || !state.health.isOnTrial)
-            );
-        const notFull = allowed.filter(({ state }) => !state.health.isFull(nowMs));
         const mayResume = route.kind === "streaming" && route.isResumable && begun === undefined;
+        const key = route.hasPromptAffinity ? getAffinityKey(req) : undefined;
+        const isAllowed = (state: TargetState): boolean =>
+            !tried.has(state.target.id) && state.inFlight < limit && state.health.isUsable(nowMs)
+            && state.getWaitMs(nowMs) === 0 && canContinue(state, begun) && (mayTry || !state.health.isOnTrial);
+        const byReports = this.opts.reports?.select({
+            req,
+            service,
+            targets,
+            part: key,
+            isRepeatable: isRepeatable(route),
+            isAllowed: state => isAllowed(state) && (!mayResume || this.isSettled(state)),
+        });
+        if (byReports !== undefined) {
+            return byReports;
+        }
+        const { states, scores } = targets;
+        const allowed = states.map((state, index) => ({ state, index })).filter(({ state }) => isAllowed(state));
+        const notFull = allowed.filter(({ state }) => !state.health.isFull(nowMs));
         const candidates = this.preferSettled(mayResume, notFull.length > 0 ? notFull : allowed);
         if (candidates.length === 0) {
             return undefined;
         }
-        const key = route.hasPromptAffinity ? getAffinityKey(req) : undefined;
         const ranks = key === undefined ? undefined : scores.getScores(key);
         const medianMs = getMedian(states.map(state => state.health.firstByteMs).filter(ms => ms !== undefined));
         const numbers = candidates.map(({ state, index }) => ({
@@ -109,14 +124,17 @@
         mayResume: boolean,
         candidates: readonly T[],
     ): readonly T[] {
-        const { isSettled } = this.opts;
-        if (!mayResume || isSettled === undefined) {
+        if (!mayResume) {
             return candidates;
         }
-        const settled = candidates.filter(({ state: { target } }) => isSettled(target.service, target.version));
+        const settled = candidates.filter(({ state }) => this.isSettled(state));
         return settled.length > 0 ? settled : candidates;
     }
 
+    private isSettled({ target }: TargetState): boolean {
+        return this.opts.isSettled?.(target.service, target.version) !== false;
+    }
+
     /**
      * Shortest time until a target that is only held back by its limit of requests a second, or by a pause that it asked
      * for, may get one, in milliseconds; undefined where no target is.
