Keep all instances together within the rate of cold targets

A target that has just started, or turned cold, takes coldPerS requests a second and crashes well above that; nothing limited what a whole fleet sent it. The mechanism for limits that targets name now also holds the smaller one of the named limit and coldPerS, by the entries' coldRemainingMs, the header Cold-Ms and the start times. A keeper of a cold target hands out only after 2 s as the keeper, and only for the share of the fleet that it is in contact with, so that neither changes of keepers nor partitions double the rate.

--- a/packages/bench/src/platform/platform-fleet.ts
+++ b/packages/bench/src/platform/platform-fleet.ts
@@ -102,12 +102,20 @@
     readonly ttlS: number;
 }
 
+/** Limit of cold targets in the desired state. */
+interface ModelCold {
+    readonly coldPerS: number;
+    readonly coldStartS: number;
+}
+
 /** What varies between desired states. */
 export interface PlatformDocumentOptions {
     readonly version: number;
     readonly prepaid?: number;
     /** Time-out of the model routes; 4,000 by default. */
     readonly modelTimeoutMs?: number;
+    /** How many requests a second cold model targets take, and how long they are cold after a start; no limit by default. */
+    readonly modelCold?: ModelCold;
     /** Whether there is the route `new`; from the second version on by default. */
     readonly hasNewRoute?: boolean;
 }
@@ -137,7 +145,8 @@
     createDocument({ version, prepaid });
 
 const createDocument = (
-    { version, prepaid = PREPAID, modelTimeoutMs = 4_000, hasNewRoute = version > 1 }: PlatformDocumentOptions,
+    { version, prepaid = PREPAID, modelTimeoutMs = 4_000, modelCold, hasNewRoute = version > 1 }:
+        PlatformDocumentOptions,
 ): unknown => {
     const route = { host: "users.example", timeoutMs: 4_000, targetLatencyMs: 300, maxAttempts: 2 };
     const stream = { kind: "streaming", timeoutMs: modelTimeoutMs, sticky: true, gapAimMs: 300, service: "model" };
@@ -152,7 +161,13 @@
         ],
         services: [
             { name: "plain", healthPath: "/health", maxConns: 100 },
-            { name: "model", healthPath: "/health", maxConns: 100, engine: { stride: MODEL_TOKENS_EACH } },
+            {
+                name: "model",
+                healthPath: "/health",
+                maxConns: 100,
+                engine: { stride: MODEL_TOKENS_EACH },
+                ...modelCold,
+            },
         ],
         limits: { maxHeaderBytes: 16_384, maxBodyBytes: 1_000_000, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
         tenants: [{ name: "team-1", apiKeys: ["key-1"], priority: 1, prepaid }],
--- a/packages/relay/src/document/relay-document.ts
+++ b/packages/relay/src/document/relay-document.ts
@@ -42,6 +42,10 @@
     readonly maxConnections: number;
     /** Tokens in one event of a stream; undefined where the service generates none. */
     readonly tokensPerEvent: number | undefined;
+    /** Requests a second that a cold target takes from all instances together; no limit where it is missing or 0. */
+    readonly coldPerS?: number | undefined;
+    /** Time for which a target is cold after its start, in milliseconds. */
+    readonly coldStartMs?: number | undefined;
 }
 
 /** Limits for callers' requests and connections. */
--- a/packages/relay/src/instance/relay-instance.ts
+++ b/packages/relay/src/instance/relay-instance.ts
@@ -11,6 +11,7 @@
 import { HandoffPort } from "../handoff/handoff-port.js";
 import { HttpCallerPort } from "../http/http-caller-port.js";
 import { StatusPort, type StatusPortResponse } from "../http/status-port.js";
+import { ColdTargets } from "../limits/cold-targets.js";
 import { CombinedSendPermits } from "../limits/combined-send-permits.js";
 import { FleetRoom } from "../limits/fleet-room.js";
 import { FleetSendPermits } from "../limits/fleet-send-permits.js";
@@ -27,6 +28,7 @@
 import { TargetDirectory } from "../targets/target-directory.js";
 import { TargetFollower } from "../targets/target-follower.js";
 import { TargetSelector } from "../targets/target-selector.js";
+import { WarmPreference } from "../targets/warm-preference.js";
 import { FleetStreamOrigins } from "../versions/fleet-stream-origins.js";
 import { MAX_VIEW_AGE_MS, VersionHistory } from "../versions/version-history.js";
 import { VersionRecord } from "../versions/version-record.js";
@@ -83,6 +85,9 @@
     private readonly documents = new DocumentHolder();
     private readonly directory = new TargetDirectory();
     private readonly health = new KvHealth();
+    private readonly cold = new ColdTargets({
+        findService: service => this.documents.current()?.findService(service),
+    });
     private readonly evacuated = new EvacuatedZones({ log: this.log, count: name => this.metrics.add(name) });
     private readonly freshness = new ViewFreshness({ log: this.log });
     private readonly overload = new OverloadGuard({ nowMs: () => performance.now(), random: Math.random });
@@ -220,7 +225,7 @@
             peers: this.hub.peers(),
             removedTargets: this.directory.removedIds,
             targets: this.directory.list().map(state =>
-                getTargetView(state, this.sending.paths.isDirect(state.target))
+                getTargetView(state, this.sending.paths.isDirect(state.target), this.cold.getLimit(state)?.leftMs)
             ),
             forwardedSends: this.sending.forwardedSends.size,
             handoff: this.handoff.view,
@@ -342,6 +347,8 @@
                 availabilityZone: this.cfg.availabilityZone,
                 getConnectionLimit: service => this.shares.getConnectionLimit(service),
                 isSettled: (service, version) => this.versions.isSettled(service, version),
+                warmth: new WarmPreference({ isCold: state => this.cold.getLimit(state) !== undefined }),
+                mayStart: (state, permittedAtMs) => this.cold.mayStart(state, permittedAtMs),
                 isEvacuated: target => this.evacuated.blocks(target),
             }),
             port: this.sending.port,
@@ -364,6 +371,7 @@
         return new FleetSendPermits({
             hub: this.hub,
             directory: this.directory,
+            cold: this.cold,
             getReachableShare: () => this.roster.reachableShare,
             log: this.log,
             count: name => this.metrics.add(name),
--- a/packages/relay/src/instance/relay-state.ts
+++ b/packages/relay/src/instance/relay-state.ts
@@ -19,6 +19,8 @@
     readonly firstByteMs: number | undefined;
     /** Requests a second that it takes from all instances together; undefined where it names no limit. */
     readonly limitPerS: number | undefined;
+    /** Time for which it is cold and takes few requests a second, in milliseconds; 0 where it is not. */
+    readonly coldMs: number;
     /** Time for which it wants nothing from this instance, in milliseconds. */
     readonly pauseMs: number;
     /** Whether this instance sends to it itself, and not through peers. */
@@ -62,6 +64,7 @@
 export const getTargetView = (
     state: TargetState,
     isDirect: boolean,
+    coldMs = 0,
 ): TargetView => ({
     id: state.target.id,
     service: state.target.service,
@@ -72,6 +75,7 @@
     errorShare: state.health.errorShare,
     firstByteMs: state.health.firstByteMs,
     limitPerS: state.limit.perS,
+    coldMs: Math.round(coldMs),
     pauseMs: Math.round(state.getPauseMs(performance.now())),
     isDirect,
 });
--- a/packages/relay/src/relay-attempts.ts
+++ b/packages/relay/src/relay-attempts.ts
@@ -169,7 +169,7 @@
                 afterEvent: this.stream.lastEventId,
                 isRepeatable: this.request.isRepeatable,
                 signal: clock.signal,
-                mayStart: () => this.mayStart(state),
+                mayStart: () => this.mayStart(state, startedAtMs),
             });
             this.opts.meter.recordSend(outcome.kind, service);
             this.opts.permits.recordOutcome(state, outcome, startedAtMs);
@@ -182,8 +182,8 @@
     }
 
     /** Whether a request that waited for a connection may be sent; the process may have been paused in the meantime. */
-    private mayStart(state: TargetState): boolean {
-        return this.opts.selector.mayStart(state) && !this.opts.freshness.isOutdated;
+    private mayStart(state: TargetState, permittedAtMs: number): boolean {
+        return this.opts.selector.mayStart(state, permittedAtMs) && !this.opts.freshness.isOutdated;
     }
 
     private getUrgency(): number | undefined {
@@ -207,7 +207,7 @@
     private async handleOutcome(state: TargetState, outcome: TargetOutcome, firstByteMs: number): Promise<Step> {
         switch (outcome.kind) {
             case "not_sent":
-                if (this.request.clock.endReason === undefined && this.mayStart(state)) {
+                if (this.request.clock.endReason === undefined && this.mayStart(state, performance.now())) {
                     state.health.recordUnreachable(performance.now(), this.sentAtMs);
                 }
                 this.logSend(state, outcome.kind, outcome.cause);
--- a/packages/relay/src/targets/target-directory.ts
+++ b/packages/relay/src/targets/target-directory.ts
@@ -10,6 +10,14 @@
     readonly scores: NameScores;
 }
 
+/** Options of {@link TargetDirectory}. */
+export interface TargetDirectoryOptions {
+    /** Monotonic time in milliseconds; `performance.now` by default. */
+    readonly nowMs?: () => number;
+    /** Time of day in milliseconds; `Date.now` by default. */
+    readonly wallMs?: () => number;
+}
+
 const NO_TARGETS: ServiceTargets = { states: [], scores: new NameScores([]) };
 
 /** The announced targets, by id and by service. */
@@ -20,6 +28,13 @@
     private readonly removed = new RemovedTargets();
     private readonly listeners: (() => void)[] = [];
     private byService: ReadonlyMap<string, ServiceTargets> = new Map();
+    private readonly nowMs: () => number;
+    private readonly wallMs: () => number;
+
+    constructor({ nowMs = () => performance.now(), wallMs = () => Date.now() }: TargetDirectoryOptions = {}) {
+        this.nowMs = nowMs;
+        this.wallMs = wallMs;
+    }
 
     /** All targets, leaving ones included. */
     list(): readonly TargetState[] {
@@ -56,19 +71,26 @@
         if (this.isOutdated(target, revision, known)) {
             return "outdated";
         }
+        // An entry that is read once more tells a rest of a cold time that is over in part.
+        const isWritten = revision === 0 || revision !== this.revisions.get(target.id);
         this.revisions.set(target.id, revision);
         const isSameStart = known !== undefined && known.target.startedAtMs === target.startedAtMs;
         if (isSameStart) {
             const startsLeaving = target.leaving && !known.target.leaving;
             // A leaving target does not become available again until it restarts.
             known.target = { ...target, leaving: target.leaving || known.target.leaving };
+            if (isWritten) {
+                this.recordCold(known);
+            }
             this.handleChange();
             return startsLeaving ? "leaving" : "updated";
         }
         known?.markLeaving();
         const earlier = this.removed.take(target);
         const leaving = target.leaving || earlier?.wasLeaving === true;
-        this.states.set(target.id, new TargetState({ ...target, leaving }, earlier?.state));
+        const state = new TargetState({ ...target, leaving }, earlier?.state);
+        this.recordCold(state);
+        this.states.set(target.id, state);
         this.handleChange();
         return known === undefined ? "added" : "restarted";
     }
@@ -98,6 +120,12 @@
         return true;
     }
 
+    private recordCold({ target, cold }: TargetState): void {
+        const { startedAtMs, coldRemainingMs } = target;
+        const ageMs = startedAtMs === undefined ? undefined : Math.max(0, this.wallMs() - startedAtMs);
+        cold.recordEntry(this.nowMs(), coldRemainingMs, ageMs);
+    }
+
     private isOutdated(target: Target, revision: number, known: TargetState | undefined): boolean {
         if (known === undefined) {
             return this.removed.isOutdated(target, revision);
--- a/packages/relay/src/targets/target-selector.test.ts
+++ b/packages/relay/src/targets/target-selector.test.ts
@@ -87,9 +87,9 @@
         t.fail("no target");
         return;
     }
-    t.true(selector.mayStart(old));
+    t.true(selector.mayStart(old, 0));
     evacuated.add("old");
-    t.false(selector.mayStart(old));
+    t.false(selector.mayStart(old, 0));
     t.is(select(), "new");
     t.is(select(RESUMABLE, [], { version: "v1" }), undefined);
     t.is(select(RESUMABLE, ["new"]), undefined);
--- a/packages/relay/src/targets/target-selector.ts
+++ b/packages/relay/src/targets/target-selector.ts
@@ -4,6 +4,7 @@
 import type { TargetDirectory } from "./target-directory.js";
 import type { TargetState } from "./target-state.js";
 import type { Target } from "./target.js";
+import type { WarmPreference } from "./warm-preference.js";
 
 /** Options of {@link TargetSelector}. */
 export interface TargetSelectorOptions {
@@ -16,6 +17,10 @@
     readonly isSettled?: (service: string, version: string | undefined) => boolean;
     /** Whether nothing may be sent to a target, since its availability zone is evacuated; none is by default. */
     readonly isEvacuated?: (target: Target) => boolean;
+    /** Leaves out cold targets where the others are enough; leaves out none by default. */
+    readonly warmth?: Pick<WarmPreference, "filter">;
+    /** Whether a send that was permitted at a monotonic time, in milliseconds, may still begin; always by default. */
+    readonly mayStart?: (state: TargetState, permittedAtMs: number) => boolean;
     /** Monotonic clock, in milliseconds. */
     readonly now?: () => number;
 }
@@ -82,7 +87,7 @@
             );
         const notFull = allowed.filter(({ state }) => !state.health.isFull(nowMs));
         const mayResume = route.kind === "streaming" && route.isResumable && begun === undefined;
-        const candidates = this.preferSettled(mayResume, notFull.length > 0 ? notFull : allowed);
+        const candidates = this.preferSettled(mayResume, this.preferWarm(notFull.length > 0 ? notFull : allowed));
         if (candidates.length === 0) {
             return undefined;
         }
@@ -108,9 +113,14 @@
             .some(state => !this.isEvacuated(state) && state.health.isUsable(nowMs) && state.inFlight < limit);
     }
 
-    /** Whether a selected target may still get its request, which waited for a connection. */
-    mayStart(state: TargetState): boolean {
-        return state.isAccepting(this.now()) && !this.isEvacuated(state);
+    /** Whether a target may still get a request, which waited for a connection since a monotonic time in milliseconds. */
+    mayStart(state: TargetState, permittedAtMs: number): boolean {
+        return state.isAccepting(this.now()) && !this.isEvacuated(state)
+            && this.opts.mayStart?.(state, permittedAtMs) !== false;
+    }
+
+    private preferWarm<T extends { readonly state: TargetState; }>(candidates: readonly T[]): readonly T[] {
+        return this.opts.warmth?.filter(candidates) ?? candidates;
     }
 
     private isEvacuated({ target }: TargetState): boolean {
--- a/packages/relay/src/targets/target-state.ts
+++ b/packages/relay/src/targets/target-state.ts
@@ -1,3 +1,4 @@
+import { TargetCold } from "../limits/target-cold.js";
 import { TargetLimit } from "../limits/target-limit.js";
 import { TargetHealth } from "./target-health.js";
 import type { Target } from "./target.js";
@@ -8,6 +9,7 @@
     inFlight = 0;
     readonly health = new TargetHealth();
     readonly limit: TargetLimit;
+    readonly cold: TargetCold;
 
     /** This instance's sends that have acquired room at the target, through peers or not. */
     openSends = 0;
@@ -17,6 +19,7 @@
     /** `earlier` is what was known of the same start before its announcement was removed. */
     constructor(public target: Target, earlier?: TargetState) {
         this.limit = earlier?.limit ?? new TargetLimit();
+        this.cold = earlier?.cold ?? new TargetCold();
         this.pausedUntilMs = earlier?.pausedUntilMs ?? Number.NEGATIVE_INFINITY;
         this.noRoomUntilMs = earlier?.noRoomUntilMs ?? Number.NEGATIVE_INFINITY;
     }
--- a/packages/relay/src/targets/target.ts
+++ b/packages/relay/src/targets/target.ts
@@ -14,6 +14,8 @@
     readonly leaving: boolean;
     /** Start time in Unix milliseconds, if announced; a later start under the same id is another target. */
     readonly startedAtMs: number | undefined;
+    /** Time for which it was still cold when it announced itself, in milliseconds; undefined where it does not say. */
+    readonly coldRemainingMs?: number | undefined;
 }
 
 /** Names one start of one target. */
--- a/packages/stand-ins/src/platform/platform-target-stand-in.ts
+++ b/packages/stand-ins/src/platform/platform-target-stand-in.ts
@@ -99,6 +99,8 @@
     resumeStatus: number | undefined;
     /** Monotonic times of the requests that it rejected, in milliseconds. */
     readonly rejectedAtMs: number[] = [];
+    /** Monotonic time until which it is cold and says so, in milliseconds. */
+    coldUntilMs = Number.NEGATIVE_INFINITY;
     /** Version of its software in this start; undefined where its events name none. */
     version: string | undefined;
     /** Called after each start that follows a crash. */
@@ -169,12 +171,16 @@
             version,
             slots: 8,
             state,
-            coldRemainingMs: 0,
+            coldRemainingMs: this.coldRemainingMs,
             seq: 1,
             born: this.born,
         }];
     }
 
+    private get coldRemainingMs(): number {
+        return Math.max(0, Math.round(this.coldUntilMs - performance.now()));
+    }
+
     private async answer(req: IncomingMessage, res: ServerResponse): Promise<void> {
         const body = await readText(req);
         const id = String(req.headers["attempt-id"]);
--- a/packages/types/src/peer-requests.ts
+++ b/packages/types/src/peer-requests.ts
@@ -247,6 +247,14 @@
     readonly followers: number;
 }
 
+/** Limit of a target that is cold, beside the one that it may name. */
+export interface ColdLimit {
+    /** Requests a second that it takes from all instances together; above 0. */
+    readonly perS: number;
+    /** Time for which it is still cold, in milliseconds. */
+    readonly leftMs: number;
+}
+
 /** What a response of a target said about its limit of requests a second. */
 export interface TargetLimitSighting {
     /** Names one start of one target. */
@@ -255,6 +263,8 @@
     readonly perS: number | undefined;
     /** Time since the response, in milliseconds. */
     readonly msAgo: number;
+    /** Undefined where the target is not known to be cold, and from older versions. */
+    readonly cold?: ColdLimit | undefined;
 }
 
 /** Response to a request for a send to a target with a limit. */
@@ -335,6 +345,8 @@
     readonly pauseMs?: number | undefined;
     /** Rejections a second for want of room beyond which it breaks down; undefined where it does not. */
     readonly rejectionsPerS?: number | undefined;
+    /** Time for which it is still cold, in milliseconds; undefined where it does not say. */
+    readonly coldMs?: number | undefined;
 }
 
 /** Room of one start of a target. */
