--- a/packages/relay/src/instance/relay-state.ts
+++ b/packages/relay/src/instance/relay-state.ts
@@ -23,6 +23,8 @@
     readonly firstByteMs: number | undefined;
     /** Requests a second that it takes from all instances together; undefined where it names no limit. */
     readonly limitPerS: number | undefined;
+    /** Time for which it is cold and takes few requests a second, in milliseconds; 0 where it is not. */
+    readonly coldMs: number;
     /** Time for which it wants nothing from this instance, in milliseconds. */
     readonly pauseMs: number;
     /** Whether this instance sends to it itself, and not through peers. */
@@ -73,7 +75,7 @@
 /** Returns a target's entry in the state dump. */
 export const getTargetView = (
     state: TargetState,
-    { isDirect, load }: Pick<TargetView, "isDirect" | "load">,
+    { isDirect, load, coldMs }: Pick<TargetView, "isDirect" | "load" | "coldMs">,
 ): TargetView => ({
     id: state.target.id,
     service: state.target.service,
@@ -84,6 +86,7 @@
     errorShare: state.health.errorShare,
     firstByteMs: state.health.firstByteMs,
     limitPerS: state.limit.perS,
+    coldMs: Math.round(coldMs),
     pauseMs: Math.round(state.getPauseMs(performance.now())),
     isDirect,
     load,
--- a/packages/relay/src/request-sends.ts
+++ b/packages/relay/src/request-sends.ts
@@ -95,6 +95,7 @@
     open(state: TargetState): TargetSend {
         const { port, permits, meter, secondSends, sends } = this.opts.relay;
         const { req, admission: { team, service }, clock, isRepeatable } = this.opts.request;
+        const permittedAtMs = performance.now();
         this.triedIds.add(state.target.id);
         secondSends?.getPolicy(service).recordSend();
         return new TargetSend({
@@ -111,7 +112,7 @@
             port,
             permits,
             count: outcome => meter.recordSend(outcome, service),
-            mayStart: () => this.mayStart(state),
+            mayStart: () => this.mayStart(state, permittedAtMs),
             observed: sends?.begin(state.target, req),
         });
     }
@@ -121,7 +122,7 @@
         const nowMs = performance.now();
         switch (outcome.kind) {
             case "not_sent":
-                if (this.opts.request.clock.endReason === undefined && this.mayStart(state)) {
+                if (this.opts.request.clock.endReason === undefined && this.mayStart(state, nowMs)) {
                     state.health.recordUnreachable(nowMs, startedAtMs);
                 }
                 this.log(state, outcome.kind, outcome.cause);
@@ -187,9 +188,9 @@
     }
 
     /** Whether a request that waited for a connection may be sent; the process may have been paused in the meantime. */
-    private mayStart(state: TargetState): boolean {
+    private mayStart(state: TargetState, permittedAtMs: number): boolean {
         const { selector, freshness } = this.opts.relay;
-        return selector.mayStart(state) && !freshness.isOutdated;
+        return selector.mayStart(state, permittedAtMs) && !freshness.isOutdated;
     }
 
     private getUrgency(): number | undefined {
--- a/packages/relay/src/targets/target-selector.ts
+++ b/packages/relay/src/targets/target-selector.ts
@@ -6,6 +6,7 @@
 import type { TargetDirectory } from "./target-directory.js";
 import type { TargetState } from "./target-state.js";
 import type { Target } from "./target.js";
+import type { WarmPreference } from "./warm-preference.js";
 
 /** Options of {@link TargetSelector}. */
 export interface TargetSelectorOptions {
@@ -20,6 +21,10 @@
     readonly isEvacuated?: (target: Target) => boolean;
     /** Selects targets by their loads over all instances; undefined where that is not enabled. */
     readonly reports?: Pick<ReportSelector, "select"> | undefined;
+    /** Leaves out cold targets where the others are enough; leaves out none by default. */
+    readonly warmth?: Pick<WarmPreference, "filter">;
+    /** Whether a send that was permitted at a monotonic time, in milliseconds, may still begin; always by default. */
+    readonly mayStart?: (state: TargetState, permittedAtMs: number) => boolean;
     /** Monotonic clock, in milliseconds. */
     readonly now?: () => number;
 }
@@ -98,7 +103,7 @@
         const { states, scores } = targets;
         const allowed = states.map((state, index) => ({ state, index })).filter(({ state }) => isAllowed(state));
         const notFull = allowed.filter(({ state }) => !state.health.isFull(nowMs));
-        const candidates = this.preferSettled(mayResume, notFull.length > 0 ? notFull : allowed);
+        const candidates = this.preferSettled(mayResume, this.preferWarm(notFull.length > 0 ? notFull : allowed));
         if (candidates.length === 0) {
             return undefined;
         }
@@ -123,9 +128,14 @@
             .some(state => !this.isEvacuated(state) && state.health.isUsable(nowMs) && state.inFlight < limit);
     }
 
-    /** Whether a selected target may still get its request, which waited for a connection. */
-    mayStart(state: TargetState): boolean {
-        return state.isAccepting(this.now()) && !this.isEvacuated(state);
+    /** Whether a target may still get a request, which waited for a connection since a monotonic time in milliseconds. */
+    mayStart(state: TargetState, permittedAtMs: number): boolean {
+        return state.isAccepting(this.now()) && !this.isEvacuated(state)
+            && this.opts.mayStart?.(state, permittedAtMs) !== false;
+    }
+
+    private preferWarm<T extends { readonly state: TargetState; }>(candidates: readonly T[]): readonly T[] {
+        return this.opts.warmth?.filter(candidates) ?? candidates;
     }
 
     private isEvacuated({ target }: TargetState): boolean {
