Send requests with allowedRegions only to targets there

Routes and teams could not keep their requests in a region. Their allowedRegions now limit the candidates of every send; the region of a zone is in the new setting zones, the instance's own one by default. Addresses that callers are told begin with instances of the caller's region and of the homes of the host.

--- a/packages/relay/src/admission.ts
+++ b/packages/relay/src/admission.ts
@@ -1,6 +1,7 @@
 import type { RelayRoute } from "./document/relay-document.js";
 import type { RouteTable } from "./document/route-table.js";
 import { pickShare } from "./policy/pick-share.js";
+import { intersectRegions } from "./regions/intersect-regions.js";
 import type { RelayRefusal } from "./relay-refusal.js";
 import type { RelayRequest } from "./relay-request.js";
 
@@ -13,6 +14,8 @@
     readonly isPrepaid: boolean;
     /** 0 is the most urgent. */
     readonly priority: number;
+    /** Regions to whose targets it may be sent; all where it is undefined. */
+    readonly allowedRegions: readonly string[] | undefined;
     /** Version of the desired state that the decision is based on. */
     readonly version: number;
 }
@@ -45,6 +48,7 @@
         team: team?.name,
         isPrepaid: team?.prepaidTokens !== undefined,
         priority: team?.priority ?? route.priority,
+        allowedRegions: intersectRegions(route.allowedRegions, team?.allowedRegions),
         version: table.document.version,
     };
 };
--- a/packages/relay/src/document/relay-document.ts
+++ b/packages/relay/src/document/relay-document.ts
@@ -33,6 +33,8 @@
     readonly isResumable: boolean;
     /** Objective for the maximum time between two events of a stream, in milliseconds. */
     readonly eventGapMs: number | undefined;
+    /** Regions to whose targets requests may be sent; all where it is undefined. */
+    readonly allowedRegions?: readonly string[] | undefined;
 }
 
 /** A group of targets that do the same work. */
@@ -64,6 +66,8 @@
     readonly priority: number | undefined;
     /** Total number of tokens that the team may use; undefined without a budget. */
     readonly prepaidTokens: number | undefined;
+    /** Regions to whose targets its requests may be sent; all where it is undefined. */
+    readonly allowedRegions?: readonly string[] | undefined;
 }
 
 /** The operators' desired state, complete. */
--- a/packages/relay/src/document/route-table.ts
+++ b/packages/relay/src/document/route-table.ts
@@ -43,6 +43,11 @@
         return this.servicesByName.get(name);
     }
 
+    /** Regions that routes of a host allow; empty where they allow all. */
+    getHomes(host: string): readonly string[] {
+        return this.routesByHost.get(host.toLowerCase())?.flatMap(route => route.allowedRegions ?? []) ?? [];
+    }
+
     /** Whether requests to a service may differ in priority, by their routes or by their teams. */
     hasMixedPriorities(service: string): boolean {
         this.mixedServices ??= findMixedServices(this.document);
--- a/packages/relay/src/instance/relay-adapter.ts
+++ b/packages/relay/src/instance/relay-adapter.ts
@@ -15,6 +15,14 @@
     readonly addressTtlS: number;
 }
 
+/** Whose addresses a caller asks for. */
+export interface DirectoryQuery {
+    /** Host of the routes that it calls; undefined where it does not say. */
+    readonly host: string | undefined;
+    /** The caller's region; undefined where it does not say. */
+    readonly region: string | undefined;
+}
+
 /** Options of {@link RelayAdapter.createKvClient}. */
 export interface KvClientOptions {
     /** Host and port of the KV service. */
@@ -40,6 +48,9 @@
     /** Responds to a readiness check. */
     abstract handleReadinessRequest(method: string, url: URL, view: InstanceView): StatusPortResponse;
 
+    /** Decodes a caller's request for addresses. */
+    abstract decodeDirectoryQuery(url: URL): DirectoryQuery;
+
     /** Responds to a caller's request for addresses. */
     abstract handleDirectoryRequest(method: string, url: URL, view: InstanceView): StatusPortResponse;
 }
--- a/packages/relay/src/instance/relay-instance.ts
+++ b/packages/relay/src/instance/relay-instance.ts
@@ -23,6 +23,7 @@
 import { ConnectCrashCheck } from "../quarantine/connect-crash-check.js";
 import { DecisionStore } from "../quarantine/decision-store.js";
 import { PartQuarantine } from "../quarantine/part-quarantine.js";
+import { ZoneRegions } from "../regions/zone-regions.js";
 import { Relay } from "../relay.js";
 import { AnnouncedStartCheck } from "../targets/start-check.js";
 import { TargetDirectory } from "../targets/target-directory.js";
@@ -42,7 +43,7 @@
 import { InputDelayMeter } from "./input-delay-meter.js";
 import { formatAddress, parseAddress } from "./instance-addresses.js";
 import { PeerKvClient } from "./peer-kv-client.js";
-import type { InstanceView, RelayAdapter } from "./relay-adapter.js";
+import type { DirectoryQuery, InstanceView, RelayAdapter } from "./relay-adapter.js";
 import { RelayMetrics } from "./relay-metrics.js";
 import type { RelaySettings } from "./relay-settings.js";
 import { getTargetView, type RelayState } from "./relay-state.js";
@@ -92,6 +93,7 @@
     private readonly freshness = new ViewFreshness({ log: this.log });
     private readonly overload = new OverloadGuard({ nowMs: () => performance.now(), random: Math.random });
     private readonly delays: InputDelayMeter;
+    private readonly regions: ZoneRegions;
     private readonly roster: FleetRoster;
     private readonly shares: FleetShares;
     private readonly kv: BreakerKvClient;
@@ -138,6 +140,7 @@
             log: this.log,
             getPauseMs: () => this.shares.watchPauseMs,
         });
+        this.regions = new ZoneRegions({ zones: cfg.zones, ownRegion: cfg.region });
         this.delays = new InputDelayMeter(parseAddress(cfg.callers));
         this.roster = new FleetRoster({ hub });
         this.shares = new FleetShares({ roster: this.roster, documents: this.documents, retries: cfg.retries });
@@ -206,8 +209,15 @@
 
     /** This instance's state for the platform and for callers. */
     get view(): InstanceView {
+        return this.getView({ host: undefined, region: undefined });
+    }
+
+    /** The same for a caller that asks for addresses: instances of its region and of the homes of its host come first. */
+    private getView({ host, region }: DirectoryQuery): InstanceView {
         const own = this.isReady ? [this.hub.self()] : [];
-        const addresses = sampleInstances([...own, ...this.roster.listAccepting()]).map(info =>
+        const homes = host === undefined ? [] : this.documents.current()?.getHomes(host) ?? [];
+        const regions = new Set(region === undefined ? homes : [region, ...homes]);
+        const addresses = sampleInstances([...own, ...this.roster.listAccepting()], { regions }).map(info =>
             formatAddress(info.caller)
         );
         return { isReady: this.isReady, addresses, addressTtlS: this.cfg.addressTtlS };
@@ -225,7 +235,11 @@
             peers: this.hub.peers(),
             removedTargets: this.directory.removedIds,
             targets: this.directory.list().map(state =>
-                getTargetView(state, this.sending.paths.isDirect(state.target), this.cold.getLimit(state)?.leftMs)
+                getTargetView(state, {
+                    isDirect: this.sending.paths.isDirect(state.target),
+                    coldMs: this.cold.getLimit(state)?.leftMs ?? 0,
+                    region: this.regions.getRegion(state.target),
+                })
             ),
             forwardedSends: this.sending.forwardedSends.size,
             handoff: this.handoff.view,
@@ -347,6 +361,7 @@
                 availabilityZone: this.cfg.availabilityZone,
                 getConnectionLimit: service => this.shares.getConnectionLimit(service),
                 isSettled: (service, version) => this.versions.isSettled(service, version),
+                getRegion: target => this.regions.getRegion(target),
                 warmth: new WarmPreference({ isCold: state => this.cold.getLimit(state) !== undefined }),
                 mayStart: (state, permittedAtMs) => this.cold.mayStart(state, permittedAtMs),
                 isEvacuated: target => this.evacuated.blocks(target),
@@ -418,7 +433,8 @@
             }),
             new StatusPort({
                 ...parseAddress(cfg.directory),
-                answer: (method, url) => adapter.handleDirectoryRequest(method, url, this.view),
+                answer: (method, url) =>
+                    adapter.handleDirectoryRequest(method, url, this.getView(adapter.decodeDirectoryQuery(url))),
             }),
             new StatusPort({
                 ...parseAddress(cfg.metrics),
--- a/packages/relay/src/instance/relay-settings.ts
+++ b/packages/relay/src/instance/relay-settings.ts
@@ -12,6 +12,18 @@
     instance: Type.String({ description: "Stable name of this instance, unique in the fleet.", minLength: 1 }),
     availabilityZone: Type.String({ minLength: 1 }),
     region: Type.String({ minLength: 1 }),
+    zones: Type.Record(
+        Type.String(),
+        Type.Union([
+            Type.String({ minLength: 1 }),
+            Type.Object({ region: Type.Optional(Type.String({ minLength: 1 })) }),
+        ]),
+        {
+            description:
+                "Region of each availability zone, as its name or as an object with `region`; a zone without one is in the instance's region.",
+            default: {},
+        },
+    ),
     callers: createAddress("Where callers connect."),
     readiness: createAddress("Where the instance serves readiness checks."),
     directory: createAddress("Where callers request addresses."),
--- a/packages/relay/src/instance/relay-state.ts
+++ b/packages/relay/src/instance/relay-state.ts
@@ -10,6 +10,7 @@
     readonly id: string;
     readonly service: string;
     readonly version: string | undefined;
+    readonly region: string;
     readonly leaving: boolean;
     readonly inFlight: number;
     /** Sends of this instance that are counted against the target's room. */
@@ -63,12 +64,12 @@
 /** Returns a target's entry in the state dump. */
 export const getTargetView = (
     state: TargetState,
-    isDirect: boolean,
-    coldMs = 0,
+    { isDirect, coldMs, region }: Pick<TargetView, "isDirect" | "coldMs" | "region">,
 ): TargetView => ({
     id: state.target.id,
     service: state.target.service,
     version: state.target.version,
+    region,
     leaving: state.target.leaving,
     inFlight: state.inFlight,
     openSends: state.openSends,
--- a/packages/relay/src/relay-attempts.ts
+++ b/packages/relay/src/relay-attempts.ts
@@ -124,7 +124,7 @@
 
     private async sendOnce(): Promise<Step> {
         const { req, admission, clock } = this.request;
-        const { route, service } = admission;
+        const { route, service, allowedRegions: regions } = admission;
         if (clock.endReason !== undefined) {
             return { kind: "end", end: this.expireRequest() };
         }
@@ -137,7 +137,7 @@
             return { kind: "end", end: this.failRequest(getQuarantineReason(blocked.part), blocked.retryAfterS) };
         }
         const tried = new Set([...this.tried, ...this.limited]);
-        const limits = { tried, begun: this.begun, mayTry: !this.hasTrial };
+        const limits = { tried, begun: this.begun, mayTry: !this.hasTrial, regions };
         const state = this.opts.selector.select(req, route, service, limits);
         if (state === undefined) {
             return { kind: "end", end: this.failWithoutTarget() };
@@ -406,7 +406,8 @@
     private failWithoutTarget(): AttemptsResult | RelayRefusal {
         const { selector } = this.opts;
         const { begun, tried } = this;
-        const waitMs = selector.getWaitMs(this.request.admission.service, { tried, begun });
+        const { service, allowedRegions: regions } = this.request.admission;
+        const waitMs = selector.getWaitMs(service, { tried, begun, regions });
         return waitMs === undefined
             ? this.failRequest(begun === undefined ? "noTarget" : "versionUnavailable")
             : this.failRequest("targetsLimited", Math.max(MIN_LIMIT_RETRY_AFTER_S, waitMs / MS_PER_S));
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -329,7 +329,7 @@
         // A request that no target can serve waits for no budget; what is known here is told at once.
         const decision = await Promise.race([
             deciding,
-            this.opts.selector.hasTarget(service) ? clock.ended : nextTurn(),
+            this.opts.selector.hasTarget(service, admission.allowedRegions) ? clock.ended : nextTurn(),
         ]);
         if (decision === undefined) {
             void deciding.then(late => late.kind === "held" ? late.hold.settle(0) : undefined);
--- a/packages/relay/src/targets/target-selector.ts
+++ b/packages/relay/src/targets/target-selector.ts
@@ -17,6 +17,8 @@
     readonly isSettled?: (service: string, version: string | undefined) => boolean;
     /** Whether nothing may be sent to a target, since its availability zone is evacuated; none is by default. */
     readonly isEvacuated?: (target: Target) => boolean;
+    /** Region of a target; where it is missing, requests with regions find no target. */
+    readonly getRegion?: (target: Target) => string;
     /** Leaves out cold targets where the others are enough; leaves out none by default. */
     readonly warmth?: Pick<WarmPreference, "filter">;
     /** Whether a send that was permitted at a monotonic time, in milliseconds, may still begin; always by default. */
@@ -53,6 +55,8 @@
     readonly begun: BegunStream | undefined;
     /** Whether the request may find out if an ejected target responds again; it costs the time of a connection attempt. */
     readonly mayTry: boolean;
+    /** Regions in which the target has to be; any by default. */
+    readonly regions?: readonly string[] | undefined;
 }
 
 const canContinue = ({ target }: TargetState, begun: BegunStream | undefined): boolean =>
@@ -74,14 +78,14 @@
         req: RelayRequest,
         route: RelayRoute,
         service: string,
-        { tried, begun, mayTry }: SelectionLimits,
+        { tried, begun, mayTry, regions }: SelectionLimits,
     ): TargetState | undefined {
         const { states, scores } = this.opts.directory.getServing(service);
         const nowMs = this.now();
         const limit = this.opts.getConnectionLimit(service);
         const allowed = states.map((state, index) => ({ state, index }))
             .filter(({ state }) =>
-                !tried.has(state.target.id) && !this.isEvacuated(state) && state.inFlight < limit
+                !tried.has(state.target.id) && !this.isExcluded(state, regions) && state.inFlight < limit
                 && state.health.isUsable(nowMs)
                 && state.getWaitMs(nowMs) === 0 && canContinue(state, begun) && (mayTry || !state.health.isOnTrial)
             );
@@ -106,11 +110,11 @@
     }
 
     /** Whether a target of a service may get a request now, or as soon as its limit or a pause allows it. */
-    hasTarget(service: string): boolean {
+    hasTarget(service: string, regions?: readonly string[]): boolean {
         const nowMs = this.now();
         const limit = this.opts.getConnectionLimit(service);
         return this.opts.directory.getServing(service).states
-            .some(state => !this.isEvacuated(state) && state.health.isUsable(nowMs) && state.inFlight < limit);
+            .some(state => !this.isExcluded(state, regions) && state.health.isUsable(nowMs) && state.inFlight < limit);
     }
 
     /** Whether a target may still get a request, which waited for a connection since a monotonic time in milliseconds. */
@@ -123,6 +127,12 @@
         return this.opts.warmth?.filter(candidates) ?? candidates;
     }
 
+    /** Whether nothing may be sent to a target at the moment, or nothing of a request that has to stay in some regions. */
+    private isExcluded(state: TargetState, regions: readonly string[] | undefined): boolean {
+        return this.isEvacuated(state)
+            || (regions !== undefined && !regions.includes(this.opts.getRegion?.(state.target) ?? ""));
+    }
+
     private isEvacuated({ target }: TargetState): boolean {
         return this.opts.isEvacuated?.(target) === true;
     }
@@ -144,11 +154,11 @@
      * Shortest time until a target that is only held back by its limit of requests a second, or by a pause that it asked
      * for, may get one, in milliseconds; undefined where no target is.
      */
-    getWaitMs(service: string, { tried, begun }: Omit<SelectionLimits, "mayTry">): number | undefined {
+    getWaitMs(service: string, { tried, begun, regions }: Omit<SelectionLimits, "mayTry">): number | undefined {
         const nowMs = this.now();
         const waits = this.opts.directory.getServing(service).states
             .filter(state =>
-                !tried.has(state.target.id) && !this.isEvacuated(state) && state.health.isUsable(nowMs)
+                !tried.has(state.target.id) && !this.isExcluded(state, regions) && state.health.isUsable(nowMs)
                 && canContinue(state, begun)
             )
             .map(state => state.getWaitMs(nowMs))
