--- a/packages/relay/src/hedging/second-send-starter.ts
+++ b/packages/relay/src/hedging/second-send-starter.ts
@@ -69,7 +69,7 @@
 
     /** Selects another target with room, of the first one's version. */
     private select({ first, tried, begun }: EarlierSends): TargetState | undefined {
-        const { req, admission: { route, service } } = this.request;
+        const { req, admission: { route, service, allowedRegions: regions } } = this.request;
         const { version } = first.target;
         if (version === undefined && route.kind === "streaming") {
             return undefined;
@@ -77,6 +77,7 @@
         const state = this.opts.selector.select(req, route, service, {
             tried: new Set([...tried, ...this.seconds.listWithoutRoom(service, getMaxTokens(req))]),
             begun: begun ?? (version === undefined ? undefined : { version }),
+            regions,
             mayTry: false,
         });
         return state?.target.version === version ? state : undefined;
--- a/packages/relay/src/instance/relay-state.ts
+++ b/packages/relay/src/instance/relay-state.ts
@@ -14,6 +14,7 @@
     readonly id: string;
     readonly service: string;
     readonly version: string | undefined;
+    readonly region: string;
     readonly leaving: boolean;
     readonly inFlight: number;
     /** Sends of this instance that are counted against the target's room. */
@@ -75,11 +76,12 @@
 /** Returns a target's entry in the state dump. */
 export const getTargetView = (
     state: TargetState,
-    { isDirect, load, coldMs }: Pick<TargetView, "isDirect" | "load" | "coldMs">,
+    { isDirect, load, coldMs, region }: Pick<TargetView, "isDirect" | "load" | "coldMs" | "region">,
 ): TargetView => ({
     id: state.target.id,
     service: state.target.service,
     version: state.target.version,
+    region,
     leaving: state.target.leaving,
     inFlight: state.inFlight,
     openSends: state.openSends,
