--- a/packages/bench/src/platform/platform-fleet.ts
+++ b/packages/bench/src/platform/platform-fleet.ts
@@ -70,7 +70,7 @@
     /** How the model targets work. */
     readonly models?: Pick<
         PlatformTargetOptions,
-        "events" | "stepMs" | "deadlyPart" | "deadlyBody" | "eventsBeforeCrash" | "downMs"
+        "events" | "stepMs" | "deadlyPart" | "deadlyBody" | "eventsBeforeCrash" | "downMs" | "capacityTokens"
     >;
     /** Software versions of the model targets, which then name them in their events; all the same by default. */
     readonly modelVersions?: readonly string[];
@@ -80,6 +80,8 @@
     readonly addressTtlS?: number;
     /** Age of the oldest copy that the store comes back from, in seconds; that of the settings by default. */
     readonly maxCopyAgeS?: number;
+    /** Further settings of the instances; none by default. */
+    readonly settings?: RelaySettingsJson;
     /** Modules that are loaded into each instance before its main one; none by default. */
     readonly modules?: readonly string[];
     /** Takes the lines that the instances write. */
@@ -242,7 +244,7 @@
         for (const at of Array(count).keys()) {
             const own = addresses.slice(at * PORTS_EACH, (at + 1) * PORTS_EACH);
             const kv = { address: storeFor[at] ?? store, ...getMaxCopyAge(opts.maxCopyAgeS) };
-            const varying = { seeds: seeds.slice(0, MAX_SEEDS), kv, addressTtlS, stopWithinS };
+            const varying = { ...opts.settings, seeds: seeds.slice(0, MAX_SEEDS), kv, addressTtlS, stopWithinS };
             fleet.instances.push(await fleet.createInstance(folder, at, own, varying));
         }
         try {
--- a/packages/relay/src/targets/report-selector.ts
+++ b/packages/relay/src/targets/report-selector.ts
@@ -198,6 +198,7 @@
         const slots = Math.max(1, target.slots);
         const holdMs = this.opts.getHoldMs(target.service);
         const expected = getExpectedLoad(this.opts.loads.get(target), {
+            slots,
             usual: Math.max(inFlight, loads.utilization * slots),
             tokensPerRequest: tokens.value,
             holdMs,
@@ -207,7 +208,7 @@
             deviation: expected.deviation,
             slots,
             speed: loads.speeds[index] ?? 1,
-            hasFreeSlot: !health.isFull(nowMs()) && expected.requests + 1 <= slots,
+            hasFreeSlot: !health.isFull(nowMs()) && expected.hasFreeSlot,
             fitsMemory: getHeldTokens(req) <= expected.freeTokens,
             isNear: target.availabilityZone === availabilityZone,
             hasIdleConnection: hasIdleConnection(target, isRepeatable),
--- a/packages/relay/src/targets/service-loads.ts
+++ b/packages/relay/src/targets/service-loads.ts
@@ -86,8 +86,8 @@
         this.reportedShare = count === 0 ? 0 : known.length / count;
         this.meanUtilization = slotsSum === 0 ? 0 : requests / slotsSum;
         const free = known.filter(({ load, slots }) => {
-            const usual = { usual: this.meanUtilization * slots, tokensPerRequest: 0, holdMs };
-            return getExpectedLoad(load, usual).requests + 1 <= slots;
+            const usual = { slots, usual: this.meanUtilization * slots, tokensPerRequest: 0, holdMs };
+            return getExpectedLoad(load, usual).hasFreeSlot;
         });
         this.groups.free = weigh(free.map(({ index }) => index), this.capacities);
     }
--- a/packages/stand-ins/src/platform/platform-target-stand-in.ts
+++ b/packages/stand-ins/src/platform/platform-target-stand-in.ts
@@ -49,6 +49,8 @@
     readonly eventsBeforeCrash?: number;
     /** Time from a crash to the next start, in milliseconds. */
     readonly downMs?: number;
+    /** Tokens that its memory can hold, by its load reports; without them it reports no load. */
+    readonly capacityTokens?: number;
 }
 
 /** Time from a crash to the next start where none is given, in milliseconds. */
@@ -56,6 +58,10 @@
 
 const DEFAULT_STEP_MS = 2;
 
+const REPORT_PATH = "/ospreyreel/report";
+
+const SLOTS = 8;
+
 const DEFAULT_VERSION = "v1";
 
 /** Window in which a brittle target counts its rejections, in milliseconds. */
@@ -101,6 +107,10 @@
     readonly rejectedAtMs: number[] = [];
     /** Version of its software in this start; undefined where its events name none. */
     version: string | undefined;
+    /** Number of its load reports that were read. */
+    reportReads = 0;
+    /** Tokens that each request holds, by its load reports. */
+    tokensEach = 90;
     /** Called after each start that follows a crash. */
     onRestart: () => void = () => undefined;
     private server: JsonServer | undefined;
@@ -167,7 +177,7 @@
             address: `${address.host}:${address.port}`,
             zone,
             version,
-            slots: 8,
+            slots: SLOTS,
             state,
             coldRemainingMs: 0,
             seq: 1,
@@ -176,6 +186,10 @@
     }
 
     private async answer(req: IncomingMessage, res: ServerResponse): Promise<void> {
+        if (req.url === REPORT_PATH && this.opts.capacityTokens !== undefined) {
+            this.answerReport(res, this.opts.capacityTokens);
+            return;
+        }
         const body = await readText(req);
         const id = String(req.headers["attempt-id"]);
         if (req.headers["expect-instance"] !== this.opts.id) {
@@ -234,6 +248,14 @@
         res.end();
     }
 
+    private answerReport(res: ServerResponse, kvTotal: number): void {
+        this.reportReads += 1;
+        const open = this.runs.filter(run => run.end === undefined).length;
+        const running = Math.min(SLOTS, open);
+        const report = { model: "m", queued: open - running, running, kvUsed: this.tokensEach * open, kvTotal };
+        res.writeHead(200, { "Content-Type": "application/json" }).end(JSON.stringify(report));
+    }
+
     private async rejectForRoom(res: ServerResponse, headers: OutgoingHttpHeaders): Promise<void> {
         const nowMs = performance.now();
         this.rejectedAtMs.push(nowMs);
