Reject settings of reports that cannot work

placement.usesReports without targetReports.intervalMs selected targets as without reports and did not say so, and an interval of 1 ms was accepted.

--- a/packages/relay/src/instance/relay-settings.ts
+++ b/packages/relay/src/instance/relay-settings.ts
@@ -1,4 +1,4 @@
-import { createShapeCheck, parseCheckedJson, readSettingsText } from "@ospreyreel/config";
+import { createShapeCheck, type Fault, parseCheckedJson, readSettingsText } from "@ospreyreel/config";
 import { type Static, Type } from "@sinclair/typebox";
 
 const HOUR_MS = 3_600_000;
@@ -76,8 +76,27 @@
 /** Settings of a relay instance. */
 export type RelaySettings = Static<typeof relaySettingsSchema>;
 
+/** Shortest interval of reports, in milliseconds: that in which targets update them. */
+const MIN_REPORT_INTERVAL_MS = 100;
+
+const findFaults = ({ targetReports: { intervalMs }, placement }: RelaySettings): readonly Fault[] => {
+    const faults: Fault[] = [];
+    if (intervalMs > 0 && intervalMs < MIN_REPORT_INTERVAL_MS) {
+        const message = `must be 0 or at least ${MIN_REPORT_INTERVAL_MS}`;
+        faults.push({ path: ["targetReports", "intervalMs"], message });
+    }
+    if (placement.usesReports && intervalMs === 0) {
+        faults.push({ path: ["placement", "usesReports"], message: "needs a targetReports.intervalMs above 0" });
+    }
+    return faults;
+};
+
 const checkShape = createShapeCheck(relaySettingsSchema);
 
+/** Parses the settings; throws `invalidSettings` with the location of every error. */
+export const parseRelaySettings = (text: string, file: string): RelaySettings =>
+    parseCheckedJson(text, file, checkShape, findFaults);
+
 /** Reads the settings; throws `invalidSettings` with the location of every error. */
 export const readRelaySettings = async (file: string): Promise<RelaySettings> =>
-    parseCheckedJson(await readSettingsText(file), file, checkShape);
+    parseRelaySettings(await readSettingsText(file), file);
