Let a deadline queue use an order that changes with time

The relay orders waiting requests by urgency and lets long-waiting ones move up, which one rank at the beginning of the wait cannot express. DeadlineQueue takes an order, a timer function and a callback for requests that begin to wait; without them it behaves as before.

--- a/packages/targets/src/admission/deadline-queue.test.ts
+++ b/packages/targets/src/admission/deadline-queue.test.ts
@@ -5,6 +5,7 @@
 import { DeadlineAdmission } from "./deadline-admission.js";
 import { DeadlineQueue } from "./deadline-queue.js";
 import { LengthAdmission } from "./length-admission.js";
+import { type OrderedRequest, QueueOrder } from "./queue-order.js";
 
 interface Places {
     free: number;
@@ -170,3 +171,32 @@
     t.true(policy.decide({ priority: 5, ahead: 1, queued: 1, servedPerS: 0.001, timeLeftMs: 1 }).admitted);
     t.false(policy.decide({ priority: 5, ahead: 2, queued: 2, servedPerS: 1000, timeLeftMs: 60_000 }).admitted);
 });
+
+/** Orders by priority; a request that has waited for a second goes first. */
+class AgingOrder extends QueueOrder {
+    override getRank({ priority, waitingSinceMs }: OrderedRequest, nowMs: number): number {
+        return nowMs - waitingSinceMs >= 1_000 ? -1 : priority;
+    }
+}
+
+test("an order that changes with time is applied to requests that wait already", async t => {
+    const clock = new ManualClock();
+    const queue = new DeadlineQueue<string>({
+        policy: new LengthAdmission(9),
+        getServedPerS: () => undefined,
+        order: new AgingOrder(),
+        now: clock.now,
+    });
+    const places = { free: 0 };
+    const wait = (name: string, priority: number): Promise<string> =>
+        queue.wait({ priority, deadlineAtMs: 9_000, tryAcquire: createTryAcquire(places, name) });
+    const old = wait("old", 5);
+    clock.advance(1_000);
+    const urgent = wait("urgent", 0);
+    places.free = 1;
+    queue.drain();
+    t.is(await old, "old");
+    places.free = 1;
+    queue.drain();
+    t.is(await urgent, "urgent");
+});
--- a/packages/targets/src/admission/deadline-queue.ts
+++ b/packages/targets/src/admission/deadline-queue.ts
@@ -1,5 +1,6 @@
 import { OspreyError } from "@ospreyreel/errors";
 import type { AdmissionPolicy } from "./admission-policy.js";
+import type { QueueOrder } from "./queue-order.js";
 
 /** Options of {@link DeadlineQueue}. */
 export interface DeadlineQueueOptions {
@@ -8,10 +9,17 @@
     readonly getServedPerS: () => number | undefined;
     /** Other queues for the same targets; none by default. */
     readonly otherQueues?: OtherQueues;
+    /** Order that is computed again before each admission; by default requests are ordered once, when they begin to wait. */
+    readonly order?: QueueOrder;
     /** Monotonic clock, in milliseconds. */
     readonly now?: () => number;
+    /** Calls back after a time in milliseconds of that clock, and returns what cancels that; `setTimeout` by default. */
+    readonly setTimer?: SetTimer;
 }
 
+/** Calls back after a time in milliseconds; returns what cancels that. */
+export type SetTimer = (callback: () => void, ms: number) => () => void;
+
 /** A request that waits for a resource. */
 export interface QueueRequest<T> {
     /** 0 (first) to 9 (last). */
@@ -22,6 +30,10 @@
     readonly tryAcquire: () => T | undefined;
     /** Whether the next request may be admitted first where this one acquires nothing. */
     readonly skippable?: boolean;
+    /** Whether its caller was refused before and has come back; not by default. */
+    readonly isReturned?: boolean;
+    /** Called once the request waits. */
+    readonly onWait?: () => void;
     readonly signal?: AbortSignal | undefined;
 }
 
@@ -33,11 +45,12 @@
 
 interface WaitingRequest<T> {
     readonly req: QueueRequest<T>;
-    /** Time of the clock; the lowest is admitted first. */
-    readonly rank: number;
+    readonly waitingSinceMs: number;
+    /** The lowest is admitted first; a time of the clock unless an order is set. */
+    rank: number;
     readonly resolve: (acquired: T) => void;
     readonly reject: (err: unknown) => void;
-    readonly timer: NodeJS.Timeout;
+    readonly stopTimer: () => void;
     readonly stopListening: () => void;
 }
 
@@ -51,16 +64,23 @@
  * Returns the time at which a request is due, after a share of its time until the deadline that grows with its
  * priority's number. A strict order by priority would starve the last priorities for as long as an overload lasts.
  */
-const getRank = (req: QueueRequest<unknown>, nowMs: number): number =>
+const getDueRank = (req: QueueRequest<unknown>, nowMs: number): number =>
     nowMs + (req.deadlineAtMs - nowMs) * LAST_DUE_SHARE * (req.priority + 1) / PRIORITY_COUNT;
 
+const setNodeTimer: SetTimer = (callback, ms) => {
+    const timer = setTimeout(callback, ms);
+    return () => clearTimeout(timer);
+};
+
 /** Queue by priority and deadline; a request is admitted, or rejected as soon as it is known to be late. */
 export class DeadlineQueue<T> {
     private waiting: readonly WaitingRequest<T>[] = [];
     private readonly now: () => number;
+    private readonly setTimer: SetTimer;
 
     constructor(private readonly opts: DeadlineQueueOptions) {
         this.now = opts.now ?? (() => performance.now());
+        this.setTimer = opts.setTimer ?? setNodeTimer;
     }
 
     /** Number of waiting requests. */
@@ -76,7 +96,8 @@
     /** Waits for the resource; throws `overloaded`, certainly not run, where the deadline cannot be met. */
     async wait(req: QueueRequest<T>): Promise<T> {
         req.signal?.throwIfAborted();
-        const rank = getRank(req, this.now());
+        this.reorder();
+        const rank = this.getRank(req, this.now());
         const ahead = this.countAhead(rank);
         const acquired = ahead === 0 ? req.tryAcquire() : undefined;
         if (acquired !== undefined) {
@@ -107,6 +128,7 @@
 
     /** Admits the first request that acquires a resource; false where none does. */
     admitNext(): boolean {
+        this.reorder();
         for (const entry of this.waiting) {
             const acquired = entry.req.tryAcquire();
             if (acquired !== undefined) {
@@ -157,6 +179,23 @@
         entries.forEach(entry => entry.reject(createError()));
     }
 
+    private getRank(req: QueueRequest<T>, waitingSinceMs: number): number {
+        const { priority, deadlineAtMs, isReturned = false } = req;
+        return this.opts.order?.getRank({ priority, deadlineAtMs, isReturned, waitingSinceMs }, this.now())
+            ?? getDueRank(req, waitingSinceMs);
+    }
+
+    /** Orders the waiting requests again where their order changes with time. */
+    private reorder(): void {
+        if (this.opts.order === undefined || this.waiting.length === 0) {
+            return;
+        }
+        for (const entry of this.waiting) {
+            entry.rank = this.getRank(entry.req, entry.waitingSinceMs);
+        }
+        this.waiting = this.waiting.toSorted((a, b) => a.rank - b.rank);
+    }
+
     private countAheadInOtherQueues(rank: number): number {
         return this.opts.otherQueues?.countAhead(rank) ?? 0;
     }
@@ -175,16 +214,26 @@
             this.remove(entry);
             reject(req.signal?.reason);
         };
-        const timer = setTimeout(expire, Math.max(0, req.deadlineAtMs - this.now()));
+        const waitingSinceMs = this.now();
+        const stopTimer = this.setTimer(expire, Math.max(0, req.deadlineAtMs - waitingSinceMs));
         req.signal?.addEventListener("abort", abort, { once: true });
         const stopListening = (): void => req.signal?.removeEventListener("abort", abort);
-        const entry: WaitingRequest<T> = { req, rank, resolve, reject, timer, stopListening };
+        const entry: WaitingRequest<T> = {
+            req,
+            waitingSinceMs,
+            rank,
+            resolve,
+            reject,
+            stopTimer,
+            stopListening,
+        };
         const position = this.countAhead(rank);
         this.waiting = [...this.waiting.slice(0, position), entry, ...this.waiting.slice(position)];
+        req.onWait?.();
     }
 
     private remove(entry: WaitingRequest<T>): void {
-        clearTimeout(entry.timer);
+        entry.stopTimer();
         entry.stopListening();
         this.waiting = this.waiting.filter(other => other !== entry);
     }
--- a/packages/targets/src/index.ts
+++ b/packages/targets/src/index.ts
@@ -4,6 +4,7 @@
 export * from "./admission/deadline-admission.js";
 export * from "./admission/deadline-queue.js";
 export * from "./admission/length-admission.js";
+export * from "./admission/queue-order.js";
 export * from "./admission/retry-budget.js";
 export * from "./admission/service-rate-meter.js";
 export * from "./choice/affinity-choice.js";
