Add up the demand of teams for a scarce service over the fleet

An instance sees a part of each team's requests, so it cannot tell which team asks for more than its part. Not used by the relay yet.

--- a/packages/types/src/peer-requests.ts
+++ b/packages/types/src/peer-requests.ts
@@ -362,6 +362,21 @@
     readonly waitMs: number;
 }
 
+/** Demand for one service at an instance that is short of room for it. */
+export interface DemandReport {
+    readonly service: string;
+    /** Requests a second that arrived, by team. */
+    readonly teams: Readonly<Record<string, number>>;
+    /** Requests a second that started. */
+    readonly startedPerS: number;
+}
+
+/** How much of a scarce service teams may use. */
+export interface DemandShares {
+    /** Shares of the requests of teams that may wait for the service, 0 to 1; other teams are not limited. */
+    readonly shares: Readonly<Record<string, number>>;
+}
+
 /** A part of the response to a forwarded send, in order. */
 export interface ForwardedBody {
     readonly send: number;
@@ -497,6 +512,8 @@
     readonly "room.acquire": { readonly req: RoomRequest; readonly res: RoomResponse; };
     /** Reports sends to a target to the instance that keeps its room; the response is empty. */
     readonly "room.report": { readonly req: RoomReport; readonly res: Record<string, never>; };
+    /** Reports the demand for a service to the instance that adds it up; the response says what teams may use. */
+    readonly "demand.report": { readonly req: DemandReport; readonly res: DemandShares; };
     /** Reports accusations to a collector; the response has the number of crashes that speak against each part. */
     readonly "parts.accuse": {
         readonly req: { readonly accusations: readonly PartAccusation[]; };
