Let requests wait at the instance for a target with room

Requests were sent to full targets and waited there in order of arrival, so that the most urgent kind was the latest, and those that were rejected came back together after a constant time. With waiting.isEnabled, each service has a gate: a request passes at once while there is room, else waits by urgency and time left, or is refused at once with a Retry-After by the measured rate, at random. Off by default; without it a relay uses a gate that lets everything pass.

--- a/packages/relay/src/instance/relay-instance.ts
+++ b/packages/relay/src/instance/relay-instance.ts
@@ -3,6 +3,8 @@
 import type { TcpPeerHub } from "@ospreyreel/peer";
 import type { Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
+import { OpenGate } from "../admission/open-gate.js";
+import { Waiting } from "../admission/waiting.js";
 import { DocumentFollower } from "../document/document-follower.js";
 import { DocumentHolder } from "../document/document-holder.js";
 import { ConnectionHandoff } from "../handoff/connection-handoff.js";
@@ -12,6 +14,7 @@
 import { CombinedSendPermits } from "../limits/combined-send-permits.js";
 import { FleetRoom } from "../limits/fleet-room.js";
 import { FleetSendPermits } from "../limits/fleet-send-permits.js";
+import { UnknownTargetLoads } from "../load/target-loads.js";
 import { AffinityPlacement } from "../policy/affinity-placement.js";
 import { OverloadGuard } from "../policy/overload-guard.js";
 import { EqualUrgency, PriorityUrgency } from "../policy/request-urgency.js";
@@ -99,6 +102,8 @@
     private readonly budgets: FleetBudgets;
     private readonly permits: FleetSendPermits;
     private readonly room: FleetRoom;
+    /** Undefined where no request waits. */
+    private readonly waiting: Waiting | undefined;
     private readonly versions: VersionHistory;
     private readonly versionRecord: VersionRecord;
     private readonly origins: FleetStreamOrigins;
@@ -147,6 +152,7 @@
         });
         this.permits = this.createPermits();
         this.room = this.createRoom();
+        this.waiting = cfg.waiting.isEnabled ? this.createWaiting() : undefined;
         this.versions = new VersionHistory({ directory: this.directory, nowMs: () => performance.now() });
         this.origins = this.createOrigins();
         this.versionRecord = this.createVersionRecord();
@@ -225,6 +231,7 @@
             budgets: this.budgets.list(),
             quarantine: this.parts.view,
             versions: this.versions.services.map(service => ({ service, versions: this.versions.list(service) })),
+            waiting: this.waiting?.gate.view ?? [],
             brittleServices: this.room.brittleServices,
             knownStreams: this.origins.size,
         };
@@ -343,7 +350,8 @@
             getRetries: service => this.shares.getRetries(service),
             overload: this.overload,
             freshness: this.freshness,
-            permits: new CombinedSendPermits([this.permits, this.room]),
+            gate: this.waiting?.gate ?? new OpenGate(),
+            permits: new CombinedSendPermits([this.permits, this.room, ...(this.waiting?.permits ?? [])]),
             origins: this.origins,
             starts: this.starts,
             parts: this.parts,
@@ -373,6 +381,20 @@
         });
     }
 
+    private createWaiting(): Waiting {
+        return new Waiting({
+            hub: this.hub,
+            directory: this.directory,
+            loads: new UnknownTargetLoads(),
+            maxMs: this.cfg.waiting.maxMs,
+            getInstances: () => this.roster.size,
+            getReachableShare: () => this.roster.reachableShare,
+            getConnectionLimit: service => this.shares.getConnectionLimit(service),
+            log: this.log,
+            count: (name, amount) => this.metrics.add(name, amount),
+        });
+    }
+
     private createOrigins(): FleetStreamOrigins {
         return new FleetStreamOrigins({
             hub: this.hub,
@@ -459,6 +481,7 @@
         this.budgets.serve();
         this.permits.serve();
         this.room.serve();
+        this.waiting?.demand.serve();
         this.sending.serve();
         this.origins.serve();
         this.directory.onChange(() => this.origins.shareMixed());
@@ -504,6 +527,7 @@
         }
         log.write("instance leaving", { openRequests: this.relay.openRequests, hasFailed });
         this.relay.limitTo(window);
+        this.waiting?.gate.close();
         this.hub.updateSelf({ state: "leaving" });
         this.callerPort.drain();
         this.handoff.stop(window);
--- a/packages/relay/src/instance/relay-settings.ts
+++ b/packages/relay/src/instance/relay-settings.ts
@@ -54,6 +54,19 @@
             default: false,
         }),
     }, { additionalProperties: false, default: {} }),
+    waiting: Type.Object({
+        isEnabled: Type.Boolean({
+            description:
+                "Whether requests wait at the instance for a target with room, and teams share scarce services.",
+            default: false,
+        }),
+        maxMs: Type.Integer({
+            description: "Longest wait of a request, in milliseconds; its objective and its deadline shorten it.",
+            minimum: 1,
+            maximum: HOUR_MS,
+            default: 2_000,
+        }),
+    }, { additionalProperties: false, default: {} }),
     stopWithinS: Type.Number({ description: "Maximum time from a stop signal to the exit, in seconds.", minimum: 1 }),
     addressTtlS: Type.Number({ description: "Time for which callers may cache addresses, in seconds.", minimum: 0.1 }),
 }, { additionalProperties: false });
--- a/packages/relay/src/instance/relay-state.ts
+++ b/packages/relay/src/instance/relay-state.ts
@@ -1,5 +1,6 @@
 import type { BudgetView } from "@ospreyreel/budgets";
 import type { InstanceInfo } from "@ospreyreel/types";
+import type { GateView } from "../admission/service-gate.js";
 import type { HandoffView } from "../handoff/connection-handoff.js";
 import type { TakenConnections } from "../handoff/handoff-port.js";
 import type { QuarantineView } from "../quarantine/part-quarantine.js";
@@ -50,6 +51,8 @@
     readonly takenConnections: TakenConnections;
     /** Versions at which streams that are resumed now may have begun. */
     readonly versions: readonly { readonly service: string; readonly versions: readonly string[]; }[];
+    /** Requests that wait for targets, by service; empty where none may wait. */
+    readonly waiting: readonly GateView[];
     /** Services whose targets break down when they reject requests. */
     readonly brittleServices: readonly string[];
     /** Number of streams whose origins are kept here. */
--- a/packages/relay/src/relay-attempts.ts
+++ b/packages/relay/src/relay-attempts.ts
@@ -40,6 +40,11 @@
 /** Maximum number of prompt parts in a log line. */
 const MAX_LOGGED_PARTS = 8;
 
+/** Maximum number of targets that are looked at for one with room. */
+const MAX_CHOICES = 8;
+
+const NO_TARGETS: ReadonlySet<string> = new Set();
+
 const HTTP_OK_FROM = 200;
 const HTTP_OK_BELOW = 300;
 const HTTP_ERROR_FROM = 500;
@@ -100,6 +105,7 @@
             ...(this.request.hold === undefined ? {} : { chargedTokens: this.chargedTokens }),
             ...(this.begun === undefined ? {} : { version: this.begun.version ?? "" }),
             ...(this.blockedPart === undefined ? {} : { part: this.blockedPart }),
+            ...(this.request.pass.waitedMs === 0 ? {} : { waitedMs: Math.round(this.request.pass.waitedMs) }),
         };
     }
 
@@ -114,6 +120,7 @@
             }
         }
         finally {
+            this.request.pass.release();
             this.chargedTokens = this.getUsedTokens();
             this.request.hold?.settle(this.chargedTokens);
             if (!this.isSending) {
@@ -124,7 +131,7 @@
 
     private async sendOnce(): Promise<Step> {
         const { req, admission, clock } = this.request;
-        const { route, service } = admission;
+        const { service } = admission;
         if (clock.endReason !== undefined) {
             return { kind: "end", end: this.expireRequest() };
         }
@@ -136,9 +143,13 @@
             this.blockedPart = blocked.part;
             return { kind: "end", end: this.failRequest(getQuarantineReason(blocked.part), blocked.retryAfterS) };
         }
-        const tried = new Set([...this.tried, ...this.limited]);
-        const limits = { tried, begun: this.begun, mayTry: !this.hasTrial };
-        const state = this.opts.selector.select(req, route, service, limits);
+        const { state, hasRoom } = this.selectTarget(this.limited);
+        // After a rejection another full target would most likely reject the request as well.
+        const isWaiting = state === undefined || (this.sends > 0 && !hasRoom);
+        if (isWaiting && await this.request.pass.waitAgain(() => this.selectTarget(NO_TARGETS).hasRoom)) {
+            this.limited.clear();
+            return RETRY_STEP;
+        }
         if (state === undefined) {
             return { kind: "end", end: this.failWithoutTarget() };
         }
@@ -157,6 +168,7 @@
         this.tried.add(state.target.id);
         this.lastTarget = state.target.id;
         state.inFlight += 1;
+        this.request.pass.recordSent();
         try {
             const startedAtMs = performance.now();
             this.sentAtMs = startedAtMs;
@@ -181,6 +193,23 @@
         }
     }
 
+    /** Selects a target, one with room as far as that is known here, and tells whether it has room. */
+    private selectTarget(
+        limited: ReadonlySet<string>,
+    ): { readonly state: TargetState | undefined; readonly hasRoom: boolean; } {
+        const { req, admission: { route, service }, pass } = this.request;
+        const tried = new Set([...this.tried, ...limited]);
+        const select = (): TargetState | undefined =>
+            this.opts.selector.select(req, route, service, { tried, begun: this.begun, mayTry: !this.hasTrial });
+        const preferred = select();
+        let state = preferred;
+        for (let choices = 1; state !== undefined && !pass.hasRoomAt(state); choices++) {
+            tried.add(state.target.id);
+            state = choices < MAX_CHOICES ? select() : undefined;
+        }
+        return { state: state ?? preferred, hasRoom: state !== undefined };
+    }
+
     private getUrgency(): number | undefined {
         const { req, admission: { route, service, priority } } = this.request;
         return this.opts.urgency.getUrgency({
@@ -410,7 +439,7 @@
     /** Ends the request without another target. Only a request that no target ran may be reported as not run. */
     private failRequest(
         reason: RefusalReason,
-        retryAfterS = DEFAULT_RETRY_AFTER_S,
+        retryAfterS?: number,
     ): AttemptsResult | RelayRefusal {
         if (this.stream.isStarted) {
             this.request.caller.abortStream();
@@ -419,7 +448,10 @@
         if (this.mayHaveRun) {
             return { reason: "targetFailed" };
         }
-        return { reason: reason === "targetFailed" ? "noTarget" : reason, retryAfterS };
+        return {
+            reason: reason === "targetFailed" ? "noTarget" : reason,
+            retryAfterS: retryAfterS ?? this.request.pass.getRetryAfterS() ?? DEFAULT_RETRY_AFTER_S,
+        };
     }
 
     private expireRequest(): AttemptsResult | RelayRefusal {
--- a/packages/relay/src/relay.test.ts
+++ b/packages/relay/src/relay.test.ts
@@ -1,5 +1,7 @@
 import test from "ava";
 import { setTimeout as sleep } from "node:timers/promises";
+import { OpenGate } from "./admission/open-gate.js";
+import { type GatePass, type GateRefusal, RequestGate } from "./admission/request-gate.js";
 import { type BudgetDecision, BudgetGate, OpenBudgetGate } from "./budget-gate.js";
 import { DocumentHolder } from "./document/document-holder.js";
 import type { RelayRoute } from "./document/relay-document.js";
@@ -77,6 +79,7 @@
     readonly disconnectsAfterMs?: number | "before";
     readonly overloadedForS?: number;
     readonly viewIsOutdated?: boolean;
+    readonly gate?: RequestGate;
     /** Whether the request arrives late in a stop, or still runs at the end of one. */
     readonly stop?: "late" | "expired";
     /** Tokens in an event by a desired state that comes into force with the first send. */
@@ -135,6 +138,12 @@
     return directory;
 };
 
+/** Allows some repeats. */
+const getAllowance = (): () => RetryAllowance => {
+    const allowance = new RetryAllowance({ ratio: 1, slack: 10, windowMs: 10_000, getInstances: () => 1 });
+    return () => allowance;
+};
+
 const serve = async (
     outcomes: readonly Outcome[],
     route: Partial<RelayRoute> = {},
@@ -143,8 +152,7 @@
 ) => {
     const { budgets = new OpenBudgetGate(), parts = new OpenPartGate(), origins = new SingleVersionOrigins("v1") } =
         opts;
-    const { starts = new KnownStarts() } = opts;
-    const { versions = ["v1", "v1", "v1"] } = opts;
+    const { starts = new KnownStarts(), versions = ["v1", "v1", "v1"] } = opts;
     const { disconnectsAfterMs, overloadedForS, viewIsOutdated = false, stop, laterEventTokens } = opts;
     const documents = new DocumentHolder();
     const teams = [{ name: "team-1", keys: ["key-1"], priority: undefined, prepaidTokens: 1_000 }];
@@ -169,7 +177,6 @@
     const view = { isOutdated: viewIsOutdated, ageMs: 0 };
     const log = new MemoryLog();
     const endsBeforeAnswer: string[] = [];
-    const allowance = new RetryAllowance({ ratio: 1, slack: 10, windowMs: 10_000, getInstances: () => 1 });
     const relay = new Relay({
         documents,
         selector: new TargetSelector({
@@ -181,10 +188,11 @@
         port,
         urgency: new PriorityUrgency(),
         budgets,
-        getRetries: () => allowance,
+        getRetries: getAllowance(),
         overload: { getRefusal: () => overloadedForS },
         freshness: view,
         permits: new UnlimitedSends(),
+        gate: opts.gate ?? new OpenGate(),
         origins,
         starts,
         parts,
@@ -604,6 +612,28 @@
 
 const GENERATION = { generation: { promptTokens: 100, maxOutputTokens: 50, parts: [] } };
 
+/** Refuses every request. */
+class ClosedGate extends RequestGate {
+    override enter(): Promise<GatePass | GateRefusal> {
+        return Promise.resolve({ refusal: { reason: "overloaded", retryAfterS: 0.3 }, decidedBy: { queued: 7 } });
+    }
+
+    override close(): void {
+        // Nothing waits.
+    }
+}
+
+test("a request that the gate refuses is not sent, costs nothing, and its decision is logged", async t => {
+    const budgets = new RecordingGate();
+    const opts = { budgets, gate: new ClosedGate() };
+    const generation = { promptTokens: 100, maxOutputTokens: 50, parts: [] };
+    const { caller, port, lines } = await serve([respond(["whole"])], {}, { generation }, opts);
+    t.deepEqual(caller.refusal, { reason: "overloaded", retryAfterS: 0.3 });
+    t.is(port.calls.length, 0);
+    t.deepEqual(budgets.settled, [0]);
+    t.is(lines.find(line => line.event === "request refused")?.["queued"], 7);
+});
+
 test("a budget is charged for the prompt and the events that were relayed", async t => {
     const gate = new RecordingGate();
     await serve([respond(["id: 1\n\nid: 2\n\n"])], { kind: "streaming" }, GENERATION, { budgets: gate });
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -1,6 +1,8 @@
 import type { StreamOrigin } from "@ospreyreel/types";
 import { setImmediate as nextTurn } from "node:timers/promises";
 import { type Admission, admit, isRepeatable } from "./admission.js";
+import { OpenGate } from "./admission/open-gate.js";
+import type { GatePass, RequestGate } from "./admission/request-gate.js";
 import type { BudgetGate, BudgetHold } from "./budget-gate.js";
 import type { CallerExchange } from "./caller-exchange.js";
 import type { DocumentHolder } from "./document/document-holder.js";
@@ -54,6 +56,8 @@
     readonly overload: Pick<OverloadGuard, "getRefusal">;
     /** Tells whether the desired state and the targets known here may be too old to decide by. */
     readonly freshness: Pick<ViewFreshness, "isOutdated" | "ageMs">;
+    /** Lets requests wait for targets with room; none waits by default. */
+    readonly gate?: RequestGate;
     /** Keeps the sends to targets within the limits that they name. */
     readonly permits: SendPermits;
     /** Knows where streams began that callers resume. */
@@ -97,6 +101,8 @@
     /** Where the stream began that the request continues; undefined where it continues none. */
     readonly origin: StreamOrigin | undefined;
     readonly isRepeatable: boolean;
+    /** Its pass through the gate of its service. */
+    readonly pass: GatePass;
     /** What of the request may crash targets. */
     readonly watched: WatchedRequest;
     /** What is held in memory of the response. */
@@ -110,8 +116,11 @@
     private stopWindow: StopWindow | undefined;
     private readonly clocks = new Set<RequestClock>();
     private readonly memory = new MessageMemory(MAX_RESPONSE_BYTES);
+    private readonly gate: RequestGate;
 
-    constructor(private readonly opts: RelayOptions) {}
+    constructor(private readonly opts: RelayOptions) {
+        this.gate = opts.gate ?? new OpenGate();
+    }
 
     /** Number of requests in progress. */
     get openRequests(): number {
@@ -219,10 +228,17 @@
                 this.refuse(req, caller, service, { reason: "overloaded", retryAfterS }, { team, priority });
                 return;
             }
+            const located = origin === undefined ? admission : { ...admission, service: origin.service };
+            const pass = await this.enterGate(req, caller, located, clock);
+            if (pass === undefined) {
+                held?.settle(0);
+                return;
+            }
             const request = {
                 req,
-                admission: origin === undefined ? admission : { ...admission, service: origin.service },
+                admission: located,
                 origin,
+                pass,
                 caller,
                 clock,
                 hold: held,
@@ -230,13 +246,7 @@
                 watched,
                 held: this.memory.open(),
             };
-            const attempts = new RelayAttempts(this.opts, request);
-            const result = await attempts.run();
-            if (typeof result !== "string") {
-                this.refuse(req, caller, service, result, { team, ...attempts.trace });
-                return;
-            }
-            this.logEnd(req, result, { team, ...attempts.trace }, service);
+            await this.sendRequest(request, service);
         }
         finally {
             this.clocks.delete(clock);
@@ -244,6 +254,36 @@
         }
     }
 
+    /** Sends a request until it gets a response or may not be sent again. */
+    private async sendRequest(request: AdmittedRequest, service: string): Promise<void> {
+        const { req, caller, admission: { team = "" } } = request;
+        const attempts = new RelayAttempts(this.opts, request);
+        const result = await attempts.run();
+        if (typeof result !== "string") {
+            this.refuse(req, caller, service, result, { team, ...attempts.trace });
+            return;
+        }
+        this.logEnd(req, result, { team, ...attempts.trace }, service);
+    }
+
+    /** Waits for room at the request's service; returns undefined where the request was refused. */
+    private async enterGate(
+        req: RelayRequest,
+        caller: CallerExchange,
+        { service, team = "", priority, route: { latencyTargetMs } }: Admission,
+        clock: RequestClock,
+    ): Promise<GatePass | undefined> {
+        const { arrivedAtMs } = req;
+        const isReturned = req.resumes !== undefined;
+        const numbers = { tokens: getMaxTokens(req), arrivedAtMs, latencyTargetMs, isReturned };
+        const pass = await this.gate.enter({ service, team, priority, ...numbers, clock });
+        if ("refusal" in pass) {
+            this.refuse(req, caller, service, pass.refusal, { team, priority, ...pass.decidedBy });
+            return undefined;
+        }
+        return pass;
+    }
+
     /** Ends a request that another instance may have sent before it ended, and that may not be repeated; returns whether it is one. */
     private endInterrupted(
         req: RelayRequest,
