Merge the wait for a target with room

A request looks for a target with room by what both ways of selection offer, and second sends do not pass the gate: they are made only while there is room.

--- a/packages/relay/src/instance/relay-instance.ts
+++ b/packages/relay/src/instance/relay-instance.ts
@@ -3,6 +3,8 @@
 import type { TcpPeerHub } from "@ospreyreel/peer";
 import type { Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
+import { OpenGate } from "../admission/open-gate.js";
+import { Waiting } from "../admission/waiting.js";
 import { DocumentFollower } from "../document/document-follower.js";
 import { DocumentHolder } from "../document/document-holder.js";
 import { EvacuatedZones } from "../evacuation/evacuated-zones.js";
@@ -118,6 +120,8 @@
     private readonly loadSharing: LoadSharing | undefined;
     /** Undefined where targets are not selected by reports. */
     private readonly reportPlacing: ReportPlacing | undefined;
+    /** Undefined where no request waits. */
+    private readonly waiting: Waiting | undefined;
     private readonly versions: VersionHistory;
     private readonly versionRecord: VersionRecord;
     private readonly origins: FleetStreamOrigins;
@@ -171,6 +175,7 @@
         this.room = this.createRoom();
         this.loadSharing = this.createLoadSharing();
         this.reportPlacing = this.createReportPlacing();
+        this.waiting = cfg.waiting.isEnabled ? this.createWaiting() : undefined;
         this.versions = new VersionHistory({ directory: this.directory, nowMs: () => performance.now() });
         this.origins = this.createOrigins();
         this.versionRecord = this.createVersionRecord();
@@ -264,6 +269,7 @@
             budgets: this.budgets.list(),
             quarantine: this.parts.view,
             versions: this.versions.services.map(service => ({ service, versions: this.versions.list(service) })),
+            waiting: this.waiting?.gate.view ?? [],
             brittleServices: this.room.brittleServices,
             secondSends: this.secondSends?.view ?? [],
             knownStreams: this.origins.size,
@@ -391,7 +397,8 @@
             getRetries: service => this.shares.getRetries(service),
             overload: this.overload,
             freshness: this.freshness,
-            permits: new CombinedSendPermits([this.permits, this.room]),
+            gate: this.waiting?.gate ?? new OpenGate(),
+            permits: new CombinedSendPermits([this.permits, this.room, ...(this.waiting?.permits ?? [])]),
             origins: this.origins,
             starts: this.starts,
             parts: this.parts,
@@ -450,6 +457,20 @@
         });
     }
 
+    private createWaiting(): Waiting {
+        return new Waiting({
+            hub: this.hub,
+            directory: this.directory,
+            loads: this.loadSharing?.loads ?? new UnknownTargetLoads(),
+            maxMs: this.cfg.waiting.maxMs,
+            getInstances: () => this.roster.size,
+            getReachableShare: () => this.roster.reachableShare,
+            getConnectionLimit: service => this.shares.getConnectionLimit(service),
+            log: this.log,
+            count: (name, amount) => this.metrics.add(name, amount),
+        });
+    }
+
     private createReportPlacing(): ReportPlacing | undefined {
         const { loadSharing: sharing, cfg } = this;
         return sharing === undefined || !cfg.placement.usesReports ? undefined : new ReportPlacing({
@@ -561,6 +582,7 @@
         this.room.serve();
         this.loadSharing?.serve();
         void this.loadSharing?.run();
+        this.waiting?.demand.serve();
         this.sending.serve();
         this.origins.serve();
         this.directory.onChange(() => this.origins.shareMixed());
@@ -606,6 +628,7 @@
         }
         log.write("instance leaving", { openRequests: this.relay.openRequests, hasFailed });
         this.relay.limitTo(window);
+        this.waiting?.gate.close();
         this.hub.updateSelf({ state: "leaving" });
         this.callerPort.drain();
         this.handoff.stop(window);
--- a/packages/relay/src/relay-attempts.ts
+++ b/packages/relay/src/relay-attempts.ts
@@ -11,6 +11,7 @@
 import { RequestSends } from "./request-sends.js";
 import { StreamRelay } from "./stream/stream-relay.js";
 import type { TargetOutcome } from "./targets/target-port.js";
+import type { TargetState } from "./targets/target-state.js";
 import { TokenCharge } from "./token-charge.js";
 import { StreamBeginning } from "./versions/stream-beginning.js";
 import { getStreamName } from "./versions/stream-name.js";
@@ -35,6 +36,11 @@
 
 const MS_PER_S = 1_000;
 
+/** Maximum number of targets that are looked at for one with room. */
+const MAX_CHOICES = 8;
+
+const NO_TARGETS: ReadonlySet<string> = new Set();
+
 /** Sends one request to targets, again where a send fails, and relays the response. */
 export class RelayAttempts {
     /** Targets whose limit left no send for this request. */
@@ -87,6 +93,7 @@
             ...(begun === undefined ? {} : { version: begun.version ?? "" }),
             ...this.hedged.trace,
             ...(this.blockedPart === undefined ? {} : { part: this.blockedPart }),
+            ...(this.request.pass.waitedMs === 0 ? {} : { waitedMs: Math.round(this.request.pass.waitedMs) }),
         };
     }
 
@@ -101,6 +108,7 @@
             }
         }
         finally {
+            this.request.pass.release();
             this.chargedTokens = this.charge.getTokens(this.stream.eventCount);
             this.request.hold?.settle(this.chargedTokens);
             if (!this.isSending) {
@@ -110,8 +118,7 @@
     }
 
     private async sendOnce(): Promise<Step> {
-        const { req, admission, clock } = this.request;
-        const { route, service, allowedRegions: regions } = admission;
+        const { clock } = this.request;
         if (clock.endReason !== undefined) {
             return { kind: "end", end: this.expireRequest() };
         }
@@ -123,9 +130,13 @@
             this.blockedPart = blocked.part;
             return { kind: "end", end: this.failRequest(getQuarantineReason(blocked.part), blocked.retryAfterS) };
         }
-        const tried = new Set([...this.sends.tried, ...this.limited]);
-        const limits = { tried, begun: this.beginning.version, mayTry: !this.hasTrial, regions };
-        const state = this.opts.selector.select(req, route, service, limits);
+        const { state, hasRoom } = this.selectTarget(this.limited);
+        // After a rejection another full target would most likely reject the request as well.
+        const isWaiting = state === undefined || (this.sends.count > 0 && !hasRoom);
+        if (isWaiting && await this.request.pass.waitAgain(() => this.selectTarget(NO_TARGETS).hasRoom)) {
+            this.limited.clear();
+            return RETRY_STEP;
+        }
         if (state === undefined) {
             return { kind: "end", end: this.failWithoutTarget() };
         }
@@ -141,6 +152,7 @@
             this.opts.permits.release(state);
             return { kind: "end", end: this.failRequest("overloaded") };
         }
+        this.request.pass.recordSent();
         const { send, outcome } = await this.hedged.wait(this.sends.open(state));
         this.lastTarget = send.state.target.id;
         try {
@@ -151,6 +163,22 @@
         }
     }
 
+    /** Selects a target, one with room as far as that is known here, and tells whether it has room. */
+    private selectTarget(
+        limited: ReadonlySet<string>,
+    ): { readonly state: TargetState | undefined; readonly hasRoom: boolean; } {
+        const { req, admission: { route, service, allowedRegions: regions }, pass } = this.request;
+        const tried = new Set([...this.sends.tried, ...limited]);
+        const limits = { tried, begun: this.beginning.version, mayTry: !this.hasTrial, regions };
+        const preferred = this.opts.selector.select(req, route, service, limits);
+        let state = preferred;
+        for (let choices = 1; state !== undefined && !pass.hasRoomAt(state); choices++) {
+            tried.add(state.target.id);
+            state = choices < MAX_CHOICES ? this.opts.selector.select(req, route, service, limits) : undefined;
+        }
+        return { state: state ?? preferred, hasRoom: state !== undefined };
+    }
+
     private async handleOutcome(send: TargetSend, outcome: TargetOutcome): Promise<Step> {
         this.sends.recordOutcome(send, outcome);
         switch (outcome.kind) {
@@ -283,7 +311,7 @@
     /** Ends the request without another target. Only a request that no target ran may be reported as not run. */
     private failRequest(
         reason: RefusalReason,
-        retryAfterS = DEFAULT_RETRY_AFTER_S,
+        retryAfterS?: number,
     ): AttemptsResult | RelayRefusal {
         if (this.stream.isStarted) {
             this.request.caller.abortStream();
@@ -292,7 +320,10 @@
         if (this.sends.mayHaveRun) {
             return { reason: "targetFailed" };
         }
-        return { reason: reason === "targetFailed" ? "noTarget" : reason, retryAfterS };
+        return {
+            reason: reason === "targetFailed" ? "noTarget" : reason,
+            retryAfterS: retryAfterS ?? this.request.pass.getRetryAfterS() ?? DEFAULT_RETRY_AFTER_S,
+        };
     }
 
     private expireRequest(): AttemptsResult | RelayRefusal {
