Bound the questions for evacuations that an instance sends

An instance that meets many peers at once, as after its start or a partition, would have asked each of them, over a new link each in a large fleet.

--- a/packages/relay/src/evacuation/evacuation-follower.ts
+++ b/packages/relay/src/evacuation/evacuation-follower.ts
@@ -23,8 +23,11 @@
  */
 const ASK_INTERVAL_MS = 500;
 
-/** Peers that are asked at a time; one of them is likely to reach the KV service. */
-const ASKED_PEERS = 3;
+/** Peers that are asked at a time; one of them is likely to reach the KV service. In a large fleet each question may need a new link. */
+const ASKED_PEERS = 2;
+
+/** Time between questions to peers that have just been met, in milliseconds; after a partition many are met at once. */
+const MIN_MEETING_INTERVAL_MS = 100;
 
 const ASK_TIMEOUT_MS = 1_000;
 
@@ -32,6 +35,7 @@
 export class EvacuationFollower {
     private readonly asking = new Set<string>();
     private readonly random: () => number;
+    private metAtMs = Number.NEGATIVE_INFINITY;
 
     constructor(private readonly opts: EvacuationFollowerOptions) {
         this.random = opts.random ?? Math.random;
@@ -42,8 +46,8 @@
         const { hub, zones } = this.opts;
         hub.handle("zones.evacuated", () => Promise.resolve({ zones: zones.list() }));
         void hub.changes().observe(({ kind, info }) => {
-            if (kind === "joined" && this.needsPeers) {
-                void this.ask(info);
+            if (kind === "joined") {
+                this.askMet(info);
             }
         });
         setInterval(() => this.askSome(), ASK_INTERVAL_MS).unref();
@@ -80,17 +84,21 @@
         }
     }
 
-    private get needsPeers(): boolean {
-        return !this.opts.health.isAvailable || !this.opts.zones.isSynced;
-    }
-
     /** Whether the KV service has come back from an older copy since a revision, as far as is known here. */
     private isFromEarlierEra(written: number, removed = 0): boolean {
         return getEra(written) < Math.max(getEra(removed), this.opts.history.era);
     }
 
+    private askMet(peer: InstanceInfo): void {
+        const nowMs = performance.now();
+        if (!this.opts.health.isAvailable && nowMs - this.metAtMs >= MIN_MEETING_INTERVAL_MS) {
+            this.metAtMs = nowMs;
+            void this.ask(peer);
+        }
+    }
+
     private askSome(): void {
-        if (!this.needsPeers) {
+        if (this.opts.health.isAvailable) {
             return;
         }
         this.opts.hub.peers()
