Show what team shares and a second wait change

The replays of one team at 7 times its load passed without team shares as well. They now compare with a run without them; two tests of the relay show the wait after a rejection and the Retry-After of the gate.

--- a/packages/relay/src/admission/load-patterns.test.ts
+++ b/packages/relay/src/admission/load-patterns.test.ts
@@ -76,7 +76,10 @@
             teams: ["team-large"],
             ...(instances === undefined ? {} : { instances: () => instances }),
         });
-        const [before, after] = await compare({ kinds: [createQueries(constant(0.3)), large], durationMs: 5_000 });
+        const opts = { kinds: [createQueries(constant(0.3)), large], durationMs: 5_000 };
+        const [before, after] = await compare(opts);
+        const unshared = await LoadReplay.run({ ...opts, reportAgeMs: 25, isWaiting: true, isShared: false });
+        t.true(after.getInTimeShare("query") > unshared.getInTimeShare("query"));
         t.true(after.getInTimeShare("query") > before.getInTimeShare("query"));
         t.true(after.getInTimeShare("query") >= after.getInTimeShare("large"));
         t.true(after.getServedShare("query") >= before.getServedShare("query"));
--- a/packages/relay/src/relay.test.ts
+++ b/packages/relay/src/relay.test.ts
@@ -623,6 +623,43 @@
     }
 }
 
+/** Lets requests pass, and has no room after the first send until a request has waited once more. */
+class NarrowGate extends RequestGate {
+    readonly steps: string[] = [];
+
+    override enter(): GatePass {
+        return {
+            waitedMs: 5,
+            hasRoomAt: () => !this.steps.includes("sent") || this.steps.includes("waited"),
+            recordSent: () => void this.steps.push("sent"),
+            waitAgain: hasTarget => {
+                this.steps.push("waited");
+                return Promise.resolve(hasTarget());
+            },
+            getRetryAfterS: () => 0.2,
+            release: () => void this.steps.push("released"),
+        };
+    }
+
+    override close(): void {
+        // Nothing waits.
+    }
+}
+
+// Guards against the only other send of a request being spent on a target that is full as well.
+test("a request that a full target rejected waits for another target with room", async t => {
+    const gate = new NarrowGate();
+    const { caller, lines } = await serve([full, respond(["whole"])], {}, {}, { gate });
+    t.is(caller.response?.body, "whole");
+    t.deepEqual(gate.steps, ["sent", "waited", "sent", "released"]);
+    t.is(lines.find(line => line.event === "request ended")?.["waitedMs"], 5);
+});
+
+test("a request that all targets rejected is told when to come back by the gate", async t => {
+    const { caller } = await serve([full], {}, {}, { gate: new NarrowGate() });
+    t.deepEqual(caller.refusal, { reason: "overloaded", retryAfterS: 0.2 });
+});
+
 test("a request that the gate refuses is not sent, costs nothing, and its decision is logged", async t => {
     const budgets = new RecordingGate();
     const opts = { budgets, gate: new ClosedGate() };
