Do not wait where no target may serve a request

A request that all targets had rejected waited for half of its objective and was then refused as before.

--- a/packages/relay/src/relay-attempts.ts
+++ b/packages/relay/src/relay-attempts.ts
@@ -145,7 +145,7 @@
         }
         const { state, hasRoom } = this.selectTarget(this.limited);
         // After a rejection another full target would most likely reject the request as well.
-        const isWaiting = state === undefined || (this.sends > 0 && !hasRoom);
+        const isWaiting = state === undefined ? this.getLimitWaitMs() !== undefined : this.sends > 0 && !hasRoom;
         if (isWaiting && await this.request.pass.waitAgain(() => this.selectTarget(NO_TARGETS).hasRoom)) {
             this.limited.clear();
             return RETRY_STEP;
@@ -427,12 +427,16 @@
         return this.request.isRepeatable && this.canRetry();
     }
 
-    private failWithoutTarget(): AttemptsResult | RelayRefusal {
-        const { selector } = this.opts;
+    /** Time until a target may get the request that is only held back by its limits, in milliseconds; undefined where none is. */
+    private getLimitWaitMs(): number | undefined {
         const { begun, tried } = this;
-        const waitMs = selector.getWaitMs(this.request.admission.service, { tried, begun });
+        return this.opts.selector.getWaitMs(this.request.admission.service, { tried, begun });
+    }
+
+    private failWithoutTarget(): AttemptsResult | RelayRefusal {
+        const waitMs = this.getLimitWaitMs();
         return waitMs === undefined
-            ? this.failRequest(begun === undefined ? "noTarget" : "versionUnavailable")
+            ? this.failRequest(this.begun === undefined ? "noTarget" : "versionUnavailable")
             : this.failRequest("targetsLimited", Math.max(MIN_LIMIT_RETRY_AFTER_S, waitMs / MS_PER_S));
     }
 
--- a/packages/relay/src/relay.test.ts
+++ b/packages/relay/src/relay.test.ts
@@ -655,6 +655,14 @@
     t.is(lines.find(line => line.event === "request ended")?.["waitedMs"], 5);
 });
 
+// Guards against a wait of a request that no target may serve: its caller would get the same refusal later.
+test("a request that all targets have rejected does not wait", async t => {
+    const gate = new NarrowGate();
+    const { caller } = await serve([full], { maxAttempts: 4 }, {}, { gate });
+    t.is(caller.refusal?.reason, "noTarget");
+    t.deepEqual(gate.steps, ["sent", "waited", "sent", "sent", "released"]);
+});
+
 test("a request that all targets rejected is told when to come back by the gate", async t => {
     const { caller } = await serve([full], {}, {}, { gate: new NarrowGate() });
     t.deepEqual(caller.refusal, { reason: "overloaded", retryAfterS: 0.2 });
