--- a/packages/relay/src/relay-attempts.ts
+++ b/packages/relay/src/relay-attempts.ts
@@ -132,7 +132,7 @@
         }
         const { state, hasRoom } = this.selectTarget(this.limited);
         // After a rejection another full target would most likely reject the request as well.
-        const isWaiting = state === undefined || (this.sends.count > 0 && !hasRoom);
+        const isWaiting = state === undefined ? this.getLimitWaitMs() !== undefined : this.sends.count > 0 && !hasRoom;
         if (isWaiting && await this.request.pass.waitAgain(() => this.selectTarget(NO_TARGETS).hasRoom)) {
             this.limited.clear();
             return RETRY_STEP;
@@ -298,13 +298,17 @@
         return { kind: "end", end: "answered" };
     }
 
-    private failWithoutTarget(): AttemptsResult | RelayRefusal {
-        const { selector } = this.opts;
+    /** Time until a target may get the request that is only held back by its limits, in milliseconds; undefined where none is. */
+    private getLimitWaitMs(): number | undefined {
         const { sends: { tried }, beginning: { version: begun } } = this;
         const { service, allowedRegions: regions } = this.request.admission;
-        const waitMs = selector.getWaitMs(service, { tried, begun, regions });
+        return this.opts.selector.getWaitMs(service, { tried, begun, regions });
+    }
+
+    private failWithoutTarget(): AttemptsResult | RelayRefusal {
+        const waitMs = this.getLimitWaitMs();
         return waitMs === undefined
-            ? this.failRequest(begun === undefined ? "noTarget" : "versionUnavailable")
+            ? this.failRequest(this.beginning.version === undefined ? "noTarget" : "versionUnavailable")
             : this.failRequest("targetsLimited", Math.max(MIN_LIMIT_RETRY_AFTER_S, waitMs / MS_PER_S));
     }
 
