--- a/packages/relay/src/instance/relay-instance.ts
+++ b/packages/relay/src/instance/relay-instance.ts
@@ -163,14 +163,7 @@
         const fleetKv = new PeerKvClient({ own: this.kv, hub });
         fleetKv.serve();
         this.starts = this.createStartCheck(fleetKv);
-        this.budgets = new FleetBudgets({
-            kv: fleetKv,
-            isKvAvailable: () => this.health.isAvailable || fleetKv.hasHelper,
-            hub,
-            maxCopyAgeMs: cfg.kv.maxCopyAgeS * MS_PER_S,
-            getPrepaid: team => this.documents.current()?.findTeam(team)?.prepaidTokens ?? 0,
-            log: (event, fields) => this.log.write(event, fields),
-        });
+        this.budgets = this.createBudgets(fleetKv);
         this.permits = this.createPermits();
         this.room = this.createRoom();
         this.loadSharing = this.createLoadSharing();
@@ -180,15 +173,7 @@
         this.origins = this.createOrigins();
         this.versionRecord = this.createVersionRecord();
         this.decisions = new DecisionStore({ kv: this.kv, log: this.log });
-        this.parts = new PartQuarantine({
-            hub,
-            crashes: new ConnectCrashCheck({
-                isReachedByPeers: target => this.sending.paths.recordUnreachable(target),
-            }),
-            log: this.log,
-            count: name => this.metrics.add(name),
-            onDecision: decision => void this.decisions.save(decision),
-        });
+        this.parts = this.createParts();
         this.secondSends = this.createSecondSends();
         this.relay = this.createRelay();
         this.handoff = new ConnectionHandoff({
@@ -423,6 +408,29 @@
         });
     }
 
+    private createBudgets(kv: PeerKvClient): FleetBudgets {
+        return new FleetBudgets({
+            kv,
+            isKvAvailable: () => this.health.isAvailable || kv.hasHelper,
+            hub: this.hub,
+            maxCopyAgeMs: this.cfg.kv.maxCopyAgeS * MS_PER_S,
+            getPrepaid: team => this.documents.current()?.findTeam(team)?.prepaidTokens ?? 0,
+            log: (event, fields) => this.log.write(event, fields),
+        });
+    }
+
+    private createParts(): PartQuarantine {
+        return new PartQuarantine({
+            hub: this.hub,
+            crashes: new ConnectCrashCheck({
+                isReachedByPeers: target => this.sending.paths.recordUnreachable(target),
+            }),
+            log: this.log,
+            count: name => this.metrics.add(name),
+            onDecision: decision => void this.decisions.save(decision),
+        });
+    }
+
     private createPermits(): FleetSendPermits {
         return new FleetSendPermits({
             hub: this.hub,
