--- a/packages/bench/src/platform/soak/platform-soak.test.ts
+++ b/packages/bench/src/platform/soak/platform-soak.test.ts
@@ -5,9 +5,9 @@
 
 /**
  * A short run, with a limit of a target, cuts of instances from targets, restores of the store beside other faults, and overloaded
- * instances whose helpers are disturbed; `npm run soak -- --fleet platform` plays more.
+ * instances whose helpers are disturbed, the last one with shared loads, waiting and second sends; `npm run soak -- --fleet platform` plays more.
  */
-const SEEDS = [1, 2, 21, 201, 501, 504, 601, 606];
+const SEEDS = [1, 2, 21, 201, 501, 504, 601, 606, 701];
 
 for (const seed of SEEDS) {
     test.serial(`random faults together on the platform, seed ${seed}`, async t => {
--- a/packages/bench/src/platform/soak/play-platform-seed.ts
+++ b/packages/bench/src/platform/soak/play-platform-seed.ts
@@ -36,6 +36,8 @@
     readonly modelVersions?: readonly string[];
     /** Folder for the instances' lines and for what broke a promise; none by default. */
     readonly logFolder?: string | undefined;
+    /** Further settings of the instances; none by default. */
+    readonly settings?: Readonly<Record<string, unknown>>;
 }
 
 /** What varies between runs of the same seed. */
@@ -63,6 +65,16 @@
 /** Earlier seeds play what they played when they were found. */
 const FIRST_SEED_WITH_RESTORES = 501;
 const FIRST_SEED_WITH_OVERLOADS = 601;
+const FIRST_SEED_WITH_LOAD_SETTINGS = 701;
+
+/** Settings that have instances share the loads of targets and decide by them. */
+const LOAD_SETTINGS = {
+    urgency: { isEnabled: true },
+    targetReports: { intervalMs: 500 },
+    placement: { usesReports: true },
+    waiting: { isEnabled: true },
+    secondSends: { share: 0.1 },
+} as const;
 
 /** Time to live of addresses, in seconds; as deployed. */
 const ADDRESS_TTL_S = 2;
@@ -101,12 +113,13 @@
         schedule,
         modelVersions,
         logFolder: opts.logFolder,
+        settings: seed < FIRST_SEED_WITH_LOAD_SETTINGS ? {} : LOAD_SETTINGS,
     });
 };
 
 /** Plays a schedule under load on a fleet of its own and judges. */
 export const playPlatformScenario = async (scenario: PlatformScenario): Promise<PlatformSeedResult> => {
-    const { seed, count, callersEach, prepaid, schedule, modelVersions = [], logFolder } = scenario;
+    const { seed, count, callersEach, prepaid, schedule, modelVersions = [], logFolder, settings = {} } = scenario;
     const log = logFolder === undefined ? undefined : createWriteStream(join(logFolder, `seed-${seed}.log`));
     const forwards = new ForwardLog();
     const handoffs = new HandoffLog();
@@ -125,6 +138,7 @@
         cuttable: schedule.some(({ fault }) => fault.kind === "cutOff") ? count - 1 : 0,
         withPeerLinks: schedule.some(({ fault }) => fault.kind === "helperFault" && fault.how === "cutLink"),
         addressTtlS: ADDRESS_TTL_S,
+        settings,
         onLine,
     });
     try {
