--- a/packages/relay/src/policy/report-placement.ts
+++ b/packages/relay/src/policy/report-placement.ts
@@ -64,6 +64,12 @@
  */
 const SOFT_SHARE = 0.15;
 
+/**
+ * Share of the slots up to which a prompt part stays at its target, however few requests the others have: reading a part again costs an
+ * engine more than the longer steps of so many requests.
+ */
+const AFFINITY_SLOT_SHARE = 0.6;
+
 /** Weight of the error share in a target's cost. */
 const ERROR_WEIGHT = 4;
 
@@ -137,7 +143,7 @@
         if (!target.hasFreeSlot || !target.fitsMemory) {
             return false;
         }
-        const room = utilization * target.slots * LOAD_FACTOR + SLACK_REQUESTS - target.requests;
+        const room = getLoadBound(utilization, target.slots) - target.requests;
         return room / (target.slots * SOFT_SHARE) > this.random();
     }
 
@@ -195,9 +201,13 @@
     }
 }
 
+/** Requests at a target up to which it is chosen for the sake of a prompt part. */
+const getLoadBound = (utilization: number, slots: number): number =>
+    Math.max(utilization * slots * LOAD_FACTOR + SLACK_REQUESTS, slots * AFFINITY_SLOT_SHARE);
+
 /** Number of targets that a part's requests need, each up to its share of the load bound. */
 const getSpread = ({ partRequests, utilization, meanSlots, count }: PlacementField): number => {
     const ownMean = partRequests / Math.max(1, count);
-    const room = (LOAD_FACTOR - 1) * utilization * meanSlots + SLACK_REQUESTS + ownMean;
+    const room = getLoadBound(utilization, meanSlots) - utilization * meanSlots + ownMean;
     return Math.max(1, Math.ceil(partRequests / room));
 };
