Read the load reports of services that generate tokens only

The desired state tells which services generate tokens. The new test fails before the change, which its option did not exist for.

--- a/packages/relay/src/instance/relay-instance.ts
+++ b/packages/relay/src/instance/relay-instance.ts
@@ -459,6 +459,8 @@
             directory: this.directory,
             port: new HttpReportPort(this.adapter.targetProtocol),
             intervalMs,
+            // Plain services have no reports, and their targets count each read as a request that they rejected.
+            hasReports: service => this.documents.current()?.findService(service)?.tokensPerEvent !== undefined,
             isCutOff: () => this.roster.size > 1 && this.hub.peers().length === 0,
             log: this.log,
             count: (name, amount) => this.metrics.add(name, amount),
--- a/packages/relay/src/load/load-sharing.test.ts
+++ b/packages/relay/src/load/load-sharing.test.ts
@@ -18,6 +18,14 @@
     t.is(fleet.members[3]?.sharing.loads.get(fleet.targets[5] ?? t.fail())?.running, 5);
 });
 
+// Guards against reads that targets of plain services reject, and count as requests.
+test("targets of a service without reports are not read", async t => {
+    const fleet = new LoadFleet(12, 30);
+    fleet.targets.forEach(({ service }) => fleet.plainServices.add(service));
+    await fleet.readAll();
+    t.deepEqual(fleet.reads, []);
+});
+
 test("targets of a reader that is lost are read by others", async t => {
     const fleet = new LoadFleet(12, 30);
     const reader = fleet.members.find(({ sharing }) => sharing.view.ownTargets.length > 0);
--- a/packages/relay/src/load/load-sharing.ts
+++ b/packages/relay/src/load/load-sharing.ts
@@ -19,6 +19,8 @@
     readonly port: ReportPort;
     /** Interval between two reads of a target in a small fleet, in milliseconds. */
     readonly intervalMs: number;
+    /** Whether the targets of a service have reports; each by default. */
+    readonly hasReports?: (service: string) => boolean;
     /** Whether this instance has lost contact with all others; then it reads nothing. */
     readonly isCutOff: () => boolean;
     readonly log: RelayLog;
@@ -60,7 +62,7 @@
         this.nowMs = nowMs;
         this.table = new LoadTable({ directory });
         this.sends = new OwnSends(nowMs);
-        this.readers = new ReportReaders({ hub, directory });
+        this.readers = new ReportReaders(opts);
         this.spreader = new ReportSpreader({
             ...opts,
             nowMs,
--- a/packages/relay/src/load/report-readers.ts
+++ b/packages/relay/src/load/report-readers.ts
@@ -8,6 +8,8 @@
 export interface ReportReadersOptions {
     readonly hub: Pick<PeerHub, "peers" | "self">;
     readonly directory: Pick<TargetDirectory, "list">;
+    /** Whether the targets of a service have reports; each by default. */
+    readonly hasReports?: (service: string) => boolean;
 }
 
 /** Key by which the readers are chosen. */
@@ -72,11 +74,11 @@
     }
 
     private listShared(): readonly Target[] {
-        const { hub, directory } = this.opts;
+        const { hub, directory, hasReports } = this.opts;
         const self = hub.self();
         const regions = new Map([...hub.peers(), self].map(info => [info.availabilityZone, info.region]));
         return directory.list().map(state => state.target)
-            .filter(target => !target.leaving)
+            .filter(target => !target.leaving && hasReports?.(target.service) !== false)
             .filter(target => (regions.get(target.availabilityZone) ?? self.region) === self.region);
     }
 }
