--- a/packages/bench/src/callers/caller-fleet.ts
+++ b/packages/bench/src/callers/caller-fleet.ts
@@ -60,6 +60,8 @@
     readonly settings?: SettingsChange;
     readonly engineArgs?: readonly string[];
     readonly env?: Readonly<Record<string, string>>;
+    /** Descriptors that each instance may have open; those of this process by default. */
+    readonly maxDescriptors?: number;
     readonly cleanup: Cleanup;
 }
 
@@ -119,6 +121,7 @@
         ],
         settings: { ...opts.settings, fleet: { addressTtlS: 1, ...opts.settings?.fleet } },
         env: opts.env ?? {},
+        ...(opts.maxDescriptors === undefined ? {} : { maxDescriptors: opts.maxDescriptors }),
     });
     return new CallerFleet(fleet);
 };
--- a/packages/bench/src/platform/platform-fleet.ts
+++ b/packages/bench/src/platform/platform-fleet.ts
@@ -82,6 +82,12 @@
     readonly maxCopyAgeS?: number;
     /** Modules that are loaded into each instance before its main one; none by default. */
     readonly modules?: readonly string[];
+    /** Arguments of node itself; none by default. */
+    readonly nodeArgs?: readonly string[];
+    /** Descriptors that each instance may have open; those of this process by default. */
+    readonly maxDescriptors?: number;
+    /** Sections that are added to the settings of each instance; none by default. */
+    readonly settings?: Readonly<Record<string, unknown>>;
     /** Takes the lines that the instances write. */
     readonly onLine?: (instance: string, line: string) => void;
 }
@@ -182,6 +188,7 @@
     private withProxies = false;
     private document: unknown;
     private modules: readonly string[] = [];
+    private process: Pick<PlatformFleetOptions, "nodeArgs" | "maxDescriptors"> = {};
     private onLine: PlatformFleetOptions["onLine"];
 
     private constructor(opts: PlatformFleetOptions) {
@@ -212,6 +219,7 @@
         const fleet = new PlatformFleet(opts);
         fleet.withProxies = withProxies;
         fleet.modules = opts.modules ?? [];
+        fleet.process = opts;
         fleet.onLine = opts.onLine;
         const store = await fleet.store.start();
         for (const at of fleet.targets.keys()) {
@@ -242,7 +250,7 @@
         for (const at of Array(count).keys()) {
             const own = addresses.slice(at * PORTS_EACH, (at + 1) * PORTS_EACH);
             const kv = { address: storeFor[at] ?? store, ...getMaxCopyAge(opts.maxCopyAgeS) };
-            const varying = { seeds: seeds.slice(0, MAX_SEEDS), kv, addressTtlS, stopWithinS };
+            const varying = { seeds: seeds.slice(0, MAX_SEEDS), kv, addressTtlS, stopWithinS, ...opts.settings };
             fleet.instances.push(await fleet.createInstance(folder, at, own, varying));
         }
         try {
@@ -443,9 +451,12 @@
     private startProcess(name: string, settingsFile: string): RigProcess {
         this.starts += 1;
         const redirects = this.peerLinks?.getRedirects(name);
+        const { nodeArgs = [], maxDescriptors } = this.process;
+        const modules = [...(redirects === undefined ? [] : [REDIRECT]), ...this.modules];
         return new RigProcess({
             script: this.starts % 2 === 0 ? OTHER_BUILD : MAIN,
-            nodeArgs: [...(redirects === undefined ? [] : [REDIRECT]), ...this.modules].flatMap(it => ["--import", it]),
+            nodeArgs: [...nodeArgs, ...modules.flatMap(it => ["--import", it])],
+            ...(maxDescriptors === undefined ? {} : { maxDescriptors }),
             env: {
                 OSPREYREEL_SETTINGS: settingsFile,
                 ...(this.onLine === undefined ? {} : { ROARR_LOG: "true" }),
--- a/packages/bench/src/rig/fleet-options.ts
+++ b/packages/bench/src/rig/fleet-options.ts
@@ -45,6 +45,8 @@
         readonly args?: readonly string[];
         readonly nodeArgs?: readonly string[];
     };
+    /** Descriptors that each instance may have open; those of this process by default. */
+    readonly maxDescriptors?: number;
     /** Added to the environment of each instance. */
     readonly env?: Readonly<Record<string, string>>;
     /** Stops the fleet when a test is over. */
--- a/packages/bench/src/rig/rig-process.ts
+++ b/packages/bench/src/rig/rig-process.ts
@@ -26,6 +26,8 @@
     readonly env?: Readonly<Record<string, string>>;
     /** Arguments of node itself, before the script. */
     readonly nodeArgs?: readonly string[];
+    /** Descriptors that the process may have open; those of this process by default. */
+    readonly maxDescriptors?: number;
     /** Longest wait for the ready line; 30,000 by default. */
     readonly readyTimeoutMs?: number;
     /** Longest wait for an end after SIGTERM, before SIGKILL; 60,000 by default. */
@@ -58,7 +60,12 @@
         this.stopTimeoutMs = opts.stopTimeoutMs ?? 60_000;
         this.onLine = opts.onLine ?? (() => undefined);
         const args = [...opts.nodeArgs ?? [], opts.script, ...opts.args ?? []];
-        this.child = spawn(process.execPath, args, {
+        // The shell sets the limit and is then replaced by the process, which keeps its id.
+        const { maxDescriptors } = opts;
+        const [command, commandArgs] = maxDescriptors === undefined
+            ? [process.execPath, args]
+            : ["/bin/sh", ["-c", `ulimit -n ${maxDescriptors} && exec "$0" "$@"`, process.execPath, ...args]];
+        this.child = spawn(command, commandArgs, {
             env: { ...process.env, ...opts.env },
             stdio: ["ignore", "pipe", "pipe"],
         });
--- a/packages/bench/src/rig/start-fleet.ts
+++ b/packages/bench/src/rig/start-fleet.ts
@@ -56,6 +56,7 @@
             script: opts.daemon?.script ?? getScriptPath("daemon/dist/main.js"),
             args: ["--settings", file, ...opts.daemon?.args ?? []],
             env: { ...opts.env, ...redirected.env },
+            ...(opts.maxDescriptors === undefined ? {} : { maxDescriptors: opts.maxDescriptors }),
             nodeArgs: [...redirected.nodeArgs, ...opts.daemon?.nodeArgs ?? []],
         },
     });
