Bound callers' connections and unfinished requests at all ports of an instance

Cause: unfinished heads and bodies, and connections beyond the descriptors, were not bounded in sum; a handing-off instance held whole requests. No unit test of CallerGuard yet.

--- a/packages/bench/src/platform/caller-crowds.test.ts
+++ b/packages/bench/src/platform/caller-crowds.test.ts
@@ -1,4 +1,5 @@
 import test, { type ExecutionContext } from "ava";
+import { readFileSync } from "node:fs";
 import { setTimeout as sleep } from "node:timers/promises";
 import { CallerCrowd, CROWD_CASES, type CrowdCase } from "../rig/caller-crowd.js";
 import { ProcessWatch } from "../rig/process-watch.js";
@@ -11,8 +12,10 @@
 /** Share of its descriptors that a process may have open: a quarter is left for targets, peers and the KV service. */
 const MAX_OPEN_SHARE = 3 / 4;
 
-/** How the platform starts an instance. */
-const NODE_ARGS = ["--max-old-space-size=200"];
+/** Arguments of node with which the platform starts an instance. */
+const NODE_ARGS = /^run = "node (.*) \S+"$/m.exec(
+    readFileSync(new URL("../../../../deploy/system.toml", import.meta.url), "utf8"),
+)?.[1]?.split(" ") ?? [];
 
 const CALLER_HEAD = [
     "POST /model/x HTTP/1.1",
--- a/packages/relay/src/http/byte-collector.ts
+++ b/packages/peer/src/byte-collector.ts
@@ -1,4 +1,4 @@
-/** Size from which a chunk is kept as it is, in bytes; smaller ones are copied together. */
+/** Size from which a chunk is kept as it is if it is most of what was read at once, in bytes; others are copied together. */
 const LARGE_CHUNK_BYTES = 2_048;
 
 /** Sizes of the first block that small chunks are copied to and of the largest one, in bytes. */
@@ -28,7 +28,10 @@
         if (chunk.length === 0) {
             return;
         }
-        if (chunk.length >= LARGE_CHUNK_BYTES || this.bytes === 0) {
+        // A small part of a large read would keep all of it in memory.
+        const readBytes = chunk.buffer.byteLength;
+        const isMostOfRead = readBytes <= MAX_BLOCK_BYTES || chunk.length * 2 >= readBytes;
+        if (isMostOfRead && (chunk.length >= LARGE_CHUNK_BYTES || this.bytes === 0)) {
             this.endBlock();
             this.pieces.push(chunk);
         }
--- a/packages/peer/src/index.ts
+++ b/packages/peer/src/index.ts
@@ -1,11 +1,16 @@
 /** Links between instances, membership and address order. */
 export * from "./address-book.js";
 export * from "./address-order.js";
+export * from "./byte-collector.js";
+export * from "./caller-guard.js";
 export { connect } from "./connect.js";
 export * from "./copy-holder.js";
+export * from "./descriptor-limit.js";
+export * from "./discard-input.js";
 export { wasNotSent } from "./errors.js";
 export * from "./even-spread-address-order.js";
 export * from "./io-timeout.js";
+export * from "./limit-log.js";
 export * from "./lingering-close.js";
 export * from "./link-view.js";
 export * from "./name-scores.js";
--- a/packages/relay/src/handoff/connection-handoff.ts
+++ b/packages/relay/src/handoff/connection-handoff.ts
@@ -2,6 +2,7 @@
 import type { Address, HandoffStop, InstanceInfo } from "@ospreyreel/types";
 import type { Socket } from "node:net";
 import type { RequestHead } from "../http/caller-protocol.js";
+import { MAX_REQUEST_BYTES, MessageMemory } from "../message-memory.js";
 import { chooseHelpers } from "../policy/choose-helpers.js";
 import { HandoffPolicy } from "../policy/handoff-policy.js";
 import type { StopWindow } from "../policy/stop-window.js";
@@ -21,6 +22,10 @@
     readonly log: RelayLog;
     /** Adds one to a counter. */
     readonly count: (name: string) => void;
+    /** Called when a request begins that a helper serves, and when it ends. */
+    readonly onExchange?: (caller: Socket, change: 1 | -1) => void;
+    /** Maximum size of all open requests that are held for the case that their helper is lost, in bytes; half of that of this instance's by default. */
+    readonly maxHeldBytes?: number;
     /** Decides when connections are handed off; a {@link HandoffPolicy} by default. */
     readonly policy?: Pick<HandoffPolicy, "isHandingOff" | "mayHelp" | "recordSample">;
     /** Idle share of the event loop since the last call; measured by default. */
@@ -91,6 +96,7 @@
     private readonly policy: Pick<HandoffPolicy, "isHandingOff" | "mayHelp" | "recordSample">;
     private readonly takeIdleShare: () => number;
     private readonly stopping = new AbortController();
+    private readonly memory: MessageMemory;
     private current: Helper | undefined;
     private stopWindow: StopWindow | undefined;
     private isSearching = false;
@@ -101,6 +107,7 @@
 
     constructor(private readonly opts: ConnectionHandoffOptions) {
         this.policy = opts.policy ?? new HandoffPolicy();
+        this.memory = new MessageMemory(opts.maxHeldBytes ?? MAX_REQUEST_BYTES / 2);
         const load = new EventLoopLoad();
         this.takeIdleShare = opts.takeIdleShare ?? (() => load.takeIdleShare());
     }
@@ -143,6 +150,11 @@
         return this.newestServed;
     }
 
+    /** Bytes of open requests that helpers serve. */
+    get heldBytes(): number {
+        return this.memory.heldBytes;
+    }
+
     /** For the state dump. */
     get view(): HandoffView {
         return {
@@ -197,6 +209,9 @@
                     getTerms: this.opts.getTerms,
                     confirmEnd: () => this.renew(helper),
                     serveHere,
+                    memory: this.memory,
+                    onExchange: change => this.opts.onExchange?.(caller, change),
+                    onNotHeld: () => this.opts.count("handed_off_requests_not_held"),
                     isStopping: () => this.stopping.signal.aborted,
                     onEnd: end => this.recordEnd(helper, caller, end),
                 }),
--- a/packages/relay/src/handoff/handed-off-connection.ts
+++ b/packages/relay/src/handoff/handed-off-connection.ts
@@ -1,7 +1,7 @@
-import { closeWithLinger } from "@ospreyreel/peer";
+import { ByteCollector, closeWithLinger } from "@ospreyreel/peer";
 import type { Socket } from "node:net";
-import { ByteCollector } from "../http/byte-collector.js";
 import type { RequestHead } from "../http/caller-protocol.js";
+import type { HeldMessage, MessageMemory } from "../message-memory.js";
 import { MessageReader } from "./message-reader.js";
 
 /** What the active desired state says of a request. */
@@ -47,6 +47,12 @@
     readonly serveHere: ServeHere;
     /** Whether this instance stops, so that connections without a request are closed. */
     readonly isStopping: () => boolean;
+    /** Memory for open requests that may have to be served here. */
+    readonly memory: MessageMemory;
+    /** Called when a request begins that the helper serves, and when it ends. */
+    readonly onExchange?: (change: 1 | -1) => void;
+    /** Called for a request that is too large to be held, so that it can't be served here. */
+    readonly onNotHeld?: () => void;
     /** Called once. */
     readonly onEnd: (end: HandoffEnd) => void;
 }
@@ -76,6 +82,10 @@
     private arrivedAtMs = 0;
     /** What was copied of the open request, while it may have to be served here. */
     private readonly held = new ByteCollector();
+    private readonly heldMemory: HeldMessage;
+    /** Whether the open request found no memory, so that it can't be served here. */
+    private isNotHeld = false;
+    private hasOpenExchange = false;
     /** What arrived behind the open request. */
     private readonly queued = new ByteCollector();
     /** Whether the bytes are no requests and responses that can be followed. */
@@ -91,6 +101,7 @@
 
     constructor(private readonly opts: HandedOffConnectionOptions) {
         const { caller, helper } = opts;
+        this.heldMemory = opts.memory.open();
         this.listen(caller, "data", chunk => this.readCaller(chunk as Buffer));
         this.listen(caller, "drain", () => helper.resume());
         this.listen(caller, "end", () => helper.end());
@@ -131,7 +142,9 @@
             return;
         }
         const terms = this.getTerms();
-        if (!this.hasBegun && (!request.isComplete || terms === undefined || terms.acquireRepeat())) {
+        if (
+            !this.isNotHeld && !this.hasBegun && (!request.isComplete || terms === undefined || terms.acquireRepeat())
+        ) {
             this.takeBack({ hasRepeat: request.isComplete && terms !== undefined });
             return;
         }
@@ -197,10 +210,11 @@
         if (this.request === undefined) {
             this.request = new MessageReader({ kind: "request" });
             this.arrivedAtMs = performance.now();
+            this.setOpenExchange(true);
         }
         const own = chunk.subarray(0, this.request.read(chunk));
         if (!this.hasFinalHead && !this.isAnswered) {
-            this.held.add(own);
+            this.hold(own);
         }
         this.sendToHelper(own);
         if (this.request.isInvalid || this.request.head?.isUnfollowable === true) {
@@ -237,7 +251,7 @@
             }
             const isFinal = this.hasFinalHead;
             if (isFinal) {
-                this.held.clear();
+                this.clearHeld();
                 this.announcesClose ||= response.head?.keepsConnection === false;
             }
             if (response.isComplete) {
@@ -251,7 +265,7 @@
     /** Copies the rest of the connection without following it. */
     private stopFollowing(): void {
         this.isOpaque = true;
-        this.held.clear();
+        this.clearHeld();
         const unsent = this.queued.take();
         if (unsent.length > 0) {
             this.opts.caller.resume();
@@ -265,7 +279,9 @@
         }
         this.request = undefined;
         this.isAnswered = false;
-        this.held.clear();
+        this.isNotHeld = false;
+        this.setOpenExchange(false);
+        this.clearHeld();
         clearTimeout(this.timer);
         this.timer = undefined;
         if (this.announcesClose) {
@@ -282,6 +298,31 @@
         }
     }
 
+    private hold(chunk: Buffer): void {
+        if (this.isNotHeld) {
+            return;
+        }
+        if (this.heldMemory.tryResize(this.held.size + chunk.length)) {
+            this.held.add(chunk);
+            return;
+        }
+        this.clearHeld();
+        this.isNotHeld = true;
+        this.opts.onNotHeld?.();
+    }
+
+    private clearHeld(): void {
+        this.held.clear();
+        this.heldMemory.tryResize(0);
+    }
+
+    private setOpenExchange(isOpen: boolean): void {
+        if (this.hasOpenExchange !== isOpen) {
+            this.hasOpenExchange = isOpen;
+            this.opts.onExchange?.(isOpen ? 1 : -1);
+        }
+    }
+
     private queue(chunk: Buffer): void {
         this.queued.add(chunk);
         if (this.queued.size > MAX_QUEUED_BYTES) {
@@ -362,6 +403,10 @@
 
     /** Serves the connection here, with what its caller has sent since the last response. */
     private takeBack({ hasRepeat = false } = {}): void {
+        if (this.isNotHeld) {
+            this.close("cut");
+            return;
+        }
         const { caller, serveHere } = this.opts;
         const { arrivedAtMs, request } = this;
         const isInterrupted = request?.isComplete === true;
@@ -387,6 +432,8 @@
         }
         this.hasEnded = true;
         clearTimeout(this.timer);
+        this.heldMemory.release();
+        this.setOpenExchange(false);
         this.detachers.forEach(detach => detach());
         const { caller, helper, onEnd } = this.opts;
         caller.on("error", ignoreError);
--- a/packages/relay/src/http/http-caller-port.ts
+++ b/packages/relay/src/http/http-caller-port.ts
@@ -1,4 +1,13 @@
-import { lingerOnClose, stopListening } from "@ospreyreel/peer";
+import {
+    ByteCollector,
+    CallerGuard,
+    type CallerGuardView,
+    type CallerLimit,
+    discardInput,
+    lingerOnClose,
+    readDescriptorLimit,
+    stopListening,
+} from "@ospreyreel/peer";
 import { once } from "node:events";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
@@ -6,11 +15,11 @@
 import type { CallerExchange } from "../caller-exchange.js";
 import type { CallerBounds } from "../document/relay-document.js";
 import type { ReturnedRequest, ServeHere } from "../handoff/handed-off-connection.js";
-import { type HeldMessage, MAX_REQUEST_BYTES, MessageMemory } from "../message-memory.js";
+import { type HeldMessage, MessageMemory } from "../message-memory.js";
 import { LEAVING_REFUSAL, type RelayRefusal, withoutPromise } from "../relay-refusal.js";
 import type { RelayRequest } from "../relay-request.js";
 import type { AcceptedConnection, ConnectionOrigin } from "./accepted-connection.js";
-import { ByteCollector } from "./byte-collector.js";
+import { type CallerLimits, getCallerLimits } from "./caller-limits.js";
 import type { CallerProtocol } from "./caller-protocol.js";
 import { ExchangeCounts } from "./exchange-counts.js";
 import { HttpCallerExchange } from "./http-caller-exchange.js";
@@ -40,13 +49,17 @@
     readonly onFailure?: (err: unknown) => void;
     /** Called for each request that is refused since its body was not read to its end. */
     readonly onBodyUnread?: (why: Exclude<UnreadBody, "cut">) => void;
+    /** Limits on what callers hold; {@link getCallerLimits} without settings by default. */
+    readonly limits?: CallerLimits;
+    /** Called for each connection or request that one of the limits ends. */
+    readonly onLimit?: (limit: CallerLimit) => void;
 }
 
 /**
  * Why a body was not read to its end: its caller has left, it is too large, other requests hold too much memory, its caller's time is over,
- * or the port accepts no more.
+ * it brought nothing for too long, or the port accepts no more.
  */
-type UnreadBody = "cut" | "too_large" | "no_room" | "timed_out" | "leaving";
+type UnreadBody = "cut" | "too_large" | "no_room" | "timed_out" | "stalled" | "leaving";
 
 /** Limits before the first desired state. */
 const DEFAULT_BOUNDS: CallerBounds = {
@@ -72,9 +85,17 @@
     too_large: { reason: "bodyTooLarge" },
     no_room: { reason: "overloaded", retryAfterS: 1 },
     timed_out: { reason: "timedOutUnsent", retryAfterS: 0.5 },
+    stalled: { reason: "timedOutUnsent", retryAfterS: 0.5 },
     leaving: LEAVING_REFUSAL,
 };
 
+/** Bytes on the wire that a head takes beyond its limit, which leaves out separators and spaces, and its request line. */
+const HEAD_FRAMING_FACTOR = 2;
+const REQUEST_LINE_BYTES = 4_096;
+
+/** Descriptors that a connection takes which a peer serves. */
+const HANDED_OFF_WEIGHT = 2;
+
 /** Characters that the parser accepts in a path and the client of targets does not. */
 const UNSENDABLE_PATH = /[^\x21-\xff]/;
 
@@ -104,7 +125,8 @@
     private readonly returned = new WeakMap<Socket, ReturnedRequest>();
     private readonly idle: IdleConnections;
     private readonly exchanges = new ExchangeCounts();
-    private readonly memory = new MessageMemory(MAX_REQUEST_BYTES);
+    private readonly memory: MessageMemory;
+    private readonly guard: CallerGuard;
     private readonly serveConnection: (socket: Socket) => void;
 
     constructor(private readonly opts: HttpCallerPortOptions) {
@@ -115,6 +137,15 @@
             noDelay: true,
         });
         lingerOnClose(this.server);
+        const limits = opts.limits ?? getCallerLimits({}, readDescriptorLimit());
+        this.memory = new MessageMemory(limits.maxHeldBytes);
+        this.guard = new CallerGuard({
+            ...limits,
+            getMaxHeadBytes: () => HEAD_FRAMING_FACTOR * this.bounds.maxHeaderBytes + REQUEST_LINE_BYTES,
+            rejectHead: socket =>
+                this.rejectUnparsed({ name: "Error", message: "", code: "HPE_HEADER_OVERFLOW" }, socket),
+            onLimit: limit => opts.onLimit?.(limit),
+        });
         const listeners = this.server.listeners("connection") as unknown as readonly ((socket: Socket) => void)[];
         this.server.removeAllListeners("connection");
         this.serveConnection = socket => {
@@ -122,6 +153,7 @@
             listeners.forEach(listener => {
                 listener.call(this.server, socket);
             });
+            this.guard.follow(socket);
         };
         this.idle = new IdleConnections({
             serve: socket => {
@@ -131,11 +163,15 @@
             getIdleTimeoutMs: () => this.bounds.idleTimeoutMs,
         });
         this.server.on("connection", (socket: Socket) => {
+            if (!this.guard.admit(socket, opts.isHandingOff?.() === true ? HANDED_OFF_WEIGHT : 1)) {
+                return;
+            }
             if (opts.handOff?.(socket, returned => this.serveReturned(socket, returned)) !== true) {
                 this.serveConnection(socket);
             }
         });
         this.server.on("request", (req, res) => {
+            this.guard.beginRequest(req);
             const held = this.memory.open();
             this.serve(req, res, held).catch((err: unknown) => {
                 this.failRequest(req, res);
@@ -182,7 +218,9 @@
     /** Serves a caller's connection that came through a peer. */
     accept(socket: Socket, origin: ConnectionOrigin): AcceptedConnection {
         this.origins.set(socket, origin);
-        this.serveConnection(socket);
+        if (this.guard.admit(socket)) {
+            this.serveConnection(socket);
+        }
         return this.exchanges.watch(socket);
     }
 
@@ -214,6 +252,16 @@
         return this.memory.heldBytes;
     }
 
+    /** Connections and unfinished requests, for the state dump. */
+    get guardView(): CallerGuardView {
+        return this.guard.view;
+    }
+
+    /** Takes note that a peer serves a request of a connection that was handed off, or no longer. */
+    countHandedOffExchange(socket: Socket, change: 1 | -1): void {
+        this.guard.countExchange(socket, change);
+    }
+
     /** Number of connections that were opened a moment ago and have brought no request yet. */
     get newConnections(): number {
         return this.unused.count();
@@ -243,6 +291,7 @@
         this.server.close();
         this.server.closeAllConnections();
         this.idle.closeAll();
+        this.guard.stop();
         return unsent;
     }
 
@@ -266,6 +315,7 @@
     private countUntilClosed({ socket }: IncomingMessage, res: ServerResponse): void {
         this.open += 1;
         this.exchanges.add(socket, 1);
+        this.guard.countExchange(socket, 1);
         let isOpen = true;
         const end = (): void => {
             socket.off("close", end);
@@ -273,6 +323,7 @@
                 isOpen = false;
                 this.open -= 1;
                 this.exchanges.add(socket, -1);
+                this.guard.countExchange(socket, -1);
             }
         };
         res.once("close", end);
@@ -307,15 +358,19 @@
         const { method = "", url = "", rawHeaders } = req;
         const headBytes = rawHeaders.reduce((sum, text) => sum + text.length + HEADER_SEPARATOR_BYTES, url.length);
         if (headBytes > this.bounds.maxHeaderBytes) {
-            this.closing.add(socket);
+            this.closeAfterResponse(socket);
             res.writeHead(HTTP_HEADERS_TOO_LARGE, { "Connection": "close" }).end();
             return;
         }
+        if (this.guard.refusesHead(req)) {
+            this.refuseUnread(req, caller, "no_room", isInterrupted);
+            return;
+        }
         const head = UNSENDABLE_PATH.test(url)
             ? undefined
             : protocol.decode({ method, target: url, rawHeaders, arrivedAtMs });
         if (head === undefined) {
-            this.closing.add(socket);
+            this.closeAfterResponse(socket);
             caller.refuse({ reason: "badRequest" });
             return;
         }
@@ -332,11 +387,7 @@
             return;
         }
         if (typeof body === "string") {
-            this.closing.add(socket);
-            this.opts.onBodyUnread?.(body);
-            const refusal = UNREAD_BODY_REFUSALS[body];
-            caller.refuse(isInterrupted ? withoutPromise(refusal) : refusal);
-            req.resume();
+            this.refuseUnread(req, caller, body, isInterrupted);
             return;
         }
         this.readWhole.add(socket, res);
@@ -349,6 +400,21 @@
         await this.opts.serve({ ...head, body, minVersion, isInterrupted, hasRepeat, ...handedOff }, caller);
     }
 
+    /** Refuses a request whose body was not read, and closes its connection. */
+    private refuseUnread(
+        req: IncomingMessage,
+        caller: CallerExchange,
+        why: Exclude<UnreadBody, "cut">,
+        isInterrupted: boolean,
+    ): void {
+        this.closeAfterResponse(req.socket);
+        this.opts.onBodyUnread?.(why);
+        const refusal = UNREAD_BODY_REFUSALS[why];
+        caller.refuse(isInterrupted ? withoutPromise(refusal) : refusal);
+        req.resume();
+        discardInput(req.socket);
+    }
+
     /** Ends a request whose handling failed; what was sent of its response must not look complete. */
     private failRequest(req: IncomingMessage, res: ServerResponse): void {
         const { socket } = req;
@@ -360,7 +426,7 @@
             return;
         }
         // The request may have run.
-        this.closing.add(socket);
+        this.closeAfterResponse(socket);
         const { protocol } = this.opts;
         const caller = new HttpCallerExchange({ req, res, protocol, shouldCloseAfter: () => true });
         try {
@@ -390,12 +456,18 @@
         if (this.closing.has(socket)) {
             return;
         }
-        this.closing.add(socket);
+        this.closeAfterResponse(socket);
         if (!this.readWhole.has(socket)) {
+            discardInput(socket);
             rejectUnparsed(socket, err);
         }
     }
 
+    private closeAfterResponse(socket: Socket): void {
+        this.closing.add(socket);
+        this.guard.markClosing(socket);
+    }
+
     /** Reads a body, as long as the port accepts requests and until a monotonic time in milliseconds. */
     private async readBody(
         req: IncomingMessage,
@@ -415,10 +487,26 @@
                 timer = setTimeout(end, endsAtMs - performance.now());
             }
         });
+        let stopReading: (why: "no_room" | "stalled") => void = () => undefined;
+        const ended = new Promise<"no_room" | "stalled">(resolve => stopReading = resolve);
+        const guarded = this.guard.beginBody(req, limit => {
+            held.release();
+            stopReading(limit === "progress" ? "stalled" : "no_room");
+        });
+        const tryHold = (bytes: number): boolean => {
+            while (!held.tryResize(bytes)) {
+                if (!this.guard.endSlowestBody(req.socket)) {
+                    return false;
+                }
+            }
+            guarded.record(bytes);
+            return true;
+        };
         try {
-            return await Promise.race([readBody(req, held, this.bounds.maxBodyBytes), stopped, timedOut]);
+            return await Promise.race([readBody(req, tryHold, this.bounds.maxBodyBytes), stopped, timedOut, ended]);
         }
         finally {
+            guarded.end();
             clearTimeout(timer);
             this.bodyReads.delete(stop);
         }
@@ -444,7 +532,7 @@
 
 const readBody = async (
     req: IncomingMessage,
-    held: HeldMessage,
+    tryHold: (bytes: number) => boolean,
     maxBytes: number,
 ): Promise<Buffer | UnreadBody> => {
     const collected = new ByteCollector();
@@ -455,7 +543,7 @@
             if (collected.size + chunk.length > maxBytes || hasTooManySmallParts(parts, collected.size)) {
                 return "too_large";
             }
-            if (!held.tryResize(collected.size + chunk.length)) {
+            if (!tryHold(collected.size + chunk.length)) {
                 return "no_room";
             }
             collected.add(chunk);
--- a/packages/relay/src/http/response-body.ts
+++ b/packages/relay/src/http/response-body.ts
@@ -1,4 +1,4 @@
-import { ByteCollector } from "./byte-collector.js";
+import { ByteCollector } from "@ospreyreel/peer";
 
 type Waiter = { readonly resolve: (result: IteratorResult<Buffer>) => void; readonly reject: (err: Error) => void; };
 
--- a/packages/relay/src/instance/relay-instance.ts
+++ b/packages/relay/src/instance/relay-instance.ts
@@ -1,12 +1,13 @@
 import { FleetBudgets } from "@ospreyreel/budgets";
 import { BreakerKvClient, type KvCall, type KvClient, KvHealth } from "@ospreyreel/kv";
-import type { TcpPeerHub } from "@ospreyreel/peer";
+import { type CallerLimit, LimitLog, readDescriptorLimit, type TcpPeerHub } from "@ospreyreel/peer";
 import type { Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { DocumentFollower } from "../document/document-follower.js";
 import { DocumentHolder } from "../document/document-holder.js";
 import { ConnectionHandoff } from "../handoff/connection-handoff.js";
 import { HandoffPort } from "../handoff/handoff-port.js";
+import { type CallerLimits, getCallerLimits } from "../http/caller-limits.js";
 import { HttpCallerPort } from "../http/http-caller-port.js";
 import { StatusPort, type StatusPortResponse } from "../http/status-port.js";
 import { CombinedSendPermits } from "../limits/combined-send-permits.js";
@@ -82,6 +83,10 @@
     private readonly directory = new TargetDirectory();
     private readonly health = new KvHealth();
     private readonly freshness = new ViewFreshness({ log: this.log });
+    private readonly callerLimits: CallerLimits;
+    private readonly limitLog = new LimitLog<string>((limit, count) =>
+        this.log.write("limit on callers reached", { limit, count })
+    );
     private readonly overload = new OverloadGuard({ nowMs: () => performance.now(), random: Math.random });
     private readonly delays: InputDelayMeter;
     private readonly roster: FleetRoster;
@@ -118,6 +123,7 @@
         this.ready = new Promise(resolve => {
             this.resolveReady = resolve;
         });
+        this.callerLimits = getCallerLimits(cfg.callerLimits, readDescriptorLimit());
         const onCall = (call: KvCall): void => this.metrics.recordKvCall(call);
         const platformKv = adapter.createKvClient({ ...cfg.kv, health: this.health, onCall });
         this.kv = new BreakerKvClient(platformKv, this.health);
@@ -161,29 +167,9 @@
             onDecision: decision => void this.decisions.save(decision),
         });
         this.relay = this.createRelay();
-        this.handoff = new ConnectionHandoff({
-            hub,
-            getVersion: () => this.documents.version,
-            getOwnRequests: () => this.callerPort.ownRequests,
-            getTerms: head => {
-                const req = adapter.callerProtocol.decode(head);
-                return req === undefined ? undefined : this.relay.getTerms({ ...req, body: NO_BODY });
-            },
-            log: this.log,
-            count: name => this.metrics.add(name),
-        });
+        this.handoff = this.createHandoff();
         this.handoffPort = this.createHandoffPort();
-        this.callerPort = new HttpCallerPort({
-            ...parseAddress(cfg.callers),
-            protocol: adapter.callerProtocol,
-            getBounds: () => this.documents.current()?.document.bounds,
-            serve: (req, caller) => this.relay.serve(req, caller),
-            handOff: (socket, serveHere) => !this.isProbe(socket) && this.handoff.handOff(socket, serveHere),
-            isHandingOff: () => this.handoff.isActive,
-            getMinVersion: () => this.handoff.servedVersion,
-            onFailure: err => this.log.write("request failed unexpectedly", { cause: String(err) }),
-            onBodyUnread: why => this.metrics.add(`request_bodies_unread_${why}`),
-        });
+        this.callerPort = this.createCallerPort();
         this.follower = this.createFollower(fleetKv);
         this.statusPorts = this.createStatusPorts();
     }
@@ -221,6 +207,11 @@
             ),
             forwardedSends: this.sending.forwardedSends.size,
             handoff: this.handoff.view,
+            callerLimits: {
+                callers: this.callerPort.guardView,
+                statusPorts: this.statusPorts.map(port => port.guardView),
+                handedOffHeldBytes: this.handoff.heldBytes,
+            },
             takenConnections: this.handoffPort?.view ?? {},
             budgets: this.budgets.list(),
             quarantine: this.parts.view,
@@ -301,6 +292,40 @@
         });
     }
 
+    private createHandoff(): ConnectionHandoff {
+        const { adapter, hub } = this;
+        return new ConnectionHandoff({
+            hub,
+            getVersion: () => this.documents.version,
+            getOwnRequests: () => this.callerPort.ownRequests,
+            onExchange: (caller, change) => this.callerPort.countHandedOffExchange(caller, change),
+            maxHeldBytes: this.callerLimits.maxHeldBytes / 2,
+            getTerms: head => {
+                const req = adapter.callerProtocol.decode(head);
+                return req === undefined ? undefined : this.relay.getTerms({ ...req, body: NO_BODY });
+            },
+            log: this.log,
+            count: name => this.metrics.add(name),
+        });
+    }
+
+    private createCallerPort(): HttpCallerPort {
+        const { adapter, cfg } = this;
+        return new HttpCallerPort({
+            ...parseAddress(cfg.callers),
+            protocol: adapter.callerProtocol,
+            getBounds: () => this.documents.current()?.document.bounds,
+            serve: (req, caller) => this.relay.serve(req, caller),
+            handOff: (socket, serveHere) => !this.isProbe(socket) && this.handoff.handOff(socket, serveHere),
+            isHandingOff: () => this.handoff.isActive,
+            getMinVersion: () => this.handoff.servedVersion,
+            onFailure: err => this.log.write("request failed unexpectedly", { cause: String(err) }),
+            limits: this.callerLimits,
+            onLimit: limit => this.recordLimit("callers", limit),
+            onBodyUnread: why => this.metrics.add(`request_bodies_unread_${why}`),
+        });
+    }
+
     private createHandoffPort(): HandoffPort | undefined {
         const { handoff } = this.cfg;
         return handoff === undefined ? undefined : new HandoffPort({
@@ -394,19 +419,29 @@
         });
     }
 
+    /** Takes note that callers have reached a limit at a port. */
+    private recordLimit(port: string, limit: CallerLimit): void {
+        this.metrics.add(`caller_limit_${limit}`);
+        this.limitLog.record(`${port} ${limit}`);
+    }
+
     private createStatusPorts(): readonly StatusPort[] {
-        const { cfg, adapter } = this;
+        const { cfg, adapter, callerLimits: limits } = this;
+        const getGuard = (port: string) => ({ limits, onLimit: (limit: CallerLimit) => this.recordLimit(port, limit) });
         return [
             new StatusPort({
                 ...parseAddress(cfg.readiness),
+                ...getGuard("readiness"),
                 answer: (method, url) => adapter.handleReadinessRequest(method, url, this.view),
             }),
             new StatusPort({
                 ...parseAddress(cfg.directory),
+                ...getGuard("directory"),
                 answer: (method, url) => adapter.handleDirectoryRequest(method, url, this.view),
             }),
             new StatusPort({
                 ...parseAddress(cfg.metrics),
+                ...getGuard("metrics"),
                 answer: async (_method, url) => await this.handleOperatorRequest(url.pathname),
             }),
         ];
@@ -418,6 +453,9 @@
                 Object.entries(this.freshness.gauges).forEach(([name, value]) => this.metrics.set(name, value));
                 this.metrics.set("held_response_bytes", this.relay.heldResponseBytes);
                 this.metrics.set("held_request_bytes", this.callerPort.heldRequestBytes);
+                this.metrics.set("caller_connections", this.callerPort.guardView.connections);
+                this.metrics.set("unfinished_request_bytes", this.callerPort.guardView.readingBytes);
+                this.metrics.set("handed_off_held_bytes", this.handoff.heldBytes);
                 return { status: 200, body: await this.metrics.getText() };
             case STATE_PATH:
                 return { status: 200, contentType: "application/json", body: JSON.stringify(this.state) };
--- a/packages/relay/src/instance/relay-settings.ts
+++ b/packages/relay/src/instance/relay-settings.ts
@@ -1,9 +1,16 @@
 import { createShapeCheck, parseCheckedJson, readSettingsText } from "@ospreyreel/config";
 import { type Static, Type } from "@sinclair/typebox";
+import { MAX_REQUEST_BYTES } from "../message-memory.js";
 
 const HOUR_MS = 3_600_000;
 const MS_PER_S = 1_000;
 
+const MAX_DESCRIPTORS = 1_048_576;
+
+/** Room for two of the largest bodies, and a limit beyond any machine's memory, in bytes. */
+const MIN_HELD_BYTES = 8 * 1_024 * 1_024;
+const MAX_HELD_BYTES = 1_024 * 1_024 * 1_024;
+
 const createAddress = (description: string) =>
     Type.String({ description: `${description} As IP:PORT.`, pattern: "^[0-9.]+:[0-9]{1,5}$" });
 
@@ -54,6 +61,41 @@
             default: false,
         }),
     }, { additionalProperties: false, default: {} }),
+    callerLimits: Type.Object({
+        maxConnections: Type.Integer({
+            description:
+                "Open connections at the port for callers; 0 for half of the descriptors of the process. Beyond it, idle and unused ones are closed.",
+            minimum: 0,
+            maximum: MAX_DESCRIPTORS,
+            default: 0,
+        }),
+        maxStatusConnections: Type.Integer({
+            description:
+                "Open connections at each of the ports for readiness, addresses and metrics; 0 for 1/32 of the descriptors, at least 16.",
+            minimum: 0,
+            maximum: MAX_DESCRIPTORS,
+            default: 0,
+        }),
+        maxHeldBytes: Type.Integer({
+            description: "Size of the bodies of all open requests, in bytes; beyond it requests are refused.",
+            minimum: MIN_HELD_BYTES,
+            maximum: MAX_HELD_BYTES,
+            default: MAX_REQUEST_BYTES,
+        }),
+        maxReadingBytes: Type.Integer({
+            description:
+                "Size of what requests hold beside their bodies until they have arrived whole, in bytes; beyond it the slowest are ended.",
+            minimum: MIN_HELD_BYTES,
+            maximum: MAX_HELD_BYTES,
+            default: MAX_REQUEST_BYTES,
+        }),
+        progressTimeoutMs: Type.Integer({
+            description: "Time in which the body of a request must bring bytes, in milliseconds.",
+            minimum: 100,
+            maximum: HOUR_MS,
+            default: 15_000,
+        }),
+    }, { additionalProperties: false, default: {} }),
     stopWithinS: Type.Number({ description: "Maximum time from a stop signal to the exit, in seconds.", minimum: 1 }),
     addressTtlS: Type.Number({ description: "Time for which callers may cache addresses, in seconds.", minimum: 0.1 }),
 }, { additionalProperties: false });
--- a/packages/relay/src/instance/relay-state.ts
+++ b/packages/relay/src/instance/relay-state.ts
@@ -1,4 +1,5 @@
 import type { BudgetView } from "@ospreyreel/budgets";
+import type { CallerGuardView } from "@ospreyreel/peer";
 import type { InstanceInfo } from "@ospreyreel/types";
 import type { HandoffView } from "../handoff/connection-handoff.js";
 import type { TakenConnections } from "../handoff/handoff-port.js";
@@ -46,6 +47,13 @@
     readonly forwardedSends: number;
     /** Callers' connections that peers serve for this instance. */
     readonly handoff: HandoffView;
+    /** What callers hold at the ports, beside the limits on it. */
+    readonly callerLimits: {
+        readonly callers: CallerGuardView;
+        /** Of the ports for readiness, addresses and metrics. */
+        readonly statusPorts: readonly CallerGuardView[];
+        readonly handedOffHeldBytes: number;
+    };
     /** Callers' connections that this instance serves for peers, by instance. */
     readonly takenConnections: TakenConnections;
     /** Versions at which streams that are resumed now may have begun. */
--- a/packages/relay/src/relay-attempts.ts
+++ b/packages/relay/src/relay-attempts.ts
@@ -1,5 +1,5 @@
+import { ByteCollector } from "@ospreyreel/peer";
 import type { ResponseHead } from "./caller-exchange.js";
-import { ByteCollector } from "./http/byte-collector.js";
 import { getQuarantineReason } from "./quarantine/watched-request.js";
 import type { LogFields } from "./relay-log.js";
 import type { RefusalReason, RelayRefusal } from "./relay-refusal.js";
--- a/packages/relay/src/stream/event-splitter.ts
+++ b/packages/relay/src/stream/event-splitter.ts
@@ -1,4 +1,4 @@
-import { ByteCollector } from "../http/byte-collector.js";
+import { ByteCollector } from "@ospreyreel/peer";
 
 const LF = 0x0a;
 const CR = 0x0d;
