--- a/packages/bench/src/platform/platform-fleet.ts
+++ b/packages/bench/src/platform/platform-fleet.ts
@@ -86,6 +86,10 @@
     readonly settings?: RelaySettingsJson;
     /** Modules that are loaded into each instance before its main one; none by default. */
     readonly modules?: readonly string[];
+    /** Arguments of node itself; none by default. */
+    readonly nodeArgs?: readonly string[];
+    /** Descriptors that each instance may have open; those of this process by default. */
+    readonly maxDescriptors?: number;
     /** Takes the lines that the instances write. */
     readonly onLine?: (instance: string, line: string) => void;
 }
@@ -201,6 +205,7 @@
     private withProxies = false;
     private document: unknown;
     private modules: readonly string[] = [];
+    private process: Pick<PlatformFleetOptions, "nodeArgs" | "maxDescriptors"> = {};
     private onLine: PlatformFleetOptions["onLine"];
 
     private constructor(opts: PlatformFleetOptions) {
@@ -232,6 +237,7 @@
         const fleet = new PlatformFleet(opts);
         fleet.withProxies = withProxies;
         fleet.modules = opts.modules ?? [];
+        fleet.process = opts;
         fleet.onLine = opts.onLine;
         const store = await fleet.store.start();
         for (const at of fleet.targets.keys()) {
@@ -463,9 +469,12 @@
     private startProcess(name: string, settingsFile: string): RigProcess {
         this.starts += 1;
         const redirects = this.peerLinks?.getRedirects(name);
+        const { nodeArgs = [], maxDescriptors } = this.process;
+        const modules = [...(redirects === undefined ? [] : [REDIRECT]), ...this.modules];
         return new RigProcess({
             script: this.starts % 2 === 0 ? OTHER_BUILD : MAIN,
-            nodeArgs: [...(redirects === undefined ? [] : [REDIRECT]), ...this.modules].flatMap(it => ["--import", it]),
+            nodeArgs: [...nodeArgs, ...modules.flatMap(it => ["--import", it])],
+            ...(maxDescriptors === undefined ? {} : { maxDescriptors }),
             env: {
                 OSPREYREEL_SETTINGS: settingsFile,
                 ...(this.onLine === undefined ? {} : { ROARR_LOG: "true" }),
--- a/packages/relay/src/relay-attempts.ts
+++ b/packages/relay/src/relay-attempts.ts
@@ -1,8 +1,8 @@
+import { ByteCollector } from "@ospreyreel/peer";
 import type { ResponseHead } from "./caller-exchange.js";
 import { HedgedSend } from "./hedging/hedged-send.js";
 import type { TargetSend } from "./hedging/target-send.js";
 import { abandonBody } from "./http/abandon-body.js";
-import { ByteCollector } from "./http/byte-collector.js";
 import { isServerError, isSuccess } from "./http/response-status.js";
 import { getQuarantineReason } from "./quarantine/watched-request.js";
 import type { LogFields } from "./relay-log.js";
