Run the tests of memory and descriptors one at a time, after all others

They start crowds of callers and compare memory with that of the smallest machine, which other tests beside them would disturb, and which would disturb those. No test or bound is changed; the entries of KNOWN-RED.txt have the titles of that run.

--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -1,4 +1,4 @@
-// Runs ava once, passes over just the failures that KNOWN-RED.txt lists, and prints one closing line.
+// Runs ava for all tests, then for those that run alone, passes over just the failures that KNOWN-RED.txt lists, and prints one closing line.
 import { spawn } from "node:child_process";
 import { readFileSync } from "node:fs";
 import { createInterface } from "node:readline";
@@ -11,14 +11,12 @@
 
 const RESULT_LINE = /^(not ok|ok) \d+ - (.*?)(?: # (SKIP|TODO).*)?$/;
 
-const main = async () => {
-    const knownRed = readKnownRed();
+/** Runs the tests of a kind, prints them and adds them to the lists; returns ava's exit status. */
+const run = async (tests, { passed, failed, skipped }) => {
     const ava = spawn("node_modules/.bin/ava", ["--tap", ...process.argv.slice(2)], {
         stdio: ["ignore", "pipe", "inherit"],
+        env: { ...process.env, OSPREYREEL_TESTS: tests },
     });
-    const passed = [];
-    const failed = [];
-    const skipped = [];
     for await (const line of createInterface({ input: ava.stdout })) {
         console.log(line);
         const match = RESULT_LINE.exec(line);
@@ -28,7 +26,16 @@
         const list = match[3] === undefined ? (match[1] === "ok" ? passed : failed) : skipped;
         list.push(match[2]);
     }
-    const status = ava.exitCode ?? (await new Promise(resolve => ava.once("close", resolve)));
+    return ava.exitCode ?? (await new Promise(resolve => ava.once("close", resolve)));
+};
+
+const main = async () => {
+    const knownRed = readKnownRed();
+    const results = { passed: [], failed: [], skipped: [] };
+    const status = await run("together", results);
+    const failedTogether = results.failed.length;
+    const statusAlone = await run("alone", results);
+    const { passed, failed, skipped } = results;
     const passedOver = failed.filter(title => knownRed.includes(title));
     const real = failed.filter(title => !knownRed.includes(title));
     for (const title of passedOver) {
@@ -40,9 +47,10 @@
     for (const title of real) {
         console.log(`FAILED: ${title}`);
     }
-    const unexplained = status !== 0 && failed.length === 0;
+    const unexplained = (status !== 0 && failedTogether === 0)
+        || (statusAlone !== 0 && failed.length === failedTogether);
     if (unexplained) {
-        console.log(`ava ended with status ${status} without naming a failed test`);
+        console.log(`ava ended with status ${status} and ${statusAlone} without naming a failed test`);
     }
     console.log(`${passed.length} passed, ${failed.length} failed, ${skipped.length} skipped`);
     const ok = real.length === 0 && !unexplained && passed.length > 0;
