--- a/review/rig-2.mjs
+++ b/review/rig-2.mjs
@@ -18,6 +18,11 @@
 
 const ROOT = resolve(import.meta.dirname, "..");
 
+/** Processes of the instances, which are ended with this process, however it ends. */
+const processes = new Set();
+process.on("exit", () => processes.forEach(child => child.kill("SIGKILL")));
+["SIGTERM", "SIGINT"].forEach(signal => process.on(signal, () => process.exit(2)));
+
 /** Whether the disruption is left out. */
 export const isCalm = process.env.TROUBLE === "0";
 
@@ -51,6 +56,7 @@
     items = new Map();
     events = [];
     revision = 1;
+    era = 1;
     waiting = new Set();
     /** Returns what to do with a call: undefined to serve it, or a delay in milliseconds, or "silent", or "busy". */
     onCall = () => undefined;
@@ -98,6 +104,21 @@
         return true;
     }
 
+    /** A copy of all items, from which the store can come back. */
+    copy() {
+        return { items: new Map(this.items), revision: this.revision };
+    }
+
+    /** Comes back from an older copy: what was written since is gone, and revisions are given out again. */
+    restore({ items, revision }) {
+        this.items = new Map(items);
+        this.events = this.events.filter(event => event.revision <= revision);
+        this.revision = revision;
+        this.era += 1;
+        this.server.closeAllConnections();
+        this.waiting.forEach(wake => wake());
+    }
+
     async serve(req, res) {
         const chunks = [];
         for await (const chunk of req) {
@@ -127,6 +148,10 @@
             this.send(res, 200, { items: all.slice(0, 500), hasMore: all.length > 500, at: this.revision });
         }
         else if (url.pathname === "/ospreyreel/kv-watch") {
+            if (Number(get("after")) > this.revision) {
+                this.send(res, 410, {});
+                return;
+            }
             const endsAt = performance.now() + Number(get("waitMs"));
             const find = () =>
                 this.events.filter(({ key, revision }) =>
@@ -162,7 +187,9 @@
 
     send(res, status, value) {
         if (!res.destroyed) {
-            res.writeHead(status, { "Content-Type": "application/json", "Store-Era": "1" }).end(JSON.stringify(value));
+            res.writeHead(status, { "Content-Type": "application/json", "Store-Era": String(this.era) }).end(
+                JSON.stringify(value),
+            );
         }
     }
 }
@@ -303,6 +330,7 @@
             env: { PATH: process.env.PATH, HOME: process.env.HOME, OSPREYREEL_SETTINGS: this.file, ROARR_LOG: "true" },
             stdio: ["ignore", "pipe", "pipe"],
         });
+        processes.add(this.process);
         this.exited = once(this.process, "exit");
         let rest = "";
         const take = chunk => {
