Review case 7: more instances that can help, so that each run hands off

What was looked for: why a run held.

What was run: the present form (four larger instances, 50 s of streams).

--- a/review/7/case.mjs
+++ b/review/7/case.mjs
@@ -8,23 +8,24 @@
 const STEP_MS = 15;
 /** `garble`, unframed: two of four workers, a share of 0.05 of their answers, for 5 s; then a pause. */
 const GARBLE = { workers: ["w-llm-0", "w-llm-1"], share: 0.05, lengthMs: 5_000, pauseMs: 1_000 };
-/** Ordinary requests a second at the small instance, and streams. Each of the others gets a third of both. */
+/** Ordinary requests a second at the small instance, and streams. Each of the others gets a sixth of both. */
 const LOAD_PER_S = 75;
 const LOAD_PROCESSES = 3;
 const STREAMS_PER_S = 35;
-const OTHERS_SHARE = 3;
+const OTHERS_SHARE = 6;
 /** Usage cap of the smallest machine: share of each tenth of a second in which it runs. */
 const CAP = 0.324;
 const CAP_INTERVAL_MS = 100;
 /** Time in which the ordinary load grows; a process that has just started is busy with little. */
 const RAMP_MS = 8_000;
-const RUN_MS = 80_000;
+const RUN_MS = 50_000;
 
 /** Most callers are those of the small instance. */
 const chooseAddresses = (addresses, round) => round % OTHERS_SHARE === 0 ? addresses : addresses.slice(0, 1);
 
-/** Sends ordinary requests until the process is killed. */
+/** Sends ordinary requests until the process is killed, or the one that started it has ended. */
 const sendLoad = async addresses => {
+    process.on("disconnect", () => process.exit());
     const startedAt = performance.now();
     for (let at = 0;; at++) {
         chooseAddresses(addresses, at).forEach((address, index) => {
@@ -155,16 +156,18 @@
         ...[0, 1, 2, 3].map(at => new Worker({ id: `w-llm-${at}`, service: "llm", serve })),
         ...[0, 1, 2].map(at => new Worker({ id: `w-desk-${at}`, service: "desk", slots: 6, serve: servePlain })),
     ];
-    const instances = [
-        { name: "edge-a", zone: "zone-a", settings: { processor: { cores: 1, share: CAP } } },
-        { name: "edge-b", zone: "zone-b", settings: { processor: { cores: 2, share: 0.675 } } },
-        { name: "edge-c", zone: "zone-c", settings: { processor: { cores: 2, share: 0.675 } } },
-    ];
+    const instances = ["a", "b", "b", "c", "c"].map((zone, at) => ({
+        name: `edge-${zone}-${at}`,
+        zone: `zone-${zone}`,
+        settings: { processor: at === 0 ? { cores: 1, share: CAP } : { cores: 2, share: 0.675 } },
+    }));
     return await withDeployment({ document: createDocument(), workers, instances }, async ({ fleet }) => {
         fleet[0].onLine = line => {
             const { message, context } = /"connections (handed off|kept|not taken)"/.test(line) ? JSON.parse(line) : {};
             if (message !== undefined) {
-                record.write(`edge-a: ${message}: ${context.helper ?? context.answers}, ${context.cause ?? ""}`);
+                record.write(
+                    `${fleet[0].name}: ${message}: ${context.helper ?? context.answers}, ${context.cause ?? ""}`,
+                );
             }
         };
         await sleep(2_000);
