--- a/review/rig-2.mjs
+++ b/review/rig-2.mjs
@@ -16,6 +16,8 @@
 /** Silence after which the store removes an entry, in milliseconds: three heartbeats. */
 const LAPSE_MS = 3 * HEARTBEAT_MS;
 
+const PORTS_EACH = 6;
+
 const ROOT = resolve(import.meta.dirname, "..");
 
 /** Processes of the instances, which are ended with this process, however it ends. */
@@ -384,10 +386,9 @@
         await store.start();
         store.put("op/config", document);
         await Promise.all(workers.map(worker => worker.start(store)));
-        const ports = [];
-        for (let at = 0; at < instances.length; at++) {
-            ports.push(await getFreePorts(6));
-        }
+        // All at once, so that none is given out twice.
+        const all = await getFreePorts(PORTS_EACH * instances.length);
+        const ports = instances.map((_, at) => all.slice(PORTS_EACH * at, PORTS_EACH * (at + 1)));
         const seeds = ports.slice(0, seedCount).map(own => `127.0.0.1:${own[3]}`);
         instances.forEach((opts, at) =>
             fleet.push(new Instance({ folder, store: store.address, ports: ports[at], seeds, ...opts }))
