--- a/packages/bench/src/platform/soak/send-call.ts
+++ b/packages/bench/src/platform/soak/send-call.ts
@@ -20,6 +20,8 @@
     readonly leavesAfterMs: number | undefined;
     /** Call whose stream is resumed. */
     readonly resumed: PlatformCall | undefined;
+    /** Further headers; none by default. */
+    readonly headers?: Readonly<Record<string, string>>;
 }
 
 /** Time that a caller waits for each kind of request, in milliseconds; those of the users' sheets. */
@@ -46,6 +48,7 @@
     ...(plan.kind === "model" || plan.kind === "fixed"
         ? { "model": "m", "token-counts": `${plan.promptTokens},${MODEL_TOKENS}` }
         : {}),
+    ...plan.headers,
 });
 
 const sendBody = async (req: ClientRequest, pauseMs: number): Promise<void> => {
--- /dev/null
+++ b/packages/bench/src/platform/unframed-responses.test.ts
@@ -0,0 +1,216 @@
+import { STAND_IN_HEADERS } from "@ospreyreel/stand-ins";
+import test, { type ExecutionContext } from "ava";
+import { Agent } from "node:http";
+import { setTimeout as sleep } from "node:timers/promises";
+import { getState, until } from "./handoff-load.js";
+import {
+    MODEL_EVENTS,
+    PlatformFleet,
+    type PlatformFleetOptions,
+    type PlatformInstance,
+    toAddress,
+} from "./platform-fleet.js";
+import type { PlatformCall, PlatformCallKind } from "./soak/platform-call.js";
+import { getEvents, sendCall } from "./soak/send-call.js";
+
+/** Callers of each instance. */
+const CALLERS = 8;
+
+/** Time for each event of a stream, in milliseconds; some have arrived when the fault comes, and the stream goes on after it. */
+const STEP_MS = 150;
+const FAULT_AFTER_MS = 450;
+
+/** Time for each event of a stream that lasts longer than a stop, in milliseconds. */
+const LONG_STEP_MS = 700;
+const STOP_WITHIN_S = 2;
+
+/** Size of a plain answer that no socket buffers hold, in bytes, and the time for which its caller does not read it, in milliseconds. */
+const LARGE_BYTES = 12_000_000;
+const READ_PAUSE_MS = 1_500;
+
+const STREAM_TIMEOUT_MS = 12_000;
+const PREPAID = 1_000_000;
+
+const HAND_OFF_ALWAYS = new URL("hand-off-always.js", import.meta.url).href;
+const THROW_ON_SIGNAL = new URL("throw-on-signal.js", import.meta.url).href;
+
+/** What varies between the calls of a scenario. */
+interface CallOptions {
+    readonly kind: PlatformCallKind;
+    readonly stepMs?: number;
+    readonly paddingBytes?: number;
+    readonly readPauseMs?: number;
+    readonly headers?: Readonly<Record<string, string>>;
+}
+
+const call = async (
+    fleet: PlatformFleet,
+    instance: PlatformInstance,
+    { kind, stepMs = STEP_MS, paddingBytes = 0, readPauseMs = 0, headers = {} }: CallOptions,
+): Promise<PlatformCall> => {
+    const agent = new Agent({ keepAlive: true, maxSockets: 1 });
+    const answer = await sendCall({
+        kind,
+        id: fleet.nextId(),
+        promptTokens: 10,
+        paddingBytes,
+        instance: instance.name,
+        address: toAddress(instance.callers),
+        wasAccepted: () => true,
+        agent,
+        stepMs,
+        bodyPauseMs: 0,
+        readPauseMs,
+        leavesAfterMs: undefined,
+        resumed: undefined,
+        headers: { [STAND_IN_HEADERS.framing]: "none", ...headers },
+    });
+    agent.destroy();
+    return answer;
+};
+
+const callTogether = async (
+    fleet: PlatformFleet,
+    instance: PlatformInstance,
+    opts: CallOptions,
+): Promise<readonly PlatformCall[]> =>
+    await Promise.all(Array.from({ length: CALLERS }, () => call(fleet, instance, opts)));
+
+const isWhole = ({ kind, id, body, paddingBytes }: PlatformCall): boolean =>
+    kind === "plain" || kind === "once"
+        ? body === `answer to ${id}${"x".repeat(paddingBytes)}`
+        : getEvents(body).length === MODEL_EVENTS;
+
+/** Calls that ended as whole ones for their callers, though they were not. */
+const findMistaken = (calls: readonly PlatformCall[]): readonly string[] =>
+    calls.filter(answer => answer.end === "answered" && answer.status === 200 && !isWhole(answer))
+        .map(({ kind, id, body }) => `${kind} ${id}: ${body.length} bytes, ${getEvents(body).length} events`);
+
+const start = async (t: ExecutionContext, opts: PlatformFleetOptions = {}) => {
+    const fleet = await PlatformFleet.start({ plainCount: 2, stopWithinS: STOP_WITHIN_S, ...opts });
+    t.teardown(() => fleet.close());
+    fleet.apply(2, PREPAID, { modelTimeoutMs: STREAM_TIMEOUT_MS });
+    const [first, second] = fleet.instances;
+    if (first === undefined || second === undefined) {
+        throw new Error("too few instances");
+    }
+    return { fleet, first, second };
+};
+
+/** The instance that serves all callers of the first one. */
+const findHelper = async (fleet: PlatformFleet, first: PlatformInstance): Promise<PlatformInstance> => {
+    let helper: PlatformInstance | undefined;
+    await until(async () => {
+        const { handoff } = await getState(first);
+        helper = fleet.instances.find(({ name }) => name === handoff.helper);
+        return helper !== undefined;
+    });
+    if (helper === undefined) {
+        throw new Error("no instance takes connections");
+    }
+    return helper;
+};
+
+/** A way of an answer to its caller, and what ends a part of it. */
+interface Scenario {
+    readonly title: string;
+    readonly opts?: PlatformFleetOptions;
+    readonly stepMs?: number;
+    /** Prepares the way; returns the instance whose process ends. */
+    readonly prepare: (
+        fleet: PlatformFleet,
+        first: PlatformInstance,
+        second: PlatformInstance,
+    ) => Promise<PlatformInstance>;
+    readonly signal: NodeJS.Signals;
+}
+
+const SCENARIOS: readonly Scenario[] = [
+    {
+        title: "the instance that serves them is killed",
+        prepare: (_fleet, first) => Promise.resolve(first),
+        signal: "SIGKILL",
+    },
+    {
+        title: "the instance that serves them stops before they end",
+        stepMs: LONG_STEP_MS,
+        prepare: (_fleet, first) => Promise.resolve(first),
+        signal: "SIGTERM",
+    },
+    {
+        title: "the instance that serves them ends by an error of its own",
+        opts: { modules: [THROW_ON_SIGNAL] },
+        stepMs: LONG_STEP_MS,
+        prepare: (_fleet, first) => Promise.resolve(first),
+        signal: "SIGUSR2",
+    },
+    {
+        title: "the peer through which they are sent is killed",
+        opts: { count: 2, cuttable: 1 },
+        prepare: async ({ targetLinks }, _first, second) => {
+            await targetLinks[0]?.cut("refuse");
+            return second;
+        },
+        signal: "SIGKILL",
+    },
+    {
+        title: "the instance that sends them through a peer is killed",
+        opts: { count: 2, cuttable: 1 },
+        prepare: async ({ targetLinks }, first) => {
+            await targetLinks[0]?.cut("refuse");
+            return first;
+        },
+        signal: "SIGKILL",
+    },
+    {
+        title: "the helper that serves their connections is killed",
+        opts: { modules: [HAND_OFF_ALWAYS] },
+        prepare: (fleet, first) => findHelper(fleet, first),
+        signal: "SIGKILL",
+    },
+    {
+        title: "the instance that handed their connections off is killed",
+        opts: { modules: [HAND_OFF_ALWAYS] },
+        prepare: async (fleet, first) => {
+            await findHelper(fleet, first);
+            return first;
+        },
+        signal: "SIGKILL",
+    },
+];
+
+for (const { title, opts, stepMs, prepare, signal } of SCENARIOS) {
+    // Guards against a part of an unframed stream that looks whole, since the kernel closes the connections of a process that ends in order.
+    test.serial(`unframed streams do not look whole when ${title}`, async t => {
+        const { fleet, first, second } = await start(t, opts);
+        const ending = await prepare(fleet, first, second);
+        const other = fleet.instances.findLast(instance => instance !== first && instance !== ending);
+        const calls = (["fixed", "model"] as const).map(kind =>
+            callTogether(fleet, first, { kind, ...(stepMs === undefined ? {} : { stepMs }) })
+        );
+        const beside = other === undefined ? [] : callTogether(fleet, other, { kind: "fixed" });
+        await sleep(FAULT_AFTER_MS + (stepMs ?? 0));
+        ending.process.kill(signal);
+        const answers = (await Promise.all(calls)).flat();
+        const partial = answers.filter(answer => answer.status === 200 && !isWhole(answer));
+        t.log(`${answers.length} streams, ${partial.length} partial`);
+        t.deepEqual(findMistaken(answers), []);
+        t.true(partial.some(({ body }) => getEvents(body).length > 0));
+        t.deepEqual((await beside).filter(answer => answer.end !== "answered" || !isWhole(answer)), []);
+    });
+}
+
+// Guards against the first part of a large plain answer that looks whole, since the kernel closes the connections of a killed process in order.
+test.serial("unframed plain answers do not look whole when the instance that sends them is killed", async t => {
+    const { fleet, first } = await start(t);
+    const calls = callTogether(fleet, first, {
+        kind: "plain",
+        paddingBytes: LARGE_BYTES,
+        readPauseMs: READ_PAUSE_MS,
+    });
+    await sleep(READ_PAUSE_MS / 2);
+    first.process.kill("SIGKILL");
+    const answers = await calls;
+    t.deepEqual(findMistaken(answers), []);
+    t.true(answers.some(answer => answer.body.length > 0 && !isWhole(answer)));
+});
--- a/packages/relay/src/caller-exchange.ts
+++ b/packages/relay/src/caller-exchange.ts
@@ -6,7 +6,7 @@
     readonly headers: readonly (readonly [string, string])[];
     /**
      * Whether the response is framed by a length or by chunks. One that ends with its connection may be truncated
-     * unnoticed, so it is relayed the same way and never with a length.
+     * unnoticed, so it is never relayed with a length.
      */
     readonly isFramed: boolean;
 }
--- a/packages/stand-ins/src/platform/platform-target-stand-in.ts
+++ b/packages/stand-ins/src/platform/platform-target-stand-in.ts
@@ -27,8 +27,17 @@
     readonly how: "complete" | "disconnected" | "crashed";
 }
 
-/** Headers with which a caller sets how long a target takes and how much it answers. */
-export const STAND_IN_HEADERS = { stepMs: "stand-in-step-ms", bytes: "stand-in-bytes" } as const;
+/** Headers with which a caller sets how a target answers. */
+export const STAND_IN_HEADERS = {
+    /** Time for each event or for the whole answer, in milliseconds. */
+    stepMs: "stand-in-step-ms",
+    /** Bytes that follow a plain answer. */
+    bytes: "stand-in-bytes",
+    /** "none" for an answer that ends with its connection. */
+    framing: "stand-in-framing",
+    /** Events of a stream before the connection is reset within the next one. */
+    resetAfter: "stand-in-reset-after",
+} as const;
 
 /** How a target works. */
 export interface PlatformTargetOptions {
@@ -84,6 +93,12 @@
         "",
     ].join("\r\n");
 
+/** Makes the end of the connection the end of a response. */
+const delimitByClose = (res: ServerResponse): void => {
+    res.useChunkedEncodingByDefault = false;
+    res.shouldKeepAlive = false;
+};
+
 /** A worker of the users' platform, by its published protocol. */
 export class PlatformTargetStandIn {
     private readonly runs: { -readonly [K in keyof RunRequest]: RunRequest[K]; }[] = [];
@@ -231,6 +246,9 @@
         const limit = this.limitPerS === undefined ? {} : { "Server-Limit": String(this.limitPerS) };
         const leaving = this.isLeaving ? { "Server-Leaving": "1" } : {};
         const headers = { "Attempt-Id": id, "Response-Seal": `seal-${this.opts.id}`, ...limit, ...leaving, ...brittle };
+        if (req.headers[STAND_IN_HEADERS.framing] === "none") {
+            delimitByClose(res);
+        }
         if (events === 0) {
             await sleep(stepMs);
             if (isDeadly) {
@@ -243,8 +261,13 @@
         }
         res.writeHead(200, { ...headers, "Content-Type": "text/event-stream" });
         const first = Number(req.headers["last-event-id"] ?? 0) + 1;
+        const resetAfter = Number(req.headers[STAND_IN_HEADERS.resetAfter] ?? events);
         for (let at = first; at <= events && !res.destroyed; at++) {
             await sleep(stepMs);
+            if (at - first >= resetAfter) {
+                res.write(`id: ${at}\nda`, () => req.socket.resetAndDestroy());
+                return;
+            }
             if (isDeadly && at - first >= (this.opts.eventsBeforeCrash ?? 0)) {
                 await this.crash();
                 return;
