--- a/packages/bench/src/platform/unframed-responses.test.ts
+++ b/packages/bench/src/platform/unframed-responses.test.ts
@@ -214,3 +214,36 @@
     t.deepEqual(findMistaken(answers), []);
     t.true(answers.some(answer => answer.body.length > 0 && !isWhole(answer)));
 });
+
+/** Events that a target sends before it resets its connection. */
+const EVENTS_BEFORE_RESET = 3;
+
+/** Time for which an instance is paused while a target resets its connections, so that the resets arrive with the last events, in milliseconds. */
+const PAUSE_MS = 300;
+
+const WAYS: readonly (Pick<Scenario, "opts"> & { readonly title: string; readonly isHandedOff?: boolean; })[] = [
+    { title: "directly" },
+    { title: "through a peer", opts: { count: 2, cuttable: 1 } },
+    { title: "through a helper", opts: { modules: [HAND_OFF_ALWAYS] }, isHandedOff: true },
+];
+
+for (const { title, opts, isHandedOff = false } of WAYS) {
+    // Guards against a stream that its target broke off and that looks whole, as a reset that comes with the last bytes is reported as an end.
+    test.serial(`unframed streams that targets reset do not look whole to callers that are served ${title}`, async t => {
+        const { fleet, first } = await start(t, opts);
+        await fleet.targetLinks[0]?.cut("refuse");
+        if (isHandedOff) {
+            await findHelper(fleet, first);
+        }
+        const headers = { [STAND_IN_HEADERS.resetAfter]: String(EVENTS_BEFORE_RESET) };
+        const calls = callTogether(fleet, first, { kind: "fixed", headers });
+        await sleep(STEP_MS * EVENTS_BEFORE_RESET);
+        first.process.kill("SIGSTOP");
+        await sleep(PAUSE_MS);
+        first.process.kill("SIGCONT");
+        const answers = await calls;
+        t.deepEqual(findMistaken(answers), []);
+        t.deepEqual(answers.map(({ end }) => end), answers.map(() => "cut" as const));
+        t.true(answers.some(({ body }) => getEvents(body).length === EVENTS_BEFORE_RESET));
+    });
+}
--- a/packages/peer/src/index.ts
+++ b/packages/peer/src/index.ts
@@ -6,6 +6,7 @@
 export { connect } from "./connect.js";
 export * from "./copy-holder.js";
 export * from "./descriptor-limit.js";
+export * from "./destroy-after-flush.js";
 export * from "./discard-input.js";
 export { wasNotSent } from "./errors.js";
 export * from "./even-spread-address-order.js";
--- a/packages/relay/src/handoff/handed-off-connection.test.ts
+++ b/packages/relay/src/handoff/handed-off-connection.test.ts
@@ -413,6 +413,40 @@
     t.not(seen.end, "closed");
 });
 
+/** Responses that a helper breaks off with a reset, which arrives together with the last bytes. */
+const BROKEN_RESPONSES = [
+    { name: "unframed", head: "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", part: "id: 1\n\n" },
+    { name: "chunked", head: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", part: "7\r\nid: 1\n\n\r\n" },
+] as const;
+
+for (const { name, head, part } of BROKEN_RESPONSES) {
+    // Guards against a stream that its target broke off and that ends in order, since Node.js reports the helper's reset as an end.
+    test(`a stream that its helper breaks off with a reset is reset, ${name}`, async t => {
+        const { ports, counts } = await startRaw(t, socket => {
+            socket.write(head + part, () => socket.resetAndDestroy());
+        }, REPEATABLE());
+        const caller = await open(t, ports.small.listenPort, createRawRequest("a"));
+        const { text, end } = await readUntilEnd(caller);
+        t.true(text.endsWith(part), text);
+        t.is(end, "reset");
+        t.is(counts.get("handed_off_responses_cut"), 1);
+    });
+}
+
+// Guards against a whole response that is cut: after its caller's own end the helper's end cannot be told from a reset.
+test("an unframed response that ends in order is whole for a caller that has closed its direction", async t => {
+    const { ports } = await startRaw(t, socket => {
+        socket.once("end", () => socket.end("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nwhole"));
+    }, REPEATABLE());
+    const caller = connect({ port: ports.small.listenPort, host: HOST, allowHalfOpen: true });
+    t.teardown(() => caller.destroy());
+    const seen = collect(caller);
+    caller.end(createRawRequest("a"));
+    t.true(await isMetWithin(3_000, () => seen.end !== ""));
+    t.true(seen.text.endsWith("whole"));
+    t.is(seen.end, "closed");
+});
+
 // Guards against targets that are given time which the caller no longer has.
 test("the time of a request whose body was arriving goes on when it is served here", async t => {
     const { ports, handoff, cut, requests } = await start(t);
--- a/packages/relay/src/handoff/handed-off-connection.ts
+++ b/packages/relay/src/handoff/handed-off-connection.ts
@@ -1,4 +1,5 @@
-import { ByteCollector, closeWithLinger } from "@ospreyreel/peer";
+import { ByteCollector, closeWithLinger, destroyAfterFlush } from "@ospreyreel/peer";
+import { wasReset } from "@ospreyreel/targets";
 import type { Socket } from "node:net";
 import type { RequestHead } from "../http/caller-protocol.js";
 import type { HeldMessage, MessageMemory } from "../message-memory.js";
@@ -110,7 +111,8 @@
         this.listen(helper, "data", chunk => this.readHelper(chunk as Buffer));
         this.listen(helper, "drain", () => this.resumeCaller());
         this.listen(helper, "error", () => this.loseConnection(false));
-        this.listen(helper, "end", () => this.loseConnection(true));
+        // After the caller's own end was passed on, a reset cannot be told from an end.
+        this.listen(helper, "end", () => this.loseConnection(caller.readableEnded || !wasReset(helper)));
         this.listen(helper, "close", () => this.loseConnection(false));
     }
 
@@ -375,18 +377,18 @@
         else if (!mayLookWhole && (this.request === undefined || !this.hasBegun || this.isAnswered)) {
             this.close("closed");
         }
+        else if (!isOrderly) {
+            this.cut();
+        }
         else if (!mayLookWhole) {
             // The caller sees by the framing that the response is not whole.
             this.close("cut");
         }
-        else if (isOrderly) {
+        else {
             this.isEnding = true;
             helper.end();
             void confirmEnd().then(isConfirmed => isConfirmed ? this.close("closed") : this.cut());
         }
-        else {
-            this.cut();
-        }
     }
 
     private close(end: HandoffEnd): void {
@@ -397,7 +399,7 @@
 
     private cut(): void {
         if (this.end("cut")) {
-            this.opts.caller.resetAndDestroy();
+            destroyAfterFlush(this.opts.caller, { withReset: true });
         }
     }
 
--- a/packages/relay/src/http/http-caller-exchange.ts
+++ b/packages/relay/src/http/http-caller-exchange.ts
@@ -1,3 +1,4 @@
+import { destroyAfterFlush } from "@ospreyreel/peer";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { CallerExchange, type ResponseHead } from "../caller-exchange.js";
 import { REFUSAL_STATUS, type RelayRefusal } from "../relay-refusal.js";
@@ -12,9 +13,6 @@
 /** Size of a response that the kernel takes at once on a new connection, in bytes. */
 const SEND_BUFFER_BYTES = 16_384;
 
-/** Maximum time in which a caller can read the rest of an aborted stream, in milliseconds. */
-const ABORT_FLUSH_MS = 1_000;
-
 /** Maximum time in which a caller reads nothing of a complete response, in milliseconds. */
 const STALL_TIMEOUT_MS = 30_000;
 
@@ -92,20 +90,8 @@
     }
 
     override abortStream(): void {
-        const { req: { socket }, res } = this.opts;
-        const destroy = (): void => {
-            if (this.isUnframed) {
-                // After an ordinary close the response would look complete.
-                socket.resetAndDestroy();
-            }
-            else {
-                socket.destroy();
-            }
-        };
-        // The relayed events are sent first.
-        socket.write("", destroy);
-        const timer = setTimeout(destroy, ABORT_FLUSH_MS);
-        res.once("close", () => clearTimeout(timer));
+        // After an ordinary close an unframed response would look complete.
+        destroyAfterFlush(this.opts.req.socket, { withReset: this.isUnframed });
     }
 
     override refuse(refusal: RelayRefusal): void {
--- a/packages/targets/src/connection/target-connection.ts
+++ b/packages/targets/src/connection/target-connection.ts
@@ -1,4 +1,5 @@
 import type { Socket } from "node:net";
+import { wasReset } from "./was-reset.js";
 
 /** The current connection of a client that has one connection at a time. */
 export class TargetConnection {
@@ -30,12 +31,8 @@
         this.onReceive = onReceive;
     }
 
-    /**
-     * Whether the connection ended by a reset. If the reset arrives together with data, Node.js reports an ordinary end;
-     * but a connection that was reset has no remote address any more. The address must not be read before, since
-     * Node.js would cache it.
-     */
+    /** Whether the connection ended by a reset. */
     get wasReset(): boolean {
-        return this.socket?.remoteAddress === undefined;
+        return this.socket === undefined || wasReset(this.socket);
     }
 }
--- a/packages/targets/src/index.ts
+++ b/packages/targets/src/index.ts
@@ -21,6 +21,7 @@
 export * from "./connection/is-response-status.js";
 export * from "./connection/replace-reset-code.js";
 export * from "./connection/target-connection.js";
+export * from "./connection/was-reset.js";
 export * from "./orders/desired-state.js";
 export * from "./orders/load-rate-limiter.js";
 export * from "./orders/order-lease.js";
