Count each restore that can have lost an owner of a budget without a record

Cause: where a shard has no record, the claimer counted whether the service had been restored since the installation's first budget, and so one lost owner, however many there were.

An instance that saw the budget appear knows since when. For others it is the era of a key, which one instance raises once each budget's shard has a record in each copy: a shard without one was not used before.

Cost: the count alone would strand more with each restore of an installation's life.

--- a/packages/budgets/src/budget-owner.ts
+++ b/packages/budgets/src/budget-owner.ts
@@ -6,6 +6,8 @@
 import { getShard, orderOwners } from "./budget-shards.js";
 import type { BudgetWitness } from "./budget-witness.js";
 import { CopyHorizon } from "./copy-horizon.js";
+import { EraSettler } from "./era-settler.js";
+import { FirstEra } from "./first-era.js";
 import { KnownBudgets } from "./known-budgets.js";
 import { NoteSender } from "./note-sender.js";
 import type { OwnedBudget } from "./owned-budget.js";
@@ -61,6 +63,9 @@
 /** Time for which a live owner at another instance is not looked up again, in milliseconds. */
 const KNOWN_OWNER_REUSE_MS = 500;
 
+/** The shard whose preferred owner settles eras for the fleet. */
+const SETTLING_SHARD = 0;
+
 interface KnownOwner {
     readonly owner: string;
     readonly untilMs: number;
@@ -78,6 +83,7 @@
     private readonly writer: ShardWriter;
     private readonly search: OwnerSearch;
     private readonly names: KnownBudgets;
+    private readonly settler: EraSettler;
     private readonly startedAtMs = performance.now();
     private leaving = false;
     /** Whether a read is in flight whose answer may raise ceilings. */
@@ -91,19 +97,33 @@
         const { history } = opts.kv;
         const horizon = new CopyHorizon({ history, maxCopyAgeMs: opts.maxCopyAgeMs ?? DEFAULT_MAX_COPY_AGE_MS });
         this.names = new KnownBudgets(horizon);
-        history.onRestore(() => this.writeAgain());
+        history.onRestore(() => {
+            this.names.followEra();
+            this.writeAgain();
+        });
         this.search = new OwnerSearch({
             hub: opts.hub,
             getOwnEpoch: shard => this.shards.get(shard)?.epoch,
             witness,
         });
+        const firstEra = new FirstEra(opts.kv, this.log);
+        this.settler = new EraSettler({
+            kv: opts.kv,
+            horizon,
+            firstEra,
+            getBudgets: () => this.names.names,
+            isResponsible: () => this.isPreferredOwner(SETTLING_SHARD),
+            claim: shards => this.claimUnowned(shards),
+            log: this.log,
+        });
         this.claimer = new ShardClaimer({
             kv: opts.kv,
             hub: opts.hub,
             horizon,
+            firstEra,
             search: this.search,
             getPrepaid: opts.getPrepaid,
-            isNew: budget => this.names.isNew(budget),
+            getFirstEra: budget => this.names.getFirstEra(budget),
             chooseWitnesses,
             hasDiscoveredPeers: () => this.hasDiscoveredPeers,
             log: this.log,
@@ -123,6 +143,7 @@
     serve(): void {
         this.opts.hub.handle("budget.draw", (req, from) => this.draw(req, from));
         this.search.serve();
+        this.settler.start();
     }
 
     /** Shards owned now, for the state dump. */
@@ -204,11 +225,9 @@
     /** Returns for each budget whether it needs nothing more of this instance. */
     private async registerShards(budgets: readonly string[]): Promise<readonly boolean[]> {
         const shards = new Set(budgets.map(budget => getShard(budget)));
-        const { hub } = this.opts;
-        const live = [hub.self(), ...hub.peers()].filter(peer => peer.state === "live");
         const registered = new Map<number, boolean>();
         for (const shard of shards) {
-            const isOwn = this.shards.has(shard) || orderOwners(shard, live)[0]?.incarnation === hub.self().incarnation;
+            const isOwn = this.shards.has(shard) || this.isPreferredOwner(shard);
             const found = isOwn ? await this.findShard(shard) : undefined;
             registered.set(shard, found === undefined || !("kind" in found) || found.kind === "elsewhere");
         }
@@ -223,6 +242,23 @@
         return budgets.map(budget => registered.get(getShard(budget)) === true);
     }
 
+    /** Whether this instance comes first among those that could own a shard. */
+    private isPreferredOwner(shard: number): boolean {
+        const { hub } = this.opts;
+        const live = [hub.self(), ...hub.peers()].filter(peer => peer.state === "live");
+        return this.hasDiscoveredPeers && orderOwners(shard, live)[0]?.incarnation === hub.self().incarnation;
+    }
+
+    /** Claims shards, but those that a live instance owns. */
+    private async claimUnowned(shards: readonly number[]): Promise<void> {
+        for (const shard of shards) {
+            const { owner } = await this.search.find(shard);
+            if (owner === undefined) {
+                await this.findShard(shard);
+            }
+        }
+    }
+
     private async findShard(shard: number): Promise<OwnedShard | BudgetDrawResponse> {
         const owned = this.shards.get(shard);
         if (owned !== undefined) {
--- /dev/null
+++ b/packages/budgets/src/era-settler.test.ts
@@ -0,0 +1,116 @@
+import { MemoryKv } from "@ospreyreel/kv/fixtures";
+import test from "ava";
+import { getShard } from "./budget-shards.js";
+import { EraSettler } from "./era-settler.js";
+import { FirstEra } from "./first-era.js";
+import { REWRITTEN_WITHIN_MS } from "./known-budgets.js";
+import { encodeShardRecord, getShardKey } from "./shard-record.js";
+
+const SHARD = getShard("team");
+
+/** A fleet with one budget, whose first one was used in the first era, two restores ago. */
+const createSettler = async () => {
+    const kv = new MemoryKv();
+    const firstEra = new FirstEra(kv, () => undefined);
+    const readFirstEra = async () => Number(Buffer.from((await kv.get("ospreyreel/budgets-since"))?.value ?? []));
+    await kv.get(getShardKey(SHARD));
+    await firstEra.countRestores();
+    await firstEra.get(kv.history.era);
+    const restore = async (): Promise<void> => {
+        kv.service.restore(kv.service.copy());
+        await kv.get(getShardKey(SHARD));
+    };
+    await restore();
+    await restore();
+    const state = { knownForMs: 2 * REWRITTEN_WITHIN_MS, isInEachCopy: true, isResponsible: true };
+    const claimed: number[] = [];
+    const settler = new EraSettler({
+        kv,
+        firstEra,
+        horizon: {
+            get era() {
+                return kv.history.era;
+            },
+            get eraKnownAtMs() {
+                return performance.now() - state.knownForMs;
+            },
+            contains: () => state.isInEachCopy,
+        },
+        getBudgets: () => ["team"],
+        isResponsible: () => state.isResponsible,
+        claim: shards => {
+            claimed.push(...shards);
+            return Promise.resolve();
+        },
+        log: () => undefined,
+    });
+    const putRecord = async (): Promise<void> => {
+        const record = { epoch: 1, era: kv.history.era, owner: undefined, witnesses: [], budgets: {} };
+        const value = encodeShardRecord(record);
+        await kv.txn({ compares: [], puts: [{ key: getShardKey(SHARD), value }] });
+    };
+    return { kv, firstEra, settler, state, claimed, restore, putRecord, readFirstEra };
+};
+
+test("restores count nothing of later budgets once each shard has a record in each copy", async t => {
+    const { kv, firstEra, settler, putRecord, readFirstEra } = await createSettler();
+    t.is(await firstEra.countRestores(), 2);
+    await putRecord();
+    await settler.check();
+    t.is(await firstEra.countRestores(), 0);
+    t.is(await readFirstEra(), 3);
+    t.is(await new FirstEra(kv, () => undefined).countRestores(), 0);
+});
+
+// Guards against use of a lost owner that nobody counts, since no record tells of it.
+test("a shard without a record is claimed, and restores count until it has one", async t => {
+    const { firstEra, settler, claimed, putRecord } = await createSettler();
+    await settler.check();
+    t.deepEqual(claimed, [SHARD]);
+    t.is(await firstEra.countRestores(), 2);
+    await putRecord();
+    await settler.check();
+    t.is(await firstEra.countRestores(), 0);
+});
+
+test("restores count until the records are in each copy", async t => {
+    const { firstEra, settler, state, putRecord } = await createSettler();
+    await putRecord();
+    state.isInEachCopy = false;
+    await settler.check();
+    t.is(await firstEra.countRestores(), 2);
+    state.isInEachCopy = true;
+    await settler.check();
+    t.is(await firstEra.countRestores(), 0);
+});
+
+// Guards against records that were seen before a restore which has lost them.
+test("records are looked for again after a further restore", async t => {
+    const { kv, firstEra, settler, state, claimed, restore, putRecord } = await createSettler();
+    const copy = kv.service.copy();
+    await putRecord();
+    state.isInEachCopy = false;
+    await settler.check();
+    kv.service.restore(copy);
+    await kv.get(getShardKey(SHARD));
+    state.isInEachCopy = true;
+    await settler.check();
+    t.deepEqual(claimed, [SHARD]);
+    t.is(await firstEra.countRestores(), 3);
+    await putRecord();
+    await settler.check();
+    await restore();
+    t.is(await firstEra.countRestores(), 1);
+});
+
+test("nothing is settled soon after a restore, or by another instance than the one that does it", async t => {
+    const { firstEra, settler, state, claimed, putRecord } = await createSettler();
+    await putRecord();
+    state.knownForMs = REWRITTEN_WITHIN_MS / 2;
+    await settler.check();
+    state.knownForMs = 2 * REWRITTEN_WITHIN_MS;
+    state.isResponsible = false;
+    await settler.check();
+    t.deepEqual(claimed, []);
+    t.is(await firstEra.countRestores(), 2);
+});
--- a/packages/budgets/src/known-budgets.ts
+++ b/packages/budgets/src/known-budgets.ts
@@ -4,39 +4,50 @@
  * Time after a restore of the KV service in which operators write their last changes again, in milliseconds. What appears later
  * was not used before the restore.
  */
-const REWRITTEN_WITHIN_MS = 10_000;
+export const REWRITTEN_WITHIN_MS = 10_000;
 
-/** The budgets of all desired states so far, and which of them cannot have been used before the last restore. */
+/** The budgets of all desired states so far, and the earliest eras in which they can have been used. */
 export class KnownBudgets {
-    private readonly names = new Set<string>();
-    private readonly fresh = new Set<string>();
+    /** By name; undefined where this instance cannot tell. */
+    private readonly firstEras = new Map<string, number | undefined>();
+    /** The latest era that this instance has seen for long enough to know all budgets of earlier ones. */
+    private settledEra: number | undefined;
     private era: number | undefined;
+    /** Monotonic time at which that era became known, in milliseconds. */
+    private knownAtMs = 0;
 
-    constructor(private readonly horizon: CopyHorizon) {}
+    constructor(private readonly horizon: Pick<CopyHorizon, "era" | "eraKnownAtMs">) {}
 
     /** Adds the budgets of a desired state; returns those that were not known. */
     add(names: readonly string[]): readonly string[] {
-        const isFirst = this.names.size === 0;
-        const areNew = !isFirst && performance.now() - this.horizon.eraKnownAtMs >= REWRITTEN_WITHIN_MS;
-        this.forgetEarlierEra();
-        const added = names.filter(name => !this.names.has(name));
-        added.forEach(name => this.names.add(name));
-        if (areNew) {
-            added.forEach(name => this.fresh.add(name));
-        }
+        this.followEra();
+        const { era, eraKnownAtMs } = this.horizon;
+        const isSettled = this.firstEras.size > 0 && performance.now() - eraKnownAtMs >= REWRITTEN_WITHIN_MS;
+        const added = names.filter(name => !this.firstEras.has(name));
+        added.forEach(name => this.firstEras.set(name, isSettled ? era : this.settledEra));
         return added;
     }
 
-    /** Whether a budget appeared in the present era, and so late that no restore can have lost its use. */
-    isNew(name: string): boolean {
-        this.forgetEarlierEra();
-        return this.fresh.has(name);
+    /** The budgets of all desired states so far. */
+    get names(): readonly string[] {
+        return [...this.firstEras.keys()];
+    }
+
+    /** Returns the earliest era in which a budget can have been used; undefined where this instance cannot tell. */
+    getFirstEra(name: string): number | undefined {
+        return this.firstEras.get(name);
     }
 
-    private forgetEarlierEra(): void {
-        if (this.era !== this.horizon.era) {
-            this.era = this.horizon.era;
-            this.fresh.clear();
+    /** Takes note of the present era; to be called at each restore. */
+    followEra(): void {
+        const { era, eraKnownAtMs } = this.horizon;
+        if (this.era === era) {
+            return;
+        }
+        if (this.firstEras.size > 0 && eraKnownAtMs - this.knownAtMs >= REWRITTEN_WITHIN_MS) {
+            this.settledEra = this.era;
         }
+        this.era = era;
+        this.knownAtMs = eraKnownAtMs;
     }
 }
--- a/packages/budgets/src/owned-shard.ts
+++ b/packages/budgets/src/owned-shard.ts
@@ -17,8 +17,8 @@
     readonly mustWait: boolean;
     readonly horizon: CopyHorizon;
     readonly getPrepaid: (budget: string) => number;
-    /** Whether no restore of the KV service can have lost the use of a budget. */
-    readonly isNew: (budget: string) => boolean;
+    /** Earliest era in which a budget can have been used; undefined where that is not known. */
+    readonly getFirstEra: (budget: string) => number | undefined;
 }
 
 /** One shard of budgets at its owner. */
@@ -57,19 +57,28 @@
 
     /** Returns the budget of a name; one that the record does not name is new, or its record was lost. */
     getBudget(name: string): OwnedBudget {
-        const { horizon, getPrepaid, isNew } = this.opts;
+        const { horizon, getPrepaid } = this.opts;
         const known = this.budgets.get(name);
         if (known !== undefined) {
             return known;
         }
-        const unseenRestores = isNew(name) ? 0 : this.record.unseenRestores ?? 0;
-        const { used, ceiling } = getLostUse(0, getPrepaid(name), unseenRestores + 1);
+        const { used, ceiling } = getLostUse(0, getPrepaid(name), this.countUnseenRestores(name) + 1);
         const first = this.mayHandOut ? ceiling : used;
         const budget = new OwnedBudget(name, toExactBounds(used), UseCeilings.startAt(first, horizon), true);
         this.budgets.set(name, budget);
         return budget;
     }
 
+    /** Restores that may have lost an owner of a budget that the record does not name. */
+    private countUnseenRestores(name: string): number {
+        const { unseenRestores = 0 } = this.record;
+        const firstEra = this.opts.getFirstEra(name);
+        // Since the claim this instance is the only owner.
+        return firstEra === undefined
+            ? unseenRestores
+            : Math.min(unseenRestores, Math.max(0, this.claimedInEra - firstEra));
+    }
+
     private get mayHandOut(): boolean {
         const { mustWait, horizon, storedAtMs } = this.opts;
         return !mustWait || (horizon.era === this.claimedInEra && horizon.contains(storedAtMs));
--- a/packages/budgets/src/shard-claimer.ts
+++ b/packages/budgets/src/shard-claimer.ts
@@ -4,7 +4,7 @@
 import type { BudgetSealResponse } from "@ospreyreel/types";
 import type { BudgetLog } from "./budget-log.js";
 import type { CopyHorizon } from "./copy-horizon.js";
-import { FirstEra } from "./first-era.js";
+import type { FirstEra } from "./first-era.js";
 import { getLostUse, toExactBounds } from "./lost-use.js";
 import { OwnedShard } from "./owned-shard.js";
 import type { OwnerSearch } from "./owner-search.js";
@@ -32,11 +32,12 @@
     readonly kv: KvClient;
     readonly hub: PeerHub;
     readonly horizon: CopyHorizon;
+    readonly firstEra: Pick<FirstEra, "countRestores">;
     /** Finds owners that the KV service's record does not name. */
     readonly search: OwnerSearch;
     readonly getPrepaid: (budget: string) => number;
-    /** Whether no restore of the KV service can have lost the use of a budget. */
-    readonly isNew: (budget: string) => boolean;
+    /** Earliest era in which a budget can have been used; undefined where that is not known. */
+    readonly getFirstEra: (budget: string) => number | undefined;
     readonly chooseWitnesses: (shard: number) => readonly string[];
     /** Whether this instance has run long enough to have discovered all live instances. */
     readonly hasDiscoveredPeers: () => boolean;
@@ -76,13 +77,10 @@
 
 /** Makes this instance the owner of shards whose owner is gone. */
 export class ShardClaimer {
-    private readonly firstEra: FirstEra;
     /** Monotonic times in milliseconds since which owners have been missing, by incarnation. */
     private readonly missingSinceMs = new Map<string, number>();
 
-    constructor(private readonly opts: ShardClaimerOptions) {
-        this.firstEra = new FirstEra(opts.kv, opts.log);
-    }
+    constructor(private readonly opts: ShardClaimerOptions) {}
 
     /** Claims a shard, unless a live instance owns it; does not throw. */
     async claim(shard: number): Promise<ClaimResult> {
@@ -248,16 +246,20 @@
         earlier: ShardRecord | undefined,
         { budgets, mustWait }: ClosedBudgets,
     ): Promise<ClaimResult> {
-        const { hub, horizon, getPrepaid, isNew, chooseWitnesses } = this.opts;
+        const { hub, horizon, getPrepaid, getFirstEra, chooseWitnesses } = this.opts;
         const { instance, incarnation } = hub.self();
         const { era } = horizon;
+        const unseenRestores = earlier === undefined
+            // The shard is used for the first time, or restores have lost its record, each with another owner.
+            ? await this.opts.firstEra.countRestores()
+            : getUnseenRestores(earlier, era);
+        if (earlier === undefined && unseenRestores > 0) {
+            this.opts.log("budgets without a record", { shard, era, unseenRestores });
+        }
         const record: ShardRecord = {
             epoch: getNextEpoch(earlier, era),
             era,
-            unseenRestores: earlier === undefined
-                // The shard is used for the first time, or its record was lost by the last restore.
-                ? Number(await this.firstEra.wasRestored())
-                : getUnseenRestores(earlier, era),
+            unseenRestores,
             owner: { instance, incarnation },
             witnesses: chooseWitnesses(shard),
             budgets,
@@ -272,7 +274,7 @@
         const storedAtMs = performance.now();
         return {
             kind: "owned",
-            shard: new OwnedShard({ shard, record, revision, storedAtMs, mustWait, horizon, getPrepaid, isNew }),
+            shard: new OwnedShard({ shard, record, revision, storedAtMs, mustWait, horizon, getPrepaid, getFirstEra }),
         };
     }
 
--- a/packages/budgets/src/shard-record.ts
+++ b/packages/budgets/src/shard-record.ts
@@ -44,8 +44,11 @@
 /** Shards of the whole fleet; several for each instance at the design size of the fleet. */
 export const SHARD_COUNT = 4_096;
 
+/** Prefix of the keys of all records. */
+export const SHARD_KEY_PREFIX = "ospreyreel/budgets/";
+
 /** Key of a shard's record. */
-export const getShardKey = (shard: number): string => `ospreyreel/budgets/${shard}`;
+export const getShardKey = (shard: number): string => `${SHARD_KEY_PREFIX}${shard}`;
 
 /** Encodes a record. */
 export const encodeShardRecord = (record: ShardRecord): Uint8Array => Buffer.from(JSON.stringify(record));
--- a/packages/kv/src/kv-history.ts
+++ b/packages/kv/src/kv-history.ts
@@ -4,6 +4,7 @@
  */
 export class KvHistory {
     private currentEra = 0;
+    private firstEra: number | undefined;
     private lastConfirmedAtMs = Number.NEGATIVE_INFINITY;
     private eraKnownAtMs = Number.NEGATIVE_INFINITY;
     private readonly listeners: ((era: number) => void)[] = [];
@@ -13,6 +14,11 @@
         return this.currentEra;
     }
 
+    /** Era of the first response; 0 before it. */
+    get firstKnownEra(): number {
+        return this.firstEra ?? 0;
+    }
+
     /** Monotonic time, in milliseconds, at which the service certainly was in the present era. */
     get confirmedAtMs(): number {
         return this.lastConfirmedAtMs;
@@ -28,6 +34,7 @@
         if (!Number.isSafeInteger(era) || era < this.currentEra) {
             return;
         }
+        this.firstEra ??= era;
         const hasAdvanced = era > this.currentEra;
         const wasKnown = this.lastConfirmedAtMs !== Number.NEGATIVE_INFINITY;
         this.currentEra = era;
