Settle an era only by records that were read before the copies' age, and with budgets known

Found by reading the era settler: a record stored while the list was read counted as old as its beginning, so that a copy could lack it; an instance without a desired state took that for one without budgets; checks could overlap; a shard was claimed though a peer that may own it had not answered. Each has a test in era-settler.test.ts but the last two.

--- a/packages/budgets/src/budget-owner.ts
+++ b/packages/budgets/src/budget-owner.ts
@@ -83,6 +83,7 @@
     private readonly writer: ShardWriter;
     private readonly search: OwnerSearch;
     private readonly names: KnownBudgets;
+    private readonly firstEra: FirstEra;
     private readonly settler: EraSettler;
     private readonly startedAtMs = performance.now();
     private leaving = false;
@@ -106,11 +107,11 @@
             getOwnEpoch: shard => this.shards.get(shard)?.epoch,
             witness,
         });
-        const firstEra = new FirstEra(opts.kv, this.log);
+        this.firstEra = new FirstEra(opts.kv, this.log);
         this.settler = new EraSettler({
             kv: opts.kv,
             horizon,
-            firstEra,
+            firstEra: this.firstEra,
             getBudgets: () => this.names.names,
             isResponsible: () => this.isPreferredOwner(SETTLING_SHARD),
             claim: shards => this.claimUnowned(shards),
@@ -120,7 +121,7 @@
             kv: opts.kv,
             hub: opts.hub,
             horizon,
-            firstEra,
+            firstEra: this.firstEra,
             search: this.search,
             getPrepaid: opts.getPrepaid,
             getFirstEra: budget => this.names.getFirstEra(budget),
@@ -146,6 +147,11 @@
         this.settler.start();
     }
 
+    /** Earliest era in which budgets without a record can have been used, as last read here, for the state dump. */
+    get knownFirstEra(): number | undefined {
+        return this.firstEra.lastKnown;
+    }
+
     /** Shards owned now, for the state dump. */
     list(): readonly OwnedShard[] {
         return [...this.shards.values()];
@@ -249,11 +255,11 @@
         return this.hasDiscoveredPeers && orderOwners(shard, live)[0]?.incarnation === hub.self().incarnation;
     }
 
-    /** Claims shards, but those that a live instance owns. */
+    /** Claims shards that certainly no live instance owns. */
     private async claimUnowned(shards: readonly number[]): Promise<void> {
         for (const shard of shards) {
-            const { owner } = await this.search.find(shard);
-            if (owner === undefined) {
+            const { owner, areAllHeard } = await this.search.find(shard);
+            if (owner === undefined && areAllHeard) {
                 await this.findShard(shard);
             }
         }
--- a/packages/budgets/src/era-settler.test.ts
+++ b/packages/budgets/src/era-settler.test.ts
@@ -1,5 +1,6 @@
 import { MemoryKv } from "@ospreyreel/kv/fixtures";
 import test from "ava";
+import { setTimeout as sleep } from "node:timers/promises";
 import { getShard } from "./budget-shards.js";
 import { EraSettler } from "./era-settler.js";
 import { FirstEra } from "./first-era.js";
@@ -8,6 +9,18 @@
 
 const SHARD = getShard("team");
 
+/** Time that a read takes, in milliseconds. */
+const READ_MS = 50;
+
+/** What a test changes while the settler runs. */
+interface SettlerState {
+    knownForMs: number;
+    isInEachCopy: boolean;
+    isResponsible: boolean;
+    budgets: readonly string[];
+    onContains: (atMs: number) => void;
+}
+
 /** A fleet with one budget, whose first one was used in the first era, two restores ago. */
 const createSettler = async () => {
     const kv = new MemoryKv();
@@ -22,7 +35,13 @@
     };
     await restore();
     await restore();
-    const state = { knownForMs: 2 * REWRITTEN_WITHIN_MS, isInEachCopy: true, isResponsible: true };
+    const state: SettlerState = {
+        knownForMs: 2 * REWRITTEN_WITHIN_MS,
+        isInEachCopy: true,
+        isResponsible: true,
+        budgets: ["team"],
+        onContains: () => undefined,
+    };
     const claimed: number[] = [];
     const settler = new EraSettler({
         kv,
@@ -34,9 +53,12 @@
             get eraKnownAtMs() {
                 return performance.now() - state.knownForMs;
             },
-            contains: () => state.isInEachCopy,
+            contains: atMs => {
+                state.onContains(atMs);
+                return state.isInEachCopy;
+            },
         },
-        getBudgets: () => ["team"],
+        getBudgets: () => state.budgets,
         isResponsible: () => state.isResponsible,
         claim: shards => {
             claimed.push(...shards);
@@ -114,3 +136,28 @@
     t.deepEqual(claimed, []);
     t.is(await firstEra.countRestores(), 2);
 });
+
+// Guards against an instance that has no desired state yet and takes that for one without budgets.
+test("nothing is settled while no budgets are known", async t => {
+    const { firstEra, settler, state } = await createSettler();
+    state.budgets = [];
+    await settler.check();
+    t.is(await firstEra.countRestores(), 2);
+});
+
+// Guards against a record that is stored while others are read, and that a copy from before the end of the read lacks.
+test("records are as old as the end of the read that found them", async t => {
+    const { kv, settler, state, putRecord } = await createSettler();
+    await putRecord();
+    let readAtMs = 0;
+    state.onContains = atMs => readAtMs = atMs;
+    const range = kv.range.bind(kv);
+    kv.range = async (...args) => {
+        const entries = await range(...args);
+        await sleep(READ_MS);
+        return entries;
+    };
+    const startedAtMs = performance.now();
+    await settler.check();
+    t.true(readAtMs - startedAtMs >= READ_MS - 1, `${readAtMs - startedAtMs}`);
+});
--- a/packages/budgets/src/era-settler.ts
+++ b/packages/budgets/src/era-settler.ts
@@ -15,7 +15,7 @@
     readonly getBudgets: () => readonly string[];
     /** Whether this instance is the one that does it for the fleet. */
     readonly isResponsible: () => boolean;
-    /** Claims shards that no live instance owns; does not throw. */
+    /** Claims those of the shards that no live instance owns; does not throw. */
     readonly claim: (shards: readonly number[]) => Promise<void>;
     readonly log: BudgetLog;
 }
@@ -31,26 +31,25 @@
  * without a record can only have been used in the present era.
  */
 export class EraSettler {
+    /** Era in which this instance has found or raised the first era. */
     private settledEra: number | undefined;
-    /** Era and monotonic time, in milliseconds, at which all shards had records. */
+    /** Era and monotonic time, in milliseconds, by which all shards had records. */
     private recorded: { readonly era: number; readonly atMs: number; } | undefined;
+    private isChecking = false;
 
     constructor(private readonly opts: EraSettlerOptions) {}
 
     /** Starts checking after each restore. */
     start(): void {
-        const check = (): void =>
-            void this.check().catch((err: unknown) => this.opts.log("era not settled", { cause: String(err) }));
-        setInterval(check, CHECK_INTERVAL_MS).unref();
+        setInterval(() => void this.checkOnce(), CHECK_INTERVAL_MS).unref();
     }
 
     /** Does what is due. Throws if the KV service is unavailable. */
     async check(): Promise<void> {
-        const { horizon, firstEra, isResponsible, claim, log } = this.opts;
+        const { horizon, firstEra, getBudgets, isResponsible, claim, log } = this.opts;
         const { era, eraKnownAtMs } = horizon;
-        const nowMs = performance.now();
         // Operators may not have written all budgets again yet.
-        const isSoon = nowMs - eraKnownAtMs < REWRITTEN_WITHIN_MS;
+        const isSoon = performance.now() - eraKnownAtMs < REWRITTEN_WITHIN_MS;
         if (era <= USUAL_FIRST_ERA || this.settledEra === era || isSoon || !isResponsible()) {
             return;
         }
@@ -59,12 +58,16 @@
             return;
         }
         if (this.recorded?.era !== era) {
-            const missing = await this.findUnrecorded();
+            const budgets = getBudgets();
+            if (budgets.length === 0) {
+                return;
+            }
+            const missing = await this.findUnrecorded(budgets);
             if (missing.length > 0) {
                 await claim(missing);
                 return;
             }
-            this.recorded = { era, atMs: nowMs };
+            this.recorded = { era, atMs: performance.now() };
         }
         if (!horizon.contains(this.recorded.atMs)) {
             return;
@@ -74,8 +77,23 @@
         log("era settled", { era });
     }
 
-    private async findUnrecorded(): Promise<readonly number[]> {
-        const { kv, getBudgets } = this.opts;
+    private async checkOnce(): Promise<void> {
+        if (this.isChecking) {
+            return;
+        }
+        this.isChecking = true;
+        try {
+            await this.check();
+        }
+        catch (err) {
+            this.opts.log("era not settled", { cause: String(err) });
+        }
+        this.isChecking = false;
+    }
+
+    /** Shards of budgets that have no record. */
+    private async findUnrecorded(budgets: readonly string[]): Promise<readonly number[]> {
+        const { kv } = this.opts;
         const keys = new Set<string>();
         let after: string | undefined;
         do {
@@ -87,6 +105,6 @@
             after = page.length < RECORDS_PER_READ ? undefined : page.at(-1)?.key;
         }
         while (after !== undefined);
-        return [...new Set(getBudgets().map(getShard))].filter(shard => !keys.has(getShardKey(shard)));
+        return [...new Set(budgets.map(getShard))].filter(shard => !keys.has(getShardKey(shard)));
     }
 }
--- a/packages/budgets/src/first-era.ts
+++ b/packages/budgets/src/first-era.ts
@@ -13,9 +13,15 @@
 export class FirstEra {
     /** Era in which no restore counts any more. */
     private settledEra: number | undefined;
+    private lastRead: number | undefined;
 
     constructor(private readonly kv: Pick<KvClient, "get" | "txn" | "history">, private readonly log: BudgetLog) {}
 
+    /** As it was last read here, for the state dump; undefined before that. */
+    get lastKnown(): number | undefined {
+        return this.lastRead;
+    }
+
     /** Counts the restores of the service since. Throws if the KV service is unavailable. */
     async countRestores(): Promise<number> {
         const { era } = this.kv.history;
@@ -33,6 +39,7 @@
             return era;
         }
         const firstEra = (await this.read()).firstEra ?? await this.write();
+        this.lastRead = firstEra;
         this.settledEra = firstEra >= era ? era : undefined;
         return firstEra;
     }
@@ -44,6 +51,7 @@
             throw new Error("another instance has written the first era");
         }
         this.settledEra = era;
+        this.lastRead = era;
     }
 
     private async read(): Promise<{ readonly firstEra: number | undefined; readonly revision: number; }> {
--- a/packages/budgets/src/fleet-budgets.ts
+++ b/packages/budgets/src/fleet-budgets.ts
@@ -58,6 +58,11 @@
         return await this.owner.releaseOwnership();
     }
 
+    /** Earliest era of the KV service in which budgets without a record can have been used, as last read here. */
+    get firstEra(): number | undefined {
+        return this.owner.knownFirstEra;
+    }
+
     /** The budgets owned here. */
     list(): readonly BudgetView[] {
         return this.owner.list().flatMap(({ epoch, budgets }) =>
--- a/packages/relay/src/instance/relay-instance.ts
+++ b/packages/relay/src/instance/relay-instance.ts
@@ -221,6 +221,7 @@
             documentVersion: this.documents.version,
             kvAvailable: this.health.isAvailable,
             kvEra: this.kv.history.era,
+            budgetsFirstEra: this.budgets.firstEra,
             openRequests: this.relay.openRequests,
             peers: this.hub.peers(),
             removedTargets: this.directory.removedIds,
--- a/packages/relay/src/instance/relay-state.ts
+++ b/packages/relay/src/instance/relay-state.ts
@@ -45,6 +45,8 @@
     readonly kvAvailable: boolean;
     /** Rises each time the KV service comes back from an older copy; 0 where it tells nothing of this. */
     readonly kvEra: number;
+    /** Earliest era in which budgets without a record can have been used; undefined where it was not needed here yet. */
+    readonly budgetsFirstEra: number | undefined;
     readonly openRequests: number;
     readonly peers: readonly InstanceInfo[];
     readonly targets: readonly TargetView[];
