--- a/packages/budgets/src/era-settler.ts
+++ b/packages/budgets/src/era-settler.ts
@@ -27,8 +27,8 @@
 const RECORDS_PER_READ = 500;
 
 /**
- * Ends the counting of earlier restores, one for the fleet: once each budget's shard has a record in each copy of the KV service, a shard
- * without a record can only have been used in the present era.
+ * Raises the first era after a restore; one instance does it for the fleet. Once each budget's shard has a record in each copy of the KV
+ * service, a shard without a record can only have been used in the present era.
  */
 export class EraSettler {
     /** Era in which this instance has found or raised the first era. */
--- a/packages/budgets/src/first-era.ts
+++ b/packages/budgets/src/first-era.ts
@@ -1,6 +1,7 @@
 import type { KvClient } from "@ospreyreel/kv";
 import type { BudgetLog } from "./budget-log.js";
 
+/** Key that holds the era. */
 const KEY = "ospreyreel/budgets-since";
 
 /** Era in which most services begin. */
@@ -33,7 +34,7 @@
         return 0;
     }
 
-    /** Returns it as the key says in the present era, and writes the key where it is missing. Throws if the KV service is unavailable. */
+    /** Returns it as the key says, and writes the key where it is missing. `era` is the present one. Throws if the KV service is unavailable. */
     async get(era: number): Promise<number> {
         if (this.settledEra === era) {
             return era;
--- a/packages/budgets/src/known-budgets.test.ts
+++ b/packages/budgets/src/known-budgets.test.ts
@@ -1,8 +1,5 @@
 import test from "ava";
-import { KnownBudgets } from "./known-budgets.js";
-
-/** Time after a restore in which desired states may still lack what they had before it, in milliseconds. */
-const REWRITTEN_WITHIN_MS = 10_000;
+import { KnownBudgets, REWRITTEN_WITHIN_MS } from "./known-budgets.js";
 
 /** A horizon whose present era became known some time ago. */
 const createHorizon = (era: number, knownForMs: number) => {
--- a/packages/budgets/src/restored-service.test.ts
+++ b/packages/budgets/src/restored-service.test.ts
@@ -83,7 +83,7 @@
 /** Tokens of each request where all that may be used is to be used before a copy is too old. */
 const LARGE_STEP = 500;
 
-/** Time in which an owner that was cut off from all others is replaced, in milliseconds. */
+/** Time in which an owner that was cut off learns that it has been replaced, in milliseconds. */
 const RECONNECT_MS = 100;
 
 /** What becomes of a budget's owner at a restore. */
