Take the number of descriptors from the settings, not from the kernel

Cause: the limit on callers' connections is half of the descriptors of the process, read from /proc/self/limits. Nothing logged the limit in force. Change: callerLimits.descriptors, filled in by the platform's template; the kernel's limit counts where it is 0. 'instance started' names the limits.

--- a/packages/relay/src/http/caller-limits.ts
+++ b/packages/relay/src/http/caller-limits.ts
@@ -24,12 +24,20 @@
 /** Equal to the time after which a connection without a request is closed. */
 const DEFAULT_PROGRESS_TIMEOUT_MS = 15_000;
 
-/** Limits as set, or their defaults where they are not set or 0. */
-export const getCallerLimits = (set: Partial<CallerLimits>, descriptors: number): CallerLimits => ({
-    maxConnections: set.maxConnections || Math.floor(descriptors * CONNECTION_SHARE),
-    maxStatusConnections: set.maxStatusConnections
-        || Math.max(MIN_STATUS_CONNECTIONS, Math.floor(descriptors * STATUS_CONNECTION_SHARE)),
-    maxHeldBytes: set.maxHeldBytes || MAX_REQUEST_BYTES,
-    maxReadingBytes: set.maxReadingBytes || MAX_REQUEST_BYTES,
-    progressTimeoutMs: set.progressTimeoutMs || DEFAULT_PROGRESS_TIMEOUT_MS,
-});
+/**
+ * Limits as set, or their defaults where they are not set or 0. `ownDescriptors` is the number of descriptors that the kernel allows the process.
+ */
+export const getCallerLimits = (
+    set: Partial<CallerLimits & { readonly descriptors: number; }>,
+    ownDescriptors: number,
+): CallerLimits => {
+    const descriptors = set.descriptors || ownDescriptors;
+    return {
+        maxConnections: set.maxConnections || Math.floor(descriptors * CONNECTION_SHARE),
+        maxStatusConnections: set.maxStatusConnections
+            || Math.max(MIN_STATUS_CONNECTIONS, Math.floor(descriptors * STATUS_CONNECTION_SHARE)),
+        maxHeldBytes: set.maxHeldBytes || MAX_REQUEST_BYTES,
+        maxReadingBytes: set.maxReadingBytes || MAX_REQUEST_BYTES,
+        progressTimeoutMs: set.progressTimeoutMs || DEFAULT_PROGRESS_TIMEOUT_MS,
+    };
+};
--- a/packages/relay/src/instance/relay-instance.ts
+++ b/packages/relay/src/instance/relay-instance.ts
@@ -642,7 +642,12 @@
         this.handoff.start();
         await this.handoffPort?.start();
         await Promise.all([this.callerPort, ...this.statusPorts].map(port => port.start()));
-        log.write("instance started", { instance: cfg.instance, incarnation: hub.self().incarnation });
+        log.write("instance started", {
+            instance: cfg.instance,
+            incarnation: hub.self().incarnation,
+            maxConnections: this.callerLimits.maxConnections,
+            maxStatusConnections: this.callerLimits.maxStatusConnections,
+        });
         this.announceReady();
     }
 
--- a/packages/relay/src/instance/relay-settings.ts
+++ b/packages/relay/src/instance/relay-settings.ts
@@ -117,6 +117,13 @@
         }),
     }, { additionalProperties: false, default: {} }),
     callerLimits: Type.Object({
+        descriptors: Type.Integer({
+            description:
+                "Descriptors that the process may have open, connections included; 0 for the limit that the kernel names, which need not count connections.",
+            minimum: 0,
+            maximum: MAX_DESCRIPTORS,
+            default: 0,
+        }),
         maxConnections: Type.Integer({
             description:
                 "Open connections at the port for callers; 0 for half of the descriptors of the process. Beyond it, idle and unused ones are closed.",
