Count a handed-off connection until its caller has the last response

Cause: a handed-off connection counted as closed once the last bytes were written on the caller's connection, so that a stopping instance ended while they were still being sent. The test fails on the code before (the end is reported though nothing was sent) and passes with the change; a stop waits for such connections until the end of its window.

--- a/packages/relay/src/handoff/handed-off-connection.test.ts
+++ b/packages/relay/src/handoff/handed-off-connection.test.ts
@@ -1,14 +1,16 @@
 import test, { type ExecutionContext } from "ava";
 import { once } from "node:events";
 import { type AddressInfo, connect, createServer, type Socket } from "node:net";
+import { Duplex } from "node:stream";
 import { setTimeout as sleep } from "node:timers/promises";
 import { CallerExchange, type ResponseHead } from "../caller-exchange.js";
 import { type HandoffPairOptions, startHandoffPair } from "../fixtures/handoff-pair.js";
 import { createRequest } from "../fixtures/plain-protocol.js";
 import { startRawHelper } from "../fixtures/raw-helper.js";
 import { createRawRequest, openCaller, readUntilEnd, startRelayPath } from "../fixtures/relay-path.js";
+import { MessageMemory } from "../message-memory.js";
 import { REFUSAL_STATUS, type RelayRefusal } from "../relay-refusal.js";
-import type { RequestTerms } from "./handed-off-connection.js";
+import { HandedOffConnection, type HandoffEnd, type RequestTerms } from "./handed-off-connection.js";
 import { TICKET_BYTES } from "./handoff-preamble.js";
 
 const HOST = "127.0.0.1";
@@ -489,3 +491,51 @@
     t.is(end, "");
     t.true(bytes > BYTES);
 });
+
+/** Opens a connection that sends nothing until it is released. */
+const openHeld = () => {
+    let isReleased = false;
+    let finishWrite: (() => void) | undefined;
+    const socket = new Duplex({
+        // What arrives is pushed by the test.
+        read: () => undefined,
+        write: (_chunk, _encoding, callback) => {
+            finishWrite = () => callback();
+            if (isReleased) {
+                callback();
+            }
+        },
+    });
+    const release = (): void => {
+        isReleased = true;
+        finishWrite?.();
+    };
+    return { socket, release };
+};
+
+// Guards against responses that a stopping instance cuts, since their connections no longer count once they are written.
+test("a connection counts as open until its caller has its last response", async t => {
+    const { socket: caller, release } = openHeld();
+    const { socket: helper } = openHeld();
+    const ends: HandoffEnd[] = [];
+    new HandedOffConnection({
+        caller: caller as unknown as Socket,
+        helper: helper as unknown as Socket,
+        getTerms: () => undefined,
+        confirmEnd: () => Promise.resolve(true),
+        serveHere: () => undefined,
+        isStopping: () => true,
+        memory: new MessageMemory(1_000_000),
+        onEnd: end => ends.push(end),
+    });
+    caller.push(createRawRequest("a"));
+    await sleep(50);
+    helper.push("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 5\r\n\r\nwhole");
+    helper.push(null);
+    await sleep(50);
+    t.true(caller.writableLength > 0);
+    t.deepEqual(ends, []);
+    release();
+    t.true(await isMetWithin(5_000, () => ends.length > 0));
+    t.deepEqual(ends, ["closed"]);
+});
--- a/packages/relay/src/handoff/handed-off-connection.ts
+++ b/packages/relay/src/handoff/handed-off-connection.ts
@@ -392,8 +392,10 @@
     }
 
     private close(end: HandoffEnd): void {
-        if (this.end(end)) {
-            closeWithLinger(this.opts.caller);
+        const { caller, onEnd } = this.opts;
+        if (this.stop()) {
+            closeWithLinger(caller);
+            afterSending(caller, () => onEnd(end));
         }
     }
 
@@ -427,8 +429,16 @@
         serveHere(request === undefined ? undefined : { arrivedAtMs, isInterrupted, hasRepeat });
     }
 
-    /** Stops copying; returns whether it had not stopped before. */
+    /** Stops copying and reports it; returns whether it had not stopped before. */
     private end(end: HandoffEnd): boolean {
+        const isFirst = this.stop();
+        if (isFirst) {
+            this.opts.onEnd(end);
+        }
+        return isFirst;
+    }
+
+    private stop(): boolean {
         if (this.hasEnded) {
             return false;
         }
@@ -437,12 +447,24 @@
         this.heldMemory.release();
         this.setOpenExchange(false);
         this.detachers.forEach(detach => detach());
-        const { caller, helper, onEnd } = this.opts;
+        const { caller, helper } = this.opts;
         caller.on("error", ignoreError);
         helper.on("error", ignoreError).destroy();
-        onEnd(end);
         return true;
     }
 }
 
+/** Calls back once what was written on a connection is sent, or the connection has closed. */
+const afterSending = (socket: Socket, callback: () => void): void => {
+    if (socket.writableLength === 0) {
+        callback();
+        return;
+    }
+    const finish = (): void => {
+        socket.off("finish", finish).off("close", finish);
+        callback();
+    };
+    socket.once("finish", finish).once("close", finish);
+};
+
 const ignoreError = (): void => undefined;
