Refuse requests on too many connections instead of closing them

What callers saw: at the limit on open connections, callers inside all limits got a closed connection in place of an answer. A handed-off response counted as sent once it was written, so that its rest could be cut. Change: idle connections go before those that were just opened; none of which bytes were read and that is not served yet is closed, and none whose response is still being sent. At the limit itself the bound is kept as before. New: counters by the stage of closed connections with a bounded line, and a line for each request that was read whole and whose connection this process closes before its whole response.

--- a/packages/peer/src/caller-guard.ts
+++ b/packages/peer/src/caller-guard.ts
@@ -7,10 +7,32 @@
  */
 export type CallerLimit = "connections" | "head" | "reading" | "progress";
 
+/**
+ * How far a connection has come: its last response says that it closes, it has brought no byte yet, it waits for its next request, a request
+ * arrives on it, or one is being served.
+ */
+export type ConnectionStage = "closing" | "unused" | "idle" | "reading" | "busy";
+
+/** A connection that was closed since there were too many. */
+export interface ClosedConnection {
+    /** `new` for one that was closed as soon as it was accepted. */
+    readonly stage: ConnectionStage | "new";
+    /** Time since it was accepted, in milliseconds. */
+    readonly ageMs: number;
+    /** Time since it reached its stage, in milliseconds. */
+    readonly stageMs: number;
+    readonly bytesRead: number;
+}
+
 /** Options of {@link CallerGuard}. */
 export interface CallerGuardOptions {
     /** Maximum number of open connections. */
     readonly maxConnections: number;
+    /**
+     * Number of open connections from which requests on new ones are to be refused, unless another one can be closed; `maxConnections` by
+     * default.
+     */
+    readonly maxServedConnections?: number;
     /** Maximum size of what all unfinished requests hold beside the bytes of their bodies, in bytes. */
     readonly maxReadingBytes: number;
     /** Time in which a body must bring bytes, in milliseconds. */
@@ -21,6 +43,8 @@
     readonly rejectHead: (socket: Socket) => void;
     /** Called for each connection or request that a limit ends. */
     readonly onLimit?: (limit: CallerLimit) => void;
+    /** Called for each connection that is closed since there are too many. */
+    readonly onClose?: (closed: ClosedConnection) => void;
 }
 
 /** Numbers for the state dump. */
@@ -63,9 +87,12 @@
 /** Share of the limit from which a head is refused at once where there is no room for it. */
 const LARGE_HEAD_SHARE = 1 / 256;
 
-/** Age below which a request is not judged by its rate, in milliseconds. */
+/** Age below which a request is not judged by its rate, and a connection without a request not by its silence, in milliseconds. */
 const MIN_JUDGED_MS = 1_000;
 
+/** Share of the connections that may be served from which responses announce the close of theirs. */
+const CROWDED_SHARE = 7 / 8;
+
 /** Share of the limit down to which unfinished requests are ended, so that not each further byte ends one. */
 const ROOM_AFTER = 7 / 8;
 
@@ -73,15 +100,14 @@
 const MIN_CHECK_MS = 50;
 const MAX_CHECK_MS = 1_000;
 
-type Stage = "closing" | "unused" | "idle" | "reading" | "busy";
-
-/** Stages of connections that are closed first where there are too many, in this order. */
-const CLOSED_FIRST: readonly Stage[] = ["closing", "unused", "idle"];
-
 interface Connection {
     readonly socket: Socket;
-    readonly weight: number;
-    stage: Stage;
+    readonly openedAtMs: number;
+    weight: number;
+    stage: ConnectionStage;
+    stageSinceMs: number;
+    /** Whether it was accepted where there were too many to be served. */
+    isBeyondServed: boolean;
     isUsed: boolean;
     isClosing: boolean;
     openExchanges: number;
@@ -108,7 +134,7 @@
  */
 export class CallerGuard {
     private readonly connections = new Map<Socket, Connection>();
-    private readonly stages: Readonly<Record<Stage, Set<Connection>>> = {
+    private readonly stages: Readonly<Record<ConnectionStage, Set<Connection>>> = {
         closing: new Set(),
         unused: new Set(),
         idle: new Set(),
@@ -141,6 +167,11 @@
         };
     }
 
+    /** Whether responses are to announce the close of their connections, so that fewer have to be closed without one. */
+    get isCrowded(): boolean {
+        return this.openWeight > this.maxServed * CROWDED_SHARE;
+    }
+
     /**
      * Counts a new connection until it is closed. Where there are too many, another one is closed, or this one; returns whether it is open.
      * `weight` is the number of descriptors that it takes.
@@ -149,10 +180,14 @@
         if (this.connections.has(socket)) {
             return !socket.destroyed;
         }
+        const openedAtMs = performance.now();
         const connection: Connection = {
             socket,
+            openedAtMs,
             weight,
             stage: "unused",
+            stageSinceMs: openedAtMs,
+            isBeyondServed: false,
             isUsed: false,
             isClosing: false,
             openExchanges: 0,
@@ -166,9 +201,15 @@
             sinceMs: 0,
             progressAtMs: 0,
         };
-        while (this.openWeight + weight > this.opts.maxConnections) {
+        while (this.openWeight + weight > this.maxServed) {
+            const isFull = this.openWeight + weight > this.opts.maxConnections;
+            const victim = this.findUnserved() ?? (isFull ? this.findArriving() : undefined);
+            if (victim === undefined && !isFull) {
+                connection.isBeyondServed = true;
+                break;
+            }
             this.opts.onLimit?.("connections");
-            const victim = this.findClosable();
+            this.recordClosed(victim ?? connection, victim === undefined ? "new" : victim.stage);
             if (victim === undefined) {
                 socket.destroy();
                 return false;
@@ -182,6 +223,25 @@
         return true;
     }
 
+    /** Changes the number of descriptors that a connection takes. */
+    setWeight(socket: Socket, weight: number): void {
+        const connection = this.connections.get(socket);
+        if (connection !== undefined) {
+            this.openWeight += weight - connection.weight;
+            connection.weight = weight;
+        }
+    }
+
+    /** Whether requests of a connection are to be refused, since there are too many to be served. */
+    isBeyondServed(socket: Socket): boolean {
+        const connection = this.connections.get(socket);
+        if (connection?.isBeyondServed !== true) {
+            return false;
+        }
+        connection.isBeyondServed = this.openWeight > this.maxServed;
+        return connection.isBeyondServed;
+    }
+
     /** Counts the bytes of an admitted connection; called once its parser listens. */
     follow(socket: Socket): void {
         const connection = this.connections.get(socket);
@@ -390,14 +450,41 @@
             .forEach(connection => this.endReading(connection, "progress"));
     }
 
-    private findClosable(): Connection | undefined {
-        for (const stage of CLOSED_FIRST) {
-            const [oldest] = this.stages[stage];
-            if (oldest !== undefined) {
-                return oldest;
-            }
-        }
-        return this.sortReading().find(({ openExchanges, endBody }) => openExchanges === 0 || endBody !== undefined);
+    private get maxServed(): number {
+        return this.opts.maxServedConnections ?? this.opts.maxConnections;
+    }
+
+    /** Finds the connection of least use of those without a request that has just arrived, or may arrive in a moment. */
+    private findUnserved(): Connection | undefined {
+        const judgedFromMs = performance.now() - MIN_JUDGED_MS;
+        const { closing, idle, unused } = this.stages;
+        return findFirst(closing, hasSentAll)
+            ?? findFirst(unused, it => hasReadNothing(it) && it.openedAtMs <= judgedFromMs)
+            ?? findFirst(idle, hasSentAll)
+            ?? this.findReading(({ sinceMs }) => sinceMs <= judgedFromMs);
+    }
+
+    /** Finds the connection of least use of those whose request has not arrived whole. */
+    private findArriving(): Connection | undefined {
+        return findFirst(this.stages.unused, hasReadNothing) ?? this.findReading(() => true) ?? this.findStalled();
+    }
+
+    private findReading(matches: (connection: Connection) => boolean): Connection | undefined {
+        return this.stages.reading.size === 0
+            ? undefined
+            : this.sortReading().find(it => (it.openExchanges === 0 || it.endBody !== undefined) && matches(it));
+    }
+
+    /** Finds a connection whose caller has not read its response for too long. */
+    private findStalled(): Connection | undefined {
+        const stalledSinceMs = performance.now() - this.opts.progressTimeoutMs;
+        return [...this.stages.closing, ...this.stages.idle].find(({ stageSinceMs }) => stageSinceMs <= stalledSinceMs);
+    }
+
+    private recordClosed({ openedAtMs, stageSinceMs, socket }: Connection, stage: ClosedConnection["stage"]): void {
+        const nowMs = performance.now();
+        const { bytesRead } = socket;
+        this.opts.onClose?.({ stage, ageMs: nowMs - openedAtMs, stageMs: nowMs - stageSinceMs, bytesRead });
     }
 
     private close(connection: Connection): void {
@@ -439,10 +526,29 @@
         this.stages[connection.stage].delete(connection);
         this.stages[stage].add(connection);
         connection.stage = stage;
+        connection.stageSinceMs = performance.now();
     }
 }
 
-const getStage = ({ isClosing, endBody, openExchanges, headBytes, isUsed }: Connection): Stage => {
+/** Whether the last response was sent whole; a close would cut it otherwise. */
+const hasSentAll = ({ socket }: Connection): boolean => socket.writableLength === 0;
+
+/** Whether no byte was read; a request may have been read whole on a connection that is being handed off. */
+const hasReadNothing = ({ socket }: Connection): boolean => socket.bytesRead === 0;
+
+const findFirst = (
+    connections: ReadonlySet<Connection>,
+    matches: (connection: Connection) => boolean,
+): Connection | undefined => {
+    for (const connection of connections) {
+        if (matches(connection)) {
+            return connection;
+        }
+    }
+    return undefined;
+};
+
+const getStage = ({ isClosing, endBody, openExchanges, headBytes, isUsed }: Connection): ConnectionStage => {
     if (endBody !== undefined) {
         return "reading";
     }
--- a/packages/relay/src/http/http-caller-port.test.ts
+++ b/packages/relay/src/http/http-caller-port.test.ts
@@ -8,6 +8,7 @@
 import { pauseProcess } from "../fixtures/pause-process.js";
 import { PlainCallerProtocol } from "../fixtures/plain-protocol.js";
 import type { RelayRequest } from "../relay-request.js";
+import { getCallerLimits } from "./caller-limits.js";
 import { HttpCallerPort } from "./http-caller-port.js";
 
 const HOST = "127.0.0.1";
@@ -533,3 +534,42 @@
     await eventuallyIs(t, () => state.end, "closed");
     t.regex(state.text, /^HTTP\/1\.1 408 Request Timeout\r\nConnection: close\r\n\r\n$/);
 });
+
+/** Connections that the port of the test below accepts, and requests that are sent to it one after the other. */
+const MAX_CONNECTIONS = 16;
+const REQUESTS = 40;
+
+// Guards against callers that get no answer from an instance that serves as many connections as it can.
+test("requests on more connections than are served are refused as not run", async t => {
+    const served: string[] = [];
+    let finish = (): void => undefined;
+    const finished = new Promise<void>(resolve => finish = resolve);
+    const port = new HttpCallerPort({
+        host: HOST,
+        port: 0,
+        protocol: new PlainCallerProtocol(),
+        getBounds: () => undefined,
+        limits: getCallerLimits({ maxConnections: MAX_CONNECTIONS }, 0),
+        serve: async ({ id }, caller) => {
+            served.push(id);
+            await finished;
+            await caller.sendResponse({ status: 200, headers: [], isFramed: true }, Buffer.from(id));
+        },
+    });
+    await port.start();
+    t.teardown(() => port.close(0));
+    const seen = Array.from({ length: REQUESTS }, () => ({ text: "", isClosed: false }));
+    for (const [at, state] of seen.entries()) {
+        const socket = send(port.listenPort, `r${at}`, false);
+        t.teardown(() => socket.destroy());
+        socket.on("data", chunk => state.text += chunk.toString("latin1")).on("end", () => socket.end())
+            .on("close", () => state.isClosed = true);
+        await eventuallyIs(t, () => served.includes(`r${at}`) || state.isClosed, true);
+    }
+    const refused = seen.filter(({ isClosed }) => isClosed);
+    t.true(refused.length > 0);
+    refused.forEach(({ text }) => t.regex(text, /^HTTP\/1\.1 503 .*\r\nConnection: close\r\n/s));
+    finish();
+    await eventuallyIs(t, () => seen.every(({ text }) => text.startsWith("HTTP/1.1 ")), true);
+    t.is(seen.filter(({ text }) => text.startsWith("HTTP/1.1 200")).length, served.length);
+});
--- a/packages/relay/src/http/http-caller-port.ts
+++ b/packages/relay/src/http/http-caller-port.ts
@@ -3,6 +3,7 @@
     CallerGuard,
     type CallerGuardView,
     type CallerLimit,
+    type ClosedConnection,
     discardInput,
     lingerOnClose,
     readDescriptorLimit,
@@ -53,6 +54,21 @@
     readonly limits?: CallerLimits;
     /** Called for each connection or request that one of the limits ends. */
     readonly onLimit?: (limit: CallerLimit) => void;
+    /** Called for each connection that is closed since there are too many. */
+    readonly onClose?: (closed: ClosedConnection) => void;
+    /** Called for each request that is refused since there are too many connections. */
+    readonly onCrowded?: () => void;
+    /** Called for each request that was read whole and whose connection this process closed before its whole response was sent. */
+    readonly onUnanswered?: (req: UnansweredRequest) => void;
+}
+
+/** A request that was read whole and has no whole response. */
+export interface UnansweredRequest {
+    readonly id: string;
+    /** Whether its response had begun. */
+    readonly hasBegun: boolean;
+    /** Time since its first bytes arrived, in milliseconds. */
+    readonly ageMs: number;
 }
 
 /**
@@ -145,6 +161,7 @@
             rejectHead: socket =>
                 this.rejectUnparsed({ name: "Error", message: "", code: "HPE_HEADER_OVERFLOW" }, socket),
             onLimit: limit => opts.onLimit?.(limit),
+            onClose: closed => opts.onClose?.(closed),
         });
         const listeners = this.server.listeners("connection") as unknown as readonly ((socket: Socket) => void)[];
         this.server.removeAllListeners("connection");
@@ -166,7 +183,9 @@
             if (!this.guard.admit(socket, opts.isHandingOff?.() === true ? HANDED_OFF_WEIGHT : 1)) {
                 return;
             }
-            if (opts.handOff?.(socket, returned => this.serveReturned(socket, returned)) !== true) {
+            const serveHere = (returned?: ReturnedRequest): void => this.serveReturned(socket, returned);
+            if (this.guard.isBeyondServed(socket) || opts.handOff?.(socket, serveHere) !== true) {
+                this.guard.setWeight(socket, 1);
                 this.serveConnection(socket);
             }
         });
@@ -297,6 +316,7 @@
 
     /** Serves a connection that was not, or no longer, handed off. */
     private serveReturned(socket: Socket, returned: ReturnedRequest | undefined): void {
+        this.guard.setWeight(socket, 1);
         if (returned !== undefined) {
             this.returned.set(socket, returned);
         }
@@ -366,6 +386,11 @@
             this.refuseUnread(req, caller, "no_room", isInterrupted);
             return;
         }
+        if (this.guard.isBeyondServed(socket)) {
+            this.opts.onCrowded?.();
+            this.refuseUnread(req, caller, "no_room", isInterrupted);
+            return;
+        }
         const head = UNSENDABLE_PATH.test(url)
             ? undefined
             : protocol.decode({ method, target: url, rawHeaders, arrivedAtMs });
@@ -391,6 +416,7 @@
             return;
         }
         this.readWhole.add(socket, res);
+        this.watchAnswer(req, res, { id: head.id, arrivedAtMs });
         if (!await turn) {
             return;
         }
@@ -400,6 +426,20 @@
         await this.opts.serve({ ...head, body, minVersion, isInterrupted, hasRepeat, ...handedOff }, caller);
     }
 
+    private watchAnswer(
+        { socket }: IncomingMessage,
+        res: ServerResponse,
+        { id, arrivedAtMs }: { readonly id: string; readonly arrivedAtMs: number; },
+    ): void {
+        res.once("close", () => {
+            const hasCallerLeft = socket.readableEnded || socket.errored !== null;
+            if (!res.writableFinished && !hasCallerLeft) {
+                const ageMs = performance.now() - arrivedAtMs;
+                this.opts.onUnanswered?.({ id, hasBegun: res.headersSent, ageMs });
+            }
+        });
+    }
+
     /** Refuses a request whose body was not read, and closes its connection. */
     private refuseUnread(
         req: IncomingMessage,
@@ -514,7 +554,8 @@
 
     private shouldClose(socket: Socket): boolean {
         const origin = this.origins.get(socket);
-        return this.isDraining || (origin === undefined ? this.opts.isHandingOff?.() === true : origin.isLeaving);
+        return this.isDraining || this.guard.isCrowded
+            || (origin === undefined ? this.opts.isHandingOff?.() === true : origin.isLeaving);
     }
 }
 
--- a/packages/relay/src/http/status-port.ts
+++ b/packages/relay/src/http/status-port.ts
@@ -2,6 +2,7 @@
     CallerGuard,
     type CallerGuardView,
     type CallerLimit,
+    type ClosedConnection,
     discardInput,
     lingerOnClose,
     readDescriptorLimit,
@@ -27,6 +28,8 @@
     readonly limits?: CallerLimits;
     /** Called for each connection that one of the limits closes. */
     readonly onLimit?: (limit: CallerLimit) => void;
+    /** Called for each connection that is closed since there are too many. */
+    readonly onClose?: (closed: ClosedConnection) => void;
 }
 
 /** Maximum size of a head, in bytes. */
@@ -59,6 +62,7 @@
             getMaxHeadBytes: () => MAX_HEAD_WIRE_BYTES,
             rejectHead: socket => socket.destroy(),
             onLimit: limit => opts.onLimit?.(limit),
+            onClose: closed => opts.onClose?.(closed),
         });
         this.server = createServer({
             maxHeaderSize: MAX_HEADER_BYTES,
--- a/packages/relay/src/instance/relay-instance.ts
+++ b/packages/relay/src/instance/relay-instance.ts
@@ -1,6 +1,12 @@
 import { FleetBudgets } from "@ospreyreel/budgets";
 import { BreakerKvClient, type KvCall, type KvClient, KvHealth } from "@ospreyreel/kv";
-import { type CallerLimit, LimitLog, readDescriptorLimit, type TcpPeerHub } from "@ospreyreel/peer";
+import {
+    type CallerLimit,
+    type ClosedConnection,
+    LimitLog,
+    readDescriptorLimit,
+    type TcpPeerHub,
+} from "@ospreyreel/peer";
 import type { Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { OpenGate } from "../admission/open-gate.js";
@@ -13,7 +19,7 @@
 import { HandoffPort } from "../handoff/handoff-port.js";
 import { SecondSends } from "../hedging/second-sends.js";
 import { type CallerLimits, getCallerLimits } from "../http/caller-limits.js";
-import { HttpCallerPort } from "../http/http-caller-port.js";
+import { HttpCallerPort, type UnansweredRequest } from "../http/http-caller-port.js";
 import { HttpReportPort } from "../http/http-report-port.js";
 import { StatusPort, type StatusPortResponse } from "../http/status-port.js";
 import { ColdTargets } from "../limits/cold-targets.js";
@@ -31,6 +37,7 @@
 import { DecisionStore } from "../quarantine/decision-store.js";
 import { PartQuarantine } from "../quarantine/part-quarantine.js";
 import { ZoneRegions } from "../regions/zone-regions.js";
+import type { LogFields } from "../relay-log.js";
 import { Relay } from "../relay.js";
 import { AnnouncedStartCheck } from "../targets/start-check.js";
 import { TargetDirectory } from "../targets/target-directory.js";
@@ -100,8 +107,11 @@
     private readonly evacuated = new EvacuatedZones({ log: this.log, count: name => this.metrics.add(name) });
     private readonly freshness = new ViewFreshness({ log: this.log });
     private readonly callerLimits: CallerLimits;
-    private readonly limitLog = new LimitLog<string>((limit, count) =>
-        this.log.write("limit on callers reached", { limit, count })
+    private readonly limitLog = new LimitLog<string, LogFields>((limit, count, fields) =>
+        this.log.write("limit on callers reached", { limit, count, ...fields })
+    );
+    private readonly unansweredLog = new LimitLog<string, UnansweredRequest>((_, count, { id, hasBegun, ageMs }) =>
+        this.log.write("request without a whole answer", { request: id, count, hasBegun, ms: Math.round(ageMs) })
     );
     private readonly overload = new OverloadGuard({ nowMs: () => performance.now(), random: Math.random });
     private readonly delays: InputDelayMeter;
@@ -357,6 +367,9 @@
             onFailure: err => this.log.write("request failed unexpectedly", { cause: String(err) }),
             limits: this.callerLimits,
             onLimit: limit => this.recordLimit("callers", limit),
+            onClose: closed => this.recordClosed("callers", closed),
+            onCrowded: () => this.metrics.add("requests_refused_crowded"),
+            onUnanswered: req => this.recordUnanswered(req),
             onBodyUnread: why => this.metrics.add(`request_bodies_unread_${why}`),
         });
     }
@@ -543,12 +556,31 @@
     /** Takes note that callers have reached a limit at a port. */
     private recordLimit(port: string, limit: CallerLimit): void {
         this.metrics.add(`caller_limit_${limit}`);
-        this.limitLog.record(`${port} ${limit}`);
+        this.limitLog.record(`${port} ${limit}`, {});
+    }
+
+    /** Takes note that a port has closed a connection since there are too many. */
+    private recordClosed(port: string, closed: ClosedConnection): void {
+        this.metrics.add(`caller_connections_closed_${closed.stage}`);
+        const { ageMs, stageMs, bytesRead } = closed;
+        const fields = { ageMs: Math.round(ageMs), stageMs: Math.round(stageMs), bytesRead };
+        this.limitLog.record(`${port} closed ${closed.stage}`, fields);
+    }
+
+    /** Takes note that a request that was read whole ends without a whole answer, and not by its caller. */
+    private recordUnanswered(req: UnansweredRequest): void {
+        const kind = req.hasBegun ? "requests_cut" : "requests_unanswered";
+        this.metrics.add(kind);
+        this.unansweredLog.record(kind, req);
     }
 
     private createStatusPorts(): readonly StatusPort[] {
         const { cfg, adapter, callerLimits: limits } = this;
-        const getGuard = (port: string) => ({ limits, onLimit: (limit: CallerLimit) => this.recordLimit(port, limit) });
+        const getGuard = (port: string) => ({
+            limits,
+            onLimit: (limit: CallerLimit) => this.recordLimit(port, limit),
+            onClose: (closed: ClosedConnection) => this.recordClosed(port, closed),
+        });
         return [
             new StatusPort({
                 ...parseAddress(cfg.readiness),
