--- a/packages/relay/src/handoff/connection-handoff.test.ts
+++ b/packages/relay/src/handoff/connection-handoff.test.ts
@@ -1,3 +1,4 @@
+import { connect } from "@ospreyreel/peer";
 import test, { type ExecutionContext } from "ava";
 import { once } from "node:events";
 import type { Socket } from "node:net";
@@ -119,6 +120,25 @@
     caller.destroy();
 });
 
+// Guards against a team that is starved at a small instance, since one late connection ended the hand-off for all its callers.
+test("a connection to the larger instance that is late ends the hand-off for its caller only", async t => {
+    let opened = 0;
+    const { ports, handoff, counts, log } = await start(t, {
+        connect: async (address, timeoutMs, signal) => {
+            opened += 1;
+            return await connect(address, timeoutMs, opened === 1 ? AbortSignal.abort() : signal);
+        },
+    });
+    const first = await openCaller(ports.small.listenPort, createRawRequest("a"));
+    t.regex(await readUntil(first, "\r\n\r\na"), /served-by: small/);
+    t.true(handoff.isActive);
+    const second = await openCaller(ports.small.listenPort, createRawRequest("b"));
+    t.regex(await readUntil(second, "\r\n\r\nb"), /served-by: large/);
+    t.is(counts.get("handed_off_connections_late"), 1);
+    t.false(log.lines.some(({ event }) => event === "connections kept"));
+    [first, second].forEach(caller => caller.destroy());
+});
+
 test("a caller that leaves while its connection is handed off keeps nothing open", async t => {
     const { ports, handoff, requests } = await start(t);
     const caller = await openCaller(ports.large.listenPort, "");
--- a/packages/relay/src/handoff/connection-handoff.ts
+++ b/packages/relay/src/handoff/connection-handoff.ts
@@ -5,6 +5,7 @@
 import { MAX_REQUEST_BYTES, MessageMemory } from "../message-memory.js";
 import { chooseHelpers } from "../policy/choose-helpers.js";
 import { HandoffPolicy } from "../policy/handoff-policy.js";
+import { HelperReach } from "../policy/helper-reach.js";
 import type { StopWindow } from "../policy/stop-window.js";
 import type { RelayLog } from "../relay-log.js";
 import { EventLoopLoad } from "./event-loop-load.js";
@@ -30,6 +31,8 @@
     readonly policy?: Pick<HandoffPolicy, "isHandingOff" | "mayHelp" | "recordSample">;
     /** Idle share of the event loop since the last call; measured by default. */
     readonly takeIdleShare?: () => number;
+    /** Opens a connection to a helper; {@link connect} by default. */
+    readonly connect?: typeof connect;
 }
 
 /** Time between two samples of the load, in milliseconds. */
@@ -55,6 +58,7 @@
     readonly info: InstanceInfo;
     /** The callers' connections that it serves; undefined while the one to the helper is opened. */
     readonly callers: Map<Socket, HandedOffConnection | undefined>;
+    readonly reach: HelperReach;
     address: Address;
     ticket: Uint8Array;
     /** Whether it counts as lost. */
@@ -187,8 +191,11 @@
         const ignoreError = (): void => undefined;
         caller.on("error", ignoreError);
         helper.callers.set(caller, undefined);
+        const begunAtMs = performance.now();
         try {
-            const socket = await connect(helper.address, CONNECT_TIMEOUT_MS, this.stopping.signal);
+            const { connect: open = connect } = this.opts;
+            const socket = await open(helper.address, CONNECT_TIMEOUT_MS, this.stopping.signal);
+            helper.reach.recordOpened();
             if (caller.destroyed) {
                 socket.destroy();
                 this.forget(helper, caller);
@@ -220,7 +227,13 @@
         catch (err) {
             // Nothing of the caller's has been read yet.
             this.forget(helper, caller);
-            this.drop(helper, `the peer accepts no connection: ${String(err)}`);
+            const isLate = !helper.isLost && wasLate(err);
+            if (isLate) {
+                this.opts.count("handed_off_connections_late");
+            }
+            if (helper.reach.recordFailed({ begunAtMs, failedAtMs: performance.now(), isLate })) {
+                this.drop(helper, `the peer accepts no connection: ${String(err)}`);
+            }
             if (!caller.destroyed) {
                 serveHere();
             }
@@ -281,6 +294,7 @@
                 ?? {
                     info,
                     callers: new Map(),
+                    reach: new HelperReach(),
                     address: info.caller,
                     ticket: new Uint8Array(),
                     isLost: false,
@@ -390,6 +404,9 @@
     }
 }
 
+/** Whether a connection was not opened in time; one that the other side rejects has another error. */
+const wasLate = (err: unknown): boolean => err instanceof Error && err.name === "AbortError";
+
 /** Serves a helper's connections here again, each as soon as it has no request open. */
 const returnWhenIdle = ({ callers }: Helper): void => {
     callers.forEach(connection => connection?.returnWhenIdle());
