--- a/packages/relay/src/handoff/connection-handoff.test.ts
+++ b/packages/relay/src/handoff/connection-handoff.test.ts
@@ -7,6 +7,9 @@
 import { startRawHelper } from "../fixtures/raw-helper.js";
 import { createRawRequest, openCaller, readUntilEnd } from "../fixtures/relay-path.js";
 
+/** Time after which a connection to the larger instance counts as late, in milliseconds. */
+const LATE_MS = 150;
+
 const HEAD = { status: 200, headers: [], isFramed: true };
 
 /** Waits for a condition, as long as a busy machine may need. */
@@ -139,6 +142,37 @@
     [first, second].forEach(caller => caller.destroy());
 });
 
+// Guards against the same where the larger instance was given up before, and serves callers from before that.
+test("a connection that is late after the larger instance has accepted again ends the hand-off for its caller only", async t => {
+    let isLate = false;
+    const { ports, handoff, log } = await start(t, {
+        connect: async (address, timeoutMs, signal) => {
+            if (isLate) {
+                await sleep(LATE_MS);
+            }
+            return await connect(address, timeoutMs, isLate ? AbortSignal.abort() : signal);
+        },
+    });
+    const countKept = (): number => log.lines.filter(({ event }) => event === "connections kept").length;
+    const kept = await openCaller(ports.small.listenPort, createRawRequest("a"));
+    t.teardown(() => kept.destroy());
+    t.regex(await readUntil(kept, "\r\n\r\na"), /served-by: large/);
+    const askLate = async (): Promise<void> => {
+        const caller = await openCaller(ports.small.listenPort, createRawRequest("b"));
+        t.regex(await readUntil(caller, "\r\n\r\nb"), /served-by: small/);
+        caller.destroy();
+    };
+    isLate = true;
+    for (let asked = 0; countKept() === 0 && asked < 20; asked++) {
+        await askLate();
+    }
+    t.is(countKept(), 1);
+    await until(t, () => handoff.isActive);
+    await askLate();
+    t.is(countKept(), 1);
+    t.true(handoff.isActive);
+});
+
 test("a caller that leaves while its connection is handed off keeps nothing open", async t => {
     const { ports, handoff, requests } = await start(t);
     const caller = await openCaller(ports.large.listenPort, "");
--- a/packages/relay/src/handoff/connection-handoff.ts
+++ b/packages/relay/src/handoff/connection-handoff.ts
@@ -195,7 +195,7 @@
         try {
             const { connect: open = connect } = this.opts;
             const socket = await open(helper.address, CONNECT_TIMEOUT_MS, this.stopping.signal);
-            helper.reach.recordOpened();
+            helper.reach.recordReached();
             if (caller.destroyed) {
                 socket.destroy();
                 this.forget(helper, caller);
@@ -304,6 +304,7 @@
             if (answer.kind === "accepted" && !this.stopping.signal.aborted) {
                 this.helpers.set(info.incarnation, helper);
                 this.current = helper;
+                helper.reach.recordReached();
                 log.write("connections handed off", { helper: info.instance });
                 break;
             }
--- a/packages/relay/src/policy/helper-reach.test.ts
+++ b/packages/relay/src/policy/helper-reach.test.ts
@@ -10,7 +10,7 @@
         const begunAtMs = at * intervalMs;
         const failedAtMs = begunAtMs + LATE_MS;
         if (!isLate(at)) {
-            reach.recordOpened();
+            reach.recordReached();
         }
         else if (reach.recordFailed({ begunAtMs, failedAtMs, isLate: true })) {
             return failedAtMs;
@@ -36,6 +36,13 @@
 test("what failed before a connection was opened does not count", t => {
     const reach = new HelperReach();
     t.false(reach.recordFailed({ begunAtMs: 0, failedAtMs: LATE_MS, isLate: true }));
-    reach.recordOpened();
+    reach.recordReached();
     t.false(reach.recordFailed({ begunAtMs: 1_500, failedAtMs: 1_800, isLate: true }));
 });
+
+// Guards against a team that is starved at a small instance, since one late connection ends the hand-off where another was late long before.
+test("a connection that is late long after another one does not end the hand-off", t => {
+    const reach = new HelperReach();
+    t.false(reach.recordFailed({ begunAtMs: 0, failedAtMs: LATE_MS, isLate: true }));
+    t.false(reach.recordFailed({ begunAtMs: 60_000, failedAtMs: 60_000 + LATE_MS, isLate: true }));
+});
--- a/packages/relay/src/policy/helper-reach.ts
+++ b/packages/relay/src/policy/helper-reach.ts
@@ -16,17 +16,21 @@
  * are late there while others arrive, and to serve all callers here again would take more of what is short.
  */
 export class HelperReach {
-    /** Since when no connection was opened, as far as one has failed; monotonic, in milliseconds. */
-    private failingSinceMs: number | undefined;
+    /** Begin and last end of the failures without an opened connection between them; monotonic, in milliseconds. */
+    private failing: { readonly sinceMs: number; readonly lastAtMs: number; } | undefined;
 
-    /** Takes note that a connection was opened. */
-    recordOpened(): void {
-        this.failingSinceMs = undefined;
+    /** Takes note that a connection was opened, or that the helper has agreed to serve again. */
+    recordReached(): void {
+        this.failing = undefined;
     }
 
     /** Takes note that a connection was not opened; returns whether the helper is out of reach. */
     recordFailed({ begunAtMs, failedAtMs, isLate }: FailedConnection): boolean {
-        this.failingSinceMs ??= begunAtMs;
-        return !isLate || failedAtMs - this.failingSinceMs >= GIVE_UP_AFTER_MS;
+        const { failing } = this;
+        // A single failure says nothing of one that follows after a time without attempts.
+        const isFurther = failing !== undefined && begunAtMs - failing.lastAtMs < GIVE_UP_AFTER_MS;
+        const sinceMs = isFurther ? failing.sinceMs : begunAtMs;
+        this.failing = { sinceMs, lastAtMs: failedAtMs };
+        return !isLate || failedAtMs - sinceMs >= GIVE_UP_AFTER_MS;
     }
 }
