--- a/packages/bench/src/rig/caller-crowd.ts
+++ b/packages/bench/src/rig/caller-crowd.ts
@@ -20,6 +20,9 @@
 const DESCRIPTORS = 2_212;
 const FEW_DESCRIPTORS = 512;
 
+/** Of most instances with little memory. */
+const USUAL_DESCRIPTORS = 4_100;
+
 const CHUNKED = "Transfer-Encoding: chunked\r\n\r\n";
 
 /** Below the body limits of the tests' settings; the last chunk of no body is sent. */
@@ -66,6 +69,12 @@
         descriptors: DESCRIPTORS,
         createBytes: head => Buffer.from(`${head}${SMALL_HEADER_LINES}`),
     },
+    {
+        name: "heads without end on more connections than most instances accept",
+        callers: 3_000,
+        descriptors: USUAL_DESCRIPTORS,
+        createBytes: head => Buffer.from(head.slice(0, -1)),
+    },
     {
         name: "heads of small headers whose bodies stop before their end",
         callers: 1_500,
