--- a/packages/bench/src/platform/instance-links.ts
+++ b/packages/bench/src/platform/instance-links.ts
@@ -29,11 +29,11 @@
     /** Whether the links are cut. */
     isCut = false;
 
-    /** Starts links to what listens on the addresses, by id. */
-    static async start(addresses: ReadonlyMap<string, Address>): Promise<InstanceLinks> {
+    /** Starts links to what listens on the addresses, by id; they pass resets on as such if asked for. */
+    static async start(addresses: ReadonlyMap<string, Address>, passesResets = false): Promise<InstanceLinks> {
         const links = new InstanceLinks();
         for (const [id, target] of addresses) {
-            links.links.set(id, await startFaultProxy({ target }));
+            links.links.set(id, await startFaultProxy({ target, passesResets }));
         }
         return links;
     }
@@ -51,11 +51,27 @@
         }
         const entry = JSON.parse(Buffer.from(value, "base64").toString()) as { readonly address: string; };
         const [host = "", port = ""] = entry.address.split(":");
-        link.redirect({ host, port: Number(port) });
+        if (link.redirect({ host, port: Number(port) })) {
+            void link.setTargetDown(false, !this.isCut);
+        }
         const { address } = link;
         return Buffer.from(JSON.stringify({ ...entry, address: `${address.host}:${address.port}` })).toString("base64");
     }
 
+    /** Refuses new connections to an id until its entry names another address. */
+    async setTargetDown(id: string): Promise<void> {
+        await this.links.get(id)?.setTargetDown(true);
+    }
+
+    /** Has the link to an id lead to another id. */
+    rename(id: string, newId: string): void {
+        const link = this.links.get(id);
+        if (link !== undefined) {
+            this.links.delete(id);
+            this.links.set(newId, link);
+        }
+    }
+
     /** Cuts some links by id, or all. */
     async cut(how: LinkCut, ids: readonly string[] = [...this.links.keys()]): Promise<void> {
         this.isCut = true;
--- a/packages/bench/src/platform/peer-links.ts
+++ b/packages/bench/src/platform/peer-links.ts
@@ -16,15 +16,15 @@
 
     private constructor(private readonly instances: readonly LinkedInstance[]) {}
 
-    /** Starts the links of all instances to each other. */
-    static async start(instances: readonly LinkedInstance[]): Promise<PeerLinks> {
+    /** Starts the links of all instances to each other; they pass resets on as such if asked for. */
+    static async start(instances: readonly LinkedInstance[], passesResets = false): Promise<PeerLinks> {
         const peerLinks = new PeerLinks(instances);
         for (const { name } of instances) {
             const own = new Map<string, InstanceLinks>();
             peerLinks.links.set(name, own);
             for (const other of instances.filter(instance => instance.name !== name)) {
                 const addresses = other.addresses.map(address => [getId(other.name, address), address] as const);
-                own.set(other.name, await InstanceLinks.start(new Map(addresses)));
+                own.set(other.name, await InstanceLinks.start(new Map(addresses), passesResets));
             }
         }
         return peerLinks;
--- a/packages/bench/src/platform/platform-fleet.ts
+++ b/packages/bench/src/platform/platform-fleet.ts
@@ -58,6 +58,8 @@
     readonly prepaid?: number;
     /** Puts proxies that inject faults between the store, callers and targets and the instances; false by default. */
     readonly withProxies?: boolean;
+    /** Has proxies and links pass resets on as such; they end such connections in order by default. */
+    readonly passesResets?: boolean;
     /** Number of instances, the first ones, whose links to targets can be cut; none by default. */
     readonly cuttable?: number;
     /** Puts links that can be cut between each two instances; false by default. */
@@ -203,6 +205,9 @@
     private requests = 0;
     private starts = 0;
     private withProxies = false;
+    private passesResets = false;
+    /** Changes of targets, one after the other. */
+    private targetChanges: Promise<void> = Promise.resolve();
     private document: unknown;
     private modules: readonly string[] = [];
     private process: Pick<PlatformFleetOptions, "nodeArgs" | "maxDescriptors"> = {};
@@ -232,10 +237,11 @@
 
     /** Starts everything and resolves once all instances take requests; throws, with nothing left running, where one is not ready in time. */
     static async start(opts: PlatformFleetOptions = {}): Promise<PlatformFleet> {
-        const { count = 3, prepaid = PREPAID, withProxies = false } = opts;
+        const { count = 3, prepaid = PREPAID, withProxies = false, passesResets = false } = opts;
         const { stopWithinS = STOP_WITHIN_S, addressTtlS = 0.5 } = opts;
         const fleet = new PlatformFleet(opts);
         fleet.withProxies = withProxies;
+        fleet.passesResets = passesResets;
         fleet.modules = opts.modules ?? [];
         fleet.process = opts;
         fleet.onLine = opts.onLine;
@@ -248,8 +254,8 @@
         const addresses = ports.map(port => `127.0.0.1:${port}`);
         if (withProxies) {
             const callers = [...Array(count).keys()].map(at => addresses[at * PORTS_EACH] ?? "");
-            fleet.storeProxies.push(...await startProxies(callers.map(() => store)));
-            fleet.callerProxies.push(...await startProxies(callers));
+            fleet.storeProxies.push(...await startProxies(callers.map(() => store), passesResets));
+            fleet.callerProxies.push(...await startProxies(callers, passesResets));
         }
         const storeFor: (string | undefined)[] = fleet.storeProxies.map(({ address }) =>
             `${address.host}:${address.port}`
@@ -258,10 +264,11 @@
             await fleet.startLinks(at, storeFor);
         }
         if (opts.withPeerLinks === true) {
-            fleet.peerLinks = await PeerLinks.start([...Array(count).keys()].map(at => ({
+            const linked = [...Array(count).keys()].map(at => ({
                 name: getName(at),
                 addresses: PEER_PORTS.map(port => toAddress(addresses[at * PORTS_EACH + port] ?? "")),
-            })));
+            }));
+            fleet.peerLinks = await PeerLinks.start(linked, passesResets);
         }
         const folder = await mkdtemp(join(tmpdir(), "ospreyreel-platform-"));
         const seeds = [...Array(count).keys()].map(at => addresses[at * PORTS_EACH + 3] ?? "");
@@ -335,14 +342,43 @@
         this.removeEntry(model);
     }
 
-    /** Crashes a model target and starts it again under its id at another address; its version stays by default. */
-    async rebirth(model: number, version?: string): Promise<void> {
+    /** Crashes a model target and starts it again at another address; its version and its id stay by default. */
+    async rebirth(
+        model: number,
+        { version, id }: { readonly version?: string; readonly id?: string; } = {},
+    ): Promise<void> {
+        await this.changeTarget(async () => {
+            const target = this.models[model];
+            await (this.passesResets ? this.endTarget(model) : target?.close());
+            if (target !== undefined && version !== undefined) {
+                target.version = version;
+            }
+            if (target !== undefined && id !== undefined && id !== target.id) {
+                this.removeEntry(model);
+                this.targetLinks.forEach(links => links.rename(target.id, id));
+                target.rename(id);
+            }
+            await this.startTarget(this.plains.length + model);
+        });
+    }
+
+    /** Kills a model target: its connections end in order, and new ones are refused until {@link rebirth}. Its entry stays. */
+    async killTarget(model: number): Promise<void> {
+        await this.changeTarget(() => this.endTarget(model));
+    }
+
+    private async endTarget(model: number): Promise<void> {
         const target = this.models[model];
-        await target?.close();
-        if (target !== undefined && version !== undefined) {
-            target.version = version;
-        }
-        await this.startTarget(this.plains.length + model);
+        await Promise.all([
+            this.targetProxies[this.plains.length + model]?.setTargetDown(true),
+            ...this.targetLinks.map(links => links.setTargetDown(target?.id ?? "")),
+            target?.close(),
+        ]);
+    }
+
+    private async changeTarget(change: () => Promise<void>): Promise<void> {
+        this.targetChanges = this.targetChanges.then(change);
+        await this.targetChanges;
     }
 
     private announce(at: number, state: "ready" | "draining" = "ready"): void {
@@ -353,7 +389,8 @@
     }
 
     private async startLinks(at: number, storeFor: (string | undefined)[]): Promise<void> {
-        const links = await InstanceLinks.start(new Map(this.targets.map(target => [target.id, target.address])));
+        const addresses = new Map(this.targets.map(target => [target.id, target.address]));
+        const links = await InstanceLinks.start(addresses, this.passesResets);
         this.targetLinks.push(links);
         const view = await this.store.openView((key, value) => links.rewrite(key, value));
         this.storeProxies[at]?.redirect(toAddress(view));
@@ -368,7 +405,7 @@
         await target.start();
         if (this.withProxies) {
             await this.targetProxies[at]?.close();
-            this.targetProxies[at] = await startFaultProxy({ target: target.address });
+            this.targetProxies[at] = await startFaultProxy({ target: target.address, passesResets: this.passesResets });
         }
         this.announce(at);
     }
@@ -526,8 +563,8 @@
 };
 
 /** Starts a proxy before each of the addresses. */
-const startProxies = async (addresses: readonly string[]): Promise<readonly FaultProxy[]> =>
-    await Promise.all(addresses.map(address => startFaultProxy({ target: toAddress(address) })));
+const startProxies = async (addresses: readonly string[], passesResets: boolean): Promise<readonly FaultProxy[]> =>
+    await Promise.all(addresses.map(address => startFaultProxy({ target: toAddress(address), passesResets })));
 
 const getMaxCopyAge = (maxCopyAgeS: number | undefined): { readonly maxCopyAgeS?: number; } =>
     maxCopyAgeS === undefined ? {} : { maxCopyAgeS };
--- a/packages/bench/src/platform/soak/judge-platform.test.ts
+++ b/packages/bench/src/platform/soak/judge-platform.test.ts
@@ -1,4 +1,4 @@
-import type { RunRequest } from "@ospreyreel/stand-ins";
+import type { RunEnd, RunRequest } from "@ospreyreel/stand-ins";
 import test from "ava";
 import { MODEL_EVENTS } from "../platform-fleet.js";
 import { FaultTimeline, STORE_PART } from "./fault-timeline.js";
@@ -23,6 +23,7 @@
     paddingBytes: 0,
     instance: CUT,
     usedKeptConnection: false,
+    httpVersion: "1.1",
     readPauseMs: 0,
     sentAtMs: LONG_MS,
     bodySentAtMs: LONG_MS,
@@ -36,7 +37,7 @@
     ...change,
 });
 
-const createRun = (id: string): RunRequest => ({
+const createRun = (id: string, end?: RunEnd): RunRequest => ({
     id,
     team: "team-1",
     path: "/model/x",
@@ -46,7 +47,7 @@
     target: "model-1",
     parts: [],
     atMs: LONG_MS + 1,
-    end: undefined,
+    end,
 });
 
 const judge = (change: Partial<PlatformEvidence> = {}): PlatformVerdict => {
@@ -88,6 +89,79 @@
     t.is(count(createStream("attempt-1", " v1 v1")), 1);
 });
 
+/** A stream as far as its event of a number. */
+const createPart = (last: number): string => createStream("attempt-1").split(/(?=^id: )/m).slice(0, last).join("");
+
+/** What is judged of a stream that ends as complete for its caller, by how the run of its target ended. */
+const judgeEnd = (
+    change: Partial<PlatformCall>,
+    end?: RunEnd,
+    timeline?: FaultTimeline,
+): PlatformVerdict["violations"] => {
+    const calls = [createCall(change)];
+    const ran = calls.map(({ id }) => createRun(id, end));
+    const instances = [] as unknown as PlatformEvidence["fleet"]["instances"];
+    return judge({ calls, fleet: { ran, instances }, ...(timeline === undefined ? {} : { timeline }) }).violations;
+};
+
+test("a stream ends mistakenly where its last event is not the last one that its target would have sent", t => {
+    for (const httpVersion of ["1.1", "1.0"] as const) {
+        for (const how of ["crashed", "brokenOff", "disconnected", "complete"] as const) {
+            for (const last of [0, 1, MODEL_EVENTS - 1]) {
+                const { mistakenEnds, answersNotWhole } = judgeEnd(
+                    { httpVersion, body: createPart(last) },
+                    { atMs: LONG_MS, how },
+                );
+                t.deepEqual([mistakenEnds, answersNotWhole], [1, 1], `${httpVersion} ${how} ${last}`);
+            }
+        }
+    }
+    t.is(judgeEnd({ body: `${createPart(2)}id: 3\nda` })["mistakenEnds"], 1);
+    t.is(judgeEnd({ kind: "plain", body: "answer to attem" })["mistakenEnds"], 1);
+    t.is(judgeEnd({ body: createPart(MODEL_EVENTS) })["mistakenEnds"], 0);
+    t.is(judgeEnd({ end: "cut", body: createPart(2) })["mistakenEnds"], 0);
+    t.is(judgeEnd({ kind: "plain", body: "answer to attempt-1" })["mistakenEnds"], 0);
+});
+
+test("a resumed stream ends mistakenly before the last event of its target as well", t => {
+    const resumed = createCall({ end: "cut", body: createPart(2) });
+    const rest = createPart(MODEL_EVENTS).slice(createPart(2).length);
+    t.is(judgeEnd({ resumed, body: rest })["mistakenEnds"], 0);
+    t.is(judgeEnd({ resumed, body: rest.slice(0, rest.lastIndexOf("id: ")) })["mistakenEnds"], 1);
+    t.is(judgeEnd({ resumed, body: "" })["mistakenEnds"], 1);
+    t.is(judgeEnd({ resumed: { ...resumed, body: createPart(MODEL_EVENTS) }, body: "" })["mistakenEnds"], 0);
+});
+
+test("a shorter stream that its target ended in order, without framing, is whole, and none of it may be lost", t => {
+    const short = { atMs: LONG_MS, how: "complete", lastEvent: 3 } as const;
+    const { mistakenEnds, answersNotWhole } = judgeEnd({ body: createPart(3) }, short);
+    t.deepEqual([mistakenEnds, answersNotWhole], [0, 0]);
+    t.is(judgeEnd({ body: createPart(2) }, short)["mistakenEnds"], 1);
+    t.is(judgeEnd({ end: "cut", body: createPart(3) }, short)["lost"], 1);
+});
+
+test("a stream that its target broke off is not lost, and one that is cut without that is", t => {
+    const cut = { end: "cut", body: createPart(3) } as const;
+    t.is(judgeEnd(cut, { atMs: LONG_MS, how: "brokenOff" })["lost"], 0);
+    t.is(judgeEnd(cut, { atMs: LONG_MS, how: "disconnected" })["lost"], 1);
+});
+
+test("only callers of HTTP/1.0 whose own instance is killed may take a part of an answer for a whole one", t => {
+    const count = (change: Partial<PlatformCall>, part = CUT, atMs = LONG_MS + 50): readonly unknown[] => {
+        const timeline = new FaultTimeline();
+        timeline.kill(part, atMs);
+        const { mistakenEnds, answersNotWhole } = judgeEnd({ body: createPart(3), ...change }, undefined, timeline);
+        return [mistakenEnds, answersNotWhole];
+    };
+    t.deepEqual(count({ httpVersion: "1.0" }), [0, 0]);
+    t.deepEqual(count({ httpVersion: "1.1" }), [1, 1]);
+    t.deepEqual(count({ httpVersion: "1.0" }, PEER), [1, 1]);
+    t.deepEqual(count({ httpVersion: "1.0" }, "model-1"), [1, 1]);
+    t.deepEqual(count({ httpVersion: "1.0" }, CUT, LONG_MS + 150), [1, 1]);
+    t.deepEqual(count({ httpVersion: "1.0" }, CUT, LONG_MS - 50), [1, 1]);
+    t.deepEqual(count({ httpVersion: "1.0", body: `${createPart(3)}x` }), [1, 1]);
+});
+
 test("a cut answer is lost unless the instance that sent it for the caller's was disturbed itself", t => {
     const cut = createCall({ end: "cut", body: "" });
     const disturbed = (part: string): FaultTimeline => {
--- a/packages/bench/src/platform/soak/judge-platform.ts
+++ b/packages/bench/src/platform/soak/judge-platform.ts
@@ -1,4 +1,4 @@
-import type { RunRequest } from "@ospreyreel/stand-ins";
+import type { RunEnd, RunRequest } from "@ospreyreel/stand-ins";
 import { MODEL_EVENTS, MODEL_TOKENS, MODEL_TOKENS_EACH, type PlatformFleet, STOP_WITHIN_S } from "../platform-fleet.js";
 import type { CutOffSpan, FaultTimeline, LimitSpan, StopRecord } from "./fault-timeline.js";
 import { STORE_PART } from "./fault-timeline.js";
@@ -112,18 +112,25 @@
         ? [...new Set(getEvents(body).map(event => /^data: \S+ (\S+)$/m.exec(event)?.[1] ?? ""))]
         : [];
 
-/** Whether a caller got all of its answer and nothing else; the events of one stream name one version at most. */
-const isWhole = (call: PlatformCall): boolean => {
-    const { kind, id, body, paddingBytes, resumed } = call;
+/** What a target sends for a call, with a last event if it is a stream; the events of one stream name one version at most. */
+const createWhole = (call: PlatformCall, lastEvent: number): string => {
+    const { kind, id, paddingBytes, resumed } = call;
     if (!MODEL_KINDS.includes(kind)) {
-        return body === `answer to ${id}${"x".repeat(paddingBytes)}`;
+        return `answer to ${id}${"x".repeat(paddingBytes)}`;
     }
     const before = resumed === undefined ? 0 : getEvents(resumed.body).length;
     const data = [id, ...getVersions(call)].join(" ").trim();
-    const events = [...Array(MODEL_EVENTS - before).keys()].map(at => `id: ${before + at + 1}\ndata: ${data}\n\n`);
-    return body === events.join("");
+    return [...Array(Math.max(0, lastEvent - before)).keys()]
+        .map(at => `id: ${before + at + 1}\ndata: ${data}\n\n`)
+        .join("");
 };
 
+/** Number of the last whole event that the caller of a stream has, also from the part that it resumed; 0 where it has none. */
+const getLastEvent = ({ body, resumed }: PlatformCall): number =>
+    Number(
+        /^id: (\d+)$/m.exec(getEvents(body).at(-1) ?? "")?.[1] ?? (resumed === undefined ? 0 : getLastEvent(resumed)),
+    );
+
 /** Tokens that a caller certainly got: the prompt's once, and each event's. */
 const getTokens = ({ promptTokens, status, body }: PlatformCall): number => {
     const events = getEvents(body).length;
@@ -148,7 +155,8 @@
             .reduce((sum, call) => sum + getTokens(call), 0);
         return {
             overspentTokens: got > prepaid ? [{ got, prepaid }] : [],
-            answersNotWhole: this.describe(served.filter(call => !isWhole(call))),
+            answersNotWhole: this.describe(served.filter(call => !this.isWhole(call) && !this.mayLookWhole(call))),
+            mistakenEnds: this.describe(served.filter(call => this.lacksEnd(call) && !this.mayLookWhole(call))),
             ranTwice: this.describe(
                 calls.filter(({ kind, id }) => RUN_ONCE.includes(kind) && this.getRuns(id).length > 1),
             ),
@@ -190,6 +198,31 @@
         return calls.map(call => ({ ...call, body: call.body.slice(0, 200), runs: this.getRuns(call.id) }));
     }
 
+    /** Last events of the answers that targets would have sent for a call: the last one of all, or that of a shorter one that was whole. */
+    private listLastEvents({ id }: PlatformCall): readonly number[] {
+        return [MODEL_EVENTS, ...this.getRuns(id).map(({ end }) => end?.lastEvent ?? MODEL_EVENTS)];
+    }
+
+    /** Whether a caller got all of its answer and nothing else. */
+    private isWhole(call: PlatformCall): boolean {
+        return this.listLastEvents(call).some(last => call.body === createWhole(call, last));
+    }
+
+    /** Whether the answer of a call ends before the last event of a stream, or within a plain answer. */
+    private lacksEnd(call: PlatformCall): boolean {
+        return MODEL_KINDS.includes(call.kind)
+            ? !this.listLastEvents(call).includes(getLastEvent(call))
+            : call.body.length < createWhole(call, MODEL_EVENTS).length;
+    }
+
+    /** HTTP/1.0 has no end mark: the kernel ends the connection of a caller in order where the instance that holds it is killed. */
+    private mayLookWhole(call: PlatformCall): boolean {
+        const { httpVersion, instance, headAtMs = Infinity, endedAtMs, body } = call;
+        return httpVersion === "1.0"
+            && this.evidence.timeline.wasKilled(instance, headAtMs, endedAtMs)
+            && createWhole(call, MODEL_EVENTS).startsWith(body);
+    }
+
     /** The instance of a call, and those that sent it to targets for that one. */
     private getInstances({ id, instance }: PlatformCall): readonly string[] {
         return [instance, ...this.evidence.forwards.getPeers(id)];
@@ -220,12 +253,16 @@
             );
     }
 
+    private wasBrokenOffByTarget({ id }: PlatformCall): boolean {
+        return this.getRuns(id).some(({ end }) => end?.how === "brokenOff");
+    }
+
     private isLost(call: PlatformCall): boolean {
         const { id, sentAtMs, bodySentAtMs = Infinity, endedAtMs } = call;
         const wasRead = this.getRuns(id).length > 0 || endedAtMs - bodySentAtMs > LOSS_SLACK_MS;
         const lastedMs = endedAtMs - sentAtMs + TIMER_SLACK_MS;
         return wasRead && this.isSound(call) && lastedMs < this.getTimeoutMs(call) && !this.mayBeCutByStop(call)
-            && !this.mayHaveBrokenWithHelper(call);
+            && !this.mayHaveBrokenWithHelper(call) && !this.wasBrokenOffByTarget(call);
     }
 
     private getTimeoutMs({ kind, sentAtMs, endedAtMs }: PlatformCall): number {
@@ -385,6 +422,8 @@
     return counts;
 };
 
+const getRunKind = (end: RunEnd | undefined): string => end?.lastEvent === undefined ? end?.how ?? "open" : "short";
+
 /** Judges what was seen while a schedule was played. */
 export const judgePlatform = (evidence: PlatformEvidence): PlatformVerdict => {
     const { calls, timeline, directoryAnswers, prepaid } = evidence;
@@ -408,6 +447,9 @@
         prepaidTokens: prepaid,
         limits: timeline.limits.length,
         cutOffs: timeline.cutOffs.length,
+        sentThroughPeers: calls.filter(({ id }) => evidence.forwards.getPeers(id).length > 0).length,
+        http10: calls.filter(({ httpVersion }) => httpVersion === "1.0").length,
+        ...countBy("runs", evidence.fleet.ran.map(({ end }) => getRunKind(end))),
         resumed: calls.filter(call => call.resumed !== undefined).length,
         resumedWhole:
             calls.filter(call => call.resumed !== undefined && call.end === "answered" && call.status === HTTP_OK)
--- a/packages/bench/src/platform/soak/platform-call.ts
+++ b/packages/bench/src/platform/soak/platform-call.ts
@@ -24,6 +24,8 @@
     /** Name of the instance. */
     readonly instance: string;
     readonly usedKeptConnection: boolean;
+    /** Version in which the request was sent. */
+    readonly httpVersion: "1.1" | "1.0";
     /** Time for which the caller read nothing after the head of the response, in milliseconds. */
     readonly readPauseMs: number;
     readonly sentAtMs: number;
--- a/packages/bench/src/platform/soak/platform-caller.ts
+++ b/packages/bench/src/platform/soak/platform-caller.ts
@@ -2,6 +2,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { RandomSource } from "../../faults/random-source.js";
 import { type AddressAnswer, type PlatformFleet, type PlatformInstance, toAddress } from "../platform-fleet.js";
+import { drawResponseForm } from "./draw-response-form.js";
 import type { DirectoryAnswer, PlatformCall } from "./platform-call.js";
 import { getEvents, sendCall } from "./send-call.js";
 
@@ -11,6 +12,8 @@
     readonly seed: number;
     /** Instance that it uses on one connection, whatever addresses there are; none by default. */
     readonly staysAt?: PlatformInstance;
+    /** Whether it also uses HTTP/1.0 and has targets end their answers in all ways; false by default. */
+    readonly variesEnds?: boolean;
     readonly onCall: (call: PlatformCall) => void;
     readonly onDirectoryAnswer: (answer: DirectoryAnswer) => void;
 }
@@ -105,7 +108,7 @@
     }
 
     private async send(address: string, resumed: PlatformCall | undefined): Promise<PlatformCall> {
-        const { fleet } = this.opts;
+        const { fleet, variesEnds = false } = this.opts;
         const { random, agent } = this;
         const drawn = random.pick(["plain", "once", "model", "model", "fixed", "new"] as const);
         const kind = resumed === undefined ? drawn : "model";
@@ -125,6 +128,7 @@
             readPauseMs: random.pick([0, 0, 0, 0, 1_000]),
             resumed,
             leavesAfterMs: random.int(1, 12) === 1 ? random.int(1, 2_000) : undefined,
+            ...(variesEnds ? drawResponseForm(random) : {}),
         });
     }
 }
--- a/packages/bench/src/platform/soak/platform-load.ts
+++ b/packages/bench/src/platform/soak/platform-load.ts
@@ -10,6 +10,8 @@
     readonly callersEach: number;
     /** Instances that further callers stay at; none by default. */
     readonly staysAt?: readonly PlatformInstance[];
+    /** Whether callers also use HTTP/1.0 and have targets end their answers in all ways; false by default. */
+    readonly variesEnds?: boolean;
     /** Ends the load. */
     readonly ended: AbortSignal;
 }
@@ -25,7 +27,7 @@
 
 /** Sends requests of all kinds until it is ended. */
 export const runPlatformLoad = async (
-    { fleet, seed, callersEach, staysAt = [], ended }: PlatformLoadOptions,
+    { fleet, seed, callersEach, staysAt = [], variesEnds = false, ended }: PlatformLoadOptions,
 ): Promise<PlatformLoadResult> => {
     const calls: PlatformCall[] = [];
     const directoryAnswers: DirectoryAnswer[] = [];
@@ -37,6 +39,7 @@
             fleet,
             seed: seed * count + caller,
             ...place,
+            variesEnds,
             onCall: call => calls.push(call),
             onDirectoryAnswer: answer => directoryAnswers.push(answer),
         }).run(ended)
--- a/packages/bench/src/platform/soak/platform-schedule-run.ts
+++ b/packages/bench/src/platform/soak/platform-schedule-run.ts
@@ -53,7 +53,7 @@
 >;
 
 /** Faults of targets that change without an announcement. */
-type TargetChange = Extract<PlatformFault, { readonly kind: "targetReplaced" | "targetRemoved"; }>;
+type TargetChange = Extract<PlatformFault, { readonly kind: "targetReplaced" | "targetRemoved" | "targetKilled"; }>;
 
 /** Faults of entries and answers that belong to nothing. */
 type StrayFault = Extract<PlatformFault, { readonly kind: "oddEntry" | "strayRefusals" | "resumeErrors"; }>;
@@ -88,6 +88,7 @@
     private readonly away = new Set<PlatformInstance>();
     private version = 1;
     private oddEntries = 0;
+    private targetChanges = 0;
     private prepaidTokens: number;
 
     constructor({ fleet, timeline, handoffs, prepaid }: ScheduleRunOptions) {
@@ -259,6 +260,7 @@
                 return await this.overload(this.getInstances([fault.instance]), ms);
             case "targetReplaced":
             case "targetRemoved":
+            case "targetKilled":
                 return await this.changeTarget(fault, ms);
             case "cutOff":
                 return await this.cutOff(fault.instances, fault.how, ms);
@@ -322,14 +324,25 @@
         end();
     }
 
-    private async changeTarget({ kind, target, version }: TargetChange, ms: number): Promise<void> {
+    private async changeTarget(fault: TargetChange, ms: number): Promise<void> {
         const { fleet, timeline } = this;
-        const end = timeline.disturb(pick(fleet.models, [target]).map(({ id }) => id));
+        const { kind, target } = fault;
+        const [{ id } = { id: "" }] = pick(fleet.models, [target]);
+        this.targetChanges += 1;
+        const newId = kind === "targetKilled" && fault.hasNewId ? `${id}-${this.targetChanges}` : id;
+        const end = timeline.disturb([id, newId]);
         if (kind === "targetRemoved") {
             fleet.removeEntry(target);
             await sleep(ms);
         }
-        await fleet.rebirth(target, version);
+        if (kind === "targetKilled") {
+            await fleet.killTarget(target);
+            await sleep(ms);
+        }
+        await fleet.rebirth(target, {
+            ...(kind === "targetKilled" ? {} : { version: fault.version }),
+            ...(newId === id ? {} : { id: newId }),
+        });
         end();
     }
 
--- a/packages/bench/src/platform/soak/platform-schedule.ts
+++ b/packages/bench/src/platform/soak/platform-schedule.ts
@@ -57,6 +57,8 @@
     | { readonly kind: "helperFault"; readonly instance: number; readonly how: HelperFault; readonly gapMs: number; }
     /** A model target crashes and starts again as another version, or its entry is removed first, without an announcement. */
     | { readonly kind: "targetReplaced" | "targetRemoved"; readonly target: number; readonly version: string; }
+    /** A model target's process is killed between two events of its streams, and starts again after the time, under a new id if so. */
+    | { readonly kind: "targetKilled"; readonly target: number; readonly hasNewId: boolean; }
     /** The settings file is written with other peers and the process told of it. */
     | { readonly kind: "reload"; readonly instance: number; };
 
@@ -128,6 +130,12 @@
 const NEXT_VERSIONS = ["v2", "v3"] as const;
 const HELPER_FAULTS: readonly HelperFault[] = ["kill", "freeze", "freeze", "stop", "killInStop", "cutLink", "cutLink"];
 
+/** Of targets that are killed, each while an instance sends through a peer. */
+const TARGET_KILL_BOUNDS: ScheduleBounds = { faults: [2, 4], longestStartMs: 6_000, durationMs: [200, 3_000] };
+
+/** Time for which an instance has been cut off from targets when one of them is killed, in milliseconds. */
+const CUT_OFF_BEFORE_KILL_MS = 1_000;
+
 /** Time from the start of an overload to a fault of the helper, in milliseconds; connections are handed off within two seconds. */
 const HELPER_FAULT_AFTER_MS = [2_000, 5_500] as const;
 
@@ -255,3 +263,18 @@
         target: random.int(0, MODELS - 1),
         version: random.pick(NEXT_VERSIONS),
     }));
+
+/** Model targets that are killed, each while an instance that is cut off from them sends through a peer. */
+export const createTargetKills = (random: RandomSource, instances: number): readonly PlatformScheduleEntry[] =>
+    drawEntries(random, TARGET_KILL_BOUNDS, () => ({
+        kind: "targetKilled" as const,
+        target: random.int(0, MODELS - 1),
+        hasNewId: random.int(0, 1) > 0,
+    })).flatMap(kill => [
+        kill,
+        {
+            startMs: Math.max(0, kill.startMs - CUT_OFF_BEFORE_KILL_MS),
+            durationMs: random.int(...CUT_OFF_BOUNDS.durationMs),
+            fault: { kind: "cutOff", instances: [random.int(0, instances - 2)], how: random.pick(LINK_CUTS) },
+        },
+    ]);
--- a/packages/bench/src/platform/soak/play-platform-seed.ts
+++ b/packages/bench/src/platform/soak/play-platform-seed.ts
@@ -18,6 +18,7 @@
     createRestores,
     createStrays,
     createTargetChanges,
+    createTargetKills,
     type PlatformScheduleEntry,
 } from "./platform-schedule.js";
 import { probeReadiness } from "./readiness-probe.js";
@@ -38,6 +39,10 @@
     readonly logFolder?: string | undefined;
     /** Further settings of the instances; none by default. */
     readonly settings?: Readonly<Record<string, unknown>>;
+    /** Whether callers also use HTTP/1.0, and targets also answer without framing and end streams early; false by default. */
+    readonly variesEnds?: boolean;
+    /** Modules that are loaded into each instance before its main one; none by default. */
+    readonly modules?: readonly string[];
 }
 
 /** What varies between runs of the same seed. */
@@ -66,6 +71,10 @@
 const FIRST_SEED_WITH_RESTORES = 501;
 const FIRST_SEED_WITH_OVERLOADS = 601;
 const FIRST_SEED_WITH_LOAD_SETTINGS = 701;
+const FIRST_SEED_WITH_ENDS = 801;
+
+/** Modules of the instances: none, or one that has the first instance hand off all connections. */
+const MODULES: readonly (readonly string[])[] = [[], [new URL("../hand-off-always.js", import.meta.url).href]];
 
 /** Settings that have instances share the loads of targets and decide by them. */
 const LOAD_SETTINGS = {
@@ -104,7 +113,11 @@
     const overloads = seed < FIRST_SEED_WITH_OVERLOADS
         ? []
         : [...createOverloads(random, count), ...createTargetChanges(random)];
-    const schedule = [...drawnFaults, ...cutOffs, ...added, ...overloads].toSorted((a, b) => a.startMs - b.startMs);
+    const variesEnds = seed >= FIRST_SEED_WITH_ENDS;
+    const kills = variesEnds ? createTargetKills(random, count) : [];
+    const modules = variesEnds ? random.pick(MODULES) : [];
+    const schedule = [...drawnFaults, ...cutOffs, ...added, ...overloads, ...kills]
+        .toSorted((a, b) => a.startMs - b.startMs);
     return await playPlatformScenario({
         seed,
         count,
@@ -114,12 +127,15 @@
         modelVersions,
         logFolder: opts.logFolder,
         settings: seed < FIRST_SEED_WITH_LOAD_SETTINGS ? {} : LOAD_SETTINGS,
+        variesEnds,
+        modules,
     });
 };
 
 /** Plays a schedule under load on a fleet of its own and judges. */
 export const playPlatformScenario = async (scenario: PlatformScenario): Promise<PlatformSeedResult> => {
     const { seed, count, callersEach, prepaid, schedule, modelVersions = [], logFolder, settings = {} } = scenario;
+    const { variesEnds = false, modules = [] } = scenario;
     const log = logFolder === undefined ? undefined : createWriteStream(join(logFolder, `seed-${seed}.log`));
     const forwards = new ForwardLog();
     const handoffs = new HandoffLog();
@@ -134,6 +150,9 @@
         count,
         prepaid,
         withProxies: true,
+        // An end in order that the rig makes of a reset would look like the end of an answer.
+        passesResets: variesEnds,
+        modules,
         modelVersions,
         cuttable: schedule.some(({ fault }) => fault.kind === "cutOff") ? count - 1 : 0,
         withPeerLinks: schedule.some(({ fault }) => fault.kind === "helperFault" && fault.how === "cutLink"),
@@ -150,7 +169,7 @@
         const ended = new AbortController();
         const overloaded = schedule.flatMap(({ fault }) => fault.kind === "overload" ? [fault.instance] : []);
         const staysAt = fleet.instances.filter((_, at) => overloaded.includes(at));
-        const load = runPlatformLoad({ fleet, seed, callersEach, staysAt, ended: ended.signal });
+        const load = runPlatformLoad({ fleet, seed, callersEach, staysAt, variesEnds, ended: ended.signal });
         const counting = countHandedOff(fleet, ended.signal);
         const probes = probeReadiness(fleet, ended.signal);
         await run.run(schedule);
--- a/packages/bench/src/platform/soak/send-call.ts
+++ b/packages/bench/src/platform/soak/send-call.ts
@@ -1,8 +1,10 @@
 import { STAND_IN_HEADERS } from "@ospreyreel/stand-ins";
+import { isFramed, wasReset } from "@ospreyreel/targets";
 import type { Address } from "@ospreyreel/types";
 import { type Agent, type ClientRequest, type IncomingMessage, request } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
 import { MODEL_TOKENS } from "../platform-fleet.js";
+import { Http10Socket } from "./http10-socket.js";
 import type { CallEnd, PlatformCall } from "./platform-call.js";
 
 /** How a caller sends one request and reads the response. */
@@ -10,6 +12,7 @@
     readonly address: Address;
     /** Whether the instance accepted the connection from a port of the caller. */
     readonly wasAccepted: (port: number) => boolean;
+    /** Keeps connections of HTTP/1.1. */
     readonly agent: Agent;
     readonly stepMs: number;
     /** Pause between two pieces of the body; 0 to send it at once. */
@@ -20,6 +23,8 @@
     readonly leavesAfterMs: number | undefined;
     /** Call whose stream is resumed. */
     readonly resumed: PlatformCall | undefined;
+    /** 1.1 by default. */
+    readonly httpVersion?: PlatformCall["httpVersion"];
     /** Further headers; none by default. */
     readonly headers?: Readonly<Record<string, string>>;
 }
@@ -36,6 +41,7 @@
 export const getEvents = (body: string): readonly string[] => body.match(/^id: \d+\ndata: .*\n$/gm) ?? [];
 
 const getHeaders = (plan: CallPlan): Readonly<Record<string, string>> => ({
+    ...(plan.httpVersion === "1.0" ? { "content-length": String(BODY.join("").length) } : {}),
     "host": "users.example",
     "attempt-id": plan.id,
     "deadline-ms": String(DEADLINE_MS[plan.kind]),
@@ -63,19 +69,43 @@
     req.end();
 };
 
+const open = (plan: CallPlan): ClientRequest => {
+    const { kind, address, agent, httpVersion } = plan;
+    const connection = httpVersion === "1.0"
+        ? { createConnection: () => new Http10Socket().connect(address) }
+        : { agent };
+    return request({ ...address, ...connection, method: "POST", path: `/${kind}/x`, headers: getHeaders(plan) });
+};
+
+/** Whether a response came whole for its caller: one that ends with its connection only without a reset, and one in chunks not for HTTP/1.0. */
+const isComplete = (
+    { complete, statusCode = 0, headers }: IncomingMessage,
+    { httpVersion }: CallPlan,
+    isReset: boolean,
+): boolean => {
+    const coding = headers["transfer-encoding"];
+    return complete
+        && !(isReset && !isFramed(statusCode, headers["content-length"], coding))
+        && !(httpVersion === "1.0" && coding !== undefined);
+};
+
 /** Sends one request; resolves with what its caller saw. */
 export const sendCall = async (plan: CallPlan): Promise<PlatformCall> => {
-    const { kind, id, promptTokens, paddingBytes, instance, address, agent } = plan;
+    const { kind, id, promptTokens, paddingBytes, instance } = plan;
     const sentAtMs = performance.now();
-    const req = request({ ...address, agent, method: "POST", path: `/${kind}/x`, headers: getHeaders(plan) });
+    const req = open(plan);
     let bodySentAtMs: number | undefined;
     let headAtMs: number | undefined;
     let localPort: number | undefined;
     let gaveUp: CallEnd | undefined;
     let res: IncomingMessage | undefined;
+    let isReset = false;
     const parts: Buffer[] = [];
     req.on("socket", socket => {
         localPort = socket.localPort;
+        const onEnd = (): void => void (isReset = wasReset(socket));
+        socket.prependOnceListener("end", onEnd);
+        req.once("close", () => socket.off("end", onEnd));
         if (socket.connecting) {
             socket.once("connect", () => localPort = socket.localPort);
         }
@@ -102,7 +132,7 @@
             res = head;
             headAtMs = performance.now();
             head.on("error", () => undefined);
-            head.once("close", () => resolve(gaveUp ?? (head.complete ? "answered" : "cut")));
+            head.once("close", () => resolve(gaveUp ?? (isComplete(head, plan, isReset) ? "answered" : "cut")));
             setTimeout(() => head.on("data", (part: Buffer) => parts.push(part)), plan.readPauseMs);
         });
     });
@@ -117,6 +147,7 @@
         paddingBytes,
         instance,
         usedKeptConnection: req.reusedSocket,
+        httpVersion: plan.httpVersion ?? "1.1",
         readPauseMs: plan.readPauseMs,
         sentAtMs,
         bodySentAtMs,
--- a/packages/stand-ins/src/fault-proxy/fault-proxy.test.ts
+++ b/packages/stand-ins/src/fault-proxy/fault-proxy.test.ts
@@ -20,10 +20,11 @@
     readonly socket: Socket;
     received = "";
     ended = false;
+    wasReset = false;
 
     constructor(socket: Socket) {
         this.socket = socket;
-        socket.on("error", () => undefined);
+        socket.on("error", (err: NodeJS.ErrnoException) => this.wasReset = err.code === "ECONNRESET");
         socket.setEncoding("utf8");
         socket.on("data", (text: string) => {
             this.received += text;
@@ -50,10 +51,14 @@
     readonly join: () => Promise<readonly [Peer, Peer]>;
 }
 
-const startFixture = async (t: ExecutionContext, mode: ProxyMode = "pass"): Promise<Fixture> => {
+const startFixture = async (
+    t: ExecutionContext,
+    mode: ProxyMode = "pass",
+    passesResets = false,
+): Promise<Fixture> => {
     const accepted: Peer[] = [];
     const listener = new Listener(createServer({ allowHalfOpen: true }, socket => accepted.push(new Peer(socket))));
-    const proxy = await startFaultProxy({ target: await listener.open(), faults: { mode } });
+    const proxy = await startFaultProxy({ target: await listener.open(), faults: { mode }, passesResets });
     t.teardown(() => Promise.all([proxy.close(), listener.close()]));
     const connect = async (): Promise<Peer> => {
         const socket = createConnection({ ...proxy.address, allowHalfOpen: true });
@@ -186,3 +191,51 @@
     t.false(server.received.includes("later."));
     t.false(client.received.includes("later."));
 });
+
+test("a reset of either side resets the other one, and an end does not", async t => {
+    const { join } = await startFixture(t, "pass", true);
+    const [client, server] = await join();
+    server.socket.resetAndDestroy();
+    await until(() => client.ended);
+    t.true(client.wasReset);
+    const [leaving, left] = await join();
+    leaving.socket.resetAndDestroy();
+    await until(() => left.ended);
+    t.true(left.wasReset);
+    const [reader, writer] = await join();
+    writer.socket.end("last");
+    await reader.receive("last");
+    await until(() => reader.ended);
+    t.false(reader.wasReset);
+});
+
+test("a connection that is cut, or ends after it lost bytes, is reset where resets are passed", async t => {
+    const { join, proxy } = await startFixture(t, "pass", true);
+    const [first] = await join();
+    await proxy.setFaults({ mode: "cut" });
+    await until(() => first.ended);
+    t.true(first.wasReset);
+    await proxy.setFaults({ mode: "pass" });
+    const [client, server] = await join();
+    await proxy.setFaults({ mode: "dropServerToClient" });
+    server.socket.end("lost");
+    client.socket.write("heard.");
+    await server.receive("heard.");
+    await proxy.setFaults({ mode: "pass" });
+    await until(() => client.ended);
+    t.true(client.wasReset);
+});
+
+test("connections to a target that is down are refused whatever the faults are, and open ones end as it ends them", async t => {
+    const { join, proxy, connect } = await startFixture(t, "pass", true);
+    const [client, server] = await join();
+    await proxy.setTargetDown(true);
+    await proxy.setFaults({ delayMs: 1 });
+    await t.throwsAsync(connect(), { code: "ECONNREFUSED" });
+    server.socket.end("last");
+    await client.receive("last");
+    await until(() => client.ended);
+    t.false(client.wasReset);
+    await proxy.setTargetDown(false);
+    await join();
+});
--- a/packages/stand-ins/src/fault-proxy/fault-proxy.ts
+++ b/packages/stand-ins/src/fault-proxy/fault-proxy.ts
@@ -15,11 +15,14 @@
     readonly faults?: Partial<ProxyFaults>;
     /** Serves `/stand-in/faults` on a second port; false by default. */
     readonly withControl?: boolean;
+    /** Resets a connection whose other side was reset, that lost bytes or that the proxy cuts; without it these end in order. False by default. */
+    readonly passesResets?: boolean;
 }
 
 /** A TCP proxy that injects faults. */
 export class FaultProxy {
     private target: Address;
+    private readonly passesResets: boolean;
     private readonly faultSwitch = new FaultSwitch();
     private readonly connections = new Set<ProxyConnection>();
     /** The last connection from each port of clients. */
@@ -28,9 +31,11 @@
     private readonly control = new Listener(createHttpServer((req, res) => void this.serveControl(req, res)));
     private mainAddress: Address = { host: "127.0.0.1", port: 0 };
     private controlAddress: Address | undefined;
+    private isTargetDown = false;
 
-    constructor(target: Address) {
+    constructor({ target, passesResets = false }: Pick<FaultProxyOptions, "target" | "passesResets">) {
         this.target = target;
+        this.passesResets = passesResets;
         const options = { allowHalfOpen: true, noDelay: true, pauseOnConnect: true };
         this.main = new Listener(createServer(options, socket => void this.carry(socket)));
     }
@@ -68,9 +73,11 @@
         }
     }
 
-    /** Carries new connections to another address. */
-    redirect(target: Address): void {
+    /** Carries new connections to an address; returns whether that is another one than before. */
+    redirect(target: Address): boolean {
+        const { host, port } = this.target;
         this.target = target;
+        return target.host !== host || target.port !== port;
     }
 
     /** Refuses new connections until the faults are set again; open ones go on. */
@@ -78,13 +85,23 @@
         this.main.refuse();
     }
 
+    /** Refuses new connections while the target's process is gone, whatever the faults are. */
+    async setTargetDown(isDown: boolean, takesNew = true): Promise<void> {
+        this.isTargetDown = isDown;
+        if (isDown) {
+            this.main.refuse();
+            return;
+        }
+        await this.setFaults({}, takesNew);
+    }
+
     /** Changes the named faults and leaves the others; new connections are taken again unless they are cut or refused. */
     async setFaults(change: Partial<ProxyFaults>, takesNew = true): Promise<void> {
         this.faultSwitch.set({ ...this.faultSwitch.current, ...change });
         if (this.faults.mode === "cut") {
             await this.closeMain();
         }
-        else if (takesNew) {
+        else if (takesNew && !this.isTargetDown) {
             await this.main.open();
         }
     }
@@ -100,7 +117,8 @@
     }
 
     private async carry(socket: Socket): Promise<void> {
-        const connection = new ProxyConnection(socket, this.target, this.faultSwitch);
+        const { target, faultSwitch: faults, passesResets } = this;
+        const connection = new ProxyConnection({ client: socket, target, faults, passesResets });
         this.connections.add(connection);
         this.byClientPort.set(socket.remotePort ?? 0, connection);
         await connection.run();
@@ -119,7 +137,7 @@
 
 /** Starts a fault-injecting proxy in this process. */
 export const startFaultProxy = async (opts: FaultProxyOptions): Promise<FaultProxy> => {
-    const proxy = new FaultProxy(opts.target);
+    const proxy = new FaultProxy(opts);
     await proxy.open(opts.port ?? 0, opts.withControl ?? false);
     await proxy.setFaults(opts.faults ?? {});
     return proxy;
--- a/packages/stand-ins/src/fault-proxy/proxy-connection.ts
+++ b/packages/stand-ins/src/fault-proxy/proxy-connection.ts
@@ -10,19 +10,31 @@
 /** Modes in which neither side hears that the other has failed. */
 const SILENT_MODES: readonly ProxyMode[] = ["stall", "halfOpen", "dropClientToServer", "dropServerToClient"];
 
+/** Options of a {@link ProxyConnection}. */
+export interface ProxyConnectionOptions {
+    readonly client: Socket;
+    readonly target: Address;
+    readonly faults: FaultSwitch;
+    readonly passesResets: boolean;
+}
+
 /** One client's connection through a proxy. */
 export class ProxyConnection {
     private readonly client: Socket;
     private readonly target: Address;
     private readonly faults: FaultSwitch;
+    private readonly passesResets: boolean;
     private readonly ended = new AbortController();
     private server: Socket | undefined;
     private isConnected = false;
+    /** Whether both directions have ended in order. */
+    private hasEnded = false;
 
-    constructor(client: Socket, target: Address, faults: FaultSwitch) {
+    constructor({ client, target, faults, passesResets }: ProxyConnectionOptions) {
         this.client = client;
         this.target = target;
         this.faults = faults;
+        this.passesResets = passesResets;
     }
 
     /** Carries the connection until both sides have closed. */
@@ -34,6 +46,7 @@
                 this.pipe("clientToServer", this.client, server),
                 this.pipe("serverToClient", server, this.client),
             ]);
+            this.hasEnded = true;
         }
         catch {
             await this.faults.untilNot(SILENT_MODES, this.ended.signal).catch(() => undefined);
@@ -51,8 +64,15 @@
     /** Destroys both sides at once. */
     destroy(): void {
         this.ended.abort();
-        this.client.destroy();
-        this.server?.destroy();
+        for (const socket of [this.client, this.server]) {
+            // Node.js leaves a socket open that is reset while its end is being sent.
+            if (this.passesResets && !this.hasEnded && socket?.writableEnded === false) {
+                socket?.resetAndDestroy();
+            }
+            else {
+                socket?.destroy();
+            }
+        }
     }
 
     private async connect(): Promise<Socket> {
@@ -67,6 +87,7 @@
     }
 
     private pipe(direction: Direction, from: Socket, to: Socket): Promise<void> {
-        return new ProxyPipe({ direction, from, to, faults: this.faults, signal: this.ended.signal }).run();
+        const { faults, passesResets, ended } = this;
+        return new ProxyPipe({ direction, from, to, faults, passesResets, signal: ended.signal }).run();
     }
 }
--- a/packages/stand-ins/src/fault-proxy/proxy-pipe.ts
+++ b/packages/stand-ins/src/fault-proxy/proxy-pipe.ts
@@ -12,6 +12,8 @@
     readonly faults: FaultSwitch;
     /** Aborts when the connection ends. */
     readonly signal: AbortSignal;
+    /** Whether a direction that lost bytes, or whose sender reset it, rejects instead of ending in order. */
+    readonly passesResets: boolean;
 }
 
 /** Bytes in flight in one direction beyond which the sender is held back. */
@@ -30,7 +32,7 @@
 
     /** Carries bytes and the end until the connection is over. */
     async run(): Promise<void> {
-        const { from, to, faults, direction, signal } = this.opts;
+        const { from, to, faults, direction, signal, passesResets } = this.opts;
         let tail = Promise.resolve();
         from.on("data", (chunk: Buffer) => {
             const dueMs = performance.now() + faults.current.delayMs;
@@ -43,10 +45,15 @@
         });
         from.resume();
         await once(from, "end", { signal });
+        // A reset that arrives with data is reported as an end; once both sides have ended, the address is gone as well.
+        const wasReset = from.remoteAddress === undefined && !from.writableEnded;
         const dueMs = performance.now() + faults.current.delayMs;
         await tail;
         await this.untilDue(dueMs);
         await faults.untilNot(DROPPING_MODES[direction], signal);
+        if (passesResets && (wasReset || this.broken)) {
+            throw new Error("the direction has not ended in order");
+        }
         to.end();
     }
 
--- a/packages/stand-ins/src/platform/platform-target-stand-in.ts
+++ b/packages/stand-ins/src/platform/platform-target-stand-in.ts
@@ -1,5 +1,5 @@
 import type { Address } from "@ospreyreel/types";
-import type { IncomingMessage, OutgoingHttpHeaders, ServerResponse } from "node:http";
+import type { IncomingHttpHeaders, IncomingMessage, OutgoingHttpHeaders, ServerResponse } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
 import { type JsonServer, readText, startJsonServer } from "../http-json/json-server.js";
 
@@ -24,7 +24,10 @@
 /** When and how a target's work on a request ended. */
 export interface RunEnd {
     readonly atMs: number;
-    readonly how: "complete" | "disconnected" | "crashed";
+    /** `brokenOff` where the target itself ended its answer early, so that it is no whole one. */
+    readonly how: "complete" | "disconnected" | "crashed" | "brokenOff";
+    /** Last event of a shorter stream that was whole; undefined for others. */
+    readonly lastEvent?: number;
 }
 
 /** Headers with which a caller sets how a target answers. */
@@ -33,12 +36,37 @@
     stepMs: "stand-in-step-ms",
     /** Bytes that follow a plain answer. */
     bytes: "stand-in-bytes",
-    /** "none" for an answer that ends with its connection. */
+    /** "none" for an answer that ends with its connection, "length" for a stream with a length; Node.js chooses by default. */
     framing: "stand-in-framing",
     /** Events of a stream before the connection is reset within the next one. */
     resetAfter: "stand-in-reset-after",
+    /** Events of a stream before the connection is closed in order within the next one. */
+    closeAfter: "stand-in-close-after",
+    /** "true" where either comes between two events. */
+    betweenEvents: "stand-in-between-events",
 } as const;
 
+/** An end of a stream before its last event. */
+interface EarlyEnd {
+    readonly afterEvents: number;
+    readonly withReset: boolean;
+    readonly isBetweenEvents: boolean;
+    /** Whether HTTP knows no other end of the response, so that it is whole. */
+    readonly isWhole: boolean;
+}
+
+const getEarlyEnd = (headers: IncomingHttpHeaders): EarlyEnd => {
+    const { framing, resetAfter, closeAfter, betweenEvents } = STAND_IN_HEADERS;
+    const withReset = headers[resetAfter] !== undefined;
+    const isBetweenEvents = headers[betweenEvents] === "true";
+    return {
+        afterEvents: Number(headers[resetAfter] ?? headers[closeAfter] ?? Infinity),
+        withReset,
+        isBetweenEvents,
+        isWhole: isBetweenEvents && !withReset && headers[framing] === "none",
+    };
+};
+
 /** How a target works. */
 export interface PlatformTargetOptions {
     readonly id: string;
@@ -99,9 +127,12 @@
     res.shouldKeepAlive = false;
 };
 
+/** A run while the target is at work on it. */
+type RunRecord = { -readonly [K in keyof RunRequest]: RunRequest[K]; };
+
 /** A worker of the users' platform, by its published protocol. */
 export class PlatformTargetStandIn {
-    private readonly runs: { -readonly [K in keyof RunRequest]: RunRequest[K]; }[] = [];
+    private readonly runs: RunRecord[] = [];
     /** Monotonic times of its crashes, in milliseconds. */
     readonly crashedAtMs: number[] = [];
     /** Requests a second that it names as its limit in its responses; undefined where it names none. */
@@ -134,6 +165,8 @@
     private stopped = false;
     /** Unix time of this start in milliseconds; tells it from earlier ones under the same id. */
     private born = 0;
+    /** Id from its next start on; undefined while it keeps the one of its options. */
+    private newId: string | undefined;
 
     constructor(private readonly opts: PlatformTargetOptions) {
         this.version = opts.version;
@@ -146,7 +179,7 @@
 
     /** Id of the target. */
     get id(): string {
-        return this.opts.id;
+        return this.newId ?? this.opts.id;
     }
 
     /** Where it listens. */
@@ -161,14 +194,19 @@
         this.born = Math.max(Date.now(), this.born + 1);
     }
 
-    /** Stops listening and cuts what runs. */
+    /** Gives it another id while it does not listen. */
+    rename(id: string): void {
+        this.newId = id;
+    }
+
+    /** Stops listening and cuts what runs as the kernel does for a killed process: what is sent arrives, and connections end in order. */
     async close(): Promise<void> {
         this.stopped = true;
         this.endRuns();
         await this.server?.close();
     }
 
-    /** Resets all connections, refuses new ones for a time and starts again. */
+    /** Closes all connections, refuses new ones for a time and starts again. */
     async crash(): Promise<void> {
         const { server } = this;
         if (server === undefined) {
@@ -187,8 +225,8 @@
 
     /** Key and value of its entry in the store; it names another address where a proxy stands before the target. */
     getEntry(state: "ready" | "draining" = "ready", address = this.address): readonly [string, unknown] {
-        const { id, service, zone = "zone-a" } = this.opts;
-        const { version = DEFAULT_VERSION } = this;
+        const { service, zone = "zone-a" } = this.opts;
+        const { id, version = DEFAULT_VERSION } = this;
         return [`servers/${id}`, {
             service,
             address: `${address.host}:${address.port}`,
@@ -213,8 +251,8 @@
         }
         const body = await readText(req);
         const id = String(req.headers["attempt-id"]);
-        if (req.headers["expect-instance"] !== this.opts.id) {
-            res.writeHead(421, { "Attempt-Id": id, "Instance-Id": this.opts.id }).end();
+        if (req.headers["expect-instance"] !== this.id) {
+            res.writeHead(421, { "Attempt-Id": id, "Instance-Id": this.id }).end();
             return;
         }
         if (this.rejectsForS !== undefined) {
@@ -232,12 +270,12 @@
             req.socket.write(encodeStrayRefusal(this.strayRefusal));
         }
         if (this.resumeStatus !== undefined && req.headers["last-event-id"] !== undefined) {
-            res.writeHead(this.resumeStatus, { "Attempt-Id": id, "Response-Seal": `seal-${this.opts.id}` })
+            res.writeHead(this.resumeStatus, { "Attempt-Id": id, "Response-Seal": `seal-${this.id}` })
                 .end("error: the stream is not known\n\n");
             return;
         }
         const parts = String(req.headers["prompt-prefix"] ?? "").split(",").map(part => part.split(":")[0] ?? "");
-        this.recordRun(req, res, { body, parts });
+        const run = this.recordRun(req, res, { body, parts });
         const { events = 0, deadlyPart, deadlyBody } = this.opts;
         const { version = "" } = this;
         const isDeadly = deadlyBody !== undefined && body === deadlyBody
@@ -245,8 +283,9 @@
         const stepMs = Number(req.headers[STAND_IN_HEADERS.stepMs] ?? this.opts.stepMs ?? DEFAULT_STEP_MS);
         const limit = this.limitPerS === undefined ? {} : { "Server-Limit": String(this.limitPerS) };
         const leaving = this.isLeaving ? { "Server-Leaving": "1" } : {};
-        const headers = { "Attempt-Id": id, "Response-Seal": `seal-${this.opts.id}`, ...limit, ...leaving, ...brittle };
-        if (req.headers[STAND_IN_HEADERS.framing] === "none") {
+        const headers = { "Attempt-Id": id, "Response-Seal": `seal-${this.id}`, ...limit, ...leaving, ...brittle };
+        const framing = req.headers[STAND_IN_HEADERS.framing];
+        if (framing === "none") {
             delimitByClose(res);
         }
         if (events === 0) {
@@ -259,24 +298,45 @@
             res.writeHead(200, headers).end(`answer to ${id}${padding}`);
             return;
         }
-        res.writeHead(200, { ...headers, "Content-Type": "text/event-stream" });
+        const createEvent = (at: number): string => `id: ${at}\ndata: ${[id, version].join(" ").trim()}\n\n`;
         const first = Number(req.headers["last-event-id"] ?? 0) + 1;
-        const resetAfter = Number(req.headers[STAND_IN_HEADERS.resetAfter] ?? events);
+        const left = Array.from({ length: Math.max(0, events - first + 1) }, (_, at) => createEvent(first + at));
+        const length = framing === "length" ? { "Content-Length": Buffer.byteLength(left.join("")) } : {};
+        res.writeHead(200, { ...headers, ...length, "Content-Type": "text/event-stream" });
+        const early = getEarlyEnd(req.headers);
         for (let at = first; at <= events && !res.destroyed; at++) {
             await sleep(stepMs);
-            if (at - first >= resetAfter) {
-                res.write(`id: ${at}\nda`, () => req.socket.resetAndDestroy());
+            if (at - first >= early.afterEvents) {
+                this.endEarly(run, res, early, at - 1);
                 return;
             }
             if (isDeadly && at - first >= (this.opts.eventsBeforeCrash ?? 0)) {
                 await this.crash();
                 return;
             }
-            res.write(`id: ${at}\ndata: ${[id, version].join(" ").trim()}\n\n`);
+            res.write(createEvent(at));
         }
         res.end();
     }
 
+    private endEarly(
+        run: RunRecord,
+        res: ServerResponse,
+        { withReset, isBetweenEvents, isWhole }: EarlyEnd,
+        lastEvent: number,
+    ): void {
+        const { socket } = res;
+        const atMs = performance.now();
+        run.end = isWhole ? { atMs, how: "complete", lastEvent } : { atMs, how: "brokenOff" };
+        const end = (): void => void (withReset ? socket?.resetAndDestroy() : socket?.end());
+        if (isBetweenEvents) {
+            res.flushHeaders();
+            end();
+            return;
+        }
+        res.write(`id: ${lastEvent + 1}\nda`, end);
+    }
+
     private answerReport(res: ServerResponse, kvTotal: number): void {
         this.reportReads += 1;
         const open = this.runs.filter(run => run.end === undefined).length;
@@ -304,15 +364,15 @@
         req: IncomingMessage,
         res: ServerResponse,
         { body, parts }: Pick<RunRequest, "body" | "parts">,
-    ): void {
-        const run: (typeof this.runs)[number] = {
+    ): RunRecord {
+        const run: RunRecord = {
             id: String(req.headers["attempt-id"]),
             team: req.headers["tenant"]?.toString(),
             path: req.url ?? "",
             body,
             waitsMs: Number(req.headers["deadline-ms"]),
             hadKey: req.headers.authorization !== undefined,
-            target: this.opts.id,
+            target: this.id,
             parts,
             atMs: performance.now(),
             end: undefined,
@@ -321,5 +381,6 @@
         res.once("close", () => {
             run.end ??= { atMs: performance.now(), how: res.writableFinished ? "complete" : "disconnected" };
         });
+        return run;
     }
 }
