Send no stream in chunks to callers of HTTP/1.0

Callers saw: a stream whose target frames it went to callers of HTTP/1.0 in chunks, which they do not read (RFC 9112, 6.1).

Cause: only responses without framing looked at the version of the request; framed streams were always sent in chunks.

Why this works: a caller that reads no chunks gets the stream up to the end of its connection, as it does one without framing, and a reset where the stream breaks off.

--- a/packages/relay/src/http/http-caller-exchange.ts
+++ b/packages/relay/src/http/http-caller-exchange.ts
@@ -74,7 +74,7 @@
     }
 
     override startStream(head: ResponseHead): void {
-        const framing = head.isFramed ? CHUNKED : this.frameUnframed();
+        const framing = head.isFramed && this.canReadChunks ? CHUNKED : this.frameUnframed();
         this.opts.res.writeHead(head.status, [...head.headers.flat(), ...framing, ...this.getCloseHeader()]);
     }
 
@@ -119,7 +119,7 @@
     private frameUnframed(isSentAtOnce = false): readonly string[] {
         const { req, res, shouldCloseAfter } = this.opts;
         this.isUnframed = true;
-        if (!isSentAtOnce && req.httpVersion === "1.1" && req.method !== "HEAD") {
+        if (!isSentAtOnce && this.canReadChunks && req.method !== "HEAD") {
             return CHUNKED;
         }
         res.useChunkedEncodingByDefault = false;
@@ -127,6 +127,10 @@
         return shouldCloseAfter() ? [] : ["Connection", "close"];
     }
 
+    private get canReadChunks(): boolean {
+        return this.opts.req.httpVersion === "1.1";
+    }
+
     private getCloseHeader(): readonly string[] {
         return this.opts.shouldCloseAfter() ? ["Connection", "close"] : [];
     }
