Take the end of an unframed response for whole only if its target runs on or leaves

Callers saw: a target's process is killed between two events of streams that it sends with neither a length nor chunks.

Cause: the kernel closes the connections of a killed process in order.

Fix: at such an end the instance that holds the connection opens another one to the target. Accepted and held: the process goes on and has ended the response itself. Refused, or no answer for 1.6 s: the response counts as cut, so that a stream that may be resumed goes on at another target, and others are reset. A target that leaves, by its entry, by its removal or by its own word, is not asked. judgeResponseEnd decides, without input or output.

Tests changed: HttpTargetPort takes what judges ends, so its tests name one (KnownEnds). No check is weaker.

--- a/packages/bench/src/platform/handoff-load.ts
+++ b/packages/bench/src/platform/handoff-load.ts
@@ -12,8 +12,9 @@
 /** Time in which an instance hands connections off, or keeps them again, on a busy machine; in milliseconds. */
 const CHANGE_MS = 20_000;
 
-/** What the state dump of an instance says of handed-off connections. */
+/** What the state dump of an instance says of handed-off connections and of its requests at targets. */
 export interface HandoffState {
+    readonly targets: readonly { readonly id: string; readonly inFlight: number; }[];
     readonly handoff: { readonly helper?: string; readonly connections: Readonly<Record<string, number>>; };
 }
 
--- a/packages/bench/src/platform/platform-fleet.ts
+++ b/packages/bench/src/platform/platform-fleet.ts
@@ -17,6 +17,7 @@
 import { InstanceLinks } from "./instance-links.js";
 import { PeerLinks } from "./peer-links.js";
 import { REDIRECTS_VARIABLE } from "./redirects-variable.js";
+import { TargetProcess } from "./target-process.js";
 
 const MAIN = createRequire(import.meta.url).resolve("@ospreyreel/platform/main");
 
@@ -72,6 +73,8 @@
         PlatformTargetOptions,
         "events" | "stepMs" | "deadlyPart" | "deadlyBody" | "eventsBeforeCrash" | "downMs" | "capacityTokens"
     >;
+    /** Runs each target as a process of its own; false by default. */
+    readonly withTargetProcesses?: boolean;
     /** Software versions of the model targets, which then name them in their events; all the same by default. */
     readonly modelVersions?: readonly string[];
     /** Availability zones of the model targets; all in the same one by default. */
@@ -210,12 +213,13 @@
 
     private constructor(opts: PlatformFleetOptions) {
         const { plainCount = 1, plains = {}, models = {}, modelVersions = [], modelZones = [] } = opts;
+        const StandIn = opts.withTargetProcesses === true ? TargetProcess : PlatformTargetStandIn;
         const { modelCount = Math.max(DEFAULT_MODEL_COUNT, modelVersions.length) } = opts;
         this.plains = [...Array(plainCount).keys()].map(at =>
-            new PlatformTargetStandIn({ id: `plain-${at + 1}`, service: "plain", ...plains })
+            new StandIn({ id: `plain-${at + 1}`, service: "plain", ...plains })
         );
         this.models = [...Array(modelCount).keys()].map(at =>
-            new PlatformTargetStandIn({
+            new StandIn({
                 id: `model-${at + 1}`,
                 service: "model",
                 events: MODEL_EVENTS,
--- a/packages/bench/src/platform/unframed-responses.test.ts
+++ b/packages/bench/src/platform/unframed-responses.test.ts
@@ -1,4 +1,4 @@
-import { STAND_IN_HEADERS } from "@ospreyreel/stand-ins";
+import { type PlatformTargetStandIn, STAND_IN_HEADERS } from "@ospreyreel/stand-ins";
 import test, { type ExecutionContext } from "ava";
 import { Agent } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
@@ -12,6 +12,7 @@
 } from "./platform-fleet.js";
 import type { PlatformCall, PlatformCallKind } from "./soak/platform-call.js";
 import { getEvents, sendCall } from "./soak/send-call.js";
+import { TargetProcess } from "./target-process.js";
 
 /** Callers of each instance. */
 const CALLERS = 8;
@@ -73,8 +74,9 @@
     fleet: PlatformFleet,
     instance: PlatformInstance,
     opts: CallOptions,
+    count = CALLERS,
 ): Promise<readonly PlatformCall[]> =>
-    await Promise.all(Array.from({ length: CALLERS }, () => call(fleet, instance, opts)));
+    await Promise.all(Array.from({ length: count }, () => call(fleet, instance, opts)));
 
 const isWhole = ({ kind, id, body, paddingBytes }: PlatformCall): boolean =>
     kind === "plain" || kind === "once"
@@ -247,3 +249,91 @@
         t.true(answers.some(({ body }) => getEvents(body).length === EVENTS_BEFORE_RESET));
     });
 }
+
+/** Time between the two parts of a plain answer, and size of the second one. */
+const SPLIT_MS = 1_000;
+const SECOND_PART_BYTES = 100;
+
+const getProcess = (target: unknown): TargetProcess => {
+    if (!(target instanceof TargetProcess)) {
+        throw new Error("the target has no process of its own");
+    }
+    return target;
+};
+
+const startWithTargetProcesses = async (
+    t: ExecutionContext,
+    { opts, isHandedOff = false }: (typeof WAYS)[number],
+) => {
+    const { fleet, first } = await start(t, { ...opts, withTargetProcesses: true });
+    await fleet.targetLinks[0]?.cut("refuse");
+    if (isHandedOff) {
+        await findHelper(fleet, first);
+    }
+    return { fleet, first };
+};
+
+/** The target of a service at which most requests are open, by what the instances tell. */
+const findBusiest = async (
+    { instances }: PlatformFleet,
+    targets: readonly PlatformTargetStandIn[],
+): Promise<TargetProcess> => {
+    const states = await Promise.all(instances.map(instance => getState(instance)));
+    const getOpen = (id: string): number =>
+        states.flatMap(state => state.targets).filter(target => target.id === id)
+            .reduce((sum, { inFlight }) => sum + inFlight, 0);
+    return getProcess(targets.toSorted((a, b) => getOpen(b.id) - getOpen(a.id))[0]);
+};
+
+for (const way of WAYS) {
+    // Guards against a part of a stream that looks whole, since the kernel closes the connections of a killed target in order.
+    test.serial(`unframed streams do not look whole to callers that are served ${way.title} when their target is killed`, async t => {
+        const { fleet, first } = await startWithTargetProcesses(t, way);
+        const fixed = callTogether(fleet, first, { kind: "fixed" }, 2 * CALLERS);
+        const resumable = callTogether(fleet, first, { kind: "model" });
+        await sleep(FAULT_AFTER_MS);
+        (await findBusiest(fleet, fleet.models)).kill("SIGKILL");
+        const answers = await fixed;
+        t.log(`${answers.length} streams, ${answers.filter(({ end }) => end === "cut").length} cut`);
+        t.deepEqual(findMistaken([...answers, ...await resumable]), []);
+        t.true(answers.some(answer => answer.end === "cut" && getEvents(answer.body).length > 0));
+        t.deepEqual((await resumable).filter(answer => answer.end !== "answered" || !isWhole(answer)), []);
+    });
+
+    // Guards against the same in an answer that is no stream.
+    test.serial(`unframed plain answers do not look whole to callers that are served ${way.title} when their target is killed`, async t => {
+        const { fleet, first } = await startWithTargetProcesses(t, way);
+        const headers = { [STAND_IN_HEADERS.splitMs]: String(SPLIT_MS) };
+        const [repeatable, single] = (["plain", "once"] as const).map(kind =>
+            callTogether(fleet, first, { kind, paddingBytes: SECOND_PART_BYTES, headers }, 2 * CALLERS)
+        );
+        await sleep(FAULT_AFTER_MS);
+        (await findBusiest(fleet, fleet.plains)).kill("SIGKILL");
+        const answers = await single ?? [];
+        t.deepEqual(findMistaken([...answers, ...await repeatable ?? []]), []);
+        t.true(answers.some(answer => answer.status === 502));
+        t.deepEqual((await repeatable)?.filter(answer => answer.end !== "answered" || !isWhole(answer)), []);
+    });
+}
+
+const LEAVES = [
+    ["says that it leaves", fleet => fleet.announceLeaving(0)],
+    ["has its entry removed", fleet => fleet.removeEntry(0)],
+] as const satisfies readonly (readonly [string, (fleet: PlatformFleet) => void])[];
+
+for (const way of WAYS) {
+    for (const [how, leave] of LEAVES) {
+        // Guards against whole streams that count as cut, since their target ends with the last of them.
+        test.serial(`unframed streams are whole to callers that are served ${way.title} when their target ${how} and ends after them`, async t => {
+            const { fleet, first } = await startWithTargetProcesses(t, way);
+            const calls = (["fixed", "model"] as const).map(kind => callTogether(fleet, first, { kind }));
+            await sleep(FAULT_AFTER_MS);
+            const target = getProcess(fleet.models[0]);
+            leave(fleet);
+            target.kill("SIGTERM");
+            const answers = (await Promise.all(calls)).flat();
+            t.deepEqual(answers.filter(answer => answer.end !== "answered" || !isWhole(answer)), []);
+            t.deepEqual(await target.exited, { code: 0, signal: undefined });
+        });
+    }
+}
--- a/packages/relay/src/http/early-response.test.ts
+++ b/packages/relay/src/http/early-response.test.ts
@@ -1,6 +1,7 @@
 import test, { type ExecutionContext } from "ava";
 import type { Socket } from "node:net";
 import type { RelayRoute } from "../document/relay-document.js";
+import { KnownEnds } from "../fixtures/known-ends.js";
 import { PathFleet, TARGET } from "../fixtures/path-fleet.js";
 import { createCall, PlainTargetProtocol } from "../fixtures/plain-protocol.js";
 import { createRawTarget } from "../fixtures/raw-target.js";
@@ -83,7 +84,7 @@
     }
     const raw = await createRawTarget(respondEarly("part", false));
     const { host, port } = raw.target;
-    const http = new HttpTargetPort(new PlainTargetProtocol());
+    const http = new HttpTargetPort(new PlainTargetProtocol(), new KnownEnds());
     t.teardown(async () => {
         await http.close();
         raw.server.close();
--- a/packages/relay/src/http/http-target-port.test.ts
+++ b/packages/relay/src/http/http-target-port.test.ts
@@ -1,6 +1,8 @@
+import type { ResponseEnd } from "@ospreyreel/targets";
 import test, { type ExecutionContext } from "ava";
 import type { Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
+import { KnownEnds } from "../fixtures/known-ends.js";
 import { createCall, createRequest, PlainTargetProtocol } from "../fixtures/plain-protocol.js";
 import { createRawTarget, type RawTarget } from "../fixtures/raw-target.js";
 import type { TargetOutcome } from "../targets/target-port.js";
@@ -10,9 +12,10 @@
 const open = async (
     t: ExecutionContext,
     answer: (socket: Socket, request: string) => void,
+    end: ResponseEnd | Promise<ResponseEnd> = "whole",
 ): Promise<RawTarget & { readonly port: HttpTargetPort; }> => {
     const raw = await createRawTarget(answer);
-    const port = new HttpTargetPort(new PlainTargetProtocol());
+    const port = new HttpTargetPort(new PlainTargetProtocol(), new KnownEnds(end));
     t.teardown(async () => {
         await port.close();
         raw.server.close();
@@ -63,6 +66,29 @@
     }
 });
 
+for (const end of ["cut", "unknown"] as const) {
+    test(`a response without a length is truncated if the end of its connection is judged as ${end}`, async t => {
+        const { port, target } = await open(t, socket => socket.end(`${HEAD}\r\npart`), end);
+        const outcome = await port.send(createCall(target));
+        await t.throwsAsync(readBody(outcome));
+    });
+}
+
+test("a response with a length is whole, however the end of its connection would be judged", async t => {
+    const { port, target } = await open(t, socket => socket.end(`${HEAD}content-length: 5\r\n\r\nwhole`), "cut");
+    t.is(await readBody(await port.send(createCall(target))), "whole");
+});
+
+test("a response without a length is truncated if the request's time ends before its end is judged", async t => {
+    const { port, target } = await open(t, socket => socket.end(`${HEAD}\r\nwhole`), new Promise(() => undefined));
+    const controller = new AbortController();
+    const outcome = await port.send(createCall(target, { signal: controller.signal }));
+    const body = t.throwsAsync(readBody(outcome));
+    await sleep(50);
+    controller.abort();
+    await body;
+});
+
 test("a response shorter than its length is truncated", async t => {
     const { port, target } = await open(t, socket => socket.end(`${HEAD}content-length: 9\r\n\r\npart`));
     const outcome = await port.send(createCall(target));
--- a/packages/relay/src/http/http-target-port.ts
+++ b/packages/relay/src/http/http-target-port.ts
@@ -2,6 +2,7 @@
 import { Pool } from "undici";
 import { type TargetCall, type TargetOutcome, TargetPort } from "../targets/target-port.js";
 import type { Target } from "../targets/target.js";
+import type { ResponseEnds } from "./response-ends.js";
 import { TargetCallHandler } from "./target-call-handler.js";
 import { createTargetConnector } from "./target-connector.js";
 import type { TargetProtocol } from "./target-protocol.js";
@@ -38,14 +39,14 @@
 export class HttpTargetPort extends TargetPort {
     private readonly pools = new Map<string, TargetPools>();
 
-    constructor(private readonly protocol: TargetProtocol) {
+    constructor(private readonly protocol: TargetProtocol, private readonly ends: ResponseEnds) {
         super();
     }
 
     override send(call: TargetCall): Promise<TargetOutcome> {
         return new Promise(resolve => {
             const { req, signal } = call;
-            const handler = new TargetCallHandler(call, this.protocol, resolve);
+            const handler = new TargetCallHandler(call, this.protocol, this.ends, resolve);
             const abort = (): void => handler.abort(new Error("the request's time has ended"));
             if (signal.aborted) {
                 resolve({ kind: "not_sent", cause: "the request's time has ended" });
--- a/packages/relay/src/http/response-status.ts
+++ b/packages/relay/src/http/response-status.ts
@@ -1,4 +1,5 @@
 import type { ResponseHead } from "../caller-exchange.js";
+import { findHeader } from "./header-list.js";
 
 const HTTP_OK_FROM = 200;
 const HTTP_OK_BELOW = 300;
@@ -9,3 +10,7 @@
 
 /** Whether a target responded with an error of its own. */
 export const isServerError = ({ status }: ResponseHead): boolean => status >= HTTP_ERROR_FROM;
+
+/** Whether a response is a stream of events. */
+export const isEventStream = ({ headers }: Pick<ResponseHead, "headers">): boolean =>
+    findHeader(headers, "content-type")?.startsWith("text/event-stream") === true;
--- a/packages/relay/src/http/target-call-handler.ts
+++ b/packages/relay/src/http/target-call-handler.ts
@@ -3,6 +3,8 @@
 import type { TargetCall, TargetOutcome } from "../targets/target-port.js";
 import { findHeader, toHeaderPairs } from "./header-list.js";
 import { ResponseBody } from "./response-body.js";
+import type { ResponseEnds } from "./response-ends.js";
+import { isEventStream } from "./response-status.js";
 import { hasTooManySmallParts } from "./small-parts.js";
 import type { TargetProtocol } from "./target-protocol.js";
 
@@ -17,6 +19,11 @@
 
 const HTTP_FINAL_FROM = 200;
 
+const CUT_CAUSES = {
+    cut: "the connection was closed as the target's process ended",
+    unknown: "the connection was closed, and the target does not answer",
+} as const;
+
 /** Handles one exchange with a target. */
 export class TargetCallHandler implements Dispatcher.DispatchHandler {
     private readonly body = new ResponseBody({
@@ -28,6 +35,7 @@
     readonly watch = new ExchangeWatch(err => this.abort(err));
     private controller: Dispatcher.DispatchController | undefined;
     private isFramed = true;
+    private isStream = false;
     private discardTimer: NodeJS.Timeout | undefined;
     private sent = false;
     private settled = false;
@@ -38,6 +46,7 @@
     constructor(
         private readonly call: TargetCall,
         private readonly protocol: TargetProtocol,
+        private readonly ends: ResponseEnds,
         private readonly resolve: (outcome: TargetOutcome) => void,
     ) {}
 
@@ -77,6 +86,7 @@
             findHeader(headers, "content-length"),
             findHeader(headers, "transfer-encoding"),
         );
+        this.isStream = isEventStream({ headers });
         const decoded = this.protocol.decode(this.call, status, headers);
         switch (decoded.kind) {
             case "answer":
@@ -114,11 +124,18 @@
 
     onResponseEnd(): void {
         this.stopWatching();
-        if (!this.isFramed && this.watch.wasReset) {
+        if (this.isFramed) {
+            this.body.end();
+        }
+        else if (this.watch.wasReset) {
             this.body.fail(new Error("the connection was reset"));
-            return;
         }
-        this.body.end();
+        else if (this.call.req.method === "HEAD" || this.discardTimer !== undefined) {
+            this.body.end();
+        }
+        else {
+            void this.endUnframed();
+        }
     }
 
     onResponseError(_controller: Dispatcher.DispatchController, err: Error): void {
@@ -127,6 +144,17 @@
         this.body.fail(err);
     }
 
+    /** Ends a body that ends with its connection, once it is known that its target has ended it. */
+    private async endUnframed(): Promise<void> {
+        const end = await this.ends.judge(this.call.target, this.isStream);
+        if (end === "whole") {
+            this.body.end();
+        }
+        else {
+            this.body.fail(new Error(CUT_CAUSES[end]));
+        }
+    }
+
     private stopWatching(): void {
         clearTimeout(this.discardTimer);
         this.watch.stop();
--- a/packages/relay/src/http/unframed-response.test.ts
+++ b/packages/relay/src/http/unframed-response.test.ts
@@ -37,6 +37,12 @@
     socket.write(`${HEAD}\r\n${body}`, () => setTimeout(() => socket.resetAndDestroy(), RESET_DELAY_MS));
 };
 
+/** Responds without a length and ends as a killed target does: it refuses connections, and closes its own in order. */
+const unframedByKilled = (getPath: () => RelayPath, body: string): RawAnswer => socket => {
+    getPath().stopListening(socket);
+    socket.end(`${HEAD}\r\n${body}`);
+};
+
 const toChunk = (text: string): string => `${text.length.toString(16)}\r\n${text}\r\n`;
 
 /** Responds in chunks that end properly. */
@@ -299,3 +305,48 @@
     const err = await Promise.race([once(caller, "error"), once(caller, "end")]) as readonly unknown[];
     t.like(err[0], { code: "ECONNRESET" });
 });
+
+// Guards against the part of a stream that looks whole, since the kernel closes the connections of a killed target in order.
+test("an unframed stream of a target that refuses connections after it is reset", async t => {
+    const path: RelayPath = await start(t, [unframedByKilled(() => path, "id: 1\n\n")], STREAM);
+    const { text, end } = await requestKept(path.callerPort);
+    t.deepEqual(readChunks(text), { body: "id: 1\n\n", isComplete: false });
+    t.is(end, "reset");
+    t.true(path.log.lines.some(({ event }) => event === "end of a response not confirmed"));
+});
+
+test("an unframed stream of a target that refuses connections after it is reset to a caller of HTTP/1.0", async t => {
+    const path: RelayPath = await start(t, [unframedByKilled(() => path, "id: 1\n\n")], STREAM);
+    const request = createRawRequest().replace("HTTP/1.1", "HTTP/1.0");
+    const { text, end } = await readUntilEnd(await openCaller(path.callerPort, request));
+    t.deepEqual([getBody(text), end], ["id: 1\n\n", "reset"]);
+});
+
+test("an unframed stream of a target that refuses connections after it is resumed at another one", async t => {
+    const path: RelayPath = await start(t, [
+        unframedByKilled(() => path, "id: 1\n\n"),
+        unframed("id: 2\n\n"),
+    ], RESUMABLE);
+    const { text, end } = await requestOnce(path.callerPort);
+    t.deepEqual(readChunks(text), { body: "id: 1\n\nid: 2\n\n", isComplete: true });
+    t.is(end, "closed");
+});
+
+test("an unframed plain response of a target that refuses connections after it is not relayed", async t => {
+    const single: RelayPath = await start(t, [unframedByKilled(() => single, "part")], { kind: "non_idempotent" });
+    t.true((await requestOnce(single.callerPort)).text.startsWith("HTTP/1.1 502"));
+    const repeated: RelayPath = await start(t, [unframedByKilled(() => repeated, "part"), unframed("whole")]);
+    t.is(getBody((await requestOnce(repeated.callerPort)).text), "whole");
+});
+
+// Guards against whole streams that count as cut, since their target ends with the last of them.
+for (const leave of ["markLeaving", "remove"] as const) {
+    test(`an unframed stream of a target that leaves is whole though it refuses connections (${leave})`, async t => {
+        const path: RelayPath = await start(t, [socket => {
+            ["t1", "t2", "t3"].forEach(id => path.directory[leave](id));
+            unframedByKilled(() => path, "id: 1\n\n")(socket, "");
+        }], STREAM);
+        const { text } = await requestOnce(path.callerPort);
+        t.deepEqual(readChunks(text), { body: "id: 1\n\n", isComplete: true });
+    });
+}
--- a/packages/relay/src/instance/target-sending.ts
+++ b/packages/relay/src/instance/target-sending.ts
@@ -1,5 +1,6 @@
 import type { PeerHub } from "@ospreyreel/peer";
 import { HttpTargetPort } from "../http/http-target-port.js";
+import { CheckedResponseEnds } from "../http/response-ends.js";
 import type { TargetProtocol } from "../http/target-protocol.js";
 import { ForwardedSends } from "../paths/forwarded-sends.js";
 import { ForwardingTargetPort } from "../paths/forwarding-target-port.js";
@@ -34,7 +35,7 @@
     readonly forwardedSends: ForwardedSends;
 
     constructor(opts: TargetSendingOptions) {
-        const direct = new HttpTargetPort(opts.protocol);
+        const direct = new HttpTargetPort(opts.protocol, new CheckedResponseEnds(opts));
         this.paths = new TargetPaths(opts);
         const { paths } = this;
         const notes = new TargetNoteRecorder(opts);
--- a/packages/relay/src/paths/silence-watch.test.ts
+++ b/packages/relay/src/paths/silence-watch.test.ts
@@ -1,7 +1,7 @@
+import type { ProbeOutcome } from "@ospreyreel/targets";
 import test from "ava";
 import { setTimeout as sleep } from "node:timers/promises";
 import { TARGET } from "../fixtures/path-fleet.js";
-import type { ProbeOutcome } from "../http/probe-connection.js";
 import { SilenceWatch } from "./silence-watch.js";
 
 interface Setting {
--- a/packages/relay/src/paths/silence-watch.ts
+++ b/packages/relay/src/paths/silence-watch.ts
@@ -1,4 +1,4 @@
-import { probeConnection, type ProbeOutcome } from "../http/probe-connection.js";
+import { probeConnection, type ProbeOutcome } from "@ospreyreel/targets";
 import { getStartKey, type Target } from "../targets/target.js";
 import type { TargetPaths } from "./target-paths.js";
 
--- a/packages/relay/src/paths/target-paths.ts
+++ b/packages/relay/src/paths/target-paths.ts
@@ -1,7 +1,7 @@
 import type { PeerHub } from "@ospreyreel/peer";
+import { probeConnection, type ProbeOutcome } from "@ospreyreel/targets";
 import type { InstanceInfo } from "@ospreyreel/types";
 import { setTimeout as sleep } from "node:timers/promises";
-import { probeConnection, type ProbeOutcome } from "../http/probe-connection.js";
 import type { RelayLog } from "../relay-log.js";
 import type { TargetDirectory } from "../targets/target-directory.js";
 import { getStartKey, type Target } from "../targets/target.js";
--- a/packages/relay/src/quarantine/connect-crash-check.ts
+++ b/packages/relay/src/quarantine/connect-crash-check.ts
@@ -1,4 +1,4 @@
-import { probeConnection } from "../http/probe-connection.js";
+import { probeConnection } from "@ospreyreel/targets";
 import type { Target } from "../targets/target.js";
 import { CrashCheck } from "./crash-check.js";
 
--- a/packages/relay/src/stream/stream-relay.ts
+++ b/packages/relay/src/stream/stream-relay.ts
@@ -1,5 +1,5 @@
 import type { CallerExchange, ResponseHead } from "../caller-exchange.js";
-import { findHeader } from "../http/header-list.js";
+import { isEventStream } from "../http/response-status.js";
 import type { HeldMessage } from "../message-memory.js";
 import { EventSplitter } from "./event-splitter.js";
 
@@ -30,9 +30,6 @@
     readonly onEvents: (count: number) => void;
 }
 
-const isEventStream = ({ headers }: ResponseHead): boolean =>
-    findHeader(headers, "content-type")?.startsWith("text/event-stream") === true;
-
 /** Relays the events of one request's stream to its caller, from one target or from several in sequence. */
 export class StreamRelay {
     private started = false;
--- a/packages/relay/src/targets/target-directory.test.ts
+++ b/packages/relay/src/targets/target-directory.test.ts
@@ -88,3 +88,16 @@
     }
     t.true(directory.removedIds.length <= 1_024);
 });
+
+test("the standing of a start is told by what is announced of it", t => {
+    const directory = new TargetDirectory();
+    const target = createTarget();
+    directory.put(target);
+    t.is(directory.getStanding(target), "serving");
+    directory.markLeaving("t1");
+    t.is(directory.getStanding(target), "leaving");
+    directory.put(createTarget({ startedAtMs: 2_000 }));
+    t.is(directory.getStanding(target), "restarted");
+    directory.remove("t1");
+    t.is(directory.getStanding(target), "leaving");
+});
--- a/packages/relay/src/targets/target-directory.ts
+++ b/packages/relay/src/targets/target-directory.ts
@@ -1,4 +1,5 @@
 import { NameScores } from "@ospreyreel/peer";
+import type { TargetStanding } from "@ospreyreel/targets";
 import { isOutdated, RemovedTargets } from "./removed-targets.js";
 import { TargetState } from "./target-state.js";
 import { getStartKey, type Target } from "./target.js";
@@ -47,6 +48,15 @@
         return state !== undefined && getStartKey(state.target) === startKey ? state : undefined;
     }
 
+    /** What is announced of the start of a target that something was sent to. Some targets leave by removing their announcement. */
+    getStanding(target: Target): TargetStanding {
+        const known = this.states.get(target.id)?.target;
+        if (known !== undefined && getStartKey(known) !== getStartKey(target)) {
+            return "restarted";
+        }
+        return known?.leaving === false ? "serving" : "leaving";
+    }
+
     /** Targets of a service that accept new requests. */
     getServing(service: string): ServiceTargets {
         return this.byService.get(service) ?? NO_TARGETS;
--- a/packages/stand-ins/src/platform/platform-target-stand-in.ts
+++ b/packages/stand-ins/src/platform/platform-target-stand-in.ts
@@ -35,6 +35,8 @@
     bytes: "stand-in-bytes",
     /** "none" for an answer that ends with its connection. */
     framing: "stand-in-framing",
+    /** Time after the first part of a plain answer before the rest, in milliseconds. */
+    splitMs: "stand-in-split-ms",
     /** Events of a stream before the connection is reset within the next one. */
     resetAfter: "stand-in-reset-after",
 } as const;
@@ -130,6 +132,7 @@
     tokensEach = 90;
     /** Called after each start that follows a crash. */
     onRestart: () => void = () => undefined;
+    private onRunEnd: () => void = () => undefined;
     private server: JsonServer | undefined;
     private stopped = false;
     /** Unix time of this start in milliseconds; tells it from earlier ones under the same id. */
@@ -168,6 +171,18 @@
         await this.server?.close();
     }
 
+    /** Resolves as soon as nothing runs any more. */
+    async drain(): Promise<void> {
+        await new Promise<void>(resolve => {
+            this.onRunEnd = () => {
+                if (this.runs.every(run => run.end !== undefined)) {
+                    resolve();
+                }
+            };
+            this.onRunEnd();
+        });
+    }
+
     /** Resets all connections, refuses new ones for a time and starts again. */
     async crash(): Promise<void> {
         const { server } = this;
@@ -256,7 +271,13 @@
                 return;
             }
             const padding = "x".repeat(Number(req.headers[STAND_IN_HEADERS.bytes] ?? 0));
-            res.writeHead(200, headers).end(`answer to ${id}${padding}`);
+            const splitMs = Number(req.headers[STAND_IN_HEADERS.splitMs] ?? 0);
+            res.writeHead(200, headers);
+            if (splitMs > 0) {
+                res.write(`answer to ${id}`);
+                await sleep(splitMs);
+            }
+            res.end(splitMs > 0 ? padding : `answer to ${id}${padding}`);
             return;
         }
         res.writeHead(200, { ...headers, "Content-Type": "text/event-stream" });
@@ -320,6 +341,7 @@
         this.runs.push(run);
         res.once("close", () => {
             run.end ??= { atMs: performance.now(), how: res.writableFinished ? "complete" : "disconnected" };
+            this.onRunEnd();
         });
     }
 }
