Return a plain response in the daemon only once its unframed end is confirmed

Callers saw: a response of a plain service, or of an engine that does not stream, with neither a length nor chunks, whose target is killed midway, was returned with a length and billed as the whole one.

Streams of the daemon have an end mark of their own and were not concerned.

Fix: TargetClient asks ProcessCheck as the relay does; targets that leave, or that the document names no more, are not asked. Counter target_ends_not_confirmed.

--- a/packages/daemon/src/create-components.ts
+++ b/packages/daemon/src/create-components.ts
@@ -62,11 +62,15 @@
         log: createLog("peer"),
     });
     const config = new ConfigStore({ kv, hub, prefix: cfg.kv.prefix, counters, log: createLog("config") });
-    const client = new TargetClient({ counters, maxAnswerBytes: cfg.limits.maxAnswerBytes });
+    const pool = new TargetPool({ policy: policies.createTargetChoicePolicy(), counters });
+    const client = new TargetClient({
+        counters,
+        maxAnswerBytes: cfg.limits.maxAnswerBytes,
+        isLeaving: name => pool.hasLeft(name),
+    });
     const book = createAddressBook(cfg, { hub, config });
     const ledger = createLedger(cfg, { kv, hub, config, client, counters, book });
     const registry = new RequestRegistry({ counters });
-    const pool = new TargetPool({ policy: policies.createTargetChoicePolicy(), counters });
     const admission = new AdmissionGate({ pool, policy: policies.createAdmissionPolicy(cfg), counters });
     const gate = new TargetGate({ admission, retries: policies.createRetryBudget() });
     const engines = new EngineAttempt({ client, ledger, counters });
--- a/packages/targets/src/client/target-client.test.ts
+++ b/packages/targets/src/client/target-client.test.ts
@@ -251,6 +251,33 @@
     t.is(body.toString(), "whole");
 });
 
+/** A target that closes its connection in order and refuses further ones, as a killed one does. */
+const startKilledTarget = async (t: ExecutionContext): Promise<TargetRef> => {
+    const server = createServer(socket => {
+        socket.once("data", () => {
+            server.close();
+            socket.end(`${RAW_HEAD}\r\npart`);
+        });
+    });
+    server.listen(0, "127.0.0.1");
+    await once(server, "listening");
+    t.teardown(() => server.close());
+    return { name: "killed", url: `http://127.0.0.1:${(server.address() as { port: number; }).port}` };
+};
+
+// Guards against the part of a response that looks whole, since the kernel closes the connections of a killed target in order.
+test("a response without a length is truncated if its target refuses connections after it", async t => {
+    const target = await startKilledTarget(t);
+    await expectResult(t, "targetFailed", () => createClient(t).call({ target, path: "/", streamId: "s1" }));
+});
+
+test("a response without a length is whole if its target leaves, though it refuses connections after it", async t => {
+    const target = await startKilledTarget(t);
+    const client = new TargetClient({ counters: new Counters(), isLeaving: name => name === "killed" });
+    t.teardown(() => client.close());
+    t.is((await client.call({ target, path: "/", streamId: "s1" })).body.toString(), "part");
+});
+
 test("a stream that ends within its last event is interrupted, whatever its framing", async t => {
     const events = "data: a\n\ndata: [DONE]";
     const client = createClient(t);
--- a/packages/targets/src/client/target-client.ts
+++ b/packages/targets/src/client/target-client.ts
@@ -1,7 +1,11 @@
 import { OspreyError } from "@ospreyreel/errors";
 import type { Counters } from "@ospreyreel/telemetry";
+import type { Address } from "@ospreyreel/types";
 import { type Dispatcher, Pool } from "undici";
 import { HttpTargetClient } from "../connection/http-target-client.js";
+import { isFramed } from "../connection/is-framed.js";
+import { judgeResponseEnd } from "../connection/judge-response-end.js";
+import { ProcessCheck } from "../connection/process-check.js";
 import { createConnector } from "./create-connector.js";
 import { guardResponse } from "./response-guard.js";
 import { createSentMarker, type SentMark } from "./sent-marker.js";
@@ -26,6 +30,8 @@
     readonly bodyTimeoutMs?: number;
     /** Maximum size of a response that is read whole; 16 MiB by default. */
     readonly maxAnswerBytes?: number;
+    /** Whether a target leaves, so that its process may end with its last response; none does by default. */
+    readonly isLeaving?: (name: string) => boolean;
 }
 
 const DEFAULT_CONNECT_TIMEOUT_MS = 2000;
@@ -33,6 +39,14 @@
 const DEFAULT_BODY_TIMEOUT_MS = 120_000;
 const DEFAULT_MAX_ANSWER_BYTES = 16 * 1_048_576;
 const REQUEST_ID_HEADER = "x-request-id";
+const DEFAULT_PORT = 80;
+/** Time for which a connection to a target that runs stays open after its response, in milliseconds. */
+const END_HOLD_MS = 10;
+
+const toAddress = (url: string): Address => {
+    const { hostname, port } = new URL(url);
+    return { host: hostname.replace(/^\[|\]$/g, ""), port: port === "" ? DEFAULT_PORT : Number(port) };
+};
 
 const NO_EVENTS: AsyncIterable<TargetEvent> = {
     [Symbol.asyncIterator]: () => ({ next: () => Promise.resolve({ done: true, value: undefined }) }),
@@ -48,13 +62,18 @@
     private readonly pools = new Map<string, Pool>();
     /** Pools of targets that are no longer in use and still have running responses. */
     private readonly closingPools = new Set<Pool>();
+    private readonly processes = new ProcessCheck();
 
     constructor(private readonly opts: TargetClientOptions) {}
 
     /** Sends a request and reads the whole response. */
     async call(call: TargetCall): Promise<TargetResponse> {
         const res = await this.exchange(call, call);
-        return { status: res.statusCode, headers: res.headers, body: await this.readWhole(call.target, res) };
+        const body = await this.readWhole(call.target, res);
+        if (call.method !== "HEAD") {
+            await this.confirmEnd(call.target, res);
+        }
+        return { status: res.statusCode, headers: res.headers, body };
     }
 
     /** Sends a request whose response is a stream of events. */
@@ -187,6 +206,21 @@
         }
     }
 
+    /** Throws where a body that ends with its connection may not be the whole one. */
+    private async confirmEnd(target: TargetRef, { statusCode, headers }: Dispatcher.ResponseData): Promise<void> {
+        if (isFramed(statusCode, headers["content-length"], headers["transfer-encoding"])) {
+            return;
+        }
+        const isLeaving = this.opts.isLeaving?.(target.name) === true;
+        const process = isLeaving ? undefined : await this.processes.check(toAddress(target.url), END_HOLD_MS);
+        const end = judgeResponseEnd({ standing: isLeaving ? "leaving" : "serving", process });
+        if (end !== "whole") {
+            this.opts.counters.add("target_ends_not_confirmed");
+            const cause = new Error(`the connection was closed, and the target's process is ${String(process)}`);
+            throw this.toTargetError(target, { sent: true }, cause);
+        }
+    }
+
     private async readBody(target: TargetRef, res: Dispatcher.ResponseData): Promise<Buffer> {
         const maxBytes = this.opts.maxAnswerBytes ?? DEFAULT_MAX_ANSWER_BYTES;
         const chunks: Buffer[] = [];
--- a/packages/targets/src/pool/target-pool.ts
+++ b/packages/targets/src/pool/target-pool.ts
@@ -102,6 +102,12 @@
         }
     }
 
+    /** Whether a target leaves or is in the current document no more. */
+    hasLeft(name: string): boolean {
+        const state = this.states.get(name);
+        return state === undefined || this.isLeaving(state);
+    }
+
     /** Chooses a target and counts a request on it; `undefined` where no target can accept one now. */
     acquire(req: AcquireOptions): AcquiredTarget | undefined {
         const now = this.now();
