Let slow answers count in the check after an unframed response, and hold it as long after plain ones

Callers would see: whole streams reset and whole plain answers as 502 where a connection to their target takes over 250 ms (a full link), or where an earlier check of the same target got no answer; and parts of plain answers as whole where a killed target closes its listener over 10 ms after its connections.

Cause: each attempt was dropped after 250 ms, before the next; an unknown result was shared with ends that came later; plain answers had a shorter hold.

Now further attempts begin beside the earlier ones and the first answer decides; only a refusal is shared; the hold is the same for all.

--- a/packages/relay/src/http/response-ends.ts
+++ b/packages/relay/src/http/response-ends.ts
@@ -6,18 +6,9 @@
 /** Tells what the ordinary end of a connection says of an unframed response on it. */
 export abstract class ResponseEnds {
     /** Judges the end of a response of the target that has just come; does not throw. */
-    abstract judge(target: Target, isStream: boolean): Promise<ResponseEnd>;
+    abstract judge(target: Target): Promise<ResponseEnd>;
 }
 
-/**
- * Time for which a connection to the target must stay open, in milliseconds. The kernel closes the listener of a killed process last, 40 ms after
- * some hundred connections.
- */
-const STREAM_HOLD_MS = 40;
-
-/** The same for other responses, whose caller has nothing before their end. */
-const HOLD_MS = 10;
-
 /** Options of {@link CheckedResponseEnds}. */
 export interface CheckedResponseEndsOptions {
     readonly directory: Pick<TargetDirectory, "getStanding">;
@@ -37,14 +28,14 @@
         this.processes = opts.processes ?? new ProcessCheck();
     }
 
-    override async judge(target: Target, isStream: boolean): Promise<ResponseEnd> {
+    override async judge(target: Target): Promise<ResponseEnd> {
         const { directory, log, count } = this.opts;
         const endedAtMs = performance.now();
         if (directory.getStanding(target) === "leaving") {
             count("unframed_ends_leaving");
             return "whole";
         }
-        const process = await this.processes.check(target, isStream ? STREAM_HOLD_MS : HOLD_MS);
+        const process = await this.processes.check(target);
         const end = judgeResponseEnd({ standing: directory.getStanding(target), process });
         count(`unframed_ends_${end}`);
         if (end !== "whole") {
--- a/packages/relay/src/http/target-call-handler.ts
+++ b/packages/relay/src/http/target-call-handler.ts
@@ -4,7 +4,6 @@
 import { findHeader, toHeaderPairs } from "./header-list.js";
 import { ResponseBody } from "./response-body.js";
 import type { ResponseEnds } from "./response-ends.js";
-import { isEventStream } from "./response-status.js";
 import { hasTooManySmallParts } from "./small-parts.js";
 import type { TargetProtocol } from "./target-protocol.js";
 
@@ -35,7 +34,6 @@
     readonly watch = new ExchangeWatch(err => this.abort(err));
     private controller: Dispatcher.DispatchController | undefined;
     private isFramed = true;
-    private isStream = false;
     private discardTimer: NodeJS.Timeout | undefined;
     private sent = false;
     private settled = false;
@@ -86,7 +84,6 @@
             findHeader(headers, "content-length"),
             findHeader(headers, "transfer-encoding"),
         );
-        this.isStream = isEventStream({ headers });
         const decoded = this.protocol.decode(this.call, status, headers);
         switch (decoded.kind) {
             case "answer":
@@ -146,7 +143,7 @@
 
     /** Ends a body that ends with its connection, once it is known that its target has ended it. */
     private async endUnframed(): Promise<void> {
-        const end = await this.ends.judge(this.call.target, this.isStream);
+        const end = await this.ends.judge(this.call.target);
         if (end === "whole") {
             this.body.end();
         }
--- a/packages/targets/src/client/target-client.ts
+++ b/packages/targets/src/client/target-client.ts
@@ -40,8 +40,6 @@
 const DEFAULT_MAX_ANSWER_BYTES = 16 * 1_048_576;
 const REQUEST_ID_HEADER = "x-request-id";
 const DEFAULT_PORT = 80;
-/** Time for which a connection to a target that runs stays open after its response, in milliseconds. */
-const END_HOLD_MS = 10;
 
 const toAddress = (url: string): Address => {
     const { hostname, port } = new URL(url);
@@ -212,7 +210,7 @@
             return;
         }
         const isLeaving = this.opts.isLeaving?.(target.name) === true;
-        const process = isLeaving ? undefined : await this.processes.check(toAddress(target.url), END_HOLD_MS);
+        const process = isLeaving ? undefined : await this.processes.check(toAddress(target.url));
         const end = judgeResponseEnd({ standing: isLeaving ? "leaving" : "serving", process });
         if (end !== "whole") {
             this.opts.counters.add("target_ends_not_confirmed");
--- a/packages/targets/src/connection/process-check.test.ts
+++ b/packages/targets/src/connection/process-check.test.ts
@@ -1,4 +1,5 @@
 import test from "ava";
+import { setTimeout as sleep } from "node:timers/promises";
 import type { ProbeOutcome } from "./probe-connection.js";
 import { ProcessCheck } from "./process-check.js";
 
@@ -27,35 +28,35 @@
 const turn = () => new Promise(resolve => setImmediate(resolve));
 
 test("a process that accepts runs, and one that refuses is gone", async t => {
-    t.is(await createCheck(["open"]).check.check(ADDRESS, 10), "running");
-    t.is(await createCheck(["refused"]).check.check(ADDRESS, 10), "gone");
+    t.is(await createCheck(["open"]).check.check(ADDRESS), "running");
+    t.is(await createCheck(["refused"]).check.check(ADDRESS), "gone");
 });
 
 // Guards against whole responses that count as cut, since a first packet is sent again only after a second.
 test("an attempt without an answer is repeated", async t => {
     const { check, getAttempts } = createCheck(["failed", "failed", "open"]);
-    t.is(await check.check(ADDRESS, 10), "running");
+    t.is(await check.check(ADDRESS), "running");
     t.is(getAttempts(), 3);
 });
 
 test("a target that never answers is unknown", async t => {
-    t.is(await createCheck(["failed"]).check.check(ADDRESS, 10), "unknown");
+    t.is(await createCheck(["failed"]).check.check(ADDRESS), "unknown");
 });
 
 // Guards against a killed process that counts as running, since the kernel closes its listener after its connections.
 test("a process that drops a connection and refuses the next is gone", async t => {
-    t.is(await createCheck(["dropped", "refused"]).check.check(ADDRESS, 10), "gone");
+    t.is(await createCheck(["dropped", "refused"]).check.check(ADDRESS), "gone");
 });
 
 test("a process that drops each connection, as one with too many does, runs", async t => {
-    t.is(await createCheck(["dropped"]).check.check(ADDRESS, 10), "running");
+    t.is(await createCheck(["dropped"]).check.check(ADDRESS), "running");
 });
 
 // Guards against a response that counts as whole by a connection from before its end.
 test("a check that began earlier does not tell that the process runs", async t => {
     const { check, open } = createOpenCheck();
-    const first = check.check(ADDRESS, 10);
-    const later = [check.check(ADDRESS, 10), check.check(ADDRESS, 10)];
+    const first = check.check(ADDRESS);
+    const later = [check.check(ADDRESS), check.check(ADDRESS)];
     open[0]?.("open");
     t.is(await first, "running");
     await turn();
@@ -66,8 +67,28 @@
 
 test("a check that began earlier tells that the process is gone", async t => {
     const { check, open } = createOpenCheck();
-    const checks = [check.check(ADDRESS, 10), check.check(ADDRESS, 10)];
+    const checks = [check.check(ADDRESS), check.check(ADDRESS)];
     open[0]?.("refused");
     t.deepEqual(await Promise.all(checks), ["gone", "gone"]);
     t.is(open.length, 1);
 });
+
+/** Round trip of a connection through a full link, longer than the time after which a further attempt begins; in milliseconds. */
+const SLOW_MS = 300;
+
+// Guards against whole responses that count as cut, since their target answers slowly.
+test("an answer that takes longer than the time between two attempts counts", async t => {
+    const check = new ProcessCheck({
+        probe: async (_address, timeoutMs) => {
+            await sleep(Math.min(timeoutMs, SLOW_MS));
+            return timeoutMs < SLOW_MS ? "failed" : "open";
+        },
+    });
+    t.is(await check.check(ADDRESS), "running");
+});
+
+// Guards against whole responses that count as cut, since an earlier response ended while the target could not be reached.
+test("a check that began earlier and got no answer says nothing of a later end", async t => {
+    const { check } = createCheck([...Array<ProbeOutcome>(6).fill("failed"), "open"]);
+    t.deepEqual(await Promise.all([check.check(ADDRESS), check.check(ADDRESS)]), ["unknown", "running"]);
+});
--- a/packages/targets/src/connection/process-check.ts
+++ b/packages/targets/src/connection/process-check.ts
@@ -13,9 +13,15 @@
     readonly wait?: (ms: number) => Promise<void>;
 }
 
-/** Timeout of an attempt, in milliseconds: some round trips within a region. A lost first packet is sent again only after a second. */
+/** Time after which a further attempt begins beside those without an answer, in milliseconds: a lost first packet is sent again only after a second. */
 const ATTEMPT_MS = 250;
 
+/**
+ * Time for which a connection must stay open, in milliseconds. The kernel closes the listener of a process that ends after its connections, and
+ * resets what was connected meanwhile.
+ */
+const HOLD_MS = 40;
+
 /** Time between two attempts, in milliseconds: a process that ends has closed its listener by then. */
 const PAUSE_MS = 20;
 
@@ -42,41 +48,48 @@
     }
 
     /**
-     * Resolves whether the process runs at a moment after the call; does not throw. The kernel closes the listener of a process that ends
-     * after its connections, and resets what was connected meanwhile, so that a connection must stay open for `holdMs`. Checks of one address
-     * are shared, but one that began earlier says nothing of a process that it found running.
+     * Resolves whether the process runs at a moment after the call; does not throw. Checks of one address are shared, but one that began
+     * earlier counts only where it found that the process is gone.
      */
-    check(address: Address, holdMs: number): Promise<ProcessState> {
-        const key = `${address.host}:${address.port} ${holdMs}`;
+    check(address: Address): Promise<ProcessState> {
+        const key = `${address.host}:${address.port}`;
         const shared = this.running.get(key);
         if (shared === undefined) {
-            return this.start(key, address, holdMs);
+            return this.start(key, address);
         }
         shared.next ??= shared.state.then(state =>
-            state === "running" ? this.running.get(key)?.state ?? this.start(key, address, holdMs) : state
+            state === "gone" ? state : this.running.get(key)?.state ?? this.start(key, address)
         );
         return shared.next;
     }
 
-    private start(key: string, address: Address, holdMs: number): Promise<ProcessState> {
-        const state = this.attempt(address, holdMs).finally(() => this.running.delete(key));
+    private start(key: string, address: Address): Promise<ProcessState> {
+        const state = this.attempt(address).finally(() => this.running.delete(key));
         this.running.set(key, { state, next: undefined });
         return state;
     }
 
-    private async attempt(address: Address, holdMs: number): Promise<ProcessState> {
+    /** Opens connections until one of them decides; earlier ones still count, as their answers may take longer. */
+    private async attempt(address: Address): Promise<ProcessState> {
+        let state: ProcessState = "unknown";
         let dropped = 0;
-        for (let attempts = 1; attempts <= MAX_ATTEMPTS; attempts++) {
-            const outcome = await this.probe(address, ATTEMPT_MS, holdMs);
-            if (outcome === "open" || outcome === "refused") {
-                return outcome === "open" ? "running" : "gone";
-            }
+        let decide = (): void => undefined;
+        const decided = new Promise<void>(resolve => decide = resolve);
+        const tryOnce = async (timeoutMs: number): Promise<void> => {
+            const outcome = await this.probe(address, timeoutMs, HOLD_MS);
             dropped += outcome === "dropped" ? 1 : 0;
-            if (dropped === MAX_DROPPED) {
-                return "running";
+            const isRunning = outcome === "open" || dropped === MAX_DROPPED;
+            if (state === "unknown" && (isRunning || outcome === "refused")) {
+                state = isRunning ? "running" : "gone";
+                decide();
+            }
+        };
+        for (let left = MAX_ATTEMPTS; left > 0 && state === "unknown"; left--) {
+            await Promise.race([decided, tryOnce(left * ATTEMPT_MS), sleep(ATTEMPT_MS, undefined, { ref: false })]);
+            if (state === "unknown") {
+                await Promise.race([decided, this.wait(PAUSE_MS)]);
             }
-            await this.wait(PAUSE_MS);
         }
-        return "unknown";
+        return state;
     }
 }
