--- a/packages/bench/src/platform/soak/send-call.ts
+++ b/packages/bench/src/platform/soak/send-call.ts
@@ -103,9 +103,11 @@
     const parts: Buffer[] = [];
     req.on("socket", socket => {
         localPort = socket.localPort;
-        const onEnd = (): void => void (isReset = wasReset(socket));
-        socket.prependOnceListener("end", onEnd);
-        req.once("close", () => socket.off("end", onEnd));
+        // Node's client takes any end of such a response for its end.
+        const onEnd = (): void => void (isReset ||= wasReset(socket));
+        const onError = (): void => void (isReset = true);
+        socket.prependOnceListener("end", onEnd).prependOnceListener("error", onError);
+        req.once("close", () => socket.off("end", onEnd).off("error", onError));
         if (socket.connecting) {
             socket.once("connect", () => localPort = socket.localPort);
         }
