--- a/packages/stand-ins/src/platform/platform-target-stand-in.ts
+++ b/packages/stand-ins/src/platform/platform-target-stand-in.ts
@@ -38,6 +38,8 @@
     bytes: "stand-in-bytes",
     /** "none" for an answer that ends with its connection, "length" for a stream with a length; Node.js chooses by default. */
     framing: "stand-in-framing",
+    /** Time after the first part of a plain answer before the rest, in milliseconds. */
+    splitMs: "stand-in-split-ms",
     /** Events of a stream before the connection is reset within the next one. */
     resetAfter: "stand-in-reset-after",
     /** Events of a stream before the connection is closed in order within the next one. */
@@ -161,6 +163,7 @@
     tokensEach = 90;
     /** Called after each start that follows a crash. */
     onRestart: () => void = () => undefined;
+    private onRunEnd: () => void = () => undefined;
     private server: JsonServer | undefined;
     private stopped = false;
     /** Unix time of this start in milliseconds; tells it from earlier ones under the same id. */
@@ -206,6 +209,18 @@
         await this.server?.close();
     }
 
+    /** Resolves as soon as nothing runs any more. */
+    async drain(): Promise<void> {
+        await new Promise<void>(resolve => {
+            this.onRunEnd = () => {
+                if (this.runs.every(run => run.end !== undefined)) {
+                    resolve();
+                }
+            };
+            this.onRunEnd();
+        });
+    }
+
     /** Closes all connections, refuses new ones for a time and starts again. */
     async crash(): Promise<void> {
         const { server } = this;
@@ -295,7 +310,13 @@
                 return;
             }
             const padding = "x".repeat(Number(req.headers[STAND_IN_HEADERS.bytes] ?? 0));
-            res.writeHead(200, headers).end(`answer to ${id}${padding}`);
+            const splitMs = Number(req.headers[STAND_IN_HEADERS.splitMs] ?? 0);
+            res.writeHead(200, headers);
+            if (splitMs > 0) {
+                res.write(`answer to ${id}`);
+                await sleep(splitMs);
+            }
+            res.end(splitMs > 0 ? padding : `answer to ${id}${padding}`);
             return;
         }
         const createEvent = (at: number): string => `id: ${at}\ndata: ${[id, version].join(" ").trim()}\n\n`;
@@ -380,6 +401,7 @@
         this.runs.push(run);
         res.once("close", () => {
             run.end ??= { atMs: performance.now(), how: res.writableFinished ? "complete" : "disconnected" };
+            this.onRunEnd();
         });
         return run;
     }
