--- a/packages/bench/src/platform/soak/judge-platform.test.ts
+++ b/packages/bench/src/platform/soak/judge-platform.test.ts
@@ -24,6 +24,7 @@
     instance: CUT,
     usedKeptConnection: false,
     httpVersion: "1.1",
+    isFramed: true,
     readPauseMs: 0,
     sentAtMs: LONG_MS,
     bodySentAtMs: LONG_MS,
@@ -157,6 +158,8 @@
     t.deepEqual(count({ httpVersion: "1.1" }), [1, 1]);
     t.deepEqual(count({ httpVersion: "1.0" }, PEER), [1, 1]);
     t.deepEqual(count({ httpVersion: "1.0" }, "model-1"), [1, 1]);
+    // The head is on its way to the caller when the instance is killed.
+    t.deepEqual(count({ httpVersion: "1.0" }, CUT, LONG_MS + 5), [0, 0]);
     t.deepEqual(count({ httpVersion: "1.0" }, CUT, LONG_MS + 150), [1, 1]);
     t.deepEqual(count({ httpVersion: "1.0" }, CUT, LONG_MS - 50), [1, 1]);
     t.deepEqual(count({ httpVersion: "1.0", body: `${createPart(3)}x` }), [1, 1]);
@@ -196,6 +199,9 @@
     t.is(count(begun, createKill(PEER)), 0);
     t.is(count({ ...begun, headAtMs: undefined }, createKill(PEER)), 1);
     t.is(count({ ...begun, kind: "plain" }, createKill(PEER)), 1);
+    t.is(count({ ...begun, kind: "plain", isFramed: false }, createKill(PEER)), 0);
+    t.is(count({ ...begun, kind: "plain", isFramed: false, headAtMs: undefined }, createKill(PEER)), 1);
+    t.is(count({ ...begun, kind: "plain", isFramed: false }, createKill("instance-2")), 1);
     t.is(count(begun, createKill(PEER), new HandoffLog()), 1);
     t.is(count(begun, createKill("instance-2")), 1);
     t.is(count(begun, new FaultTimeline()), 1);
--- a/packages/bench/src/platform/soak/platform-call.ts
+++ b/packages/bench/src/platform/soak/platform-call.ts
@@ -26,6 +26,8 @@
     readonly usedKeptConnection: boolean;
     /** Version in which the request was sent. */
     readonly httpVersion: "1.1" | "1.0";
+    /** Whether the response tells its end without the end of the connection; true before its head. */
+    readonly isFramed: boolean;
     /** Time for which the caller read nothing after the head of the response, in milliseconds. */
     readonly readPauseMs: number;
     readonly sentAtMs: number;
--- a/packages/bench/src/platform/soak/send-call.ts
+++ b/packages/bench/src/platform/soak/send-call.ts
@@ -79,15 +79,16 @@
 
 /** Whether a response came whole for its caller: one that ends with its connection only without a reset, and one in chunks not for HTTP/1.0. */
 const isComplete = (
-    { complete, statusCode = 0, headers }: IncomingMessage,
+    res: IncomingMessage,
     { httpVersion }: CallPlan,
     isReset: boolean,
-): boolean => {
-    const coding = headers["transfer-encoding"];
-    return complete
-        && !(isReset && !isFramed(statusCode, headers["content-length"], coding))
-        && !(httpVersion === "1.0" && coding !== undefined);
-};
+): boolean =>
+    res.complete
+    && !(isReset && !hasFraming(res))
+    && !(httpVersion === "1.0" && res.headers["transfer-encoding"] !== undefined);
+
+const hasFraming = ({ statusCode = 0, headers }: IncomingMessage): boolean =>
+    isFramed(statusCode, headers["content-length"], headers["transfer-encoding"]);
 
 /** Sends one request; resolves with what its caller saw. */
 export const sendCall = async (plan: CallPlan): Promise<PlatformCall> => {
@@ -150,6 +151,7 @@
         instance,
         usedKeptConnection: req.reusedSocket,
         httpVersion: plan.httpVersion ?? "1.1",
+        isFramed: res === undefined || hasFraming(res),
         readPauseMs: plan.readPauseMs,
         sentAtMs,
         bodySentAtMs,
