Don't let the end of a target's connection end the process while its response is paused

Callers saw: all requests of an instance fail, since its process stopped with `unexpected error`. Each target can cause it.

Cause: a response without framing fills the buffer with its last bytes, so that its connection is paused, and the target then ends the connection. undici's parser asserts that it is not paused when its connection ends, outside of any request.

Why this works: the response is resumed before the client handles the end; no more bytes can come. The parser then passes on a part without bytes, which is left out, as its reader would pause the response again. The daemon's client has both as well.

--- a/packages/relay/src/http/target-call-handler.ts
+++ b/packages/relay/src/http/target-call-handler.ts
@@ -32,7 +32,7 @@
         abandon: () => this.abort(new Error("the response is not read further")),
     });
     /** Watches the exchange on its connection. */
-    readonly watch = new ExchangeWatch(err => this.abort(err));
+    readonly watch = new ExchangeWatch(err => this.abort(err), () => this.controller?.resume());
     private controller: Dispatcher.DispatchController | undefined;
     private isFramed = true;
     private isStream = false;
@@ -108,6 +108,10 @@
     }
 
     onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
+        // One without bytes comes with the end of a paused connection, which must not be paused again.
+        if (chunk.length === 0) {
+            return;
+        }
         this.bytes += chunk.length;
         this.parts += 1;
         this.watch.addBody(chunk.length);
--- a/packages/targets/src/client/response-guard.ts
+++ b/packages/targets/src/client/response-guard.ts
@@ -8,7 +8,7 @@
 export const guardResponse: Dispatcher.DispatcherComposeInterceptor = dispatch => (opts, handler) => {
     let current: Dispatcher.DispatchController | undefined;
     let isDelimited = true;
-    const watch = new ExchangeWatch(err => current?.abort(err));
+    const watch = new ExchangeWatch(err => current?.abort(err), () => current?.resume());
     const guarded: TargetDispatchOptions = { ...opts, onConnection: connection => watch.setConnection(connection) };
     return dispatch(guarded, {
         onRequestStart: (controller, context) => {
@@ -27,8 +27,11 @@
             handler.onResponseStart?.(controller, status, headers, message);
         },
         onResponseData: (controller, chunk) => {
-            watch.addBody(chunk.length);
-            handler.onResponseData?.(controller, chunk);
+            // One without bytes comes with the end of a paused connection, which must not be paused again.
+            if (chunk.length > 0) {
+                watch.addBody(chunk.length);
+                handler.onResponseData?.(controller, chunk);
+            }
         },
         onResponseEnd: (controller, trailers) => {
             watch.stop();
--- a/packages/targets/src/connection/exchange-watch.ts
+++ b/packages/targets/src/connection/exchange-watch.ts
@@ -14,8 +14,11 @@
     private startedAtBytes = 0;
     private bodyBytes = 0;
 
-    /** `onExcess` is called when far more was received than the body, since the HTTP client accepts some parts without end. */
-    constructor(private readonly onExcess: (err: Error) => void) {}
+    /**
+     * `onExcess` is called when far more was received than the body, since the HTTP client accepts some parts without end. `resume` is called
+     * when the connection ends, since the HTTP client fails with an uncaught error where it ends while the response is paused.
+     */
+    constructor(private readonly onExcess: (err: Error) => void, private readonly resume: () => void) {}
 
     /** Sets the connection on which the exchange will run. */
     setConnection(connection: TargetConnection): void {
@@ -26,7 +29,7 @@
     start(): void {
         this.isStarted = true;
         this.startedAtBytes = this.connection?.parsedBytes ?? 0;
-        this.connection?.watch(() => this.check());
+        this.connection?.watch(() => this.check(), this.resume);
     }
 
     /** Monotonic time at which the exchange's connection was open, in milliseconds; undefined before that. */
--- a/packages/targets/src/connection/target-connection.ts
+++ b/packages/targets/src/connection/target-connection.ts
@@ -5,6 +5,7 @@
 export class TargetConnection {
     private socket: Socket | undefined;
     private onReceive: (() => void) | undefined;
+    private onEnd: (() => void) | undefined;
     private openedAtMs: number | undefined;
 
     /** Sets the connection that was opened last. */
@@ -13,6 +14,7 @@
         this.openedAtMs = performance.now();
         // Registered before the listener of the HTTP client, so it runs before new bytes are parsed.
         socket.on("readable", () => this.onReceive?.());
+        socket.once("end", () => this.onEnd?.());
     }
 
     /** Monotonic time at which the current connection was open, in milliseconds; undefined before the first one. */
@@ -26,9 +28,10 @@
         return socket === undefined ? 0 : socket.bytesRead - socket.readableLength;
     }
 
-    /** Sets what is called when bytes arrive; undefined stops it. */
-    watch(onReceive: (() => void) | undefined): void {
+    /** Sets what is called when bytes arrive and before the end of the connection is handled; undefined stops it. */
+    watch(onReceive: (() => void) | undefined, onEnd?: () => void): void {
         this.onReceive = onReceive;
+        this.onEnd = onEnd;
     }
 
     /** Whether the connection ended by a reset. */
