--- a/packages/bench/src/platform/large-fleet.test.ts
+++ b/packages/bench/src/platform/large-fleet.test.ts
@@ -65,7 +65,8 @@
     t.teardown(() => fleet.close());
     t.log(`ready after ${Math.round(performance.now() - startedAtMs)} ms`);
     for (const instance of fleet.instances) {
-        t.true(isWhole(await fleet.ask(instance, 60)), instance.name);
+        const answer = await fleet.ask(instance, 60);
+        t.true(isWhole(answer), `${instance.name}: ${answer.status} ${answer.body}`);
     }
     let live = [...fleet.instances];
     const callers = startCallers(fleet, () => live);
