--- a/packages/bench/src/platform/soak/judge-platform.test.ts
+++ b/packages/bench/src/platform/soak/judge-platform.test.ts
@@ -199,7 +199,7 @@
     t.is(count(begun, createKill(PEER)), 0);
     t.is(count({ ...begun, headAtMs: undefined }, createKill(PEER)), 1);
     t.is(count({ ...begun, kind: "plain" }, createKill(PEER)), 1);
-    t.is(count({ ...begun, kind: "plain", isFramed: false }, createKill(PEER)), 0);
+    t.is(count({ ...begun, kind: "plain", isFramed: false }, createKill(PEER)), 1);
     t.is(count({ ...begun, kind: "plain", isFramed: false, headAtMs: undefined }, createKill(PEER)), 1);
     t.is(count({ ...begun, kind: "plain", isFramed: false }, createKill("instance-2")), 1);
     t.is(count(begun, createKill(PEER), new HandoffLog()), 1);
--- a/packages/bench/src/platform/soak/judge-platform.ts
+++ b/packages/bench/src/platform/soak/judge-platform.ts
@@ -244,11 +244,10 @@
             && this.getRuns(id).every(({ target }) => timeline.isCalm(target, sentAtMs, endedAtMs));
     }
 
-    /** Whether a response that had begun, and whose end only its helper knew, may have broken off with the helper that was killed meanwhile. */
-    private mayHaveBrokenWithHelper(call: PlatformCall): boolean {
-        const { kind, instance, headAtMs, sentAtMs, endedAtMs, isFramed } = call;
+    /** Whether a stream that had begun may have been served by a peer that was killed meanwhile, and broke off with it. */
+    private mayHaveBrokenWithHelper({ kind, instance, headAtMs, sentAtMs, endedAtMs }: PlatformCall): boolean {
         const { timeline, handoffs } = this.evidence;
-        return (MODEL_KINDS.includes(kind) || !isFramed) && headAtMs !== undefined
+        return MODEL_KINDS.includes(kind) && headAtMs !== undefined
             && handoffs.listHelpers(instance, endedAtMs).some(helper =>
                 timeline.wasKilled(helper, sentAtMs, endedAtMs)
             );
